--- /dev/null
+++ b/include/spanplank/daemons.h
@@ -0,0 +1,22 @@
+/// The processes, as functions: the programs under tools/ only read the command line.
+#ifndef SPANPLANK_DAEMONS_H_HEADER_GUARD
+#define SPANPLANK_DAEMONS_H_HEADER_GUARD
+
+#include <string>
+
+namespace spanplank
+{
+/// Runs a router until SIGTERM. @param[in] _settingsFile YAML. @returns The exit code.
+/// @throws SettingsFailure
+int runRouter(const std::string& _settingsFile);
+
+/// Runs an agent until SIGTERM. @param[in] _settingsFile YAML. @returns The exit code.
+/// @throws SettingsFailure
+int runAgent(const std::string& _settingsFile);
+
+/// Checks a settings file without running. @throws SettingsFailure
+void checkRouterSettings(const std::string& _settingsFile);
+void checkAgentSettings(const std::string& _settingsFile);
+} // namespace spanplank
+
+#endif // SPANPLANK_DAEMONS_H_HEADER_GUARD
--- /dev/null
+++ b/include/spanplank/types.h
@@ -0,0 +1,99 @@
+/// Typed ids, time and hashing, shared by all cores.
+#ifndef SPANPLANK_TYPES_H_HEADER_GUARD
+#define SPANPLANK_TYPES_H_HEADER_GUARD
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace spanplank
+{
+/// A moment in microseconds. Cores never read a clock: it is passed in.
+using TimeUs = int64_t;
+
+constexpr TimeUs kMsToUs = 1000;
+constexpr uint32_t kInvalidIdx = UINT32_MAX;
+
+/// A request inside one router.
+struct RequestId
+{
+	uint64_t idx = UINT64_MAX;
+};
+
+/// One attempt of a request on one upstream; unique within a router's incarnation.
+struct AttemptId
+{
+	uint64_t idx = UINT64_MAX;
+};
+
+/// An upstream (with the agent beside it) in a router's table.
+struct UpstreamId
+{
+	uint32_t idx = kInvalidIdx;
+};
+
+/// A link to another process, in the process that holds it.
+struct LinkId
+{
+	uint32_t idx = kInvalidIdx;
+};
+
+inline bool isValid(RequestId _id)
+{
+	return _id.idx != UINT64_MAX;
+}
+
+inline bool isValid(AttemptId _id)
+{
+	return _id.idx != UINT64_MAX;
+}
+
+inline bool isValid(UpstreamId _id)
+{
+	return _id.idx != kInvalidIdx;
+}
+
+inline bool isValid(LinkId _id)
+{
+	return _id.idx != kInvalidIdx;
+}
+
+template <typename Id, typename = decltype(Id::idx)>
+inline bool operator==(Id _a, Id _b)
+{
+	return _a.idx == _b.idx;
+}
+
+template <typename Id, typename = decltype(Id::idx)>
+inline bool operator<(Id _a, Id _b)
+{
+	return _a.idx < _b.idx;
+}
+
+/// @returns A stable 64-bit hash (xxh3) of bytes; the same on every box.
+uint64_t stableHash(std::string_view _bytes, uint64_t _seed = 0);
+
+/// @returns Lower-case hex SHA-256 of bytes.
+std::string sha256Hex(std::string_view _bytes);
+
+/// @returns Lower-case hex HMAC-SHA-256 (RFC 2104).
+std::string hmacHex(std::string_view _key, std::string_view _bytes);
+
+/// @returns Whether two strings are equal, in time that depends on their length alone.
+bool equalConstantTime(std::string_view _a, std::string_view _b);
+
+/// Small, fast, seeded generator (SplitMix64). Cores take it by reference so that runs replay.
+struct Random
+{
+	uint64_t state = 0;
+};
+
+/// @returns The next 64 random bits.
+uint64_t nextRandom(Random& _random);
+
+/// @returns A number in [0, 1).
+double nextUnit(Random& _random);
+} // namespace spanplank
+
+#endif // SPANPLANK_TYPES_H_HEADER_GUARD
--- /dev/null
+++ b/src/adapters/caller_api.cpp
@@ -0,0 +1,272 @@
+/// Adapter to the callers: OpenAI-shaped chat completions, plain services, typed refusals.
+#include <fmt/format.h>
+
+#include "router_p.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr uint32_t kMaxDeadlineMs = 24u * 3600 * 1000;
+constexpr size_t kMaxKeyBytes = 256;
+constexpr auto kCallerPoll = std::chrono::milliseconds(500);
+
+std::string headerOf(const HttpRequest& _request, const char* _name)
+{
+	return std::string(_request[_name]);
+}
+
+uint32_t deadlineMs(const HttpRequest& _request)
+{
+	const std::string text = headerOf(_request, "X-Spanplank-Deadline-Ms");
+	if (text.empty())
+	{
+		return kDefaultDeadlineMs;
+	}
+	const bool digits = text.find_first_not_of("0123456789") == std::string::npos && text.size() <= 9;
+	if (!digits || std::stoul(text) > kMaxDeadlineMs)
+	{
+		throw Failure(ErrorCode::BadRequest, "X-Spanplank-Deadline-Ms: must be milliseconds, at most a day");
+	}
+	return uint32_t(std::stoul(text));
+}
+
+CallerRequest commonRequest(const HttpRequest& _request)
+{
+	CallerRequest caller;
+	caller.bearer = bearerOf(_request);
+	caller.kind = headerOf(_request, "X-Spanplank-Kind");
+	caller.session = headerOf(_request, "X-Spanplank-Session");
+	caller.key = headerOf(_request, "Idempotency-Key");
+	caller.contentType = headerOf(_request, "Content-Type");
+	caller.body = _request.body();
+	caller.deadline = monotonicNow() + TimeUs(deadlineMs(_request)) * kMsToUs;
+	if (caller.key.size() > kMaxKeyBytes)
+	{
+		throw Failure(ErrorCode::BadRequest, "Idempotency-Key: at most 256 characters");
+	}
+	return caller;
+}
+
+/// Leading text of all messages, which is what engines cache prefixes of.
+std::string promptOf(const json& _messages)
+{
+	std::string prompt;
+	for (const json& message : _messages)
+	{
+		if (message.is_object() && message.contains("content") && message["content"].is_string())
+		{
+			prompt += message.value("role", "user");
+			prompt += '\n';
+			prompt += message["content"].get_ref<const std::string&>();
+			prompt += '\n';
+		}
+	}
+	return prompt;
+}
+
+CallerRequest chatRequest(const HttpRequest& _request)
+{
+	CallerRequest caller = commonRequest(_request);
+	const json body = json::parse(caller.body, nullptr, false);
+	if (!body.is_object())
+	{
+		throw Failure(ErrorCode::BadRequest, "the body is not a JSON object");
+	}
+	const bool hasModel = body.contains("model") && body["model"].is_string();
+	const bool hasMessages =
+	    body.contains("messages") && body["messages"].is_array() && !body["messages"].empty();
+	if (!hasModel || !hasMessages)
+	{
+		throw Failure(ErrorCode::BadRequest, "the body needs model and messages");
+	}
+	const json& stream = body.value("stream", json(false));
+	const json& most = body.value("max_tokens", json(256));
+	if (!stream.is_boolean() || !most.is_number_integer() || most.get<int64_t>() < 1 ||
+	    most.get<int64_t>() > 1000000)
+	{
+		throw Failure(ErrorCode::BadRequest, "stream must be true or false, max_tokens from 1 to 1000000");
+	}
+	caller.model = body["model"];
+	caller.stream = stream;
+	caller.maxTokens = most;
+	caller.prompt = promptOf(body["messages"]);
+	caller.promptTokens = uint32_t(caller.prompt.size() / kBytesPerToken + 1);
+	return caller;
+}
+
+CallerRequest serviceRequest(const HttpRequest& _request, const Target& _target)
+{
+	CallerRequest caller = commonRequest(_request);
+	caller.service = _target.path[2];
+	caller.method = std::string(_request.method_string());
+	const std::string_view whole(_request.target().data(), _request.target().size());
+	const size_t after = whole.find('/', whole.find("/services/") + 10);
+	caller.path = after == std::string_view::npos ? "" : std::string(whole.substr(after + 1));
+	return caller;
+}
+
+std::vector<HttpHeader> headersOf(const AnswerHead& _head)
+{
+	std::vector<HttpHeader> headers = {{"X-Spanplank-Version", _head.version},
+	                                   {"X-Spanplank-Request", _head.requestId}};
+	if (!_head.session.empty())
+	{
+		headers.push_back({"X-Spanplank-Session", _head.session});
+	}
+	if (_head.replayed)
+	{
+		headers.push_back({"X-Spanplank-Replayed", "true"});
+	}
+	return headers;
+}
+
+/// Writes one event to the caller.
+struct EventWriter
+{
+	HttpExchange& exchange;
+
+	/// @returns Whether the answer is complete.
+	bool operator()(const WholeAnswer& _event) const
+	{
+		HttpResponse response;
+		response.status = _event.head.status;
+		response.headers = headersOf(_event.head);
+		response.headers.push_back({"X-Spanplank-Cost", fmt::format("{:.6f}", _event.cost)});
+		response.headers.push_back({"Content-Type", _event.head.contentType});
+		response.body = _event.body;
+		exchange.respond(response);
+		return true;
+	}
+	bool operator()(const StartAnswer& _event) const
+	{
+		exchange.startStream(_event.head.status, headersOf(_event.head), _event.head.contentType);
+		return false;
+	}
+	bool operator()(const PassPart& _event) const
+	{
+		exchange.write(_event.data);
+		return false;
+	}
+	bool operator()(const EndAnswer& _event) const
+	{
+		exchange.write(fmt::format(": spanplank cost={:.6f}\n\n", _event.cost));
+		exchange.finish();
+		return true;
+	}
+	bool operator()(const RefuseRequest& _event) const
+	{
+		exchange.respond(refusalResponse(_event.refusal, _event.requestId));
+		return true;
+	}
+	/// The caller gets a typed error and then a cut, never an end mark.
+	bool operator()(const BreakAnswer& _event) const
+	{
+		const HttpResponse error = refusalResponse(_event.refusal, "");
+		exchange.write(fmt::format("event: error\ndata: {}\n\n", error.body));
+		exchange.abort();
+		return true;
+	}
+};
+
+/// Joins the parts that are ready, so that a burst costs one system call.
+CallerEvent joinParts(FiberQueue<CallerEvent>& _events, CallerEvent _event)
+{
+	auto* part = std::get_if<PassPart>(&_event);
+	while (part != nullptr && !_events.empty() && std::holds_alternative<PassPart>(_events.front()))
+	{
+		part->data += std::get<PassPart>(*_events.pop(std::chrono::steady_clock::now())).data;
+	}
+	return _event;
+}
+
+void serve(Router& _router, HttpExchange& _exchange, const CallerRequest& _request)
+{
+	const RequestId id{_router.nextRequest++};
+	FiberQueue<CallerEvent> events;
+	_router.callers[id.idx] = &events;
+	RouterActions actions;
+	arrive(_router.core, id, _request, monotonicNow(), wallMs(), actions);
+	perform(_router, actions);
+	bool done = false;
+	while (!done)
+	{
+		std::optional<CallerEvent> event = events.pop(std::chrono::steady_clock::now() + kCallerPoll);
+		if (event)
+		{
+			done = std::visit(EventWriter{_exchange}, joinParts(events, std::move(*event)));
+		}
+		const bool gone = event ? _exchange.broken() : _exchange.callerGone();
+		if (!done && gone)
+		{
+			RouterActions left;
+			callerLeft(_router.core, id, left);
+			perform(_router, left);
+			_exchange.abort();
+			done = true;
+		}
+	}
+	_router.callers.erase(id.idx);
+}
+
+void listModels(Router& _router, HttpExchange& _exchange)
+{
+	const std::string account = authenticate(_router.core.config, bearerOf(_exchange.request()));
+	json data = json::array();
+	for (const std::string& name : modelsFor(_router.core.config, account))
+	{
+		data.push_back({{"id", name}, {"object", "model"}, {"owned_by", "spanplank"}});
+	}
+	_exchange.respond(jsonResponse(200, {{"object", "list"}, {"data", data}}));
+}
+
+void refuseBusy(const Router& _router)
+{
+	if (_router.core.bills.count >= kMaxUnflushedBills)
+	{
+		throw Failure(Refusal{ErrorCode::BillsFull, RunState::No, 5000, "no room for another bill"});
+	}
+	if (_router.core.config.revision == 0)
+	{
+		throw Failure(Refusal{ErrorCode::ConfigBehind, RunState::No, 1000, "no configuration yet"});
+	}
+}
+} // namespace
+
+bool answerCaller(Router& _router, HttpExchange& _exchange, const Target& _target)
+{
+	const HttpRequest& request = _exchange.request();
+	const bool post = request.method() == boost::beast::http::verb::post;
+	const std::vector<std::string>& path = _target.path;
+	const bool chat = path.size() == 3 && path[1] == "chat" && path[2] == "completions";
+	const bool models = path.size() == 2 && path[1] == "models";
+	const bool service = path.size() >= 3 && path[1] == "services";
+	if (path.empty() || path[0] != "v1" || !(chat || models || service))
+	{
+		return false;
+	}
+	try
+	{
+		refuseBusy(_router);
+		if (models)
+		{
+			listModels(_router, _exchange);
+		}
+		else if (chat && !post)
+		{
+			throw Failure(ErrorCode::BadRequest, "use POST");
+		}
+		else
+		{
+			serve(_router, _exchange, chat ? chatRequest(request) : serviceRequest(request, _target));
+		}
+	}
+	catch (const Failure& failure)
+	{
+		_exchange.respond(refusalResponse(failure.refusal(), ""));
+	}
+	return true;
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/adapters/fiber_runtime.cpp
@@ -0,0 +1,145 @@
+#include "fiber_runtime_p.h"
+
+#include <boost/asio/post.hpp>
+#include <ctime>
+
+#include "log_p.h"
+
+namespace spanplank
+{
+namespace
+{
+namespace fibers = boost::fibers;
+
+/// Round robin over ready fibers; the dispatcher turns the Asio context whenever its turn comes.
+///
+/// A handler may set a wait slot or notify a condition, so it must never run while a fiber that is being
+/// suspended still holds a wait queue's spinlock. `pick_next` therefore polls only from the dispatcher.
+class AsioRoundRobin : public fibers::algo::algorithm
+{
+public:
+	explicit AsioRoundRobin(boost::asio::io_context& _io)
+	    : m_io(_io), m_work(boost::asio::make_work_guard(_io)), m_timer(_io)
+	{
+	}
+
+	void awakened(fibers::context* _fiber) noexcept override
+	{
+		_fiber->ready_link(m_ready);
+		if (!_fiber->is_context(fibers::type::dispatcher_context))
+		{
+			++m_readyFibers;
+		}
+	}
+
+	fibers::context* pick_next() noexcept override
+	{
+		const bool dispatching = fibers::context::active()->is_context(fibers::type::dispatcher_context);
+		if (dispatching && m_readyFibers > 0)
+		{
+			m_io.poll();
+		}
+		if (m_ready.empty())
+		{
+			return nullptr;
+		}
+		fibers::context* next = &m_ready.front();
+		m_ready.pop_front();
+		if (!next->is_context(fibers::type::dispatcher_context))
+		{
+			--m_readyFibers;
+		}
+		return next;
+	}
+
+	bool has_ready_fibers() const noexcept override
+	{
+		return m_readyFibers > 0;
+	}
+
+	void suspend_until(const std::chrono::steady_clock::time_point& _until) noexcept override
+	{
+		armTimer(_until);
+		m_io.run_one();
+		m_io.poll();
+	}
+
+	void notify() noexcept override
+	{
+		boost::asio::post(m_io, [] {});
+	}
+
+private:
+	/// Arming again with the same deadline would cancel the wait and end `run_one` at once.
+	void armTimer(const std::chrono::steady_clock::time_point& _until)
+	{
+		const auto never = std::chrono::steady_clock::time_point::max();
+		if (_until == m_armed || _until == never)
+		{
+			return;
+		}
+		m_armed = _until;
+		m_timer.expires_at(_until);
+		m_timer.async_wait(
+		    [this, _until](boost::system::error_code _error)
+		    {
+			    if (!_error && m_armed == _until)
+			    {
+				    m_armed = std::chrono::steady_clock::time_point::max();
+			    }
+		    });
+	}
+
+	boost::asio::io_context& m_io;
+	boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+	boost::asio::steady_timer m_timer;
+	std::chrono::steady_clock::time_point m_armed = std::chrono::steady_clock::time_point::max();
+	fibers::scheduler::ready_queue_type m_ready;
+	size_t m_readyFibers = 0;
+};
+
+TimeUs clockNow(clockid_t _clock)
+{
+	timespec now{};
+	clock_gettime(_clock, &now);
+	return TimeUs(now.tv_sec) * 1000000 + now.tv_nsec / 1000;
+}
+} // namespace
+
+TimeUs monotonicNow()
+{
+	return clockNow(CLOCK_BOOTTIME);
+}
+
+TimeUs wallNow()
+{
+	return clockNow(CLOCK_REALTIME);
+}
+
+void installFiberScheduler(boost::asio::io_context& _io)
+{
+	fibers::use_scheduling_algorithm<AsioRoundRobin>(_io);
+}
+
+void spawnFiber(std::function<void()> _body)
+{
+	fibers::fiber(fibers::launch::post,
+	              [body = std::move(_body)]
+	              {
+		              try
+		              {
+			              body();
+		              }
+		              catch (const std::exception& failure)
+		              {
+			              logEvent("fiber_failed", {{"error", failure.what()}});
+		              }
+	              })
+	    .detach();
+}
+
+void sleepFor(uint32_t _ms)
+{
+	boost::this_fiber::sleep_for(std::chrono::milliseconds(_ms));
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/adapters/http_client.cpp
@@ -0,0 +1,163 @@
+#include <boost/asio/ip/tcp.hpp>
+
+#include "fiber_runtime_p.h"
+#include "http_p.h"
+
+namespace spanplank
+{
+namespace
+{
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using Stream = std::unique_ptr<beast::tcp_stream>;
+
+/// An idle connection that the other side has closed must not be used: a byte written to it counts as sent.
+bool stillOpen(beast::tcp_stream& _stream)
+{
+	char byte = 0;
+	const ssize_t peeked = ::recv(_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+Stream takeIdle(HttpClient& _client)
+{
+	while (!_client.idle.empty())
+	{
+		Stream stream = std::move(_client.idle.back());
+		_client.idle.pop_back();
+		if (stillOpen(*stream))
+		{
+			return stream;
+		}
+	}
+	return nullptr;
+}
+
+Stream connect(HttpClient& _client, uint32_t _timeoutMs)
+{
+	auto stream = std::make_unique<beast::tcp_stream>(*_client.io);
+	stream->expires_after(std::chrono::milliseconds(_timeoutMs));
+	const tcp::endpoint address(boost::asio::ip::make_address(_client.endpoint.ip), _client.endpoint.port);
+	const IoResult connected = awaitIo([&](auto _done) { stream->async_connect(address, _done); });
+	if (connected.error)
+	{
+		throw HttpFailure("connect: " + connected.error.message(), false);
+	}
+	stream->socket().set_option(tcp::no_delay(true));
+	return stream;
+}
+
+http::request<http::string_body> toMessage(const HttpClient& _client, const HttpCall& _call)
+{
+	http::request<http::string_body> message(http::string_to_verb(_call.method), _call.target, 11);
+	message.set(http::field::host, _client.endpoint.ip);
+	for (const HttpHeader& header : _call.headers)
+	{
+		message.set(header.name, header.value);
+	}
+	message.keep_alive(true);
+	message.body() = _call.body;
+	message.prepare_payload();
+	return message;
+}
+
+HttpResponse readAnswer(beast::tcp_stream& _stream, const HttpCall& _call, const HttpPartHandler& _onPart,
+                        bool& _keepAlive)
+{
+	beast::flat_buffer buffer;
+	http::response_parser<http::buffer_body> parser;
+	parser.body_limit(64u << 20);
+	IoResult read = awaitIo([&](auto _done) { http::async_read_header(_stream, buffer, parser, _done); });
+	if (read.error)
+	{
+		throw HttpFailure("answer: " + read.error.message(), true);
+	}
+	HttpResponse response;
+	response.status = int(parser.get().result_int());
+	for (const auto& field : parser.get())
+	{
+		response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+	}
+	char piece[16384];
+	while (!parser.is_done())
+	{
+		parser.get().body().data = piece;
+		parser.get().body().size = sizeof(piece);
+		parser.get().body().more = true;
+		_stream.expires_after(std::chrono::milliseconds(_call.timeoutMs));
+		read = awaitIo([&](auto _done) { http::async_read_some(_stream, buffer, parser, _done); });
+		const std::string_view part(piece, sizeof(piece) - parser.get().body().size);
+		if (_onPart && !part.empty())
+		{
+			_onPart(response, part);
+		}
+		else
+		{
+			response.body.append(part);
+		}
+		if (read.error && read.error != http::error::need_buffer)
+		{
+			throw HttpFailure("answer cut: " + read.error.message(), true);
+		}
+	}
+	_keepAlive = parser.get().keep_alive();
+	return response;
+}
+} // namespace
+
+HttpFailure::HttpFailure(std::string _detail, bool _sent)
+    : Failure(
+          Refusal{ErrorCode::UpstreamLost, _sent ? RunState::Unknown : RunState::No, 0, std::move(_detail)}),
+      m_sent(_sent)
+{
+}
+
+void cancel(HttpCancel& _cancel)
+{
+	_cancel.cancelled = true;
+	if (_cancel.stream != nullptr)
+	{
+		_cancel.stream->cancel();
+	}
+}
+
+HttpResponse call(HttpClient& _client, const HttpCall& _call, const HttpPartHandler& _onPart,
+                  HttpCancel* _cancel)
+{
+	Stream stream = takeIdle(_client);
+	if (!stream)
+	{
+		stream = connect(_client, _call.timeoutMs);
+	}
+	HttpCancel none;
+	HttpCancel& cancelled = _cancel != nullptr ? *_cancel : none;
+	if (cancelled.cancelled)
+	{
+		throw HttpFailure("cancelled", false);
+	}
+	cancelled.stream = stream.get();
+	struct Detach
+	{
+		HttpCancel& cancelled;
+		~Detach()
+		{
+			cancelled.stream = nullptr;
+		}
+	} detach{cancelled};
+	const http::request<http::string_body> message = toMessage(_client, _call);
+	stream->expires_after(std::chrono::milliseconds(_call.timeoutMs));
+	const IoResult written = awaitIo([&](auto _done) { http::async_write(*stream, message, _done); });
+	if (written.error)
+	{
+		throw HttpFailure("send: " + written.error.message(), true);
+	}
+	bool keepAlive = false;
+	HttpResponse response = readAnswer(*stream, _call, _onPart, keepAlive);
+	if (keepAlive)
+	{
+		_client.idle.push_back(std::move(stream));
+	}
+	return response;
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/adapters/http_p.h
@@ -0,0 +1,158 @@
+/// HTTP/1.1 server and client on Boost.Beast, one fiber for each connection.
+#ifndef SPANPLANK_HTTP_P_H_HEADER_GUARD
+#define SPANPLANK_HTTP_P_H_HEADER_GUARD
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "spanplank/errors.h"
+
+namespace spanplank
+{
+/// An address as `ip:port`.
+struct Endpoint
+{
+	std::string ip;
+	uint16_t port = 0;
+};
+
+/// @throws Failure(BadRequest) unless `_text` is `ip:port`.
+Endpoint parseEndpoint(std::string_view _text);
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+struct HttpHeader
+{
+	std::string name;
+	std::string value;
+};
+
+struct HttpResponse
+{
+	int status = 0;
+	std::vector<HttpHeader> headers;
+	std::string body;
+};
+
+/// The answering side of one request. Call `respond`, or `startStream`, `write` … `finish`.
+class HttpExchange
+{
+public:
+	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request);
+
+	const HttpRequest& request() const
+	{
+		return m_request;
+	}
+
+	void respond(const HttpResponse& _response);
+	/// @returns false once the caller is gone.
+	bool startStream(int _status, const std::vector<HttpHeader>& _headers, std::string_view _contentType);
+	bool write(std::string_view _part);
+	bool finish();
+	/// Ends the connection without an end mark: the caller sees a cut, never a short whole answer.
+	void abort();
+
+	bool broken() const
+	{
+		return m_broken;
+	}
+
+	bool answered() const
+	{
+		return m_answered;
+	}
+
+	/// @returns Whether the caller has closed its side while the answer is being made.
+	bool callerGone();
+
+private:
+	boost::beast::tcp_stream& m_stream;
+	const HttpRequest& m_request;
+	bool m_broken = false;
+	bool m_answered = false;
+};
+
+using HttpHandler = std::function<void(HttpExchange&)>;
+
+struct HttpServerLimits
+{
+	size_t bodyBytes = 1u << 20;
+	size_t headerBytes = 16u << 10;
+	uint32_t slowMs = 30000;
+};
+
+struct HttpServer
+{
+	std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+	size_t connections = 0;
+	bool draining = false; ///< Answers carry `Connection: close` once set.
+	HttpServerLimits limits;
+	HttpHandler handler;
+};
+
+/// Listens and serves; port 0 takes a free one. The server must outlive its connections.
+/// @returns The port that it listens on.
+uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint);
+
+/// Closes the listening socket.
+void stopListening(HttpServer& _server);
+
+/// A failed call. `sent` tells whether any byte of the request could have left this process.
+class HttpFailure : public Failure
+{
+public:
+	HttpFailure(std::string _detail, bool _sent);
+
+	bool sent() const
+	{
+		return m_sent;
+	}
+
+private:
+	bool m_sent;
+};
+
+struct HttpCall
+{
+	std::string method = "POST";
+	std::string target = "/";
+	std::vector<HttpHeader> headers;
+	std::string body;
+	uint32_t timeoutMs = 5000; ///< Without progress for this long, the call fails.
+};
+
+/// Keeps idle connections to one endpoint.
+struct HttpClient
+{
+	boost::asio::io_context* io = nullptr;
+	Endpoint endpoint;
+	std::vector<std::unique_ptr<boost::beast::tcp_stream>> idle;
+};
+
+/// Lets another fiber end a running call.
+struct HttpCancel
+{
+	bool cancelled = false;
+	boost::beast::tcp_stream* stream = nullptr;
+};
+
+void cancel(HttpCancel& _cancel);
+
+/// Called with the head (its body is empty) and each piece of the body as it comes.
+using HttpPartHandler = std::function<void(const HttpResponse& _head, std::string_view _part)>;
+
+/// @throws HttpFailure
+HttpResponse call(HttpClient& _client, const HttpCall& _call, const HttpPartHandler& _onPart = {},
+                  HttpCancel* _cancel = nullptr);
+} // namespace spanplank
+
+#endif // SPANPLANK_HTTP_P_H_HEADER_GUARD
--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,231 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
+
+#include "fiber_runtime_p.h"
+#include "http_p.h"
+#include "log_p.h"
+
+namespace spanplank
+{
+namespace
+{
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+void setHeaders(http::fields& _fields, const std::vector<HttpHeader>& _headers)
+{
+	for (const HttpHeader& header : _headers)
+	{
+		_fields.set(header.name, header.value);
+	}
+}
+
+HttpResponse refusalResponse(ErrorCode _code, std::string_view _detail)
+{
+	HttpResponse response;
+	response.status = httpStatus(_code);
+	response.headers.push_back({"Content-Type", "application/json"});
+	response.body = fmt::format(R"({{"error":{{"code":"{}","run":"no","retry_after_ms":0,"detail":"{}"}}}})",
+	                            name(_code), _detail);
+	return response;
+}
+
+bool readRequest(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer,
+                 http::request_parser<http::string_body>& _parser, HttpRequest& _request)
+{
+	_parser.body_limit(_server.limits.bodyBytes);
+	_parser.header_limit(uint32_t(_server.limits.headerBytes));
+	_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
+	const IoResult read = awaitIo([&](auto _done) { http::async_read(_stream, _buffer, _parser, _done); });
+	if (!read.error)
+	{
+		_request = _parser.release();
+		return true;
+	}
+	HttpExchange exchange(_stream, _request);
+	if (read.error == http::error::body_limit || read.error == http::error::header_limit)
+	{
+		exchange.respond(refusalResponse(ErrorCode::Oversize, "the request is larger than allowed"));
+	}
+	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
+	         read.error != http::error::end_of_stream && read.error != http::error::partial_message)
+	{
+		exchange.respond(refusalResponse(ErrorCode::BadRequest, "malformed HTTP request"));
+	}
+	return false;
+}
+
+void serveConnection(HttpServer& _server, beast::tcp_stream& _stream)
+{
+	beast::flat_buffer buffer;
+	bool keepAlive = true;
+	while (keepAlive)
+	{
+		http::request_parser<http::string_body> parser;
+		HttpRequest request;
+		if (!readRequest(_server, _stream, buffer, parser, request))
+		{
+			break;
+		}
+		keepAlive = request.keep_alive() && !_server.draining;
+		request.keep_alive(keepAlive);
+		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
+		HttpExchange exchange(_stream, request);
+		try
+		{
+			_server.handler(exchange);
+		}
+		catch (const Failure& failure)
+		{
+			if (!exchange.answered())
+			{
+				exchange.respond(refusalResponse(failure.refusal().code, failure.refusal().detail));
+			}
+		}
+		keepAlive = keepAlive && !exchange.broken();
+	}
+	beast::error_code ignored;
+	_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+void acceptLoop(boost::asio::io_context& _io, HttpServer& _server)
+{
+	while (_server.acceptor->is_open())
+	{
+		auto stream = std::make_shared<beast::tcp_stream>(_io);
+		const IoResult accepted =
+		    awaitIo([&](auto _done) { _server.acceptor->async_accept(stream->socket(), _done); });
+		if (accepted.error)
+		{
+			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
+			continue;
+		}
+		stream->socket().set_option(tcp::no_delay(true));
+		++_server.connections;
+		spawnFiber(
+		    [&_server, stream]
+		    {
+			    serveConnection(_server, *stream);
+			    --_server.connections;
+		    });
+	}
+}
+} // namespace
+
+Endpoint parseEndpoint(std::string_view _text)
+{
+	const size_t colon = _text.rfind(':');
+	if (colon == std::string_view::npos || colon == 0)
+	{
+		throw Failure(ErrorCode::BadRequest, fmt::format("'{}' is not ip:port", _text));
+	}
+	boost::system::error_code error;
+	const std::string ip(_text.substr(0, colon));
+	boost::asio::ip::make_address(ip, error);
+	const std::string port(_text.substr(colon + 1));
+	const bool digits = !port.empty() && port.find_first_not_of("0123456789") == std::string::npos;
+	const unsigned long number = digits && port.size() <= 5 ? std::stoul(port) : 65536;
+	if (error || number > 65535)
+	{
+		throw Failure(ErrorCode::BadRequest, fmt::format("'{}' is not ip:port", _text));
+	}
+	return Endpoint{ip, uint16_t(number)};
+}
+
+HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request)
+    : m_stream(_stream), m_request(_request)
+{
+}
+
+void HttpExchange::respond(const HttpResponse& _response)
+{
+	m_answered = true;
+	http::response<http::string_body> message(http::status(_response.status), m_request.version());
+	setHeaders(message, _response.headers);
+	message.keep_alive(m_request.keep_alive());
+	message.body() = _response.body;
+	message.prepare_payload();
+	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
+	m_broken = m_broken || written.error;
+}
+
+bool HttpExchange::startStream(int _status, const std::vector<HttpHeader>& _headers,
+                               std::string_view _contentType)
+{
+	m_answered = true;
+	http::response<http::empty_body> head(http::status(_status), m_request.version());
+	setHeaders(head, _headers);
+	head.set(http::field::content_type, _contentType);
+	head.set(http::field::cache_control, "no-store");
+	head.keep_alive(m_request.keep_alive());
+	head.chunked(true);
+	http::response_serializer<http::empty_body> serializer(head);
+	const IoResult written =
+	    awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
+	m_broken = m_broken || written.error;
+	return !m_broken;
+}
+
+bool HttpExchange::write(std::string_view _part)
+{
+	if (m_broken || _part.empty())
+	{
+		return !m_broken;
+	}
+	m_stream.expires_after(std::chrono::seconds(30));
+	const IoResult written = awaitIo(
+	    [&](auto _done)
+	    {
+		    boost::asio::async_write(
+		        m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())), _done);
+	    });
+	m_broken = m_broken || written.error;
+	return !m_broken;
+}
+
+bool HttpExchange::finish()
+{
+	if (m_broken)
+	{
+		return false;
+	}
+	const IoResult written =
+	    awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
+	m_broken = m_broken || written.error;
+	return !m_broken;
+}
+
+void HttpExchange::abort()
+{
+	m_broken = true;
+	beast::error_code ignored;
+	m_stream.socket().close(ignored);
+}
+
+bool HttpExchange::callerGone()
+{
+	char byte = 0;
+	const ssize_t peeked =
+	    ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
+	return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint)
+{
+	const tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
+	_server.acceptor = std::make_unique<tcp::acceptor>(_io);
+	_server.acceptor->open(address.protocol());
+	_server.acceptor->set_option(tcp::acceptor::reuse_address(true));
+	_server.acceptor->bind(address);
+	_server.acceptor->listen();
+	spawnFiber([&_io, &_server] { acceptLoop(_io, _server); });
+	return _server.acceptor->local_endpoint().port();
+}
+
+void stopListening(HttpServer& _server)
+{
+	boost::system::error_code ignored;
+	_server.acceptor->close(ignored);
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/adapters/router_daemon.cpp
@@ -0,0 +1,474 @@
+/// The router process: joins the router's core to callers, operators, links and the store.
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "log_p.h"
+#include "metrics_p.h"
+#include "router_p.h"
+#include "spanplank/daemons.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint32_t kTickMs = 25;
+constexpr uint32_t kWatchMs = 10000;
+constexpr uint32_t kStoreRetryMs = 300;
+
+RouterInit coreInit(const RouterSettings& _settings, const std::string& _incarnation)
+{
+	RouterInit init;
+	init.box = _settings.common.box;
+	init.incarnation = _incarnation;
+	init.hall = _settings.common.hall;
+	init.sessionKeys = _settings.sessionKeys;
+	init.kindPriority = _settings.kinds;
+	init.seed = stableHash(_incarnation);
+	init.loadAware = _settings.routing == "load";
+	return init;
+}
+
+// ---- Actions ---------------------------------------------------------------------------------------------
+
+LinkId linkOf(const Router& _router, UpstreamId _upstream)
+{
+	const auto found = _router.linkOfUpstream.find(_upstream.idx);
+	return found == _router.linkOfUpstream.end() ? LinkId{} : found->second;
+}
+
+struct Performer
+{
+	Router& router;
+
+	void operator()(SendSubmit& _action) const
+	{
+		router.node.hub->send(linkOf(router, _action.to), MessageType::Submit, _action.submit);
+	}
+	void operator()(SendCancel& _action) const
+	{
+		router.node.hub->send(linkOf(router, _action.to), MessageType::CancelAttempt,
+		                      CancelAttempt{_action.attempt});
+	}
+	template <typename Event>
+	void operator()(Event& _event) const
+	{
+		const auto caller = router.callers.find(_event.request.idx);
+		if (caller != router.callers.end())
+		{
+			caller->second->push(std::move(_event));
+		}
+	}
+};
+
+// ---- Links -----------------------------------------------------------------------------------------------
+
+Heartbeat heartbeatOf(Router& _router)
+{
+	return {_router.core.config.revision, false, _router.node.stopping,
+	        stamp(_router.node.timeline.clock, wallNow())};
+}
+
+Halts allHalts(const Router& _router)
+{
+	Halts halts;
+	for (const auto& [version, generation] : _router.core.config.haltedGeneration)
+	{
+		halts.halts.push_back({version, generation, "told on link"});
+	}
+	return halts;
+}
+
+void onLinkOpen(Router& _router, LinkId _link, const PeerInfo& _peer)
+{
+	if (_peer.role != "agent")
+	{
+		_router.node.hub->close(_link);
+		return;
+	}
+	const UpstreamId upstream = linkUp(_router.core, _peer);
+	_router.upstreamOfLink[_link.idx] = upstream;
+	_router.linkOfUpstream[upstream.idx] = _link;
+	noteEvent(_router.node, "upstream_linked", _peer.box, _peer.incarnation);
+	// Everything that the agent must know comes before the first work on the same link.
+	_router.node.hub->send(_link, MessageType::Config, updateSince(_router.core.config, 0));
+	_router.node.hub->send(_link, MessageType::Halts, allHalts(_router));
+	_router.node.hub->send(_link, MessageType::Heartbeat, heartbeatOf(_router));
+}
+
+void onLinkClose(Router& _router, LinkId _link)
+{
+	const auto found = _router.upstreamOfLink.find(_link.idx);
+	if (found == _router.upstreamOfLink.end())
+	{
+		return;
+	}
+	const UpstreamId upstream = found->second;
+	_router.upstreamOfLink.erase(found);
+	if (!(linkOf(_router, upstream) == _link))
+	{
+		return; // Replaced by a newer link already.
+	}
+	_router.linkOfUpstream.erase(upstream.idx);
+	noteEvent(_router.node, "upstream_lost", _router.core.upstreams[upstream.idx].info.box, "");
+	RouterActions actions;
+	linkDown(_router.core, upstream, monotonicNow(), wallMs(), actions);
+	perform(_router, actions);
+}
+
+void onPeerHeartbeat(Router& _router, LinkId _from, UpstreamId _upstream, const Heartbeat& _heartbeat)
+{
+	hear(_router.node.timeline.clock, _heartbeat.hybridTime);
+	onHeartbeat(_router.core, _upstream, _heartbeat);
+	LinkHub& hub = *_router.node.hub;
+	if (_heartbeat.revision > _router.core.config.revision)
+	{
+		hub.send(_from, MessageType::ConfigAsk, ConfigAsk{_router.core.config.revision});
+	}
+	else if (_heartbeat.revision < _router.core.config.revision)
+	{
+		hub.send(_from, MessageType::Config, updateSince(_router.core.config, _heartbeat.revision));
+	}
+}
+
+void onMessage(Router& _router, LinkId _from, const LinkMessage& _message)
+{
+	const auto known = _router.upstreamOfLink.find(_from.idx);
+	if (known == _router.upstreamOfLink.end())
+	{
+		return;
+	}
+	const UpstreamId upstream = known->second;
+	RouterCore& core = _router.core;
+	const TimeUs now = monotonicNow();
+	RouterActions actions;
+	switch (_message.type)
+	{
+	case MessageType::Heartbeat:
+		onPeerHeartbeat(_router, _from, upstream, _message.body.get<Heartbeat>());
+		break;
+	case MessageType::Config:
+		takeConfig(_router, _message.body.get<ConfigUpdate>());
+		break;
+	case MessageType::ConfigAsk:
+		_router.node.hub->send(_from, MessageType::Config,
+		                       updateSince(core.config, _message.body.get<ConfigAsk>().since));
+		break;
+	case MessageType::Halts:
+		takeHalts(_router, _message.body.get<Halts>());
+		break;
+	case MessageType::Report:
+		onReport(core, upstream, _message.body.get<Report>(), now);
+		break;
+	case MessageType::Table:
+		onTable(core, _message.body.get<TableMessage>().table);
+		break;
+	case MessageType::AnswerStart:
+		onStart(core, upstream, _message.body.get<AnswerStart>(), actions);
+		break;
+	case MessageType::AnswerPart:
+		onPart(core, upstream, _message.body.get<AnswerPart>(), wallMs(), actions);
+		break;
+	case MessageType::AnswerEnd:
+		onEnd(core, upstream, _message.body.get<AnswerEnd>(), now, wallMs(), actions);
+		break;
+	case MessageType::AnswerRefused:
+		onRefused(core, upstream, _message.body.get<AnswerRefused>(), now, wallMs(), actions);
+		break;
+	default:
+		break;
+	}
+	perform(_router, actions);
+}
+
+// ---- Configuration ---------------------------------------------------------------------------------------
+
+/// A few routers of a hall watch the store; the rest hear of changes from the agents that they share.
+bool shouldWatch(const Router& _router)
+{
+	const CommonSettings& self = _router.settings.common;
+	const uint64_t own = stableHash(self.box, stableHash(self.hall));
+	size_t ahead = 0;
+	for (const BoxEntry& entry : _router.node.boxes)
+	{
+		const bool rival = entry.role == "router" && entry.hall == self.hall && entry.state == "live" &&
+		                   entry.box != self.box;
+		if (rival && stableHash(entry.box, stableHash(self.hall)) > own)
+		{
+			++ahead;
+		}
+	}
+	return ahead < _router.settings.watchers;
+}
+
+void followConfig(Router& _router)
+{
+	while (true)
+	{
+		try
+		{
+			_router.watching = shouldWatch(_router);
+			if (!_router.fromStore)
+			{
+				takeConfig(_router, readConfig(_router.node.store));
+				_router.fromStore = true;
+			}
+			else if (_router.watching)
+			{
+				takeConfig(_router, watchConfig(_router.node.store, _router.core.config.revision, kWatchMs));
+			}
+			else
+			{
+				sleepFor(kBoxListPollMs);
+			}
+		}
+		catch (const Failure&)
+		{
+			sleepFor(kStoreRetryMs); // The store adapter has logged the change of state.
+		}
+	}
+}
+
+// ---- Bills -----------------------------------------------------------------------------------------------
+
+bool flushOwnBills(Router& _router)
+{
+	const std::string& owner = _router.node.incarnation;
+	const BillBatch batch = batchOf(_router.core.bills, owner);
+	if (batch.bills.empty() && batch.voids.empty())
+	{
+		return true;
+	}
+	if (!flushBills(_router.node, owner, batch))
+	{
+		return false;
+	}
+	dropBatch(_router.core.bills, owner, batch);
+	BillsFlushed flushed;
+	flushed.owner = owner;
+	for (const Bill& bill : batch.bills)
+	{
+		flushed.seqs.push_back(bill.seq);
+	}
+	flushed.seqs.insert(flushed.seqs.end(), batch.voids.begin(), batch.voids.end());
+	_router.node.hub->sendAll(MessageType::BillsFlushed, flushed);
+	return true;
+}
+
+// ---- The process -----------------------------------------------------------------------------------------
+
+void linkAgents(Router& _router)
+{
+	for (const BoxEntry& entry : _router.node.boxes)
+	{
+		if (entry.role != "agent")
+		{
+			continue;
+		}
+		if (entry.state == "leaving")
+		{
+			markLeaving(_router.core, entry.box, "");
+		}
+		_router.node.hub->connect(parseEndpoint(entry.link));
+	}
+}
+
+std::string metricsPage(Router& _router)
+{
+	MetricsPage page;
+	const RouterStats& stats = _router.core.stats;
+	addCounter(page, "requests_total", "Requests of callers.", double(stats.requests));
+	addCounter(page, "answered_total", "Requests answered whole.", double(stats.answered));
+	addCounter(page, "refused_total", "Requests refused.", double(stats.refused));
+	addCounter(page, "broken_total", "Answers broken after their start.", double(stats.broken));
+	addCounter(page, "retries_total", "Attempts beyond the first.", double(stats.retries));
+	addCounter(page, "escalations_total", "Cascade steps beyond the first.", double(stats.escalations));
+	addCounter(page, "stale_frames_total", "Frames of attempts given up.", double(stats.staleFrames));
+	addGauge(page, "in_flight", "Requests in flight.", double(_router.core.requests.size()));
+	addGauge(page, "connections", "Callers' connections.", double(_router.node.http.connections));
+	addGauge(page, "config_revision", "Configuration revision in force.",
+	         double(_router.core.config.revision));
+	addGauge(page, "bills_kept", "Bills not yet in the ledger.", double(_router.core.bills.count));
+	addProcessMetrics(page, _router.node.hub->stats(), _router.node.store.stats);
+	return serialize(page);
+}
+
+bool isReady(const Router& _router)
+{
+	return !_router.node.stopping && _router.core.config.revision > 0 && !_router.linkOfUpstream.empty();
+}
+
+void answerHttp(Router& _router, HttpExchange& _exchange)
+{
+	if (answerCommon(_router.node, _exchange, isReady(_router), [&_router] { return metricsPage(_router); }))
+	{
+		return;
+	}
+	const Target target = parseTarget(std::string_view(_exchange.request().target()));
+	if (!answerCaller(_router, _exchange, target) && !answerOperator(_router, _exchange, target))
+	{
+		_exchange.respond(refusalResponse({ErrorCode::NotFound, RunState::No, 0, "no such path"}, ""));
+	}
+}
+
+void startLinks(Router& _router)
+{
+	LinkInit init;
+	init.self = {
+	    "router", _router.settings.common.box, _router.node.incarnation, _router.settings.common.hall, "", {},
+	    {}};
+	init.keys = _router.settings.common.linkKeys;
+	init.handlers.onOpen = [&_router](LinkId _link, const PeerInfo& _peer)
+	{
+		onLinkOpen(_router, _link, _peer);
+	};
+	init.handlers.onMessage = [&_router](LinkId _link, const LinkMessage& _message)
+	{
+		onMessage(_router, _link, _message);
+	};
+	init.handlers.onClose = [&_router](LinkId _link)
+	{
+		onLinkClose(_router, _link);
+	};
+	_router.node.hub = std::make_unique<LinkHub>(_router.node.io, init);
+}
+
+void start(Router& _router)
+{
+	startLinks(_router);
+	_router.node.http.limits.bodyBytes = _router.settings.maxBodyBytes;
+	_router.node.http.limits.headerBytes = kMaxHeaderBytes;
+	_router.node.http.limits.slowMs = _router.settings.slowCallerMs;
+	_router.node.http.handler = [&_router](HttpExchange& _exchange)
+	{
+		answerHttp(_router, _exchange);
+	};
+	startHttpServer(_router.node.io, _router.node.http, _router.settings.common.listen);
+	noteEvent(_router.node, "started", _router.settings.common.box, _router.node.incarnation);
+	followBoxList(_router.node, [&_router] { linkAgents(_router); });
+	spawnFiber([&_router] { followConfig(_router); });
+	spawnFiber(
+	    [&_router]
+	    {
+		    while (true)
+		    {
+			    _router.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_router));
+			    sleepFor(kHeartbeatMs);
+		    }
+	    });
+	spawnFiber(
+	    [&_router]
+	    {
+		    while (true)
+		    {
+			    RouterActions actions;
+			    tick(_router.core, monotonicNow(), actions);
+			    perform(_router, actions);
+			    sleepFor(kTickMs);
+		    }
+	    });
+	spawnFiber(
+	    [&_router]
+	    {
+		    while (true)
+		    {
+			    flushOwnBills(_router);
+			    sleepFor(kBillFlushMs);
+		    }
+	    });
+}
+
+/// A planned stop: the balancer sees it, what is in flight ends, the bills are flushed.
+void stop(Router& _router)
+{
+	constexpr uint32_t kPollMs = 20;
+	const TimeUs until = monotonicNow() + TimeUs(_router.settings.common.drainMs) * kMsToUs;
+	sleepFor(_router.settings.common.balancerMs);
+	_router.node.http.draining = true;
+	stopListening(_router.node.http);
+	while (!_router.callers.empty() && monotonicNow() < until)
+	{
+		sleepFor(kPollMs);
+	}
+	while (!flushOwnBills(_router) && monotonicNow() < until)
+	{
+		sleepFor(kStoreRetryMs);
+	}
+	noteEvent(_router.node, "drained", _router.settings.common.box,
+	          fmt::format("{} cut, {} bills kept", _router.callers.size(), _router.core.bills.count));
+	sleepFor(kPollMs); // Lets the last frames leave.
+}
+} // namespace
+
+Router::Router(const RouterSettings& _settings)
+    : settings(_settings), node(_settings.common),
+      core(createRouterCore(coreInit(_settings, node.incarnation)))
+{
+}
+
+int64_t wallMs()
+{
+	return wallNow() / 1000;
+}
+
+std::string bearerOf(const HttpRequest& _request)
+{
+	const std::string value(_request["Authorization"]);
+	constexpr std::string_view kBearer = "Bearer ";
+	const bool bearer = value.size() > kBearer.size() &&
+	                    boost::beast::iequals(value.substr(0, kBearer.size()), std::string(kBearer));
+	return bearer ? value.substr(kBearer.size()) : "";
+}
+
+void perform(Router& _router, RouterActions& _actions)
+{
+	for (RouterAction& action : _actions)
+	{
+		std::visit(Performer{_router}, action);
+	}
+}
+
+void takeConfig(Router& _router, const ConfigUpdate& _update)
+{
+	const uint64_t before = _router.core.config.revision;
+	if (apply(_router.core.config, _update) != ApplyResult::Applied)
+	{
+		return;
+	}
+	if (_router.core.config.revision != before)
+	{
+		recordEvent(_router.node.timeline, wallNow(), "config_in_force", "config",
+		            fmt::format("revision {}", _router.core.config.revision));
+	}
+	_router.node.hub->sendAll(MessageType::Config, _update);
+}
+
+void takeHalts(Router& _router, const Halts& _halts)
+{
+	Halts news;
+	for (const Halt& halt : _halts.halts)
+	{
+		if (applyHalt(_router.core.config, halt))
+		{
+			noteEvent(_router.node, "halt_obeyed", halt.version, halt.reason);
+			news.halts.push_back(halt);
+		}
+	}
+	if (!news.halts.empty())
+	{
+		_router.node.hub->sendAll(MessageType::Halts, news);
+	}
+}
+
+int runRouter(const std::string& _settingsFile)
+{
+	static Router* s_router = nullptr; // Lives as long as the process: fibers refer to it to the end.
+	s_router = new Router(loadRouterSettings(_settingsFile));
+	return runNode(
+	    s_router->node, [] { start(*s_router); }, [] { stop(*s_router); });
+}
+
+void checkRouterSettings(const std::string& _settingsFile)
+{
+	loadRouterSettings(_settingsFile);
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/adapters/settings_p.h
@@ -0,0 +1,86 @@
+/// Settings in YAML, checked as a whole: every mistake is reported with its file, line and path in one go.
+#ifndef SPANPLANK_SETTINGS_P_H_HEADER_GUARD
+#define SPANPLANK_SETTINGS_P_H_HEADER_GUARD
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "http_p.h"
+
+namespace spanplank
+{
+/// Settings that routers and agents share.
+struct CommonSettings
+{
+	std::string box;
+	std::string hall;
+	Endpoint listen; ///< HTTP: callers and operators at a router, metrics and the time line at both.
+	Endpoint store;
+	Endpoint boxList;
+	std::vector<std::string> linkKeys;
+	uint32_t drainMs = 10000;   ///< Most time that a planned stop may take.
+	uint32_t balancerMs = 1000; ///< How long a stopping router still listens, so that the balancer sees it.
+};
+
+struct RouterSettings
+{
+	CommonSettings common;
+	std::vector<std::string> sessionKeys;
+	std::vector<std::string> operatorTokens; ///< SHA-256 of each, hex.
+	std::map<std::string, uint32_t> kinds;   ///< Priority of each kind of request; lower goes first.
+	std::string routing = "load";            ///< `load` or `round-robin`.
+	uint32_t maxBodyBytes = 1u << 20;
+	uint32_t slowCallerMs = 30000;
+	uint32_t watchers = 2; ///< Routers of a hall that watch the store.
+};
+
+struct AgentSettings
+{
+	CommonSettings common;
+	std::string pool;
+	Endpoint link; ///< Where it listens for links.
+	Endpoint upstream;
+	Endpoint ratings;
+	std::vector<std::string> versions;
+	std::vector<std::string> services;
+	uint32_t slots = 8;
+	uint32_t kvTokens = 200000;
+	uint32_t maxQueued = 64;
+	uint32_t upstreamTimeoutMs = 60000;
+	uint32_t grantSize = 4;
+	bool askSuccessor = true;  ///< Off only to show what fails without it.
+	bool judgeTwice = true;    ///< Off only to show what fails without it.
+	bool boundExposure = true; ///< Off only to show what fails without it.
+};
+
+struct SettingsMistake
+{
+	std::string file;
+	int line = 0; ///< From 1.
+	std::string path;
+	std::string what;
+};
+
+/// Settings that don't hold. `what()` lists every mistake, a line each.
+class SettingsFailure : public Failure
+{
+public:
+	explicit SettingsFailure(std::vector<SettingsMistake> _mistakes);
+
+	const std::vector<SettingsMistake>& mistakes() const
+	{
+		return m_mistakes;
+	}
+
+private:
+	std::vector<SettingsMistake> m_mistakes;
+};
+
+/// @throws SettingsFailure
+RouterSettings loadRouterSettings(const std::string& _file);
+/// @throws SettingsFailure
+AgentSettings loadAgentSettings(const std::string& _file);
+} // namespace spanplank
+
+#endif // SPANPLANK_SETTINGS_P_H_HEADER_GUARD
--- /dev/null
+++ b/src/adapters/store_client_p.h
@@ -0,0 +1,65 @@
+/// Adapter to the platform's key-value service: compare-and-swap, prefix watches.
+#ifndef SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
+#define SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http_p.h"
+
+namespace spanplank
+{
+struct StoreItem
+{
+	std::string key;
+	std::string value;
+	uint64_t revision = 0; ///< Store revision of its latest change; 0: absent.
+	bool deleted = false;
+};
+
+struct StoreList
+{
+	uint64_t revision = 0; ///< Of the store, when it was read.
+	std::vector<StoreItem> items;
+};
+
+enum class CasResult : uint8_t
+{
+	Done,
+	Conflict, ///< Certain: nothing was changed.
+	Lost,     ///< The answer was lost: it may have taken effect. Read back.
+};
+
+struct StoreStats
+{
+	uint64_t reads = 0;
+	uint64_t writes = 0;
+	uint64_t watches = 0;
+	uint64_t failures = 0;
+};
+
+struct StoreClient
+{
+	HttpClient http;
+	HttpClient watchHttp; ///< Waiting watches must not hold up other calls.
+	StoreStats stats;
+	bool reachable = true;
+};
+
+/// @throws Failure(StoreUnavailable)
+StoreItem readStore(StoreClient& _client, const std::string& _key);
+/// @throws Failure(StoreUnavailable)
+StoreList listStore(StoreClient& _client, const std::string& _prefix);
+/// Waits up to `_waitMs` for changes after a revision. @throws Failure(StoreUnavailable)
+StoreList watchStore(StoreClient& _client, const std::string& _prefix, uint64_t _after, uint32_t _waitMs);
+
+/// Writes if the key still has the expected revision (0: absent).
+/// @param[out] _revision The new revision when done.
+/// @throws Failure(StoreUnavailable) if the store certainly did not take it.
+CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
+                   uint64_t _expected, uint64_t& _revision);
+} // namespace spanplank
+
+#endif // SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
--- /dev/null
+++ b/src/adapters/upstream_client.cpp
@@ -0,0 +1,137 @@
+#include "upstream_client_p.h"
+
+#include <nlohmann/json.hpp>
+
+#include "fiber_runtime_p.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr size_t kTailBytes = 4096; ///< The engine's usage comes in the last events of a stream.
+
+HttpCall engineCall(const Submit& _submit)
+{
+	HttpCall request;
+	request.target = "/v1/chat/completions";
+	json body = json::parse(_submit.body, nullptr, false);
+	if (body.is_object())
+	{
+		body["model"] = _submit.version;
+		body["stream"] = _submit.stream;
+		body["priority"] = _submit.priority;
+	}
+	request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+	request.headers.push_back({"Content-Type", "application/json"});
+	return request;
+}
+
+HttpCall serviceCall(const Submit& _submit)
+{
+	HttpCall request;
+	request.method = _submit.method;
+	request.target = "/" + _submit.path;
+	request.body = _submit.body;
+	if (!_submit.contentType.empty())
+	{
+		request.headers.push_back({"Content-Type", _submit.contentType});
+	}
+	if (!_submit.key.empty())
+	{
+		request.headers.push_back({"Idempotency-Key", _submit.key});
+	}
+	return request;
+}
+
+void readUsage(const json& _answer, UpstreamEnd& _end)
+{
+	if (!_answer.is_object() || !_answer.contains("usage") || !_answer["usage"].is_object())
+	{
+		return;
+	}
+	const json& usage = _answer["usage"];
+	_end.promptTokens = usage.value("prompt_tokens", 0u);
+	_end.outputTokens = usage.value("completion_tokens", 0u);
+	_end.confidence = usage.value("confidence", 1.0);
+}
+
+/// The last event of a stream that holds the usage.
+void readStreamUsage(const std::string& _tail, UpstreamEnd& _end)
+{
+	const size_t usage = _tail.rfind("\"usage\"");
+	if (usage == std::string::npos)
+	{
+		return;
+	}
+	const size_t start = _tail.rfind("data: ", usage);
+	const size_t end = _tail.find("\n\n", usage);
+	if (start != std::string::npos && end != std::string::npos)
+	{
+		const size_t from = start + 6;
+		readUsage(json::parse(_tail.substr(from, end - from), nullptr, false), _end);
+	}
+}
+
+std::string contentTypeOf(const HttpResponse& _response)
+{
+	for (const HttpHeader& header : _response.headers)
+	{
+		if (boost::beast::iequals(header.name, "content-type"))
+		{
+			return header.value;
+		}
+	}
+	return "application/octet-stream";
+}
+} // namespace
+
+UpstreamEnd forwardWork(HttpClient& _client, const Submit& _submit, uint32_t _timeoutMs,
+                        const UpstreamHandlers& _handlers, HttpCancel& _cancel)
+{
+	HttpCall request = _submit.service.empty() ? engineCall(_submit) : serviceCall(_submit);
+	request.timeoutMs = _timeoutMs;
+	request.headers.push_back({"X-Spanplank-Request", _submit.request});
+	request.headers.push_back({"X-Spanplank-Account", _submit.account});
+	const TimeUs begin = monotonicNow();
+	bool started = false;
+	std::string tail;
+	const HttpResponse response = call(
+	    _client, request,
+	    [&](const HttpResponse& _head, std::string_view _part)
+	    {
+		    if (!started)
+		    {
+			    started = true;
+			    _handlers.onStart(_head.status, contentTypeOf(_head));
+		    }
+		    tail.append(_part);
+		    const bool whole = !_submit.stream && tail.size() <= (1u << 20);
+		    if (!whole && tail.size() > kTailBytes)
+		    {
+			    tail.erase(0, tail.size() - kTailBytes);
+		    }
+		    _handlers.onPart(std::string(_part));
+	    },
+	    &_cancel);
+	if (!started)
+	{
+		_handlers.onStart(response.status, contentTypeOf(response));
+	}
+	UpstreamEnd end;
+	end.seconds = double(monotonicNow() - begin) * 1e-6;
+	if (_submit.service.empty())
+	{
+		if (_submit.stream)
+		{
+			readStreamUsage(tail, end);
+		}
+		else
+		{
+			readUsage(json::parse(tail, nullptr, false), end);
+		}
+	}
+	return end;
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,183 @@
+#include "spanplank/admission.h"
+
+#include <algorithm>
+
+namespace spanplank
+{
+namespace
+{
+constexpr double kEstimateWeight = 0.05;
+constexpr uint32_t kMinRetryMs = 50;
+constexpr uint32_t kMaxRetryMs = 30000;
+
+bool fits(const AdmissionQueue& _queue, uint64_t _tokens)
+{
+	const bool alone = _queue.running.empty(); // A request larger than the memory still gets its turn, alone.
+	return _queue.running.size() < _queue.limits.slots &&
+	       (alone || _queue.runningTokens + _tokens <= _queue.limits.kvTokens);
+}
+
+void start(AdmissionQueue& _queue, const WorkDemand& _demand)
+{
+	_queue.running[_demand.id.idx] = _demand;
+	_queue.runningTokens += _demand.tokens;
+}
+
+void dequeue(AdmissionQueue& _queue, std::map<AdmissionQueue::Order, AdmissionQueue::Waiting>::iterator _at)
+{
+	const WorkDemand& demand = _at->second.demand;
+	_queue.waitingTokens -= demand.tokens;
+	const auto count = _queue.queued.find(demand.account);
+	if (--count->second == 0)
+	{
+		_queue.queued.erase(count);
+	}
+	_queue.orderOf.erase(demand.id.idx);
+	_queue.waiting.erase(_at);
+}
+
+uint32_t retryAfter(const AdmissionQueue& _queue, uint32_t _priority)
+{
+	const double wait = expectedWait(_queue, _priority) * 1000.0;
+	return uint32_t(std::clamp(wait, double(kMinRetryMs), double(kMaxRetryMs)));
+}
+
+/// The newest waiting work of the account that is furthest over its share, if the arrival's account is not.
+std::optional<WorkId> evictFor(AdmissionQueue& _queue, const WorkDemand& _demand)
+{
+	auto worst = _queue.waiting.end();
+	double worstTag = _queue.virtualTime;
+	for (auto it = _queue.waiting.begin(); it != _queue.waiting.end(); ++it)
+	{
+		const bool lowerClass = it->second.demand.priority >= _demand.priority;
+		if (lowerClass && it->second.tag > worstTag)
+		{
+			worst = it;
+			worstTag = it->second.tag;
+		}
+	}
+	const auto last = _queue.lastTag.find(_demand.account);
+	const double begin = std::max(_queue.virtualTime, last == _queue.lastTag.end() ? 0.0 : last->second);
+	const double own = begin + double(_demand.tokens) / _demand.weight;
+	if (worst == _queue.waiting.end() || worst->second.demand.account == _demand.account || worstTag <= own)
+	{
+		return std::nullopt;
+	}
+	const WorkDemand evicted = worst->second.demand;
+	double& tag = _queue.lastTag[evicted.account];
+	tag = std::max(_queue.virtualTime, tag - double(evicted.tokens) / evicted.weight);
+	dequeue(_queue, worst);
+	return evicted.id;
+}
+
+void enqueue(AdmissionQueue& _queue, const WorkDemand& _demand)
+{
+	double& last = _queue.lastTag[_demand.account];
+	last = std::max(_queue.virtualTime, last) + double(_demand.tokens) / _demand.weight;
+	const AdmissionQueue::Order order{_demand.priority, last, _demand.id.idx};
+	_queue.waiting[order] = {_demand, last};
+	_queue.orderOf[_demand.id.idx] = order;
+	_queue.waitingTokens += _demand.tokens;
+	++_queue.queued[_demand.account];
+}
+} // namespace
+
+AdmissionQueue createAdmissionQueue(const AdmissionLimits& _limits)
+{
+	AdmissionQueue queue;
+	queue.limits = _limits;
+	queue.secondsPerToken = _limits.secondsPerToken;
+	return queue;
+}
+
+double expectedWait(const AdmissionQueue& _queue, uint32_t _priority)
+{
+	uint64_t ahead = 0;
+	for (const auto& [order, waiting] : _queue.waiting)
+	{
+		if (std::get<0>(order) > _priority)
+		{
+			break;
+		}
+		ahead += waiting.demand.tokens;
+	}
+	const bool full = !fits(_queue, 0);
+	const uint64_t partly = full ? _queue.runningTokens / (2 * std::max(1u, _queue.limits.slots)) : 0;
+	return double(ahead + partly) * _queue.secondsPerToken;
+}
+
+AdmissionResult admit(AdmissionQueue& _queue, const WorkDemand& _demand, TimeUs _now)
+{
+	AdmissionResult result;
+	if (_queue.waiting.empty() && fits(_queue, _demand.tokens))
+	{
+		start(_queue, _demand);
+		result.verdict = AdmissionVerdict::Start;
+		return result;
+	}
+	const double wait = expectedWait(_queue, _demand.priority);
+	const double work = double(_demand.tokens) * _queue.secondsPerToken;
+	result.retryAfterMs = retryAfter(_queue, _demand.priority);
+	if (_now + TimeUs((wait + work) * 1e6) > _demand.deadline)
+	{
+		return result;
+	}
+	if (_queue.waiting.size() >= _queue.limits.maxQueued)
+	{
+		result.evicted = evictFor(_queue, _demand);
+		if (!result.evicted)
+		{
+			return result;
+		}
+	}
+	enqueue(_queue, _demand);
+	result.verdict = AdmissionVerdict::Queue;
+	return result;
+}
+
+std::optional<WorkId> nextWork(AdmissionQueue& _queue)
+{
+	if (_queue.waiting.empty())
+	{
+		return std::nullopt;
+	}
+	const auto first = _queue.waiting.begin();
+	if (!fits(_queue, first->second.demand.tokens))
+	{
+		return std::nullopt;
+	}
+	const WorkDemand demand = first->second.demand;
+	_queue.virtualTime =
+	    std::max(_queue.virtualTime, first->second.tag - double(demand.tokens) / demand.weight);
+	dequeue(_queue, first);
+	if (_queue.waiting.empty())
+	{
+		_queue.lastTag.clear();
+		_queue.virtualTime = 0.0;
+	}
+	start(_queue, demand);
+	return demand.id;
+}
+
+void release(AdmissionQueue& _queue, WorkId _id, uint64_t _tokens, double _seconds)
+{
+	const auto running = _queue.running.find(_id.idx);
+	if (running != _queue.running.end())
+	{
+		_queue.runningTokens -= running->second.tokens;
+		if (_tokens > 0 && _seconds > 0.0)
+		{
+			const double sharing = double(std::max<size_t>(1, _queue.running.size()));
+			const double perToken = _seconds / double(_tokens) / sharing;
+			_queue.secondsPerToken += kEstimateWeight * (perToken - _queue.secondsPerToken);
+		}
+		_queue.running.erase(running);
+		return;
+	}
+	const auto order = _queue.orderOf.find(_id.idx);
+	if (order != _queue.orderOf.end())
+	{
+		dequeue(_queue, _queue.waiting.find(order->second));
+	}
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/core/agent_core.cpp
@@ -0,0 +1,588 @@
+#include "spanplank/agent_core.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint32_t kStoppingRetryMs = 200;
+constexpr uint32_t kBillsFullRetryMs = 5000;
+constexpr uint32_t kExposureRetryMs = 250;
+
+void drainGuard(AgentCore& _core, GuardActions& _guardActions, TimeUs _now, int64_t _wallMs,
+                AgentActions& _actions);
+
+bool hasText(const std::vector<std::string>& _list, std::string_view _text)
+{
+	return std::find(_list.begin(), _list.end(), _text) != _list.end();
+}
+
+const std::string& whatOf(const Submit& _submit)
+{
+	return _submit.service.empty() ? _submit.version : _submit.service;
+}
+
+void refuse(AgentCore& _core, LinkId _to, uint64_t _attempt, const Refusal& _refusal, AgentActions& _actions)
+{
+	++_core.stats.refused;
+	AnswerRefused message;
+	message.attempt = _attempt;
+	message.code = name(_refusal.code);
+	message.mayHaveRun = _refusal.run == RunState::Unknown;
+	message.retryAfterMs = _refusal.retryAfterMs;
+	message.detail = _refusal.detail;
+	_actions.push_back(ReplyRefused{_to, message});
+}
+
+bool mayRunHere(const AgentCore& _core, const Submit& _submit, Refusal& _why)
+{
+	if (!_submit.service.empty())
+	{
+		if (!allowsName(_core.config, _submit.account, _submit.service))
+		{
+			_why = {ErrorCode::NotAllowed, RunState::No, 0, "the account may not use the service"};
+			return false;
+		}
+		if (!hasText(_core.init.self.services, _submit.service))
+		{
+			_why = {ErrorCode::UnknownService, RunState::No, 0, "the service is not here"};
+			return false;
+		}
+		return true;
+	}
+	if (!mayServe(_core.config, _submit.version, _submit.session))
+	{
+		_why = {ErrorCode::VersionWithdrawn, RunState::No, 0, "the version takes no new work"};
+		return false;
+	}
+	if (!allowsVersion(_core.config, _submit.account, _submit.version))
+	{
+		_why = {ErrorCode::NotAllowed, RunState::No, 0, "the account may not use the version"};
+		return false;
+	}
+	if (!hasText(_core.init.self.versions, _submit.version))
+	{
+		_why = {ErrorCode::NoUpstream, RunState::No, 0, "the version is not loaded here"};
+		return false;
+	}
+	return true;
+}
+
+/// @returns Why work must not begin now, or nothing if it may. Judged by what this agent knows.
+std::optional<Refusal> judge(const AgentCore& _core, const Submit& _submit, TimeUs _deadline, TimeUs _now)
+{
+	if (_core.stopping)
+	{
+		return Refusal{ErrorCode::Stopping, RunState::No, kStoppingRetryMs, "the agent is stopping"};
+	}
+	if (_submit.revision > _core.config.revision)
+	{
+		return Refusal{ErrorCode::ConfigBehind, RunState::No, kStoppingRetryMs,
+		               "the agent has not the configuration that the router judged by"};
+	}
+	if (_core.bills.count >= _core.init.maxUnflushedBills)
+	{
+		return Refusal{ErrorCode::BillsFull, RunState::No, kBillsFullRetryMs, "no room for another bill"};
+	}
+	if (_now >= _deadline)
+	{
+		return Refusal{ErrorCode::DeadlinePassed, RunState::No, 0, "the deadline has passed"};
+	}
+	Refusal why;
+	if (!mayRunHere(_core, _submit, why))
+	{
+		return why;
+	}
+	return std::nullopt;
+}
+
+bool isCandidate(const AgentCore& _core, const std::string& _version)
+{
+	const auto version = _core.config.versions.find(_version);
+	return version != _core.config.versions.end() && version->second.state == VersionState::Candidate;
+}
+
+/// Pays for one answer of a candidate. Serving versions are free.
+bool payExposure(AgentCore& _core, const Submit& _submit)
+{
+	if (!_core.init.boundExposure || !_submit.service.empty() || !isCandidate(_core, _submit.version))
+	{
+		return true;
+	}
+	const uint32_t generation = _core.config.versions.at(_submit.version).generation;
+	return spendCredit(_core.credits[_submit.version], generation);
+}
+
+void dropWork(AgentCore& _core, WorkId _id, uint64_t _tokens, double _seconds)
+{
+	release(_core.queue, _id, _tokens, _seconds);
+	_core.works.erase(_id.idx);
+}
+
+void refuseWork(AgentCore& _core, WorkId _id, const Refusal& _refusal, TimeUs _now, int64_t _wallMs,
+                AgentActions& _actions)
+{
+	const Work work = _core.works.at(_id.idx);
+	dropWork(_core, _id, 0, 0.0);
+	if (work.guardKey.empty())
+	{
+		refuse(_core, work.link, work.submit.attempt, _refusal, _actions);
+		return;
+	}
+	GuardActions guardActions;
+	release(_core.guard, work.guardKey, _refusal, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+}
+
+/// The last gate: judged again, paid for, forwarded.
+void startWork(AgentCore& _core, WorkId _id, bool _judgeAgain, TimeUs _now, int64_t _wallMs,
+               AgentActions& _actions)
+{
+	Work& work = _core.works.at(_id.idx);
+	std::optional<Refusal> refusal;
+	if (_judgeAgain && _core.init.judgeTwice)
+	{
+		refusal = judge(_core, work.submit, work.deadline, _now);
+	}
+	if (!refusal && !payExposure(_core, work.submit))
+	{
+		refusal = Refusal{ErrorCode::ExposureSpent, RunState::No, kExposureRetryMs,
+		                  "the candidate may give no more answers until ratings are in"};
+	}
+	if (refusal)
+	{
+		refuseWork(_core, _id, *refusal, _now, _wallMs, _actions);
+		return;
+	}
+	work.forwarded = true;
+	work.startedAt = _now;
+	++_core.stats.forwarded;
+	const bool lone = !work.guardKey.empty() && _core.guard.table.members.size() == 1;
+	_actions.push_back(ForwardWork{_id, work.submit, lone});
+}
+
+void startWaiting(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	while (const std::optional<WorkId> next = nextWork(_core.queue))
+	{
+		startWork(_core, *next, true, _now, _wallMs, _actions);
+	}
+}
+
+WorkDemand demandOf(const AgentCore& _core, WorkId _id, const Submit& _submit, TimeUs _deadline)
+{
+	WorkDemand demand;
+	demand.id = _id;
+	demand.account = _submit.account;
+	const auto account = _core.config.accounts.find(_submit.account);
+	demand.weight = account == _core.config.accounts.end() ? 1.0 : std::max(0.001, account->second.weight);
+	demand.priority = _submit.priority;
+	demand.tokens = std::max<uint64_t>(1, uint64_t(_submit.promptTokens) + _submit.maxTokens);
+	demand.deadline = _deadline;
+	return demand;
+}
+
+/// Takes judged work into the queue, or starts it.
+void admitWork(AgentCore& _core, LinkId _from, const Submit& _submit, std::string _guardKey, TimeUs _now,
+               int64_t _wallMs, AgentActions& _actions)
+{
+	const WorkId id{_core.nextWork++};
+	const TimeUs deadline = _now + TimeUs(_submit.deadlineMs) * kMsToUs;
+	Work& work = _core.works[id.idx];
+	work.submit = _submit;
+	work.link = _from;
+	work.deadline = deadline;
+	work.guardKey = std::move(_guardKey);
+	const AdmissionResult result = admit(_core.queue, demandOf(_core, id, _submit, deadline), _now);
+	const Refusal overloaded{ErrorCode::Overloaded, RunState::No, result.retryAfterMs,
+	                         "it would not be done in time"};
+	if (result.evicted)
+	{
+		refuseWork(_core, *result.evicted, overloaded, _now, _wallMs, _actions);
+	}
+	if (result.verdict == AdmissionVerdict::Refuse)
+	{
+		refuseWork(_core, id, overloaded, _now, _wallMs, _actions);
+	}
+	else if (result.verdict == AdmissionVerdict::Start)
+	{
+		startWork(_core, id, false, _now, _wallMs, _actions);
+	}
+}
+
+/// The answer of a run-once call, sent whole to one waiter.
+void sendWhole(const CallWaiter& _waiter, const CallAnswer& _answer, const Bill& _bill,
+               AgentActions& _actions)
+{
+	_actions.push_back(ReplyStart{_waiter.link, {_waiter.attempt, _answer.status, _answer.contentType}});
+	_actions.push_back(ReplyPart{_waiter.link, {_waiter.attempt, 0, _answer.body}});
+	_actions.push_back(ReplyEnd{_waiter.link, {_waiter.attempt, 1, 1.0, _bill.seq == 0, _bill}});
+}
+
+void runGuarded(AgentCore& _core, const RunCall& _run, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	const auto held = _core.guardedSubmits.find(_run.key);
+	const Submit submit = held->second;
+	_core.guardedSubmits.erase(held);
+	const TimeUs deadline = _now + TimeUs(submit.deadlineMs) * kMsToUs;
+	if (const std::optional<Refusal> refusal = judge(_core, submit, deadline, _now))
+	{
+		GuardActions guardActions;
+		release(_core.guard, _run.key, *refusal, guardActions);
+		drainGuard(_core, guardActions, _now, _wallMs, _actions);
+		return;
+	}
+	admitWork(_core, _run.first.link, submit, _run.key, _now, _wallMs, _actions);
+}
+
+/// Turns the guard's actions into the agent's.
+void drainGuard(AgentCore& _core, GuardActions& _guardActions, TimeUs _now, int64_t _wallMs,
+                AgentActions& _actions)
+{
+	const GuardActions drained = std::move(_guardActions);
+	_guardActions.clear();
+	for (const GuardAction& action : drained)
+	{
+		if (const auto* run = std::get_if<RunCall>(&action))
+		{
+			runGuarded(_core, *run, _now, _wallMs, _actions);
+		}
+		else if (const auto* replay = std::get_if<ReplayAnswer>(&action))
+		{
+			sendWhole(replay->waiter, replay->answer, Bill{}, _actions);
+		}
+		else if (const auto* refused = std::get_if<RefuseCall>(&action))
+		{
+			refuse(_core, refused->waiter.link, refused->waiter.attempt, refused->refusal, _actions);
+		}
+		else if (const auto* intent = std::get_if<SendIntent>(&action))
+		{
+			_actions.push_back(*intent);
+		}
+		else if (const auto* outcome = std::get_if<SendOutcome>(&action))
+		{
+			_actions.push_back(*outcome);
+		}
+		else if (const auto* ask = std::get_if<AskRecords>(&action))
+		{
+			_actions.push_back(*ask);
+		}
+		else if (const auto* adopted = std::get_if<TableAdopted>(&action))
+		{
+			_actions.push_back(*adopted);
+		}
+	}
+	for (auto it = _core.guardedSubmits.begin(); it != _core.guardedSubmits.end();)
+	{
+		const bool asking = _core.guard.entries.count(it->first) != 0;
+		it = asking ? std::next(it) : _core.guardedSubmits.erase(it);
+	}
+}
+
+void submitGuarded(AgentCore& _core, LinkId _from, const Submit& _submit, TimeUs _now, int64_t _wallMs,
+                   AgentActions& _actions)
+{
+	const std::string body = _submit.method + " " + _submit.path + "\n" + _submit.body;
+	GuardedCall guarded;
+	guarded.key = _submit.callId;
+	guarded.bodyHash = fmt::format("{:016x}", stableHash(body));
+	guarded.birthMs = keyBirthMs(_submit.key);
+	guarded.waiter = {_from, _submit.attempt};
+	_core.guardedSubmits.emplace(guarded.key, _submit);
+	GuardActions guardActions;
+	begin(_core.guard, guarded, _now, _wallMs, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+}
+
+Bill makeBill(AgentCore& _core, const Work& _work, uint32_t _promptTokens, uint32_t _outputTokens)
+{
+	Bill bill;
+	bill.owner = _work.submit.billOwner;
+	bill.seq = _work.submit.billSeq;
+	bill.request = _work.submit.request;
+	bill.account = _work.submit.account;
+	bill.what = whatOf(_work.submit);
+	bill.promptTokens = _promptTokens;
+	bill.outputTokens = _outputTokens;
+	const auto version = _core.config.versions.find(_work.submit.version);
+	const double perKilo = version == _core.config.versions.end() ? 0.0 : version->second.costPerKiloToken;
+	bill.cost = double(_promptTokens + _outputTokens) / 1000.0 * perKilo;
+	keepBill(_core.bills, bill);
+	return bill;
+}
+
+/// Ends guarded work; the bill goes to the first waiter, whose call it was that ran.
+void finishGuarded(AgentCore& _core, const std::string& _key, const CallAnswer& _answer, const Bill& _bill,
+                   TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	GuardActions guardActions;
+	finish(_core.guard, _key, _answer, guardActions);
+	bool billed = false;
+	for (const GuardAction& action : guardActions)
+	{
+		const auto* replay = std::get_if<ReplayAnswer>(&action);
+		if (replay != nullptr && !billed)
+		{
+			sendWhole(replay->waiter, replay->answer, _bill, _actions);
+			billed = true;
+		}
+		else
+		{
+			GuardActions one{action};
+			drainGuard(_core, one, _now, _wallMs, _actions);
+		}
+	}
+}
+} // namespace
+
+AgentCore createAgentCore(const AgentInit& _init)
+{
+	AgentCore core;
+	core.init = _init;
+	core.queue = createAdmissionQueue(_init.admission);
+	core.guard.self = _init.self.incarnation;
+	core.guard.limits = _init.runOnce;
+	core.guard.table.pool = _init.self.pool;
+	return core;
+}
+
+void onSubmit(AgentCore& _core, LinkId _from, const Submit& _submit, TimeUs _now, int64_t _wallMs,
+              AgentActions& _actions)
+{
+	++_core.stats.submitted;
+	const TimeUs deadline = _now + TimeUs(_submit.deadlineMs) * kMsToUs;
+	if (const std::optional<Refusal> refusal = judge(_core, _submit, deadline, _now))
+	{
+		refuse(_core, _from, _submit.attempt, *refusal, _actions);
+		return;
+	}
+	if (_submit.runOnce)
+	{
+		submitGuarded(_core, _from, _submit, _now, _wallMs, _actions);
+		return;
+	}
+	admitWork(_core, _from, _submit, "", _now, _wallMs, _actions);
+}
+
+void onCancel(AgentCore& _core, LinkId _from, uint64_t _attempt, TimeUs _now, int64_t _wallMs,
+              AgentActions& _actions)
+{
+	for (auto& [idx, work] : _core.works)
+	{
+		const bool match = work.link == _from && work.submit.attempt == _attempt && work.guardKey.empty();
+		if (!match)
+		{
+			continue;
+		}
+		++_core.stats.cancelled;
+		const WorkId id{idx};
+		if (work.forwarded)
+		{
+			work.abandoned = true;
+			_actions.push_back(CancelWork{id});
+			return;
+		}
+		dropWork(_core, id, 0, 0.0);
+		startWaiting(_core, _now, _wallMs, _actions);
+		return;
+	}
+}
+
+void onLinkDown(AgentCore& _core, LinkId _link, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	std::vector<uint64_t> attempts;
+	for (const auto& [idx, work] : _core.works)
+	{
+		if (work.link == _link && work.guardKey.empty())
+		{
+			attempts.push_back(work.submit.attempt);
+		}
+	}
+	for (const uint64_t attempt : attempts)
+	{
+		onCancel(_core, _link, attempt, _now, _wallMs, _actions);
+	}
+}
+
+void onUpstreamStart(AgentCore& _core, WorkId _work, int _status, const std::string& _contentType,
+                     AgentActions& _actions)
+{
+	const auto found = _core.works.find(_work.idx);
+	if (found == _core.works.end())
+	{
+		return;
+	}
+	Work& work = found->second;
+	work.status = _status;
+	work.contentType = _contentType;
+	if (work.guardKey.empty() && !work.abandoned)
+	{
+		_actions.push_back(ReplyStart{work.link, {work.submit.attempt, _status, _contentType}});
+	}
+}
+
+void onUpstreamPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions)
+{
+	const auto found = _core.works.find(_work.idx);
+	if (found == _core.works.end())
+	{
+		return;
+	}
+	Work& work = found->second;
+	work.outputBytes += _data.size();
+	if (!work.guardKey.empty())
+	{
+		work.buffer.append(_data);
+		return;
+	}
+	if (!work.abandoned)
+	{
+		_actions.push_back(ReplyPart{work.link, {work.submit.attempt, work.parts, std::move(_data)}});
+		++work.parts;
+	}
+}
+
+void onUpstreamEnd(AgentCore& _core, WorkId _work, const UpstreamEnd& _end, TimeUs _now, int64_t _wallMs,
+                   AgentActions& _actions)
+{
+	const auto found = _core.works.find(_work.idx);
+	if (found == _core.works.end())
+	{
+		return;
+	}
+	++_core.stats.ended;
+	const Work work = std::move(found->second);
+	dropWork(_core, _work, uint64_t(_end.promptTokens) + _end.outputTokens, _end.seconds);
+	const bool billable = work.status < 500 && !work.abandoned; // An answer that nobody gets is not billed.
+	const Bill bill = billable ? makeBill(_core, work, _end.promptTokens, _end.outputTokens) : Bill{};
+	if (!work.guardKey.empty())
+	{
+		const CallAnswer answer{work.status, work.contentType, work.buffer, false};
+		finishGuarded(_core, work.guardKey, answer, bill, _now, _wallMs, _actions);
+	}
+	else if (!work.abandoned)
+	{
+		_actions.push_back(
+		    ReplyEnd{work.link, {work.submit.attempt, work.parts, _end.confidence, false, bill}});
+	}
+	startWaiting(_core, _now, _wallMs, _actions);
+}
+
+void onUpstreamFailed(AgentCore& _core, WorkId _work, bool _sent, const std::string& _detail, TimeUs _now,
+                      int64_t _wallMs, AgentActions& _actions)
+{
+	const auto found = _core.works.find(_work.idx);
+	if (found == _core.works.end())
+	{
+		return;
+	}
+	++_core.stats.failed;
+	const Refusal refusal{ErrorCode::UpstreamFailed, _sent ? RunState::Unknown : RunState::No, 0, _detail};
+	if (!_sent)
+	{
+		refuseWork(_core, _work, refusal, _now, _wallMs, _actions);
+		startWaiting(_core, _now, _wallMs, _actions);
+		return;
+	}
+	const Work work = std::move(found->second);
+	dropWork(_core, _work, 0, 0.0);
+	if (!work.guardKey.empty())
+	{
+		finishGuarded(_core, work.guardKey, CallAnswer{0, "", "", true}, Bill{}, _now, _wallMs, _actions);
+	}
+	else if (!work.abandoned)
+	{
+		refuse(_core, work.link, work.submit.attempt, refusal, _actions);
+	}
+	startWaiting(_core, _now, _wallMs, _actions);
+}
+
+IntentReply onIntent(AgentCore& _core, const Intent& _intent, TimeUs _now, int64_t _wallMs,
+                     AgentActions& _actions)
+{
+	GuardActions guardActions;
+	IntentReply reply = handleIntent(_core.guard, _intent, _now, _wallMs, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+	return reply;
+}
+
+void onIntentReply(AgentCore& _core, const std::string& _from, const IntentReply& _reply, TimeUs _now,
+                   int64_t _wallMs, AgentActions& _actions)
+{
+	GuardActions guardActions;
+	handleIntentReply(_core.guard, _from, _reply, _now, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+}
+
+void onTable(AgentCore& _core, const HomeTable& _table, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	GuardActions guardActions;
+	adoptTable(_core.guard, _table, _now, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+}
+
+bool onHalt(AgentCore& _core, const Halt& _halt)
+{
+	return applyHalt(_core.config, _halt);
+}
+
+RolloutVerdict onRatings(AgentCore& _core, const std::string& _version, const RatingTally& _tally,
+                         AgentActions& _actions)
+{
+	const Rollout* rollout = rolloutOf(_core.config, _version);
+	const auto version = _core.config.versions.find(_version);
+	if (rollout == nullptr || version == _core.config.versions.end())
+	{
+		return RolloutVerdict::Undecided;
+	}
+	const RolloutVerdict verdict = judgeRatings(_tally, *rollout);
+	const Halt halt{_version, version->second.generation,
+	                fmt::format("{} bad of {} ratings", _tally.bad, _tally.good + _tally.bad)};
+	if (verdict == RolloutVerdict::Halt && onHalt(_core, halt))
+	{
+		_actions.push_back(AnnounceHalt{halt});
+	}
+	return verdict;
+}
+
+void tick(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+{
+	std::vector<uint64_t> late;
+	for (const auto& [idx, work] : _core.works)
+	{
+		if (!work.forwarded && _now >= work.deadline)
+		{
+			late.push_back(idx);
+		}
+	}
+	std::sort(late.begin(), late.end());
+	for (const uint64_t idx : late)
+	{
+		const Refusal refusal{ErrorCode::DeadlinePassed, RunState::No, 0, "the deadline has come"};
+		refuseWork(_core, WorkId{idx}, refusal, _now, _wallMs, _actions);
+	}
+	GuardActions guardActions;
+	tick(_core.guard, _now, _wallMs, guardActions);
+	drainGuard(_core, guardActions, _now, _wallMs, _actions);
+	startWaiting(_core, _now, _wallMs, _actions);
+}
+
+Report reportOf(const AgentCore& _core)
+{
+	Report report;
+	report.running = uint32_t(_core.queue.running.size());
+	report.queued = uint32_t(_core.queue.waiting.size());
+	report.slots = _core.queue.limits.slots;
+	report.secondsPerToken = _core.queue.secondsPerToken;
+	report.prefillBacklog = _core.queue.waitingTokens;
+	report.billsFull = _core.bills.count >= _core.init.maxUnflushedBills;
+	return report;
+}
+
+bool isDrained(const AgentCore& _core)
+{
+	return _core.works.empty() && _core.guardedSubmits.empty() && _core.bills.count == 0;
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/core/run_once.cpp
@@ -0,0 +1,683 @@
+#include "spanplank/run_once.h"
+
+#include <algorithm>
+
+namespace spanplank
+{
+namespace
+{
+using Entry = RunOnceGuard::Entry;
+
+constexpr size_t kNoMember = SIZE_MAX;
+
+size_t memberIndex(const HomeTable& _table, std::string_view _incarnation)
+{
+	for (size_t ii = 0; ii < _table.members.size(); ++ii)
+	{
+		if (_table.members[ii].incarnation == _incarnation)
+		{
+			return ii;
+		}
+	}
+	return kNoMember;
+}
+
+bool isMember(const HomeTable& _table, std::string_view _incarnation)
+{
+	return memberIndex(_table, _incarnation) != kNoMember;
+}
+
+Refusal homeChanging(const char* _why)
+{
+	return Refusal{ErrorCode::HomeChanging, RunState::No, kHomeChangeRetryMs, _why};
+}
+
+Refusal inDoubt()
+{
+	return Refusal{ErrorCode::InDoubt, RunState::Unknown, 0, "a call with this key may have run"};
+}
+
+void refuse(RunOnceGuard& _guard, const CallWaiter& _waiter, Refusal _refusal, GuardActions& _actions)
+{
+	++_guard.stats.refused;
+	if (_refusal.code == ErrorCode::InDoubt)
+	{
+		++_guard.stats.inDoubt;
+	}
+	_actions.push_back(RefuseCall{_waiter, std::move(_refusal)});
+}
+
+void appendLog(RunOnceGuard& _guard, Entry& _entry)
+{
+	if (_entry.logIndex != 0)
+	{
+		_guard.log.erase(_entry.logIndex);
+	}
+	_entry.logIndex = ++_guard.logEnd;
+	_guard.log[_entry.logIndex] = _entry.record.key;
+}
+
+void keepAnswer(RunOnceGuard& _guard, Entry& _entry, CallAnswer _answer)
+{
+	const size_t size = _answer.body.size();
+	if (_guard.answerBytes + size > _guard.limits.answerBytes)
+	{
+		_answer.body.clear();
+		_answer.unknown = true;
+	}
+	else
+	{
+		_guard.answerBytes += size;
+	}
+	_entry.record.answer = std::move(_answer);
+	_entry.record.state = CallState::Done;
+	appendLog(_guard, _entry);
+}
+
+void eraseEntry(RunOnceGuard& _guard, const std::string& _key)
+{
+	const auto found = _guard.entries.find(_key);
+	if (found == _guard.entries.end())
+	{
+		return;
+	}
+	if (found->second.logIndex != 0)
+	{
+		_guard.log.erase(found->second.logIndex);
+	}
+	_guard.answerBytes -= std::min(_guard.answerBytes, found->second.record.answer.body.size());
+	_guard.entries.erase(found);
+}
+
+/// The successor of a key whose primary is the guard itself; empty if there is none.
+std::string successorOf(const RunOnceGuard& _guard, std::string_view _key)
+{
+	const std::vector<size_t> rank = rankMembers(_guard.table.members, _key);
+	return rank.size() < 2 ? std::string() : _guard.table.members[rank[1]].incarnation;
+}
+
+bool isPrimary(const RunOnceGuard& _guard, std::string_view _key)
+{
+	const std::vector<size_t> rank = rankMembers(_guard.table.members, _key);
+	return !rank.empty() && _guard.table.members[rank[0]].incarnation == _guard.self;
+}
+
+/// Answers a call whose key has a record already.
+void answerKnown(RunOnceGuard& _guard, Entry& _entry, const GuardedCall& _call, GuardActions& _actions)
+{
+	if (_entry.record.bodyHash != _call.bodyHash)
+	{
+		refuse(_guard, _call.waiter,
+		       Refusal{ErrorCode::KeyReused, RunState::No, 0, "the key was used with another body"},
+		       _actions);
+		return;
+	}
+	switch (_entry.record.state)
+	{
+	case CallState::Asking:
+	case CallState::Running:
+		++_guard.stats.joined;
+		_entry.waiters.push_back(_call.waiter);
+		break;
+	case CallState::Done:
+		if (_entry.record.answer.unknown)
+		{
+			refuse(_guard, _call.waiter, inDoubt(), _actions);
+			break;
+		}
+		++_guard.stats.replayed;
+		_actions.push_back(ReplayAnswer{_call.waiter, _entry.record.answer});
+		break;
+	case CallState::Doubt:
+		refuse(_guard, _call.waiter, inDoubt(), _actions);
+		break;
+	}
+}
+
+/// @returns Why a key without record must not run now, or nothing if it may.
+std::optional<Refusal> whyNot(const RunOnceGuard& _guard, const GuardedCall& _call, TimeUs _now,
+                              int64_t _wallMs)
+{
+	if (_call.birthMs && *_call.birthMs > _wallMs + kClockSkewMs)
+	{
+		return Refusal{ErrorCode::BadRequest, RunState::No, 0, "the key was born in the future"};
+	}
+	if (!isPrimary(_guard, _call.key))
+	{
+		return homeChanging("this agent is not the home of the key");
+	}
+	if (!isSettled(_guard) || _now < _guard.loneWaitUntil)
+	{
+		return homeChanging("the home is taking over");
+	}
+	if (_guard.entries.size() >= _guard.limits.maxKeys)
+	{
+		return Refusal{ErrorCode::Overloaded, RunState::No, 60000, "no room to remember another key"};
+	}
+	const bool fresh = _call.birthMs && *_call.birthMs - kClockSkewMs > _guard.table.doubtBeforeMs;
+	const bool doubtOver = _wallMs > _guard.table.doubtBeforeMs + _guard.limits.retentionMs;
+	if (_guard.table.doubtBeforeMs > 0 && !fresh && !doubtOver)
+	{
+		return inDoubt();
+	}
+	const bool lone = _guard.table.members.size() == 1;
+	if (lone && _guard.limits.askSuccessor && _now - _guard.loneReadAt >= _guard.limits.loneLeaseUs)
+	{
+		return homeChanging("a lone home needs the store");
+	}
+	return std::nullopt;
+}
+
+void startRun(RunOnceGuard& _guard, Entry& _entry, GuardActions& _actions)
+{
+	++_guard.stats.run;
+	_entry.record.state = CallState::Running;
+	appendLog(_guard, _entry);
+	_actions.push_back(RunCall{_entry.record.key, _entry.waiters.front()});
+}
+
+void refuseWaiters(RunOnceGuard& _guard, Entry& _entry, const Refusal& _refusal, GuardActions& _actions)
+{
+	const std::vector<CallWaiter> waiters = std::move(_entry.waiters);
+	_entry.waiters.clear();
+	for (const CallWaiter& waiter : waiters)
+	{
+		refuse(_guard, waiter, _refusal, _actions);
+	}
+}
+
+/// Gives up all intents that are on their way; none of their calls has run.
+void dropAsking(RunOnceGuard& _guard, TimeUs _askedBefore, const char* _why, GuardActions& _actions)
+{
+	std::vector<std::string> dropped;
+	for (auto& [key, entry] : _guard.entries)
+	{
+		if (entry.record.state == CallState::Asking && entry.askedAt <= _askedBefore)
+		{
+			refuseWaiters(_guard, entry, homeChanging(_why), _actions);
+			_actions.push_back(SendOutcome{entry.askedOf, Outcome{key, true, {}}});
+			dropped.push_back(key);
+		}
+	}
+	for (const std::string& key : dropped)
+	{
+		eraseEntry(_guard, key);
+	}
+}
+
+/// Takes a record of another member. What it may have run, this one will never run.
+void mergeRecord(RunOnceGuard& _guard, const CallRecord& _record)
+{
+	if (_record.owner == _guard.self && _guard.entries.find(_record.key) == _guard.entries.end())
+	{
+		return; // Released by this very process: its own memory is the better witness.
+	}
+	Entry& entry = _guard.entries[_record.key];
+	const bool isNew = entry.record.key.empty();
+	const bool better = _record.state == CallState::Done && entry.record.state == CallState::Doubt;
+	if (!isNew && !better)
+	{
+		return;
+	}
+	const CallAnswer answer = _record.answer;
+	entry.record = _record;
+	entry.record.answer = {};
+	if (_record.state == CallState::Done)
+	{
+		keepAnswer(_guard, entry, answer);
+		return;
+	}
+	entry.record.state = CallState::Doubt;
+	appendLog(_guard, entry);
+}
+} // namespace
+
+std::string callKey(std::string_view _account, std::string_view _service, std::string_view _key)
+{
+	std::string text(_account);
+	text.push_back('\0');
+	text.append(_service);
+	text.push_back('\0');
+	text.append(_key);
+	return sha256Hex(text).substr(0, 32);
+}
+
+std::optional<int64_t> keyBirthMs(std::string_view _key)
+{
+	constexpr size_t kUuidSize = 36;
+	constexpr size_t kVersionAt = 14;
+	if (_key.size() != kUuidSize || _key[8] != '-' || _key[13] != '-' || _key[kVersionAt] != '7')
+	{
+		return std::nullopt;
+	}
+	int64_t birth = 0;
+	for (size_t ii = 0; ii < 13; ++ii)
+	{
+		const char digit = _key[ii];
+		if (ii == 8)
+		{
+			continue;
+		}
+		const bool decimal = digit >= '0' && digit <= '9';
+		const char lower = char(digit | 0x20);
+		if (!decimal && (lower < 'a' || lower > 'f'))
+		{
+			return std::nullopt;
+		}
+		birth = birth * 16 + (decimal ? digit - '0' : lower - 'a' + 10);
+	}
+	return birth;
+}
+
+std::vector<size_t> rankMembers(absl::Span<const HomeMember> _members, std::string_view _key)
+{
+	std::vector<std::pair<uint64_t, size_t>> scores;
+	scores.reserve(_members.size());
+	for (size_t ii = 0; ii < _members.size(); ++ii)
+	{
+		scores.emplace_back(stableHash(_members[ii].incarnation, stableHash(_key)), ii);
+	}
+	std::sort(scores.begin(), scores.end(), std::greater<>());
+	std::vector<size_t> rank;
+	rank.reserve(scores.size());
+	for (const auto& score : scores)
+	{
+		rank.push_back(score.second);
+	}
+	return rank;
+}
+
+bool isSettled(const RunOnceGuard& _guard)
+{
+	if (!isMember(_guard.table, _guard.self))
+	{
+		return false;
+	}
+	for (const HomeMember& member : _guard.table.members)
+	{
+		const auto pulled = _guard.pulledEpoch.find(member.incarnation);
+		const bool whole = pulled != _guard.pulledEpoch.end() && pulled->second >= _guard.table.epoch;
+		if (member.incarnation != _guard.self && !whole)
+		{
+			return false;
+		}
+	}
+	return true;
+}
+
+void begin(RunOnceGuard& _guard, const GuardedCall& _call, TimeUs _now, int64_t _wallMs,
+           GuardActions& _actions)
+{
+	const auto known = _guard.entries.find(_call.key);
+	if (known != _guard.entries.end())
+	{
+		answerKnown(_guard, known->second, _call, _actions);
+		return;
+	}
+	if (const std::optional<Refusal> refusal = whyNot(_guard, _call, _now, _wallMs))
+	{
+		refuse(_guard, _call.waiter, *refusal, _actions);
+		return;
+	}
+	Entry& entry = _guard.entries[_call.key];
+	entry.record = {_call.key, _call.bodyHash, _guard.self, CallState::Asking, _wallMs, {}};
+	entry.waiters.push_back(_call.waiter);
+	entry.askedAt = _now;
+	entry.askedOf = successorOf(_guard, _call.key);
+	if (entry.askedOf.empty() || !_guard.limits.askSuccessor)
+	{
+		startRun(_guard, entry, _actions);
+		return;
+	}
+	_actions.push_back(
+	    SendIntent{entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, _guard.table}});
+}
+
+void finish(RunOnceGuard& _guard, const std::string& _key, CallAnswer _answer, GuardActions& _actions)
+{
+	const auto found = _guard.entries.find(_key);
+	if (found == _guard.entries.end() || found->second.record.state != CallState::Running)
+	{
+		return;
+	}
+	Entry& entry = found->second;
+	if (!entry.askedOf.empty())
+	{
+		_actions.push_back(SendOutcome{entry.askedOf, Outcome{_key, false, _answer}});
+	}
+	keepAnswer(_guard, entry, _answer);
+	const std::vector<CallWaiter> waiters = std::move(entry.waiters);
+	entry.waiters.clear();
+	for (const CallWaiter& waiter : waiters)
+	{
+		if (_answer.unknown)
+		{
+			refuse(
+			    _guard, waiter,
+			    Refusal{ErrorCode::UpstreamLost, RunState::Unknown, 0, "the upstream was lost while it ran"},
+			    _actions);
+			continue;
+		}
+		_actions.push_back(ReplayAnswer{waiter, _answer});
+	}
+}
+
+void release(RunOnceGuard& _guard, const std::string& _key, const Refusal& _refusal, GuardActions& _actions)
+{
+	const auto found = _guard.entries.find(_key);
+	if (found == _guard.entries.end() || found->second.record.state != CallState::Running)
+	{
+		return;
+	}
+	refuseWaiters(_guard, found->second, _refusal, _actions);
+	if (!found->second.askedOf.empty())
+	{
+		_actions.push_back(SendOutcome{found->second.askedOf, Outcome{_key, true, {}}});
+	}
+	eraseEntry(_guard, _key);
+}
+
+IntentReply handleIntent(RunOnceGuard& _guard, const Intent& _intent, TimeUs _now, int64_t _wallMs,
+                         GuardActions& _actions)
+{
+	IntentReply reply;
+	reply.key = _intent.key;
+	adoptTable(_guard, _intent.table, _now, _actions);
+	if (_intent.table.epoch < _guard.table.epoch)
+	{
+		reply.table = _guard.table;
+		return reply;
+	}
+	const std::vector<size_t> rank = rankMembers(_guard.table.members, _intent.key);
+	const bool ranksMatch = rank.size() >= 2 && _guard.table.members[rank[0]].incarnation == _intent.owner &&
+	                        _guard.table.members[rank[1]].incarnation == _guard.self;
+	if (!ranksMatch)
+	{
+		return reply;
+	}
+	const auto known = _guard.entries.find(_intent.key);
+	if (known != _guard.entries.end())
+	{
+		// The same owner asks again only if it had released the call without running it.
+		CallRecord& record = known->second.record;
+		reply.granted = record.owner == _intent.owner && record.state == CallState::Doubt;
+		if (reply.granted)
+		{
+			record.bodyHash = _intent.bodyHash;
+			return reply;
+		}
+		reply.known = true;
+		reply.record = record;
+		return reply;
+	}
+	if (_guard.entries.size() >= _guard.limits.maxKeys)
+	{
+		return reply;
+	}
+	Entry& entry = _guard.entries[_intent.key];
+	entry.record = {_intent.key, _intent.bodyHash, _intent.owner, CallState::Doubt, _wallMs, {}};
+	appendLog(_guard, entry);
+	reply.granted = true;
+	return reply;
+}
+
+void handleIntentReply(RunOnceGuard& _guard, const std::string& _from, const IntentReply& _reply, TimeUs _now,
+                       GuardActions& _actions)
+{
+	const auto found = _guard.entries.find(_reply.key);
+	const bool waiting = found != _guard.entries.end() && found->second.record.state == CallState::Asking &&
+	                     found->second.askedOf == _from;
+	if (!waiting)
+	{
+		adoptTable(_guard, _reply.table, _now, _actions);
+		return;
+	}
+	Entry& entry = found->second;
+	if (_reply.granted)
+	{
+		startRun(_guard, entry, _actions);
+		return;
+	}
+	const std::vector<CallWaiter> waiters = std::move(entry.waiters);
+	const std::string bodyHash = entry.record.bodyHash;
+	eraseEntry(_guard, _reply.key);
+	if (!_reply.known)
+	{
+		for (const CallWaiter& waiter : waiters)
+		{
+			refuse(_guard, waiter, homeChanging("the successor did not agree"), _actions);
+		}
+		adoptTable(_guard, _reply.table, _now, _actions);
+		return;
+	}
+	mergeRecord(_guard, _reply.record);
+	const auto merged = _guard.entries.find(_reply.key);
+	for (const CallWaiter& waiter : waiters)
+	{
+		if (merged == _guard.entries.end())
+		{
+			refuse(_guard, waiter, homeChanging("the successor did not agree"), _actions);
+			continue;
+		}
+		answerKnown(_guard, merged->second, GuardedCall{_reply.key, bodyHash, std::nullopt, waiter},
+		            _actions);
+	}
+}
+
+void handleOutcome(RunOnceGuard& _guard, const Outcome& _outcome)
+{
+	const auto found = _guard.entries.find(_outcome.key);
+	if (found == _guard.entries.end() || found->second.record.state != CallState::Doubt)
+	{
+		return;
+	}
+	if (_outcome.released)
+	{
+		eraseEntry(_guard, _outcome.key);
+		return;
+	}
+	keepAnswer(_guard, found->second, _outcome.answer);
+}
+
+void adoptTable(RunOnceGuard& _guard, const HomeTable& _table, TimeUs _now, GuardActions& _actions)
+{
+	if (_table.epoch < _guard.table.epoch || _table.epoch == 0)
+	{
+		return;
+	}
+	if (_table.epoch == _guard.table.epoch)
+	{
+		for (const HomeMember& member : _table.members)
+		{
+			const size_t at = memberIndex(_guard.table, member.incarnation);
+			if (at != kNoMember && member.settledEpoch > _guard.table.members[at].settledEpoch)
+			{
+				_guard.table.members[at].settledEpoch = member.settledEpoch;
+			}
+		}
+		return;
+	}
+	if (_table.doubtBeforeMs > _guard.table.doubtBeforeMs)
+	{
+		_guard.loneWaitUntil = _now + 2 * _guard.limits.loneLeaseUs;
+	}
+	_guard.table = _table;
+	_guard.adoptedAt = _now;
+	_guard.loneReadAt = INT64_MIN / 2;
+	dropAsking(_guard, INT64_MAX, "the home of the key changes", _actions);
+	_actions.push_back(TableAdopted{_table.epoch});
+	tick(_guard, _now, 0, _actions);
+}
+
+void confirmLone(RunOnceGuard& _guard, uint64_t _epoch, TimeUs _readAt)
+{
+	if (_epoch == _guard.table.epoch)
+	{
+		_guard.loneReadAt = std::max(_guard.loneReadAt, _readAt);
+	}
+}
+
+RecordsMessage recordsFor(const RunOnceGuard& _guard, const RecordsRequest& _request)
+{
+	RecordsMessage message;
+	message.epoch = _guard.table.epoch;
+	message.upTo = _guard.logEnd;
+	for (auto it = _guard.log.upper_bound(_request.from); it != _guard.log.end(); ++it)
+	{
+		message.records.push_back(_guard.entries.at(it->second).record);
+	}
+	return message;
+}
+
+void handleRecords(RunOnceGuard& _guard, const std::string& _from, const RecordsMessage& _records)
+{
+	for (const CallRecord& record : _records.records)
+	{
+		mergeRecord(_guard, record);
+	}
+	uint64_t& upTo = _guard.pulledUpTo[_from];
+	upTo = std::max(upTo, _records.upTo);
+	uint64_t& epoch = _guard.pulledEpoch[_from];
+	epoch = std::max(epoch, _records.epoch);
+}
+
+void tick(RunOnceGuard& _guard, TimeUs _now, int64_t _wallMs, GuardActions& _actions)
+{
+	dropAsking(_guard, _now - _guard.limits.intentTimeoutUs, "the successor does not answer", _actions);
+	if (isMember(_guard.table, _guard.self))
+	{
+		for (const HomeMember& member : _guard.table.members)
+		{
+			if (member.incarnation != _guard.self &&
+			    _guard.pulledEpoch[member.incarnation] < _guard.table.epoch)
+			{
+				_actions.push_back(
+				    AskRecords{member.incarnation,
+				               RecordsRequest{_guard.table.epoch, _guard.pulledUpTo[member.incarnation]}});
+			}
+		}
+	}
+	std::vector<std::string> expired;
+	for (const auto& [position, key] : _guard.log)
+	{
+		const Entry& entry = _guard.entries.at(key);
+		const bool resting = entry.record.state == CallState::Done || entry.record.state == CallState::Doubt;
+		if (_wallMs == 0 || entry.record.seenMs + _guard.limits.retentionMs > _wallMs)
+		{
+			break; // The log is nearly in order of age; what is out of order waits for the next tick.
+		}
+		if (resting)
+		{
+			expired.push_back(key);
+		}
+	}
+	for (const std::string& key : expired)
+	{
+		eraseEntry(_guard, key);
+	}
+}
+
+namespace
+{
+const MemberSight* findSight(absl::Span<const MemberSight> _sights, std::string_view _incarnation)
+{
+	for (const MemberSight& sight : _sights)
+	{
+		if (sight.incarnation == _incarnation)
+		{
+			return &sight;
+		}
+	}
+	return nullptr;
+}
+
+/// A removal loses no record if every survivor had pulled everything and the removed one was not alone.
+bool removalIsSafe(const HomeTable& _table, size_t _removed)
+{
+	for (size_t ii = 0; ii < _table.members.size(); ++ii)
+	{
+		if (ii != _removed && _table.members[ii].settledEpoch != _table.epoch)
+		{
+			return false;
+		}
+	}
+	return _table.members.size() >= 2;
+}
+
+HomeTable withoutMember(const HomeTable& _table, size_t _removed, int64_t _wallMs)
+{
+	HomeTable next = _table;
+	if (!removalIsSafe(_table, _removed))
+	{
+		next.doubtBeforeMs = std::max(next.doubtBeforeMs, _wallMs + kClockSkewMs);
+	}
+	next.members.erase(next.members.begin() + std::ptrdiff_t(_removed));
+	++next.epoch;
+	return next;
+}
+
+bool seemsDead(const HomeMember& _member, const ProposeInput& _input, absl::Span<const MemberSight> _sights)
+{
+	if (_member.box == _input.self.box)
+	{
+		return true; // An earlier start of this very box.
+	}
+	const MemberSight* sight = findSight(_sights, _member.incarnation);
+	return sight != nullptr && (sight->gone || (!sight->linked && sight->lostFor >= _input.deadAfterUs));
+}
+
+/// An agent that is itself cut off must not remove the others, unless nothing has moved for long.
+bool mayRemove(const HomeTable& _table, const ProposeInput& _input, absl::Span<const MemberSight> _sights,
+               const HomeMember& _dead)
+{
+	constexpr TimeUs kCutOffFactor = 5;
+	size_t reached = 0;
+	for (const HomeMember& member : _table.members)
+	{
+		const MemberSight* sight = findSight(_sights, member.incarnation);
+		if (member.incarnation == _input.self.incarnation || (sight != nullptr && sight->linked))
+		{
+			++reached;
+		}
+	}
+	const MemberSight* dead = findSight(_sights, _dead.incarnation);
+	const bool longLost = dead != nullptr && dead->lostFor >= kCutOffFactor * _input.deadAfterUs;
+	return _dead.box == _input.self.box || reached * 2 >= _table.members.size() || longLost;
+}
+} // namespace
+
+std::optional<HomeTable> proposeTable(const RunOnceGuard& _guard, const HomeTable& _current,
+                                      const ProposeInput& _input, absl::Span<const MemberSight> _sights)
+{
+	const size_t self = memberIndex(_current, _input.self.incarnation);
+	if (_input.leaving)
+	{
+		const bool others = _current.members.size() >= 2;
+		const bool ready = self != kNoMember && (!others || removalIsSafe(_current, self));
+		return ready ? std::optional<HomeTable>(withoutMember(_current, self, _input.wallMs)) : std::nullopt;
+	}
+	for (size_t ii = 0; ii < _current.members.size(); ++ii)
+	{
+		const HomeMember& member = _current.members[ii];
+		const bool other = member.incarnation != _input.self.incarnation;
+		if (other && seemsDead(member, _input, _sights) && mayRemove(_current, _input, _sights, member))
+		{
+			return withoutMember(_current, ii, _input.wallMs);
+		}
+	}
+	HomeTable next = _current;
+	if (self == kNoMember)
+	{
+		next.members.push_back(HomeMember{_input.self.incarnation, _input.self.box, 0});
+		++next.epoch;
+		return next;
+	}
+	const bool settled = _guard.table.epoch == _current.epoch && isSettled(_guard);
+	if (settled && _current.members[self].settledEpoch != _current.epoch)
+	{
+		next.members[self].settledEpoch = _current.epoch;
+		return next;
+	}
+	return std::nullopt;
+}
+} // namespace spanplank
