--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -24,7 +24,6 @@
 {
 	WorkId work;
 	Submit submit;
-	bool lone = false; ///< Run-once work of a lone home: check its store lease right before the first byte.
 };
 struct CancelWork
 {
--- a/include/spanplank/run_once.h
+++ b/include/spanplank/run_once.h
@@ -68,6 +68,7 @@
 	std::string bodyHash;
 	std::string owner; ///< Incarnation that recorded the intent.
 	CallState state = CallState::Asking;
+	uint64_t ask = 0;   ///< The owner's number of the intent that counts.
 	int64_t seenMs = 0; ///< Wall time of the first sight, for retention.
 	CallAnswer answer;
 };
@@ -78,12 +79,14 @@
 	std::string key;
 	std::string bodyHash;
 	std::string owner;
-	HomeTable table; ///< The table under which the primary asks.
+	uint64_t ask = 0; ///< Number of this intent at its owner: a later one for the key makes it void.
+	HomeTable table;  ///< The table under which the primary asks.
 };
 
 struct IntentReply
 {
 	std::string key;
+	uint64_t ask = 0; ///< Of the intent that it replies to.
 	bool granted = false;
 	bool known = false; ///< Refused since the successor has a record: it comes along.
 	CallRecord record;
@@ -94,6 +97,7 @@
 struct Outcome
 {
 	std::string key;
+	uint64_t ask = 0;      ///< Of the intent that it ends; any other one stands.
 	bool released = false; ///< It never ran: forget the intent.
 	CallAnswer answer;
 };
@@ -179,7 +183,6 @@
 	size_t answerBytes = kRunOnceAnswerBytes;
 	int64_t retentionMs = kRunOnceRetentionMs;
 	TimeUs intentTimeoutUs = 500 * kMsToUs;
-	TimeUs loneLeaseUs = 1000 * kMsToUs; ///< How long a read of the table lets a lone member run.
 	/// Off only to show what fails without it: runs without asking the successor.
 	bool askSuccessor = true;
 };
@@ -211,12 +214,11 @@
 	std::unordered_map<std::string, Entry> entries;
 	std::map<uint64_t, std::string> log; ///< Latest change of each key by position.
 	uint64_t logEnd = 0;
+	uint64_t nextAsk = 1;
 	std::map<std::string, uint64_t> pulledEpoch; ///< By member: epoch of its latest whole records.
 	std::map<std::string, uint64_t> pulledUpTo;  ///< By member: position up to which its log is held.
 	size_t answerBytes = 0;
-	TimeUs adoptedAt = 0;
-	TimeUs loneReadAt = INT64_MIN / 2; ///< Start of the latest store read that showed this table.
-	TimeUs loneWaitUntil = 0;          ///< A member that replaced a lone one waits until then.
+	bool resigned = false; ///< It has asked to leave: it runs and grants nothing any more.
 	RunOnceStats stats;
 };
 
@@ -252,9 +254,6 @@
 /// Adopts a table if its epoch is higher. Calls under way under the old one are asked anew or refused.
 void adoptTable(RunOnceGuard& _guard, const HomeTable& _table, TimeUs _now, GuardActions& _actions);
 
-/// A store read that began at `_readAt` showed the epoch that is held: lets a lone member run for a while.
-void confirmLone(RunOnceGuard& _guard, uint64_t _epoch, TimeUs _readAt);
-
 RecordsMessage recordsFor(const RunOnceGuard& _guard, const RecordsRequest& _request);
 void handleRecords(RunOnceGuard& _guard, const std::string& _from, const RecordsMessage& _records);
 
@@ -268,7 +267,8 @@
 	std::string box;
 	bool linked = false;
 	TimeUs lostFor = 0; ///< How long there has been no link to it.
-	bool gone = false;  ///< Its box has come back with another incarnation, or it said that it leaves.
+	bool gone =
+	    false; ///< Proof that this incarnation is dead: its box runs another one, or was taken off the list.
 };
 
 struct ProposeInput
@@ -280,17 +280,18 @@
 };
 
 /// @returns The table that a member wants in the store next, or nothing if it is content.
-/// @remarks One removal or one joiner at a time; a removal that may lose records raises `doubtBeforeMs`.
+/// @remarks One removal or one joiner at a time. A removal is safe if all survivors hold all records; then a
+/// suspicion is enough. Any other removal needs proof of death, and raises `doubtBeforeMs`.
 std::optional<HomeTable> proposeTable(const RunOnceGuard& _guard, const HomeTable& _current,
                                       const ProposeInput& _input, absl::Span<const MemberSight> _sights);
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HomeMember, incarnation, box, settledEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HomeTable, pool, epoch, members, doubtBeforeMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallAnswer, status, contentType, body, unknown)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallRecord, key, bodyHash, owner, state, seenMs, answer)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Intent, key, bodyHash, owner, table)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(IntentReply, key, granted, known, record, table)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Outcome, key, released, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CallRecord, key, bodyHash, owner, state, ask, seenMs, answer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Intent, key, bodyHash, owner, ask, table)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(IntentReply, key, ask, granted, known, record, table)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Outcome, key, ask, released, answer)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordsMessage, epoch, upTo, records)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RecordsRequest, epoch, from)
 } // namespace spanplank
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -83,25 +83,12 @@
 
 // ---- The upstream ----------------------------------------------------------------------------------------
 
-/// A lone home may have been frozen since the core decided: looks at the clock once more before the first
-/// byte.
-bool loneLeaseHolds(const Agent& _agent, const ForwardWork& _forward)
-{
-	const RunOnceGuard& guard = _agent.core.guard;
-	return !_forward.lone || !guard.limits.askSuccessor ||
-	       monotonicNow() - guard.loneReadAt < guard.limits.loneLeaseUs;
-}
-
 void runWork(Agent& _agent, const ForwardWork& _forward)
 {
 	const WorkId work = _forward.work;
 	AgentActions actions;
 	try
 	{
-		if (!loneLeaseHolds(_agent, _forward))
-		{
-			throw HttpFailure("the lone home's lease has lapsed", false);
-		}
 		UpstreamHandlers handlers;
 		handlers.onStart = [&](int _status, const std::string& _contentType)
 		{
@@ -399,25 +386,23 @@
 {
 	const HomeTable& held = _agent.core.guard.table;
 	const ProposeInput input = proposeInput(_agent);
-	const bool lone = held.members.size() == 1;
 	const bool wants = proposeTable(_agent.core.guard, held, input, sightsOf(_agent, held)).has_value();
-	if (held.epoch != 0 && !wants && !lone)
+	if (held.epoch != 0 && !wants)
 	{
 		return;
 	}
 	uint64_t revision = 0;
-	const TimeUs readAt = monotonicNow();
 	const HomeTable current = readTable(_agent, revision);
 	AgentActions actions;
 	onTable(_agent.core, current, monotonicNow(), wallMs(), actions);
 	perform(_agent, actions);
-	confirmLone(_agent.core.guard, current.epoch, readAt);
 	const std::optional<HomeTable> next =
 	    proposeTable(_agent.core.guard, current, proposeInput(_agent), sightsOf(_agent, current));
 	if (!next)
 	{
 		return;
 	}
+	_agent.core.guard.resigned = _agent.core.leaving; // Before the write: its answer may be lost.
 	const CasResult result =
 	    casStore(_agent.node.store, tableKey(_agent), json(*next).dump(), revision, revision);
 	if (result == CasResult::Done)
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -114,14 +114,16 @@
 		    { receive(_handle, _message->get_opcode() == binary, _message->get_payload()); });
 		_side.set_close_handler([this](connection_hdl _handle) { closed(_handle); });
 		// Only here is the socket open on both sides; an option set earlier is lost without a word.
-		_side.set_tcp_post_init_handler([&_side](connection_hdl _handle) {
-			websocketpp::lib::error_code error;
-			const auto connection = _side.get_con_from_hdl(_handle, error);
-			if (!error)
-			{
-				tuneSocket(connection->get_raw_socket());
-			}
-		});
+		_side.set_tcp_post_init_handler(
+		    [&_side](connection_hdl _handle)
+		    {
+			    websocketpp::lib::error_code error;
+			    const auto connection = _side.get_con_from_hdl(_handle, error);
+			    if (!error)
+			    {
+				    tuneSocket(connection->get_raw_socket());
+			    }
+		    });
 		_side.set_open_handshake_timeout(2000);
 		_side.set_close_handshake_timeout(500);
 	}
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -159,8 +159,7 @@
 	work.forwarded = true;
 	work.startedAt = _now;
 	++_core.stats.forwarded;
-	const bool lone = !work.guardKey.empty() && _core.guard.table.members.size() == 1;
-	_actions.push_back(ForwardWork{_id, work.submit, lone});
+	_actions.push_back(ForwardWork{_id, work.submit});
 }
 
 void startWaiting(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
--- a/src/core/run_once.cpp
+++ b/src/core/run_once.cpp
@@ -135,8 +135,7 @@
 }
 
 /// @returns Why a key without record must not run now, or nothing if it may.
-std::optional<Refusal> whyNot(const RunOnceGuard& _guard, const GuardedCall& _call, TimeUs _now,
-                              int64_t _wallMs)
+std::optional<Refusal> whyNot(const RunOnceGuard& _guard, const GuardedCall& _call, int64_t _wallMs)
 {
 	if (_call.birthMs && *_call.birthMs > _wallMs + kClockSkewMs)
 	{
@@ -146,7 +145,7 @@
 	{
 		return homeChanging("this agent is not the home of the key");
 	}
-	if (!isSettled(_guard) || _now < _guard.loneWaitUntil)
+	if (!isSettled(_guard) || _guard.resigned)
 	{
 		return homeChanging("the home is taking over");
 	}
@@ -160,11 +159,6 @@
 	{
 		return inDoubt();
 	}
-	const bool lone = _guard.table.members.size() == 1;
-	if (lone && _guard.limits.askSuccessor && _now - _guard.loneReadAt >= _guard.limits.loneLeaseUs)
-	{
-		return homeChanging("a lone home needs the store");
-	}
 	return std::nullopt;
 }
 
@@ -195,7 +189,7 @@
 		if (entry.record.state == CallState::Asking && entry.askedAt <= _askedBefore)
 		{
 			refuseWaiters(_guard, entry, homeChanging(_why), _actions);
-			_actions.push_back(SendOutcome{entry.askedOf, Outcome{key, true, {}}});
+			_actions.push_back(SendOutcome{entry.askedOf, Outcome{key, entry.record.ask, true, {}}});
 			dropped.push_back(key);
 		}
 	}
@@ -314,13 +308,13 @@
 		answerKnown(_guard, known->second, _call, _actions);
 		return;
 	}
-	if (const std::optional<Refusal> refusal = whyNot(_guard, _call, _now, _wallMs))
+	if (const std::optional<Refusal> refusal = whyNot(_guard, _call, _wallMs))
 	{
 		refuse(_guard, _call.waiter, *refusal, _actions);
 		return;
 	}
 	Entry& entry = _guard.entries[_call.key];
-	entry.record = {_call.key, _call.bodyHash, _guard.self, CallState::Asking, _wallMs, {}};
+	entry.record = {_call.key, _call.bodyHash, _guard.self, CallState::Asking, _guard.nextAsk++, _wallMs, {}};
 	entry.waiters.push_back(_call.waiter);
 	entry.askedAt = _now;
 	entry.askedOf = successorOf(_guard, _call.key);
@@ -329,8 +323,8 @@
 		startRun(_guard, entry, _actions);
 		return;
 	}
-	_actions.push_back(
-	    SendIntent{entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, _guard.table}});
+	_actions.push_back(SendIntent{
+	    entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, entry.record.ask, _guard.table}});
 }
 
 void finish(RunOnceGuard& _guard, const std::string& _key, CallAnswer _answer, GuardActions& _actions)
@@ -343,7 +337,7 @@
 	Entry& entry = found->second;
 	if (!entry.askedOf.empty())
 	{
-		_actions.push_back(SendOutcome{entry.askedOf, Outcome{_key, false, _answer}});
+		_actions.push_back(SendOutcome{entry.askedOf, Outcome{_key, entry.record.ask, false, _answer}});
 	}
 	keepAnswer(_guard, entry, _answer);
 	const std::vector<CallWaiter> waiters = std::move(entry.waiters);
@@ -372,7 +366,8 @@
 	refuseWaiters(_guard, found->second, _refusal, _actions);
 	if (!found->second.askedOf.empty())
 	{
-		_actions.push_back(SendOutcome{found->second.askedOf, Outcome{_key, true, {}}});
+		_actions.push_back(
+		    SendOutcome{found->second.askedOf, Outcome{_key, found->second.record.ask, true, {}}});
 	}
 	eraseEntry(_guard, _key);
 }
@@ -382,6 +377,7 @@
 {
 	IntentReply reply;
 	reply.key = _intent.key;
+	reply.ask = _intent.ask;
 	adoptTable(_guard, _intent.table, _now, _actions);
 	if (_intent.table.epoch < _guard.table.epoch)
 	{
@@ -391,7 +387,7 @@
 	const std::vector<size_t> rank = rankMembers(_guard.table.members, _intent.key);
 	const bool ranksMatch = rank.size() >= 2 && _guard.table.members[rank[0]].incarnation == _intent.owner &&
 	                        _guard.table.members[rank[1]].incarnation == _guard.self;
-	if (!ranksMatch)
+	if (!ranksMatch || _guard.resigned)
 	{
 		return reply;
 	}
@@ -400,10 +396,12 @@
 	{
 		// The same owner asks again only if it had released the call without running it.
 		CallRecord& record = known->second.record;
-		reply.granted = record.owner == _intent.owner && record.state == CallState::Doubt;
+		const bool stale = _intent.ask < record.ask;
+		reply.granted = record.owner == _intent.owner && record.state == CallState::Doubt && !stale;
 		if (reply.granted)
 		{
 			record.bodyHash = _intent.bodyHash;
+			record.ask = _intent.ask;
 			return reply;
 		}
 		reply.known = true;
@@ -415,7 +413,7 @@
 		return reply;
 	}
 	Entry& entry = _guard.entries[_intent.key];
-	entry.record = {_intent.key, _intent.bodyHash, _intent.owner, CallState::Doubt, _wallMs, {}};
+	entry.record = {_intent.key, _intent.bodyHash, _intent.owner, CallState::Doubt, _intent.ask, _wallMs, {}};
 	appendLog(_guard, entry);
 	reply.granted = true;
 	return reply;
@@ -426,7 +424,7 @@
 {
 	const auto found = _guard.entries.find(_reply.key);
 	const bool waiting = found != _guard.entries.end() && found->second.record.state == CallState::Asking &&
-	                     found->second.askedOf == _from;
+	                     found->second.askedOf == _from && found->second.record.ask == _reply.ask;
 	if (!waiting)
 	{
 		adoptTable(_guard, _reply.table, _now, _actions);
@@ -467,9 +465,11 @@
 void handleOutcome(RunOnceGuard& _guard, const Outcome& _outcome)
 {
 	const auto found = _guard.entries.find(_outcome.key);
-	if (found == _guard.entries.end() || found->second.record.state != CallState::Doubt)
+	const bool matches = found != _guard.entries.end() && found->second.record.state == CallState::Doubt &&
+	                     found->second.record.ask == _outcome.ask;
+	if (!matches)
 	{
-		return;
+		return; // It ends an earlier intent: the one that was granted since stands.
 	}
 	if (_outcome.released)
 	{
@@ -497,26 +497,12 @@
 		}
 		return;
 	}
-	if (_table.doubtBeforeMs > _guard.table.doubtBeforeMs)
-	{
-		_guard.loneWaitUntil = _now + 2 * _guard.limits.loneLeaseUs;
-	}
 	_guard.table = _table;
-	_guard.adoptedAt = _now;
-	_guard.loneReadAt = INT64_MIN / 2;
 	dropAsking(_guard, INT64_MAX, "the home of the key changes", _actions);
 	_actions.push_back(TableAdopted{_table.epoch});
 	tick(_guard, _now, 0, _actions);
 }
 
-void confirmLone(RunOnceGuard& _guard, uint64_t _epoch, TimeUs _readAt)
-{
-	if (_epoch == _guard.table.epoch)
-	{
-		_guard.loneReadAt = std::max(_guard.loneReadAt, _readAt);
-	}
-}
-
 RecordsMessage recordsFor(const RunOnceGuard& _guard, const RecordsRequest& _request)
 {
 	RecordsMessage message;
@@ -616,21 +602,23 @@
 	return next;
 }
 
-bool seemsDead(const HomeMember& _member, const ProposeInput& _input, absl::Span<const MemberSight> _sights)
+/// Whether a member is known to be dead, not just out of reach.
+bool isDead(const HomeMember& _member, const ProposeInput& _input, absl::Span<const MemberSight> _sights)
+{
+	const bool ownBox = _member.box == _input.self.box; // An earlier start of this very box.
+	const MemberSight* sight = findSight(_sights, _member.incarnation);
+	return ownBox || (sight != nullptr && sight->gone);
+}
+
+bool isSuspect(const HomeMember& _member, const ProposeInput& _input, absl::Span<const MemberSight> _sights)
 {
-	if (_member.box == _input.self.box)
-	{
-		return true; // An earlier start of this very box.
-	}
 	const MemberSight* sight = findSight(_sights, _member.incarnation);
-	return sight != nullptr && (sight->gone || (!sight->linked && sight->lostFor >= _input.deadAfterUs));
+	return sight != nullptr && !sight->linked && sight->lostFor >= _input.deadAfterUs;
 }
 
-/// An agent that is itself cut off must not remove the others, unless nothing has moved for long.
-bool mayRemove(const HomeTable& _table, const ProposeInput& _input, absl::Span<const MemberSight> _sights,
-               const HomeMember& _dead)
+/// An agent that is itself cut off must not remove the others on a suspicion.
+bool reachesHalf(const HomeTable& _table, const ProposeInput& _input, absl::Span<const MemberSight> _sights)
 {
-	constexpr TimeUs kCutOffFactor = 5;
 	size_t reached = 0;
 	for (const HomeMember& member : _table.members)
 	{
@@ -640,9 +628,21 @@
 			++reached;
 		}
 	}
-	const MemberSight* dead = findSight(_sights, _dead.incarnation);
-	const bool longLost = dead != nullptr && dead->lostFor >= kCutOffFactor * _input.deadAfterUs;
-	return _dead.box == _input.self.box || reached * 2 >= _table.members.size() || longLost;
+	return reached * 2 >= _table.members.size();
+}
+
+/// Members out of reach may be alive and go on granting each other calls, unaware. So long as one survivor
+/// had pulled all records, it refuses them; without such a survivor only their death makes a removal sound.
+bool mayRemove(const HomeTable& _table, size_t _at, const ProposeInput& _input,
+               absl::Span<const MemberSight> _sights)
+{
+	const HomeMember& member = _table.members[_at];
+	if (member.incarnation == _input.self.incarnation)
+	{
+		return false;
+	}
+	const bool suspect = isSuspect(member, _input, _sights) && reachesHalf(_table, _input, _sights);
+	return isDead(member, _input, _sights) || (suspect && removalIsSafe(_table, _at));
 }
 } // namespace
 
@@ -658,9 +658,7 @@
 	}
 	for (size_t ii = 0; ii < _current.members.size(); ++ii)
 	{
-		const HomeMember& member = _current.members[ii];
-		const bool other = member.incarnation != _input.self.incarnation;
-		if (other && seemsDead(member, _input, _sights) && mayRemove(_current, _input, _sights, member))
+		if (mayRemove(_current, ii, _input, _sights))
 		{
 			return withoutMember(_current, ii, _input.wallMs);
 		}
