--- a/include/spanplank/run_once.h
+++ b/include/spanplank/run_once.h
@@ -239,7 +239,7 @@
            GuardActions& _actions);
 
 /// A forwarded call ended.
-void finish(RunOnceGuard& _guard, const std::string& _key, CallAnswer _answer, GuardActions& _actions);
+void finish(RunOnceGuard& _guard, const std::string& _key, const CallAnswer& _answer, GuardActions& _actions);
 
 /// A call that was to run was not forwarded after all (it was refused before any byte left).
 void release(RunOnceGuard& _guard, const std::string& _key, const Refusal& _refusal, GuardActions& _actions);
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,4 +1,6 @@
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 
 #include "fiber_runtime_p.h"
 #include "http_p.h"
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,4 +1,6 @@
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <fmt/format.h>
 
 #include "fiber_runtime_p.h"
@@ -31,6 +33,27 @@
 	return response;
 }
 
+/// Reads on for a while after a refusal: closing with unread bytes would reset the connection, and the caller
+/// would lose the answer.
+void drain(beast::tcp_stream& _stream)
+{
+	constexpr size_t kMostBytes = 16u << 20;
+	beast::error_code ignored;
+	_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+	_stream.expires_after(std::chrono::seconds(2));
+	std::vector<char> bytes(65536);
+	for (size_t total = 0; total < kMostBytes;)
+	{
+		const IoResult read =
+		    awaitIo([&](auto _done) { _stream.async_read_some(boost::asio::buffer(bytes), _done); });
+		if (read.error)
+		{
+			return;
+		}
+		total += read.bytes;
+	}
+}
+
 bool readRequest(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer,
                  http::request_parser<http::string_body>& _parser, HttpRequest& _request)
 {
@@ -47,6 +70,7 @@
 	if (read.error == http::error::body_limit || read.error == http::error::header_limit)
 	{
 		exchange.respond(refusalResponse(ErrorCode::Oversize, "the request is larger than allowed"));
+		drain(_stream);
 	}
 	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
 	         read.error != http::error::end_of_stream && read.error != http::error::partial_message)
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -110,12 +110,12 @@
 	{
 		_side.init_asio(&io);
 		_side.set_message_handler(
-		    [this](connection_hdl _handle, typename Side::message_ptr _message)
+		    [this](const connection_hdl& _handle, typename Side::message_ptr _message)
 		    { receive(_handle, _message->get_opcode() == binary, _message->get_payload()); });
-		_side.set_close_handler([this](connection_hdl _handle) { closed(_handle); });
+		_side.set_close_handler([this](const connection_hdl& _handle) { closed(_handle); });
 		// Only here is the socket open on both sides; an option set earlier is lost without a word.
 		_side.set_tcp_post_init_handler(
-		    [&_side](connection_hdl _handle)
+		    [&_side](const connection_hdl& _handle)
 		    {
 			    websocketpp::lib::error_code error;
 			    const auto connection = _side.get_con_from_hdl(_handle, error);
@@ -128,7 +128,7 @@
 		_side.set_close_handshake_timeout(500);
 	}
 
-	Link& addLink(connection_hdl _handle, bool _outgoing)
+	Link& addLink(const connection_hdl& _handle, bool _outgoing)
 	{
 		const uint32_t idx = nextLink++;
 		Link& link = links[idx];
@@ -179,7 +179,7 @@
 	}
 
 	/// The server speaks first: a nonce. Then each side proves the key over both nonces.
-	void challenge(connection_hdl _handle)
+	void challenge(const connection_hdl& _handle)
 	{
 		Link& link = addLink(_handle, false);
 		sendRaw(link, json{{"nonce", link.ownNonce}}.dump(), false);
@@ -269,7 +269,7 @@
 		init.handlers.onOpen(LinkId{_idx}, link.peer);
 	}
 
-	void receive(connection_hdl _handle, bool _binary, const std::string& _payload)
+	void receive(const connection_hdl& _handle, bool _binary, const std::string& _payload)
 	{
 		const auto found = byHandle.find(_handle);
 		if (found == byHandle.end())
@@ -330,7 +330,7 @@
 		}
 	}
 
-	void closed(connection_hdl _handle)
+	void closed(const connection_hdl& _handle)
 	{
 		const auto found = byHandle.find(_handle);
 		if (found == byHandle.end())
@@ -367,9 +367,9 @@
 			return;
 		}
 		dialing.insert(text);
-		connection->set_open_handler([this, _endpoint](connection_hdl _handle)
+		connection->set_open_handler([this, _endpoint](const connection_hdl& _handle)
 		                             { addLink(_handle, true).endpoint = _endpoint; });
-		connection->set_fail_handler([this, text](connection_hdl) { dialing.erase(text); });
+		connection->set_fail_handler([this, text](const connection_hdl&) { dialing.erase(text); });
 		client.connect(connection);
 	}
 
@@ -429,7 +429,7 @@
 	Impl& impl = *m_impl;
 	impl.setHandlers(impl.server);
 	impl.setHandlers(impl.client);
-	impl.server.set_open_handler([&impl](connection_hdl _handle) { impl.challenge(_handle); });
+	impl.server.set_open_handler([&impl](const connection_hdl& _handle) { impl.challenge(_handle); });
 	spawnFiber(
 	    [&impl]
 	    {
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -26,7 +26,7 @@
 class Reader
 {
 public:
-	Reader(std::string _file, YAML::Node _root) : m_file(std::move(_file)), m_root(std::move(_root))
+	Reader(std::string _file, const YAML::Node& _root) : m_file(std::move(_file)), m_root(_root)
 	{
 	}
 
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -102,7 +102,7 @@
 		ahead += waiting.demand.tokens;
 	}
 	const bool full = !fits(_queue, 0);
-	const uint64_t partly = full ? _queue.runningTokens / (2 * std::max(1u, _queue.limits.slots)) : 0;
+	const uint64_t partly = full ? _queue.runningTokens / (2ull * std::max(1u, _queue.limits.slots)) : 0;
 	return double(ahead + partly) * _queue.secondsPerToken;
 }
 
--- a/src/core/exposure.cpp
+++ b/src/core/exposure.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace spanplank
 {
@@ -26,7 +27,7 @@
 	const std::array<double, 3> worse = {clampRate(std::max(_rollout.haltRate, base * 1.5)),
 	                                     clampRate(std::max(0.4, base * 1.5)), 0.95};
 	// A mean of martingales is a martingale: each worse rate gets a third of the stake.
-	double largest = -INFINITY;
+	double largest = std::numeric_limits<double>::lowest();
 	std::array<double, 3> logs{};
 	for (size_t ii = 0; ii < worse.size(); ++ii)
 	{
--- a/src/core/run_once.cpp
+++ b/src/core/run_once.cpp
@@ -327,7 +327,7 @@
 	    entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, entry.record.ask, _guard.table}});
 }
 
-void finish(RunOnceGuard& _guard, const std::string& _key, CallAnswer _answer, GuardActions& _actions)
+void finish(RunOnceGuard& _guard, const std::string& _key, const CallAnswer& _answer, GuardActions& _actions)
 {
 	const auto found = _guard.entries.find(_key);
 	if (found == _guard.entries.end() || found->second.record.state != CallState::Running)
--- a/tools/spanplank_cli.cpp
+++ b/tools/spanplank_cli.cpp
@@ -90,7 +90,7 @@
 			const std::string& router = routers[ii % routers.size()];
 			const HttpResponse response =
 			    askOne(_cli, router, _method, _target, _body.is_null() ? "" : _body.dump(), 40000);
-			const json answer = json::parse(response.body, nullptr, false);
+			json answer = json::parse(response.body, nullptr, false);
 			if (response.status == 200)
 			{
 				return answer;
@@ -406,7 +406,8 @@
 {
 	const json version = ask(_cli, "GET", "/v1/resources/versions/" + _cli.words.at(1));
 	fmt::print("{}\n", version.dump(2));
-	for (const json& item : ask(_cli, "GET", "/v1/resources/rollouts")["items"])
+	const json rollouts = ask(_cli, "GET", "/v1/resources/rollouts");
+	for (const json& item : rollouts.at("items"))
 	{
 		if (item["spec"].value("candidate", "") == _cli.words.at(1))
 		{
