--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -381,13 +381,39 @@
 	return input;
 }
 
+bool isHome(const Agent& _agent)
+{
+	for (const HomeMember& member : _agent.core.guard.table.members)
+	{
+		if (member.incarnation == _agent.node.incarnation)
+		{
+			return true;
+		}
+	}
+	return false;
+}
+
+/// @returns Whether nothing is to be done about the group: all members are linked and settled, none leaves.
+bool isQuiet(const Agent& _agent, const HomeTable& _table, const std::vector<MemberSight>& _sights)
+{
+	bool quiet = _table.epoch != 0 && !_agent.core.leaving && isHome(_agent);
+	for (const HomeMember& member : _table.members)
+	{
+		quiet = quiet && member.settledEpoch == _table.epoch;
+	}
+	for (const MemberSight& sight : _sights)
+	{
+		quiet = quiet && sight.linked && !sight.gone;
+	}
+	return quiet;
+}
+
 /// Brings the table in the store to what this member wants. Reads the store only when there is need.
 void stepHomes(Agent& _agent)
 {
 	const HomeTable& held = _agent.core.guard.table;
-	const ProposeInput input = proposeInput(_agent);
-	const bool wants = proposeTable(_agent.core.guard, held, input, sightsOf(_agent, held)).has_value();
-	if (held.epoch != 0 && !wants)
+	const bool resigned = _agent.core.leaving && held.epoch != 0 && !isHome(_agent);
+	if (resigned || isQuiet(_agent, held, sightsOf(_agent, held)))
 	{
 		return;
 	}
@@ -413,18 +439,6 @@
 	}
 }
 
-bool isHome(const Agent& _agent)
-{
-	for (const HomeMember& member : _agent.core.guard.table.members)
-	{
-		if (member.incarnation == _agent.node.incarnation)
-		{
-			return true;
-		}
-	}
-	return false;
-}
-
 // ---- Roll-outs -------------------------------------------------------------------------------------------
 
 void readRatings(Agent& _agent, const std::string& _version, RatingFeed& _feed)
--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -106,6 +106,18 @@
 	            "the answer of the store was lost; send the write again with the same operation id"});
 }
 
+std::shared_ptr<boost::fibers::mutex> turnOf(StoreClient& _client, const std::string& _key)
+{
+	std::weak_ptr<boost::fibers::mutex>& held = _client.turns[_key];
+	std::shared_ptr<boost::fibers::mutex> turn = held.lock();
+	if (!turn)
+	{
+		turn = std::make_shared<boost::fibers::mutex>();
+		held = turn;
+	}
+	return turn;
+}
+
 void checkWrite(const ResourceWrite& _write)
 {
 	if (_write.op.empty())
@@ -125,6 +137,9 @@
 {
 	checkWrite(_write);
 	const std::string key = storeKey(_write.kind, _write.name);
+	// Writers of one resource in one process take turns: the store sees one of them at a time.
+	const std::shared_ptr<boost::fibers::mutex> turn = turnOf(_client, key);
+	const std::lock_guard<boost::fibers::mutex> lock(*turn);
 	Resource old = toResource(readStore(_client, key));
 	for (uint32_t ii = 0; ii < kBlindTries; ++ii)
 	{
@@ -147,6 +162,10 @@
 		}
 		old = readBack(_client, key);
 	}
+	if (holds(old, _write.op))
+	{
+		return old; // The last try's answer was lost, but it took effect.
+	}
 	throw Failure(ErrorCode::RevisionConflict, "too many writers at once");
 }
 
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -2,6 +2,9 @@
 #ifndef SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
 #define SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
 
+#include <boost/fiber/mutex.hpp>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -46,6 +49,7 @@
 	HttpClient watchHttp; ///< Waiting watches must not hold up other calls.
 	StoreStats stats;
 	bool reachable = true;
+	std::map<std::string, std::weak_ptr<boost::fibers::mutex>> turns; ///< Of writers, by key.
 };
 
 /// @throws Failure(StoreUnavailable)
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -297,6 +297,16 @@
 	return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
 }
 
+void System::changeSettings(const std::string& _process, const std::string& _from, const std::string& _to)
+{
+	const std::string name = m_dir + "/" + _process + ".yaml";
+	std::stringstream text;
+	text << std::ifstream(name).rdbuf();
+	std::string settings = text.str();
+	settings.replace(settings.find(_from), _from.size(), _to);
+	std::ofstream(name) << settings;
+}
+
 std::string System::log(const std::string& _process) const
 {
 	std::ifstream file(m_dir + "/" + _process + ".log");
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -99,6 +99,8 @@
 	/// SIGTERM; waits for the end. @returns The exit code.
 	int stopPlanned(const std::string& _process);
 	std::string log(const std::string& _process) const;
+	/// Replaces a text in a process's settings, for its next start.
+	void changeSettings(const std::string& _process, const std::string& _from, const std::string& _to);
 
 	const std::string& routerAddress(uint32_t _router) const
 	{
