A version that turns bad while it serves is halted by its ratings

Cause: the sequential test watched candidates only; a serving version could turn bad and answer on for ever.

Change: two one-sided cumulative sums for each serving version, watched by two agents of its pool (by rank, so that the rating service is not asked by all), halted on every link without the store. Versions declare badRate and haltRate.

Proof: Exposure.VersionThatTurnsBadWhileItServesIsHalted fails without the watch (no halt within 30 s) and passes with it, the store down.

--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -114,6 +114,7 @@
 	AdmissionQueue queue;
 	RunOnceGuard guard;
 	std::map<std::string, ExposureCredits> credits; ///< By candidate version.
+	std::map<std::string, DriftWatch> drift;        ///< By serving version.
 	std::unordered_map<uint64_t, Work> works;
 	std::unordered_map<std::string, Submit> guardedSubmits; ///< Run-once calls that the guard holds, by key.
 	uint64_t nextWork = 1;
@@ -156,6 +157,12 @@
 RolloutVerdict onRatings(AgentCore& _core, const std::string& _version, const RatingTally& _tally,
                          AgentActions& _actions);
 
+/// New ratings of a version that serves. Halts it here if it has turned bad.
+void onDrift(AgentCore& _core, const std::string& _version, const RatingTally& _news, AgentActions& _actions);
+
+/// @returns Whether this agent is one of the few of its pool that watch a version's ratings for all.
+bool watchesRatings(const AgentCore& _core, const std::string& _version);
+
 void tick(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions);
 
 /// @returns Load to tell the routers.
--- a/include/spanplank/exposure.h
+++ b/include/spanplank/exposure.h
@@ -43,6 +43,21 @@
 /// @returns log of the evidence against `bad rate >= haltRate`.
 double evidenceOfGood(const RatingTally& _tally, const Rollout& _rollout);
 
+/// Watches a serving version: two one-sided cumulative sums (Page, 1954) of the log likelihood ratio, one
+/// against the halt rate, one against a version gone wholly bad.
+struct DriftWatch
+{
+	double mild = 0.0;
+	double severe = 0.0;
+};
+
+/// Height at which a sum halts: mean ratings between false halts are at least e^height.
+constexpr double kDriftHeight = 16.0;
+
+/// Takes in ratings, the good ones first.
+/// @returns Whether the version must be halted: it was acceptable and has turned bad.
+bool observe(DriftWatch& _watch, const RatingTally& _news, double _badRate, double _haltRate);
+
 /// Credits for answers, as the store keeps them for one roll-out. Written by compare-and-swap only.
 struct ExposureLedger
 {
--- a/include/spanplank/resources.h
+++ b/include/spanplank/resources.h
@@ -44,6 +44,8 @@
 	VersionState state = VersionState::Serving;
 	uint32_t generation = 1;       ///< Raised to bring back a version that was halted or withdrawn.
 	double costPerKiloToken = 1.0; ///< In the operators' currency.
+	double badRate = 0.02;         ///< Share of bad answers that is acceptable while it serves.
+	double haltRate = 0.10;        ///< Share of bad answers at which it must be found and halted.
 };
 
 /// From cheap to strong: a later step is asked when an earlier one's answer does not satisfy.
@@ -84,7 +86,8 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClientAccount, keyHashes, allowed, weight)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Model, quality)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Version, model, state, generation, costPerKiloToken)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Version, model, state, generation, costPerKiloToken, badRate,
+                                                haltRate)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Cascade, steps, qualityTarget, confidence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Rollout, candidate, exposure, share, badRate, haltRate,
                                                 paused)
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -541,23 +541,29 @@
 	}
 }
 
+/// The feed of a version, started anew for a new generation.
+RatingFeed& feedOf(Agent& _agent, const std::string& _name, uint32_t _generation)
+{
+	RatingFeed& feed = _agent.feeds[_name];
+	if (feed.generation != _generation)
+	{
+		const uint64_t cursor = feed.cursor; // Ratings of the earlier generation don't count for this one.
+		feed = RatingFeed{};
+		feed.generation = _generation;
+		feed.cursor = cursor;
+	}
+	return feed;
+}
+
 void stepRollout(Agent& _agent, const std::string& _name)
 {
 	const Rollout* rollout = rolloutOf(_agent.core.config, _name);
-	const auto version = _agent.core.config.versions.find(_name);
-	const bool candidate =
-	    version != _agent.core.config.versions.end() && version->second.state == VersionState::Candidate;
-	if (rollout == nullptr || !candidate || !mayServe(_agent.core.config, _name, false))
+	if (rollout == nullptr)
 	{
 		return;
 	}
-	RatingFeed& feed = _agent.feeds[_name];
-	if (feed.generation != version->second.generation)
-	{
-		feed = RatingFeed{};
-		feed.generation = version->second.generation;
-	}
 	const Rollout declared = *rollout;
+	RatingFeed& feed = feedOf(_agent, _name, _agent.core.config.versions.at(_name).generation);
 	readRatings(_agent, _name, feed);
 	AgentActions actions;
 	const RolloutVerdict verdict = onRatings(_agent.core, _name, feed.tally, actions);
@@ -572,6 +578,36 @@
 	}
 }
 
+/// A version that serves may turn bad at any time.
+void stepDrift(Agent& _agent, const std::string& _name, uint32_t _generation)
+{
+	if (!watchesRatings(_agent.core, _name))
+	{
+		return;
+	}
+	RatingFeed& feed = feedOf(_agent, _name, _generation);
+	const RatingTally before = feed.tally;
+	readRatings(_agent, _name, feed);
+	AgentActions actions;
+	onDrift(_agent.core, _name, {feed.tally.good - before.good, feed.tally.bad - before.bad}, actions);
+	perform(_agent, actions);
+}
+
+void stepRatings(Agent& _agent, const std::string& _name)
+{
+	const auto version = _agent.core.config.versions.find(_name);
+	if (version == _agent.core.config.versions.end() || !mayServe(_agent.core.config, _name, true))
+	{
+		return;
+	}
+	if (version->second.state == VersionState::Candidate)
+	{
+		stepRollout(_agent, _name);
+		return;
+	}
+	stepDrift(_agent, _name, version->second.generation);
+}
+
 void writeHalts(Agent& _agent)
 {
 	while (!_agent.unwrittenHalts.empty())
@@ -739,7 +775,7 @@
 	      {
 		      for (const std::string& version : _agent.settings.versions)
 		      {
-			      stepRollout(_agent, version);
+			      stepRatings(_agent, version);
 		      }
 		      writeHalts(_agent);
 	      });
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -546,6 +546,41 @@
 	return verdict;
 }
 
+void onDrift(AgentCore& _core, const std::string& _version, const RatingTally& _news, AgentActions& _actions)
+{
+	const auto version = _core.config.versions.find(_version);
+	if (version == _core.config.versions.end())
+	{
+		return;
+	}
+	DriftWatch& watch = _core.drift[_version];
+	if (!observe(watch, _news, version->second.badRate, version->second.haltRate))
+	{
+		return;
+	}
+	watch = DriftWatch{};
+	const Halt halt{_version, version->second.generation, "it has turned bad while it served"};
+	if (onHalt(_core, halt))
+	{
+		_actions.push_back(AnnounceHalt{halt});
+	}
+}
+
+bool watchesRatings(const AgentCore& _core, const std::string& _version)
+{
+	constexpr size_t kWatchers = 2;
+	const std::vector<HomeMember>& members = _core.guard.table.members;
+	const std::vector<size_t> rank = rankMembers(members, _version);
+	for (size_t ii = 0; ii < std::min(kWatchers, rank.size()); ++ii)
+	{
+		if (members[rank[ii]].incarnation == _core.init.self.incarnation)
+		{
+			return true;
+		}
+	}
+	return rank.empty();
+}
+
 void tick(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
 {
 	std::vector<uint64_t> late;
--- a/src/core/exposure.cpp
+++ b/src/core/exposure.cpp
@@ -61,6 +61,21 @@
 	return RolloutVerdict::Undecided;
 }
 
+bool observe(DriftWatch& _watch, const RatingTally& _news, double _badRate, double _haltRate)
+{
+	constexpr double kSevereRate = 0.5;
+	const double base = clampRate(_badRate);
+	const double halt = clampRate(std::max(_haltRate, base * 1.5));
+	const auto add = [&](double& _sum, double _rate)
+	{
+		_sum = std::max(0.0, _sum + logRatio({_news.good, 0}, base, _rate));
+		_sum = std::max(0.0, _sum + logRatio({0, _news.bad}, base, _rate));
+	};
+	add(_watch.mild, halt);
+	add(_watch.severe, std::max(kSevereRate, halt));
+	return std::max(_watch.mild, _watch.severe) >= kDriftHeight;
+}
+
 uint64_t exposureAllowance(const RatingTally& _tally, const Rollout& _rollout)
 {
 	const uint64_t rated = _tally.good + _tally.bad;
--- a/tests/system/gate_test.cpp
+++ b/tests/system/gate_test.cpp
@@ -281,6 +281,26 @@
 	}));
 }
 
+TEST(Exposure, VersionThatTurnsBadWhileItServesIsHalted)
+{
+	System system{SystemShape{}};
+	system.platformFault({{"ratings_delay_ms", 300}});
+	system.declareBasics();
+	load(system, 120);
+	EXPECT_TRUE(system.status(0).at("halted").empty()) << "a good version serves on";
+	for (uint32_t ii = 0; ii < 3; ++ii)
+	{
+		system.engineFault(ii, {{"bad_rate", {{"small@1", 1.0}}}});
+	}
+	system.platformFault({{"store_down", true}});
+	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).code() == "version_withdrawn"; }));
+	EXPECT_TRUE(eventually([&] { return system.chat(1, {}).code() == "version_withdrawn"; }));
+	const uint64_t atHalt = system.runsOfVersion("small@1");
+	pause(1000);
+	EXPECT_EQ(system.chat(0, {}).code(), "version_withdrawn");
+	EXPECT_EQ(system.runsOfVersion("small@1"), atHalt);
+}
+
 TEST(Exposure, GoodCandidateComesToServe)
 {
 	System system(rolloutShape());
