--- a/include/spanplank/admission.h
+++ b/include/spanplank/admission.h
@@ -56,7 +56,15 @@
 	uint64_t runningTokens = 0;
 	uint64_t waitingTokens = 0;
 	double virtualTime = 0.0;
-	double secondsPerToken = 0.001; ///< Running estimate.
+	double secondsPerToken = 0.001;     ///< Running estimate: of the whole upstream, all slots busy.
+	double slotSecondsPerToken = 0.008; ///< Running estimate: of one request in its slot.
+};
+
+/// What the queue gives out.
+struct NextWork
+{
+	std::optional<WorkId> start; ///< Counts as running from now.
+	std::vector<WorkId> late;    ///< Would not be done in time any more: refuse them, they have not run.
 };
 
 enum class AdmissionVerdict : uint8_t
@@ -79,8 +87,8 @@
 /// @returns Whether the work starts now, waits, or is refused at once with a time to come back.
 AdmissionResult admit(AdmissionQueue& _queue, const WorkDemand& _demand, TimeUs _now);
 
-/// @returns The next waiting work that fits; it counts as running from now.
-std::optional<WorkId> nextWork(AdmissionQueue& _queue);
+/// @returns The next waiting work that fits and can still be done in time.
+NextWork nextWork(AdmissionQueue& _queue, TimeUs _now);
 
 /// Work ended or was cancelled, wherever it stood.
 /// @param[in] _tokens Tokens done and @param[in] _seconds they took, for the estimate; 0 if unknown.
--- a/include/spanplank/resources.h
+++ b/include/spanplank/resources.h
@@ -60,7 +60,7 @@
 struct Rollout
 {
 	std::string candidate;
-	uint32_t exposure = 20; ///< Most answers whose ratings are not in, over all boxes.
+	uint32_t exposure = 6;  ///< Most answers whose ratings are not in, over all boxes.
 	double share = 0.05;    ///< Share of the model's requests that are offered to the candidate.
 	double badRate = 0.02;  ///< Rate of bad answers that is acceptable.
 	double haltRate = 0.10; ///< Rate of bad answers that must be found.
--- a/include/spanplank/router_core.h
+++ b/include/spanplank/router_core.h
@@ -185,6 +185,7 @@
 	uint64_t nextRequest = 1;
 	uint64_t nextBill = 1;
 	uint64_t roundRobin = 0;
+	uint32_t routers = 1; ///< Live routers that share the upstreams, this one included.
 	BillBook bills;
 	RouterStats stats;
 };
--- a/include/spanplank/routing.h
+++ b/include/spanplank/routing.h
@@ -24,6 +24,8 @@
 	uint64_t sentTokens = 0;     ///< Their prompt tokens.
 	uint32_t ownInFlight = 0;    ///< This router's requests there now.
 	uint32_t prefixTokens = 0;   ///< Prompt tokens that its prefix cache likely holds.
+	double reportAge = 0.0;      ///< Seconds since that report was made.
+	uint32_t routers = 1;        ///< Routers that send there, this one included.
 	bool sameHall = true;
 	double failureRate = 0.0; ///< Decayed share of failed attempts, 0 to 1.
 };
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -258,6 +258,9 @@
 
 void linkAgents(Router& _router)
 {
+	const auto routers = std::count_if(_router.node.boxes.begin(), _router.node.boxes.end(),
+	                                   [](const BoxEntry& _entry) { return _entry.role == "router"; });
+	_router.core.routers = uint32_t(std::max<std::ptrdiff_t>(1, routers));
 	for (const BoxEntry& entry : _router.node.boxes)
 	{
 		if (entry.role != "agent")
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -17,6 +17,12 @@
 	       (alone || _queue.runningTokens + _tokens <= _queue.limits.kvTokens);
 }
 
+/// Expected seconds that the work takes in its slot.
+double serviceSeconds(const AdmissionQueue& _queue, const WorkDemand& _demand)
+{
+	return double(_demand.tokens) * _queue.slotSecondsPerToken;
+}
+
 void start(AdmissionQueue& _queue, const WorkDemand& _demand)
 {
 	_queue.running[_demand.id.idx] = _demand;
@@ -87,6 +93,7 @@
 	AdmissionQueue queue;
 	queue.limits = _limits;
 	queue.secondsPerToken = _limits.secondsPerToken;
+	queue.slotSecondsPerToken = _limits.secondsPerToken * _limits.slots;
 	return queue;
 }
 
@@ -116,7 +123,7 @@
 		return result;
 	}
 	const double wait = expectedWait(_queue, _demand.priority);
-	const double work = double(_demand.tokens) * _queue.secondsPerToken;
+	const double work = serviceSeconds(_queue, _demand);
 	result.retryAfterMs = retryAfter(_queue, _demand.priority);
 	if (_now + TimeUs((wait + work) * 1e6) > _demand.deadline)
 	{
@@ -135,28 +142,36 @@
 	return result;
 }
 
-std::optional<WorkId> nextWork(AdmissionQueue& _queue)
+NextWork nextWork(AdmissionQueue& _queue, TimeUs _now)
 {
-	if (_queue.waiting.empty())
-	{
-		return std::nullopt;
-	}
-	const auto first = _queue.waiting.begin();
-	if (!fits(_queue, first->second.demand.tokens))
+	NextWork next;
+	while (!next.start && !_queue.waiting.empty())
 	{
-		return std::nullopt;
+		const auto first = _queue.waiting.begin();
+		const WorkDemand demand = first->second.demand;
+		const bool late = _now + TimeUs(serviceSeconds(_queue, demand) * 1e6) > demand.deadline;
+		if (!late && !fits(_queue, demand.tokens))
+		{
+			break;
+		}
+		if (late)
+		{
+			next.late.push_back(demand.id);
+			dequeue(_queue, first);
+			continue;
+		}
+		const double begin = first->second.tag - double(demand.tokens) / demand.weight;
+		_queue.virtualTime = std::max(_queue.virtualTime, begin);
+		dequeue(_queue, first);
+		start(_queue, demand);
+		next.start = demand.id;
 	}
-	const WorkDemand demand = first->second.demand;
-	_queue.virtualTime =
-	    std::max(_queue.virtualTime, first->second.tag - double(demand.tokens) / demand.weight);
-	dequeue(_queue, first);
 	if (_queue.waiting.empty())
 	{
 		_queue.lastTag.clear();
 		_queue.virtualTime = 0.0;
 	}
-	start(_queue, demand);
-	return demand.id;
+	return next;
 }
 
 void release(AdmissionQueue& _queue, WorkId _id, uint64_t _tokens, double _seconds)
@@ -170,6 +185,8 @@
 			const double sharing = double(std::max<size_t>(1, _queue.running.size()));
 			const double perToken = _seconds / double(_tokens) / sharing;
 			_queue.secondsPerToken += kEstimateWeight * (perToken - _queue.secondsPerToken);
+			const double inSlot = _seconds / double(_tokens);
+			_queue.slotSecondsPerToken += kEstimateWeight * (inSlot - _queue.slotSecondsPerToken);
 		}
 		_queue.running.erase(running);
 		return;
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -10,6 +10,7 @@
 constexpr uint32_t kStoppingRetryMs = 200;
 constexpr uint32_t kBillsFullRetryMs = 5000;
 constexpr uint32_t kExposureRetryMs = 250;
+constexpr uint32_t kLateRetryMs = 1000;
 
 void drainGuard(AgentCore& _core, GuardActions& _guardActions, TimeUs _now, int64_t _wallMs,
                 AgentActions& _actions);
@@ -136,6 +137,11 @@
 	drainGuard(_core, guardActions, _now, _wallMs, _actions);
 }
 
+Refusal lateRefusal()
+{
+	return {ErrorCode::Overloaded, RunState::No, kLateRetryMs, "it would not be done in time any more"};
+}
+
 /// The last gate: judged again, paid for, forwarded.
 void startWork(AgentCore& _core, WorkId _id, bool _judgeAgain, TimeUs _now, int64_t _wallMs,
                AgentActions& _actions)
@@ -164,9 +170,19 @@
 
 void startWaiting(AgentCore& _core, TimeUs _now, int64_t _wallMs, AgentActions& _actions)
 {
-	while (const std::optional<WorkId> next = nextWork(_core.queue))
+	bool started = true;
+	while (started)
 	{
-		startWork(_core, *next, true, _now, _wallMs, _actions);
+		const NextWork next = nextWork(_core.queue, _now);
+		for (const WorkId late : next.late)
+		{
+			refuseWork(_core, late, lateRefusal(), _now, _wallMs, _actions);
+		}
+		started = next.start.has_value();
+		if (started)
+		{
+			startWork(_core, *next.start, true, _now, _wallMs, _actions);
+		}
 	}
 }
 
@@ -610,7 +626,10 @@
 	report.queued = uint32_t(_core.queue.waiting.size());
 	report.slots = _core.queue.limits.slots;
 	report.secondsPerToken = _core.queue.secondsPerToken;
-	report.prefillBacklog = _core.queue.waitingTokens;
+	for (const auto& [idx, work] : _core.works)
+	{
+		report.prefillBacklog += work.forwarded ? 0 : work.submit.promptTokens;
+	}
 	report.billsFull = _core.bills.count >= _core.init.maxUnflushedBills;
 	return report;
 }
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -117,6 +117,8 @@
 	load.sentTokens = upstream.sentTokens;
 	load.ownInFlight = upstream.inFlight;
 	load.prefixTokens = prefixHit(_core.prefixes, _blocks, load.id, _now);
+	load.reportAge = double(_now - upstream.reportAt) * 1e-6;
+	load.routers = std::max(1u, _core.routers);
 	load.sameHall = upstream.info.hall == _core.init.hall;
 	load.failureRate = upstream.failureRate;
 	return load;
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -6,11 +6,17 @@
 {
 double expectedFirstToken(const UpstreamLoad& _load, uint32_t _promptTokens, const EngineCosts& _costs)
 {
-	const double backlog = double(_load.prefillBacklog + _load.sentTokens);
+	// What this router sent since the report, the others sent as well; what was there has been worked on
+	// since.
+	const double sentTokens = double(_load.sentTokens) * _load.routers;
+	const double done = _load.reportAge / _costs.prefillPerToken;
+	const double backlog = std::max(0.0, double(_load.prefillBacklog) + sentTokens - done);
 	const double own = double(_promptTokens - std::min(_promptTokens, _load.prefixTokens));
 	const double prefill = (backlog + own) * _costs.prefillPerToken;
 	const double slots = std::max(1u, _load.slots);
-	const double present = double(_load.running + _load.queued + _load.sentSince);
+	const double ended = _load.reportAge * slots / (_costs.meanAnswerTokens * _costs.decodePerToken);
+	const double before = std::max(0.0, double(_load.running + _load.queued) - ended);
+	const double present = before + double(_load.sentSince) * _load.routers;
 	// Beyond its slots, a request waits for one to end; a batch of `slots` ends one every answer/slots.
 	const double waiting = std::max(0.0, present + 1.0 - slots);
 	const double slotWait = waiting * _costs.meanAnswerTokens * _costs.decodePerToken / slots;
