--- a/include/spanplank/messages.h
+++ b/include/spanplank/messages.h
@@ -49,7 +49,7 @@
 	std::vector<std::string> services; ///< Agents: plain services of the upstream.
 };
 
-/// Sent by both ends every `kHeartbeatMs`.
+/// Sent by both ends every `kHeartbeatMs`. On the wire: an array of its fields.
 struct Heartbeat
 {
 	uint64_t revision = 0; ///< Configuration revision in force at the sender.
@@ -141,7 +141,7 @@
 	std::string detail;
 };
 
-/// Load of an upstream, sent with each heartbeat.
+/// Load of an upstream, sent at most once in `kHeartbeatMs`, and only if it has changed.
 struct Report
 {
 	uint32_t running = 0;
@@ -171,7 +171,20 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerInfo, role, box, incarnation, hall, pool, versions,
                                                 services)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Heartbeat, revision, leaving, stopping, hybridTime)
+/// Heartbeats are what an idle system sends: an array, so that no names travel.
+inline void to_json(nlohmann::json& _json, const Heartbeat& _heartbeat)
+{
+	_json = {_heartbeat.revision, _heartbeat.leaving, _heartbeat.stopping, _heartbeat.hybridTime};
+}
+
+inline void from_json(const nlohmann::json& _json, Heartbeat& _heartbeat)
+{
+	_json.at(0).get_to(_heartbeat.revision);
+	_json.at(1).get_to(_heartbeat.leaving);
+	_json.at(2).get_to(_heartbeat.stopping);
+	_json.at(3).get_to(_heartbeat.hybridTime);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigAsk, since)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Submit, attempt, request, account, kind, version, service,
                                                 method, path, contentType, body, key, callId, stream, session,
--- a/include/spanplank/types.h
+++ b/include/spanplank/types.h
@@ -77,6 +77,9 @@
 /// @returns Lower-case hex SHA-256 of bytes.
 std::string sha256Hex(std::string_view _bytes);
 
+/// @returns The 32 bytes of HMAC-SHA-256 (RFC 2104).
+std::string hmacBytes(std::string_view _key, std::string_view _bytes);
+
 /// @returns Lower-case hex HMAC-SHA-256 (RFC 2104).
 std::string hmacHex(std::string_view _key, std::string_view _bytes);
 
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -44,8 +44,10 @@
 	std::map<uint64_t, HttpCancel> calls;       ///< By work: the running call to the upstream.
 	std::map<std::string, TimeUs> memberLostAt; ///< By incarnation.
 	std::map<std::string, TimeUs> ownerLostAt;  ///< By incarnation of a router.
-	std::map<std::string, RatingFeed> feeds;    ///< By candidate version.
-	std::vector<Halt> unwrittenHalts;           ///< Obeyed here, not yet in the store.
+	json lastReport;
+	uint64_t reportedSubmits = 0;
+	std::map<std::string, RatingFeed> feeds; ///< By candidate version.
+	std::vector<Halt> unwrittenHalts;        ///< Obeyed here, not yet in the store.
 	bool homesBusy = false;
 };
 
@@ -727,6 +729,27 @@
 	}
 }
 
+/// Tells the routers of the load, if it has changed.
+void sendReport(Agent& _agent)
+{
+	const json report(reportOf(_agent.core));
+	const uint64_t submitted = _agent.core.stats.submitted;
+	if (report == _agent.lastReport && submitted == _agent.reportedSubmits)
+	{
+		return;
+	}
+	_agent.lastReport = report;
+	_agent.reportedSubmits =
+	    submitted; // Routers count what they sent since a report: work asks for a new one.
+	for (const LinkId link : _agent.node.hub->openLinks())
+	{
+		if (_agent.node.hub->peer(link)->role == "router")
+		{
+			_agent.node.hub->send(link, MessageType::Report, report);
+		}
+	}
+}
+
 void start(Agent& _agent)
 {
 	LinkInit init;
@@ -759,7 +782,7 @@
 	      [&_agent]
 	      {
 		      _agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
-		      _agent.node.hub->sendAll(MessageType::Report, reportOf(_agent.core));
+		      sendReport(_agent);
 	      });
 	every(kTickMs,
 	      [&_agent]
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -19,7 +19,7 @@
 {
 using nlohmann::json;
 
-constexpr size_t kMacBytes = 32; // Hex characters of the truncated MAC.
+constexpr size_t kMacBytes = 16; // HMAC-SHA-256, truncated to 128 bits (RFC 2104, section 5).
 constexpr size_t kMaxFrameBytes = 64u << 20;
 
 /// One thread, so no locks; logging stays with us.
@@ -58,7 +58,7 @@
 	std::string text = std::to_string(_counter);
 	text.push_back(':');
 	text.append(_payload);
-	return hmacHex(_key, text).substr(0, kMacBytes);
+	return hmacBytes(_key, text).substr(0, kMacBytes);
 }
 
 struct Link
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -11,7 +11,8 @@
 {
 namespace
 {
-constexpr uint32_t kTickMs = 25;
+constexpr uint32_t kTickMs = 25; ///< While requests are in flight.
+constexpr uint32_t kIdleTickMs = 200;
 constexpr uint32_t kWatchMs = 10000;
 constexpr uint32_t kStoreRetryMs = 300;
 
@@ -256,6 +257,23 @@
 
 // ---- The process -----------------------------------------------------------------------------------------
 
+/// Whether this router is among the few that link an agent: each agent has `routersPerAgent` of them, by rank
+/// over the live routers, so that no router needs a link to every agent.
+bool isOurs(const Router& _router, const BoxEntry& _agent)
+{
+	const uint32_t most = _router.settings.routersPerAgent;
+	const uint64_t agent = stableHash(_agent.box);
+	const uint64_t own = stableHash(_router.settings.common.box, agent);
+	uint32_t ahead = 0;
+	for (const BoxEntry& entry : _router.node.boxes)
+	{
+		const bool rival =
+		    entry.role == "router" && entry.state == "live" && entry.box != _router.settings.common.box;
+		ahead += rival && stableHash(entry.box, agent) > own ? 1 : 0;
+	}
+	return most == 0 || ahead < most;
+}
+
 void linkAgents(Router& _router)
 {
 	const auto routers = std::count_if(_router.node.boxes.begin(), _router.node.boxes.end(),
@@ -271,7 +289,15 @@
 		{
 			markLeaving(_router.core, entry.box, "");
 		}
-		_router.node.hub->connect(parseEndpoint(entry.link));
+		const Endpoint endpoint = parseEndpoint(entry.link);
+		if (isOurs(_router, entry))
+		{
+			_router.node.hub->connect(endpoint);
+		}
+		else
+		{
+			_router.node.hub->disconnect(endpoint); // Links that are open stay; they are not opened anew.
+		}
 	}
 }
 
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -250,6 +250,7 @@
 	reader.number("maxBodyBytes", settings.maxBodyBytes, 1024, 64u << 20);
 	reader.number("slowCallerMs", settings.slowCallerMs, 100, 600000);
 	reader.number("watchers", settings.watchers, 1, 100);
+	reader.number("routersPerAgent", settings.routersPerAgent, 0, 1000);
 	reader.finish();
 	return settings;
 }
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -32,7 +32,8 @@
 	std::string routing = "load";            ///< `load` or `round-robin`.
 	uint32_t maxBodyBytes = 1u << 20;
 	uint32_t slowCallerMs = 30000;
-	uint32_t watchers = 2; ///< Routers of a hall that watch the store.
+	uint32_t routersPerAgent = 0; ///< Routers that link each agent; 0: all.
+	uint32_t watchers = 2;        ///< Routers of a hall that watch the store.
 };
 
 struct AgentSettings
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -36,13 +36,19 @@
 	return toHex(digest, size);
 }
 
-std::string hmacHex(std::string_view _key, std::string_view _bytes)
+std::string hmacBytes(std::string_view _key, std::string_view _bytes)
 {
 	unsigned char digest[EVP_MAX_MD_SIZE];
 	unsigned int size = 0;
 	HMAC(EVP_sha256(), _key.data(), int(_key.size()), reinterpret_cast<const unsigned char*>(_bytes.data()),
 	     _bytes.size(), digest, &size);
-	return toHex(digest, size);
+	return std::string(reinterpret_cast<const char*>(digest), size);
+}
+
+std::string hmacHex(std::string_view _key, std::string_view _bytes)
+{
+	const std::string digest = hmacBytes(_key, _bytes);
+	return toHex(reinterpret_cast<const unsigned char*>(digest.data()), digest.size());
 }
 
 bool equalConstantTime(std::string_view _a, std::string_view _b)
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -307,6 +307,18 @@
 	std::ofstream(name) << settings;
 }
 
+std::string System::boxAddress(const std::string& _box) const
+{
+	for (const json& box : m_boxes)
+	{
+		if (box["box"] == _box)
+		{
+			return box["address"];
+		}
+	}
+	return "";
+}
+
 std::string System::log(const std::string& _process) const
 {
 	std::ifstream file(m_dir + "/" + _process + ".log");
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -107,6 +107,9 @@
 		return m_routers.at(_router);
 	}
 
+	/// Address of a box's HTTP side.
+	std::string boxAddress(const std::string& _box) const;
+
 	/// Name of the service agent that is the home of a key now, by the table that a router holds.
 	std::string homeOf(uint32_t _router, const std::string& _idempotencyKey);
 	/// Epoch of the service agents' group in the store.
--- a/tests/system/operations_test.cpp
+++ b/tests/system/operations_test.cpp
@@ -262,6 +262,41 @@
 	EXPECT_EQ(result.refusedConnections, 0u);
 }
 
+TEST(Links, SubsetsServeAndConfigurationReachesEveryAgentAndBack)
+{
+	SystemShape shape;
+	shape.routers = 3;
+	shape.engines = 6;
+	shape.routerExtra = "routersPerAgent: 1\nwatchers: 1\n";
+	System system(shape);
+	eventually([&] { return system.put(0, "models", "small", {{"quality", 0.8}}).status == 200; });
+	system.put(0, "versions", "small@1", {{"model", "small"}, {"state", "serving"}});
+	const Answer last =
+		system.put(1, "accounts", "town", {{"keyHashes", {sha256Hex("key-town")}}, {"allowed", {"small"}}});
+	const uint64_t revision = last.json().value("revision", uint64_t(0));
+	ASSERT_GT(revision, 0u);
+	std::map<std::string, uint64_t> linked;
+	EXPECT_TRUE(eventually([&] {
+		linked.clear();
+		bool behind = false;
+		for (uint32_t ii = 0; ii < 3; ++ii)
+		{
+			const json state = system.status(ii);
+			behind = behind || state.value("revision", uint64_t(0)) < revision;
+			for (const json& agent : state.at("agents"))
+			{
+				linked[agent.value("box", "")] += agent.value("linked", false) ? 1 : 0;
+				behind = behind || agent.value("revision", uint64_t(0)) < revision;
+			}
+		}
+		return linked.size() == 6 && !behind;
+	}));
+	for (const auto& [box, routers] : linked)
+	{
+		EXPECT_EQ(routers, 1u) << box;
+	}
+}
+
 TEST(Links, RouterWithAnotherKeyIsRefusedAndTheRestServesOn)
 {
 	System system{SystemShape{}};
