--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -82,7 +82,7 @@
 			if (result.servedAt > 0.0)
 			{
 				result.halted = result.halted || observe(watch, {bad ? 0u : 1u, bad ? 1u : 0u},
-				                                         rollout.badRate, rollout.haltRate);
+														 rollout.badRate, rollout.haltRate);
 			}
 		}
 		const RolloutVerdict verdict = judgeRatings(tally, rollout);
@@ -149,8 +149,8 @@
 	constexpr size_t kCalm = 200;
 	fmt::print("\n== roll-outs, {} seeds from {} ({})\n", kSeeds, _firstSeed, _set);
 	fmt::print("{:>7} {:>8} {:>8} {:>10} {:>10} {:>10} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "delay s", "bad",
-	           "full at", "bad: ours", "hasty 5%", "calm 5%", "/hasty", "/calm", "h: ours", "h: hasty",
-	           "h: calm");
+			   "full at", "bad: ours", "hasty 5%", "calm 5%", "/hasty", "/calm", "h: ours", "h: hasty",
+			   "h: calm");
 	for (const double delay : {1.0, 30.0, 600.0})
 	{
 		std::vector<double> servedAt;
@@ -182,10 +182,10 @@
 				haltedNaive += second.halted ? 1 : 0;
 			}
 			fmt::print(
-			    "{:>7} {:>8} {:>8.0f} {:>10.1f} {:>10.1f} {:>10.1f} {:>8.3f} {:>8.3f} {:>8} {:>8} {:>8}\n",
-			    delay, badRate, fullAt, mean(ours), mean(naive), mean(calm),
-			    mean(ours) / std::max(0.001, mean(naive)), mean(ours) / std::max(0.001, mean(calm)),
-			    haltedOurs, haltedNaive, haltedCalm);
+				"{:>7} {:>8} {:>8.0f} {:>10.1f} {:>10.1f} {:>10.1f} {:>8.3f} {:>8.3f} {:>8} {:>8} {:>8}\n",
+				delay, badRate, fullAt, mean(ours), mean(naive), mean(calm),
+				mean(ours) / std::max(0.001, mean(naive)), mean(ours) / std::max(0.001, mean(calm)),
+				haltedOurs, haltedNaive, haltedCalm);
 		}
 	}
 }
@@ -246,18 +246,17 @@
 	}
 	_fresh = true;
 	_engine.reportedAt = _now;
-	const auto over = [_now](double _end)
-	{
+	const auto over = [_now](double _end) {
 		return _end <= _now;
 	};
 	_engine.endsAt.erase(std::remove_if(_engine.endsAt.begin(), _engine.endsAt.end(), over),
-	                     _engine.endsAt.end());
+						 _engine.endsAt.end());
 	const uint32_t present = uint32_t(_engine.endsAt.size());
 	_engine.reported.slots = _case.slots;
 	_engine.reported.running = std::min(present, _case.slots);
 	_engine.reported.queued = present - _engine.reported.running;
 	_engine.reported.prefillBacklog =
-	    uint64_t(std::max(0.0, _engine.prefillFreeAt - _now) / _case.prefillPerToken);
+		uint64_t(std::max(0.0, _engine.prefillFreeAt - _now) / _case.prefillPerToken);
 }
 
 /// @returns Seconds to the first token.
@@ -297,7 +296,7 @@
 	const double miss = double(_case.prefixTokens + _case.ownTokens) * _case.prefillPerToken;
 	const double decode = double(_case.answerTokens) * _case.decodePerToken / _case.slots;
 	const double perSecond =
-	    _case.load * double(_case.upstreams) / std::max(miss, decode + miss / _case.slots);
+		_case.load * double(_case.upstreams) / std::max(miss, decode + miss / _case.slots);
 	EngineCosts costs;
 	costs.prefillPerToken = _case.prefillPerToken;
 	costs.decodePerToken = _case.decodePerToken;
@@ -333,7 +332,7 @@
 				load.reportAge = now - engines[load.id.idx].reportedAt;
 				load.routers = _case.routers;
 				load.prefixTokens =
-				    prefixHit(router.prefixes, blocks, load.id, nowUs) > 0 ? _case.prefixTokens : 0;
+					prefixHit(router.prefixes, blocks, load.id, nowUs) > 0 ? _case.prefixTokens : 0;
 			}
 			at = pickUpstream(router.loads, _case.prefixTokens + _case.ownTokens, costs, random);
 			recordPrefix(router.prefixes, blocks, UpstreamId{at}, nowUs);
@@ -358,7 +357,7 @@
 {
 	fmt::print("\n== routing, seed {} ({}): first token, milliseconds\n", _seed, _set);
 	fmt::print("{:<22} {:>6} {:>10} {:>10} {:>10} {:>10} {:>10} {:>8}\n", "deployment", "load", "ours p50",
-	           "p95", "p99", "rr p50", "rr p99", "p99 ratio");
+			   "p95", "p99", "rr p50", "rr p99", "p99 ratio");
 	for (const uint32_t upstreams : {18u, 12u})
 	{
 		for (const double load : {0.5, 0.8, 0.95})
@@ -371,9 +370,9 @@
 			const double p99 = percentile(ours, 0.99);
 			const double naive99 = percentile(naive, 0.99);
 			fmt::print("{:<22} {:>6} {:>10.0f} {:>10.0f} {:>10.0f} {:>10.0f} {:>10.0f} {:>8.2f}\n",
-			           upstreams == 18 ? "exams (18 engines)" : "lumivia (12 engines)", load,
-			           percentile(ours, 0.5) * 1e3, percentile(ours, 0.95) * 1e3, p99 * 1e3,
-			           percentile(naive, 0.5) * 1e3, naive99 * 1e3, p99 / naive99);
+					   upstreams == 18 ? "exams (18 engines)" : "lumivia (12 engines)", load,
+					   percentile(ours, 0.5) * 1e3, percentile(ours, 0.95) * 1e3, p99 * 1e3,
+					   percentile(naive, 0.5) * 1e3, naive99 * 1e3, p99 / naive99);
 		}
 	}
 }
@@ -411,7 +410,7 @@
 /// A caller that is refused comes back after the time told; one that times out tries again at once, three
 /// tries.
 AdmissionResultRow runAdmission(const std::vector<double>& _ratePerAccount, bool _ours, double _seconds,
-                                uint64_t _seed)
+								uint64_t _seed)
 {
 	constexpr uint32_t kTries = 3;
 	Random random{_seed};
@@ -443,15 +442,14 @@
 	using Ending = std::pair<double, uint64_t>;
 	std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
 	uint64_t nextId = 1;
-	const auto begin = [&](uint64_t _id, double _now)
-	{
+	const auto begin = [&](uint64_t _id, double _now) {
 		// The naive engine works on what its caller has long given up on: it does not know.
 		endings.push({_now + kSimService, _id});
 	};
 	while (!arrivals.empty() || !endings.empty())
 	{
 		const bool arrival =
-		    !arrivals.empty() && (endings.empty() || arrivals.top().at <= endings.top().first);
+			!arrivals.empty() && (endings.empty() || arrivals.top().at <= endings.top().first);
 		if (arrival)
 		{
 			const SimRequest request = arrivals.top();
@@ -472,15 +470,14 @@
 				if (request.tries + 1 < kTries) // It will try again at its deadline unless answered before.
 				{
 					arrivals.push({request.deadline, request.deadline + kSimDeadline, request.account,
-					               request.tries + 1});
+								   request.tries + 1});
 				}
 				continue;
 			}
 			WorkDemand demand{WorkId{id}, std::to_string(request.account), 1.0, 5,
-			                  kSimTokens, TimeUs(request.deadline * 1e6)};
+							  kSimTokens, TimeUs(request.deadline * 1e6)};
 			const AdmissionResult result = admit(queue, demand, TimeUs(request.at * 1e6));
-			const auto comeBack = [&](const SimRequest& _refused)
-			{
+			const auto comeBack = [&](const SimRequest& _refused) {
 				const double at = request.at + double(result.retryAfterMs) / 1000.0;
 				if (_refused.tries + 1 < kTries)
 				{
@@ -534,7 +531,7 @@
 				const SimRequest top = arrivals.top();
 				arrivals.pop();
 				const bool own = top.account == request.account && top.tries == request.tries + 1 &&
-				                 top.at == request.deadline;
+								 top.at == request.deadline;
 				if (own)
 				{
 					break;
@@ -566,14 +563,14 @@
 	const double capacity = kSimSlots / kSimService;
 	constexpr double kSeconds = 120.0;
 	fmt::print("\n== admission, seed {} ({}): timely answers a second, capacity {:.0f}/s\n", _seed, _set,
-	           capacity);
+			   capacity);
 	fmt::print("{:>6} {:>10} {:>10}\n", "load", "ours", "naive");
 	for (const double load : {0.5, 1.0, 2.0, 4.0})
 	{
 		const std::vector<double> rates(10, load * capacity / 10.0);
 		fmt::print("{:>6} {:>10.1f} {:>10.1f}\n", load,
-		           double(runAdmission(rates, true, kSeconds, _seed).timely) / kSeconds,
-		           double(runAdmission(rates, false, kSeconds, _seed).timely) / kSeconds);
+				   double(runAdmission(rates, true, kSeconds, _seed).timely) / kSeconds,
+				   double(runAdmission(rates, false, kSeconds, _seed).timely) / kSeconds);
 	}
 	std::vector<double> fair(10, 0.6 * capacity / 10.0);
 	std::vector<double> flood = fair;
@@ -583,9 +580,9 @@
 	const double naiveCalm = percentile(runAdmission(fair, false, kSeconds, _seed).othersWait, 0.99);
 	const double naive = percentile(runAdmission(flood, false, kSeconds, _seed).othersWait, 0.99);
 	fmt::print("one account at 10x its share, the others' p99 to the end: ours {:.2f} s (calm {:.2f} s, "
-	           "ratio {:.2f}), "
-	           "naive {:.2f} s (calm {:.2f} s, ratio {:.2f})\n",
-	           ours, calm, ours / calm, naive, naiveCalm, naive / naiveCalm);
+			   "ratio {:.2f}), "
+			   "naive {:.2f} s (calm {:.2f} s, ratio {:.2f})\n",
+			   ours, calm, ours / calm, naive, naiveCalm, naive / naiveCalm);
 }
 
 // ---- Cost of a decision ----------------------------------------------------------------------------------
@@ -611,8 +608,8 @@
 			sum += pickUpstream(loads, 500, EngineCosts{}, random);
 		}
 		const double ns =
-		    std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - start).count() /
-		    kRounds;
+			std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - start).count() /
+			kRounds;
 		fmt::print("{:>10} {:>12.0f}{}\n", count, ns, sum == 0 ? " " : "");
 	}
 }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -43,7 +43,7 @@
 	sample.bytes = metricOf(page, "link_bytes_in_total") + metricOf(page, "link_bytes_out_total");
 	sample.resident = metricOf(page, "max_resident_bytes");
 	sample.storeCalls = metricOf(page, "store_reads_total") + metricOf(page, "store_writes_total") +
-	                    metricOf(page, "store_watches_total");
+						metricOf(page, "store_watches_total");
 	return sample;
 }
 
@@ -63,7 +63,7 @@
 {
 	const double seconds = kWindowMs / 1000.0;
 	return {(_after.cpu - _before.cpu) / seconds, (_after.bytes - _before.bytes) / seconds, _after.resident,
-	        (_after.storeCalls - _before.storeCalls) / seconds};
+			(_after.storeCalls - _before.storeCalls) / seconds};
 }
 
 double storeCalls(System& _system)
@@ -73,7 +73,7 @@
 }
 
 void measureChanges(System& _system, Row& _row, const std::string& _agent, double _idleRouter,
-                    double _idleAgent)
+					double _idleAgent)
 {
 	constexpr uint32_t kChanges = 10;
 	const Sample routerBefore = sampleOf(_system, _system.routerAddress(0));
@@ -117,11 +117,11 @@
 	row.storePerSecond = (storeCalls(system) - store0) / (kWindowMs / 1000.0);
 	measureChanges(system, row, agent, row.router.bytes, row.agent.bytes);
 	fmt::print(
-	    "{:>7} {:>7} {:>12.3f} {:>10.0f} {:>9.1f} {:>11.3f} {:>10.0f} {:>9.1f} {:>9.2f} {:>9.0f} {:>9.0f} "
-	    "{:>9.0f}\n",
-	    _routers, _agents, row.router.cpu * 100.0, row.router.bytes, row.router.resident / 1048576.0,
-	    row.agent.cpu * 100.0, row.agent.bytes, row.agent.resident / 1048576.0, row.storePerSecond,
-	    row.changeMs, row.routerPerChange, row.agentPerChange);
+		"{:>7} {:>7} {:>12.3f} {:>10.0f} {:>9.1f} {:>11.3f} {:>10.0f} {:>9.1f} {:>9.2f} {:>9.0f} {:>9.0f} "
+		"{:>9.0f}\n",
+		_routers, _agents, row.router.cpu * 100.0, row.router.bytes, row.router.resident / 1048576.0,
+		row.agent.cpu * 100.0, row.agent.bytes, row.agent.resident / 1048576.0, row.storePerSecond,
+		row.changeMs, row.routerPerChange, row.agentPerChange);
 	std::fflush(stdout);
 	return row;
 }
@@ -183,86 +183,75 @@
 json memorySlopes()
 {
 	constexpr uint32_t kCount = 100000;
-	const double key = bytesEach(
-	    kCount,
-	    [](uint32_t _count)
-	    {
-		    auto guard = std::make_unique<RunOnceGuard>();
-		    guard->self = "a";
-		    guard->table = {"p", 1, {{"a", "a", 1}}, 0};
-		    GuardActions actions;
-		    for (uint32_t ii = 0; ii < _count; ++ii)
-		    {
-			    const std::string id = callKey("account", "service", std::to_string(ii));
-			    begin(*guard, {id, "0123456789abcdef", std::nullopt, {LinkId{0}, ii}}, 0, 1, actions);
-			    finish(*guard, id, {200, "application/json", "", false}, actions);
-			    actions.clear();
-		    }
-		    return guard;
-	    });
-	const double bill =
-	    bytesEach(kCount,
-	              [](uint32_t _count)
-	              {
-		              auto book = std::make_unique<BillBook>();
-		              for (uint32_t ii = 1; ii <= _count; ++ii)
-		              {
-			              keepBill(*book, {"entry-0.0123456789", ii, fmt::format("entry-0.0123456789-{}", ii),
-			                               "university-1", "marker-small@1", 100, 50, 0.1});
-		              }
-		              return book;
-	              });
-	const double request = bytesEach(kCount / 10,
-	                                 [](uint32_t _count)
-	                                 {
-		                                 auto core = std::make_unique<RouterCore>(createRouterCore({}));
-		                                 for (uint32_t ii = 0; ii < _count; ++ii)
-		                                 {
-			                                 RequestState& state = core->requests[ii];
-			                                 state.id = fmt::format("entry-0.0123456789-{}", ii);
-			                                 state.account = "university-1";
-			                                 state.caller.body = std::string(2000, 'x');
-			                                 state.caller.prompt = std::string(2000, 'x');
-			                                 core->requestOfAttempt[ii] = ii;
-		                                 }
-		                                 return core;
-	                                 });
-	const double resource =
-	    bytesEach(kCount / 10,
-	              [](uint32_t _count)
-	              {
-		              auto replica = std::make_unique<ConfigReplica>();
-		              ConfigUpdate update;
-		              for (uint32_t ii = 0; ii < _count; ++ii)
-		              {
-			              ClientAccount account;
-			              account.keyHashes = {std::string(64, 'a') + std::to_string(ii)};
-			              account.allowed = {"marker-small", "marker-large", "marking", "scores"};
-			              update.changes.push_back({kKindAccount,
-			                                        fmt::format("account-{}", ii),
-			                                        ii + 1,
-			                                        false,
-			                                        account,
-			                                        {"op-0123456789abcdef"}});
-		              }
-		              update.revision = _count;
-		              apply(*replica, update);
-		              return replica;
-	              });
+	const double key = bytesEach(kCount, [](uint32_t _count) {
+		auto guard = std::make_unique<RunOnceGuard>();
+		guard->self = "a";
+		guard->table = {"p", 1, {{"a", "a", 1}}, 0};
+		GuardActions actions;
+		for (uint32_t ii = 0; ii < _count; ++ii)
+		{
+			const std::string id = callKey("account", "service", std::to_string(ii));
+			begin(*guard, {id, "0123456789abcdef", std::nullopt, {LinkId{0}, ii}}, 0, 1, actions);
+			finish(*guard, id, {200, "application/json", "", false}, actions);
+			actions.clear();
+		}
+		return guard;
+	});
+	const double bill = bytesEach(kCount, [](uint32_t _count) {
+		auto book = std::make_unique<BillBook>();
+		for (uint32_t ii = 1; ii <= _count; ++ii)
+		{
+			keepBill(*book, {"entry-0.0123456789", ii, fmt::format("entry-0.0123456789-{}", ii),
+							 "university-1", "marker-small@1", 100, 50, 0.1});
+		}
+		return book;
+	});
+	const double request = bytesEach(kCount / 10, [](uint32_t _count) {
+		auto core = std::make_unique<RouterCore>(createRouterCore({}));
+		for (uint32_t ii = 0; ii < _count; ++ii)
+		{
+			RequestState& state = core->requests[ii];
+			state.id = fmt::format("entry-0.0123456789-{}", ii);
+			state.account = "university-1";
+			state.caller.body = std::string(2000, 'x');
+			state.caller.prompt = std::string(2000, 'x');
+			core->requestOfAttempt[ii] = ii;
+		}
+		return core;
+	});
+	const double resource = bytesEach(kCount / 10, [](uint32_t _count) {
+		auto replica = std::make_unique<ConfigReplica>();
+		ConfigUpdate update;
+		for (uint32_t ii = 0; ii < _count; ++ii)
+		{
+			ClientAccount account;
+			account.keyHashes = {std::string(64, 'a') + std::to_string(ii)};
+			account.allowed = {"marker-small", "marker-large", "marking", "scores"};
+			update.changes.push_back({kKindAccount,
+									  fmt::format("account-{}", ii),
+									  ii + 1,
+									  false,
+									  account,
+									  {"op-0123456789abcdef"}});
+		}
+		update.revision = _count;
+		apply(*replica, update);
+		return replica;
+	});
 	fmt::print(
-	    "\nbytes of heap: run-once key {:.0f}, kept bill {:.0f}, request in flight (2 kB body) {:.0f}, "
-	    "account {:.0f}\n",
-	    key, bill, request, resource);
+		"\nbytes of heap: run-once key {:.0f}, kept bill {:.0f}, request in flight (2 kB body) {:.0f}, "
+		"account {:.0f}\n",
+		key, bill, request, resource);
 	return {
-	    {"run_once_key", key}, {"kept_bill", bill}, {"request_in_flight", request}, {"account", resource}};
+		{"run_once_key", key}, {"kept_bill", bill}, {"request_in_flight", request}, {"account", resource}};
 }
 } // namespace
 
 int main(int _argc, char** _argv)
 {
 	fmt::print("{:>7} {:>7} {:>12} {:>10} {:>9} {:>11} {:>10} {:>9} {:>9} {:>9} {:>9} {:>9}\n", "routers",
-	           "agents", "router cpu %", "bytes/s", "MB", "agent cpu %", "bytes/s", "MB", "store/s",
-	           "change ms", "B/change", "agent B/c");
+			   "agents", "router cpu %", "bytes/s", "MB", "agent cpu %", "bytes/s", "MB", "store/s",
+			   "change ms", "B/change", "agent B/c");
 	std::vector<Row> overAgents;
 	std::vector<Row> overRouters;
 	for (const uint32_t agents : {12u, 30u, 60u, 100u})
@@ -273,8 +262,7 @@
 	{
 		overRouters.push_back(measure(routers, 12));
 	}
-	const auto points = [](const std::vector<Row>& _rows, bool _byAgents, auto&& _value)
-	{
+	const auto points = [](const std::vector<Row>& _rows, bool _byAgents, auto&& _value) {
 		std::vector<std::pair<double, double>> result;
 		for (const Row& row : _rows)
 		{
@@ -285,32 +273,32 @@
 	fmt::print("\n{:<46} {:>14} {:>14} {:>12}\n", "slope", "base", "each", "spread");
 	json slopes = json::array();
 	slopes.push_back(shown("router cpu share per agent",
-	                       fit(points(overAgents, true, [](const Row& _row) { return _row.router.cpu; }))));
+						   fit(points(overAgents, true, [](const Row& _row) { return _row.router.cpu; }))));
 	slopes.push_back(shown("router control bytes/s per agent",
-	                       fit(points(overAgents, true, [](const Row& _row) { return _row.router.bytes; }))));
+						   fit(points(overAgents, true, [](const Row& _row) { return _row.router.bytes; }))));
 	slopes.push_back(
-	    shown("router resident bytes per agent",
-	          fit(points(overAgents, true, [](const Row& _row) { return _row.router.resident; }))));
+		shown("router resident bytes per agent",
+			  fit(points(overAgents, true, [](const Row& _row) { return _row.router.resident; }))));
 	slopes.push_back(shown("agent cpu share per pool member",
-	                       fit(points(overAgents, true, [](const Row& _row) { return _row.agent.cpu; }))));
+						   fit(points(overAgents, true, [](const Row& _row) { return _row.agent.cpu; }))));
 	slopes.push_back(shown("agent control bytes/s per pool member",
-	                       fit(points(overAgents, true, [](const Row& _row) { return _row.agent.bytes; }))));
-	slopes.push_back(
-	    shown("store calls/s per agent",
-	          fit(points(overAgents, true, [](const Row& _row) { return _row.storePerSecond; }))));
+						   fit(points(overAgents, true, [](const Row& _row) { return _row.agent.bytes; }))));
+	slopes.push_back(shown("store calls/s per agent", fit(points(overAgents, true, [](const Row& _row) {
+							   return _row.storePerSecond;
+						   }))));
 	slopes.push_back(shown("agent cpu share per router",
-	                       fit(points(overRouters, false, [](const Row& _row) { return _row.agent.cpu; }))));
-	slopes.push_back(
-	    shown("agent control bytes/s per router",
-	          fit(points(overRouters, false, [](const Row& _row) { return _row.agent.bytes; }))));
+						   fit(points(overRouters, false, [](const Row& _row) { return _row.agent.cpu; }))));
 	slopes.push_back(
-	    shown("agent resident bytes per router",
-	          fit(points(overRouters, false, [](const Row& _row) { return _row.agent.resident; }))));
+		shown("agent control bytes/s per router",
+			  fit(points(overRouters, false, [](const Row& _row) { return _row.agent.bytes; }))));
 	slopes.push_back(
-	    shown("store calls/s per router",
-	          fit(points(overRouters, false, [](const Row& _row) { return _row.storePerSecond; }))));
+		shown("agent resident bytes per router",
+			  fit(points(overRouters, false, [](const Row& _row) { return _row.agent.resident; }))));
+	slopes.push_back(shown("store calls/s per router", fit(points(overRouters, false, [](const Row& _row) {
+							   return _row.storePerSecond;
+						   }))));
 	slopes.push_back(shown("change to in force, ms, per agent",
-	                       fit(points(overAgents, true, [](const Row& _row) { return _row.changeMs; }))));
+						   fit(points(overAgents, true, [](const Row& _row) { return _row.changeMs; }))));
 	const json memory = memorySlopes();
 	if (_argc > 1)
 	{
--- a/include/spanplank/admission.h
+++ b/include/spanplank/admission.h
@@ -79,7 +79,7 @@
 	AdmissionVerdict verdict = AdmissionVerdict::Refuse;
 	uint32_t retryAfterMs = 0;
 	std::optional<WorkId>
-	    evicted; ///< Queued work of an account far over its share: refuse it, it has not run.
+		evicted; ///< Queued work of an account far over its share: refuse it, it has not run.
 };
 
 AdmissionQueue createAdmissionQueue(const AdmissionLimits& _limits);
--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -56,7 +56,7 @@
 };
 
 using AgentAction = std::variant<ForwardWork, CancelWork, ReplyStart, ReplyPart, ReplyEnd, ReplyRefused,
-                                 AnnounceHalt, SendIntent, SendOutcome, AskRecords, TableAdopted>;
+								 AnnounceHalt, SendIntent, SendOutcome, AskRecords, TableAdopted>;
 using AgentActions = std::vector<AgentAction>;
 
 struct AgentInit
@@ -127,26 +127,26 @@
 AgentCore createAgentCore(const AgentInit& _init);
 
 void onSubmit(AgentCore& _core, LinkId _from, const Submit& _submit, TimeUs _now, int64_t _wallMs,
-              AgentActions& _actions);
+			  AgentActions& _actions);
 void onCancel(AgentCore& _core, LinkId _from, uint64_t _attempt, TimeUs _now, int64_t _wallMs,
-              AgentActions& _actions);
+			  AgentActions& _actions);
 void onLinkDown(AgentCore& _core, LinkId _link, TimeUs _now, int64_t _wallMs, AgentActions& _actions);
 
 // What the upstream did.
 void onUpstreamStart(AgentCore& _core, WorkId _work, int _status, const std::string& _contentType,
-                     AgentActions& _actions);
+					 AgentActions& _actions);
 void onUpstreamPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions);
 void onUpstreamEnd(AgentCore& _core, WorkId _work, const UpstreamEnd& _end, TimeUs _now, int64_t _wallMs,
-                   AgentActions& _actions);
+				   AgentActions& _actions);
 /// @param[in] _sent Whether any byte of it could have left.
 void onUpstreamFailed(AgentCore& _core, WorkId _work, bool _sent, const std::string& _detail, TimeUs _now,
-                      int64_t _wallMs, AgentActions& _actions);
+					  int64_t _wallMs, AgentActions& _actions);
 
 // Messages between the members of a run-once group.
 IntentReply onIntent(AgentCore& _core, const Intent& _intent, TimeUs _now, int64_t _wallMs,
-                     AgentActions& _actions);
+					 AgentActions& _actions);
 void onIntentReply(AgentCore& _core, const std::string& _from, const IntentReply& _reply, TimeUs _now,
-                   int64_t _wallMs, AgentActions& _actions);
+				   int64_t _wallMs, AgentActions& _actions);
 void onTable(AgentCore& _core, const HomeTable& _table, TimeUs _now, int64_t _wallMs, AgentActions& _actions);
 
 /// @returns Whether the halt was news here.
@@ -155,7 +155,7 @@
 /// All ratings of a candidate, as known now. Halts it here if they say so.
 /// @returns What they say.
 RolloutVerdict onRatings(AgentCore& _core, const std::string& _version, const RatingTally& _tally,
-                         AgentActions& _actions);
+						 AgentActions& _actions);
 
 /// New ratings of a version that serves. Halts it here if it has turned bad.
 void onDrift(AgentCore& _core, const std::string& _version, const RatingTally& _news, AgentActions& _actions);
--- a/include/spanplank/config.h
+++ b/include/spanplank/config.h
@@ -23,6 +23,9 @@
 constexpr uint32_t kLinkRetryMs = 250;
 /// Poll period of the platform's box list, milliseconds.
 constexpr uint32_t kBoxListPollMs = 500;
+/// Added to that period for each box in the list, so that reading it costs the same at any size,
+/// milliseconds.
+constexpr uint32_t kBoxListPollPerBoxMs = 2;
 /// Retry-After told to a caller while a home of non-repeatable calls changes, milliseconds.
 constexpr uint32_t kHomeChangeRetryMs = 1000;
 /// How long a key of a non-repeatable call is remembered, milliseconds.
@@ -35,8 +38,10 @@
 constexpr size_t kRunOnceAnswerBytes = 24u << 20;
 /// Bills held in memory by an agent while the store is away; beyond it new work is refused.
 constexpr size_t kMaxUnflushedBills = 200000;
-/// Period of the bill flush, milliseconds.
+/// Least period of the bill flush, milliseconds.
 constexpr uint32_t kBillFlushMs = 1000;
+/// The period grows with the live routers, so that all flushes together stay at 100 a second, milliseconds each.
+constexpr uint32_t kBillFlushPerRouterMs = 10;
 /// Events that a process keeps for the time line.
 constexpr size_t kTimelineEvents = 8192;
 /// Attempts of one repeatable request over all upstreams.
--- a/include/spanplank/exposure.h
+++ b/include/spanplank/exposure.h
@@ -65,7 +65,7 @@
 	uint32_t generation = 0;
 	uint64_t granted = 0;                     ///< Answers that boxes may have given, in all.
 	std::map<std::string, uint64_t> grantSeq; ///< By agent incarnation: its latest grant, to resolve a
-	                                          ///< write whose answer was lost.
+											  ///< write whose answer was lost.
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ExposureLedger, version, generation, granted, grantSeq)
@@ -76,7 +76,7 @@
 
 /// @returns How many credits an agent may take of the ledger now, at most `_want`.
 uint64_t grantable(const ExposureLedger& _ledger, const RatingTally& _tally, const Rollout& _rollout,
-                   uint64_t _want);
+				   uint64_t _want);
 
 /// Adds a grant to the ledger. @param[in] _seq The incarnation's count of its grants, from 1.
 void addGrant(ExposureLedger& _ledger, const std::string& _incarnation, uint64_t _seq, uint64_t _credits);
--- a/include/spanplank/messages.h
+++ b/include/spanplank/messages.h
@@ -170,7 +170,7 @@
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerInfo, role, box, incarnation, hall, pool, versions,
-                                                services)
+												services)
 /// Heartbeats are what an idle system sends: an array, so that no names travel.
 inline void to_json(nlohmann::json& _json, const Heartbeat& _heartbeat)
 {
@@ -187,19 +187,19 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ConfigAsk, since)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Submit, attempt, request, account, kind, version, service,
-                                                method, path, contentType, body, key, callId, stream, session,
-                                                runOnce, deadlineMs, priority, promptTokens, maxTokens,
-                                                revision, billOwner, billSeq)
+												method, path, contentType, body, key, callId, stream, session,
+												runOnce, deadlineMs, priority, promptTokens, maxTokens,
+												revision, billOwner, billSeq)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(CancelAttempt, attempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerStart, attempt, status, contentType)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerPart, attempt, seq, data)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Bill, owner, seq, request, account, what, promptTokens,
-                                                outputTokens, cost)
+												outputTokens, cost)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerEnd, attempt, parts, confidence, replayed, bill)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AnswerRefused, attempt, code, mayHaveRun, retryAfterMs,
-                                                detail)
+												detail)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Report, running, queued, slots, secondsPerToken,
-                                                prefillBacklog, billsFull)
+												prefillBacklog, billsFull)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(BillsFlushed, owner, seqs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Halts, halts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(TableMessage, table)
--- a/include/spanplank/resources.h
+++ b/include/spanplank/resources.h
@@ -19,9 +19,9 @@
 };
 
 NLOHMANN_JSON_SERIALIZE_ENUM(VersionState, {{VersionState::Candidate, "candidate"},
-                                            {VersionState::Serving, "serving"},
-                                            {VersionState::Retiring, "retiring"},
-                                            {VersionState::Withdrawn, "withdrawn"}})
+											{VersionState::Serving, "serving"},
+											{VersionState::Retiring, "retiring"},
+											{VersionState::Withdrawn, "withdrawn"}})
 
 /// A customer of the operators.
 struct ClientAccount
@@ -87,10 +87,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClientAccount, keyHashes, allowed, weight)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Model, quality)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Version, model, state, generation, costPerKiloToken, badRate,
-                                                haltRate)
+												haltRate)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Cascade, steps, qualityTarget, confidence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Rollout, candidate, exposure, share, badRate, haltRate,
-                                                paused)
+												paused)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Service, repeatable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Resource, kind, name, revision, deleted, spec, ops)
 
@@ -105,7 +105,7 @@
 /// @returns One line for each mistake, as `path: what is wrong`; empty if it is valid.
 /// @remarks Unknown fields are mistakes.
 std::vector<std::string> checkResource(const std::string& _kind, const std::string& _name,
-                                       const nlohmann::json& _spec);
+									   const nlohmann::json& _spec);
 } // namespace spanplank
 
 #endif // SPANPLANK_RESOURCES_H_HEADER_GUARD
--- a/include/spanplank/router_core.h
+++ b/include/spanplank/router_core.h
@@ -100,7 +100,7 @@
 	Refusal refusal;
 };
 using RouterAction = std::variant<SendSubmit, SendCancel, WholeAnswer, StartAnswer, PassPart, EndAnswer,
-                                  RefuseRequest, BreakAnswer>;
+								  RefuseRequest, BreakAnswer>;
 using RouterActions = std::vector<RouterAction>;
 
 struct RouterInit
@@ -195,7 +195,7 @@
 /// A caller's request arrived.
 /// @param[in] _now Monotonic time. @param[in] _wallMs Wall time.
 void arrive(RouterCore& _core, RequestId _id, const CallerRequest& _request, TimeUs _now, int64_t _wallMs,
-            RouterActions& _actions);
+			RouterActions& _actions);
 
 /// The caller closed its side.
 void callerLeft(RouterCore& _core, RequestId _id, RouterActions& _actions);
@@ -214,11 +214,11 @@
 void onTable(RouterCore& _core, const HomeTable& _table);
 void onStart(RouterCore& _core, UpstreamId _from, const AnswerStart& _start, RouterActions& _actions);
 void onPart(RouterCore& _core, UpstreamId _from, const AnswerPart& _part, int64_t _wallMs,
-            RouterActions& _actions);
+			RouterActions& _actions);
 void onEnd(RouterCore& _core, UpstreamId _from, const AnswerEnd& _end, TimeUs _now, int64_t _wallMs,
-           RouterActions& _actions);
+		   RouterActions& _actions);
 void onRefused(RouterCore& _core, UpstreamId _from, const AnswerRefused& _refused, TimeUs _now,
-               int64_t _wallMs, RouterActions& _actions);
+			   int64_t _wallMs, RouterActions& _actions);
 
 /// Ends requests whose deadline has come; tries the homes of those that wait for one.
 void tick(RouterCore& _core, TimeUs _now, RouterActions& _actions);
--- a/include/spanplank/routing.h
+++ b/include/spanplank/routing.h
@@ -48,7 +48,7 @@
 /// @remarks Up to `kFullScan` upstreams all are looked at, beyond that two random ones and the one with the
 /// longest prefix hit. No allocation.
 uint32_t pickUpstream(absl::Span<const UpstreamLoad> _loads, uint32_t _promptTokens,
-                      const EngineCosts& _costs, Random& _random);
+					  const EngineCosts& _costs, Random& _random);
 
 constexpr uint32_t kFullScan = 32;
 
@@ -83,7 +83,7 @@
 
 /// @returns Tokens of the prefix that the upstream has lately seen.
 uint32_t prefixHit(const PrefixTable& _table, absl::Span<const uint64_t> _blocks, UpstreamId _upstream,
-                   TimeUs _now);
+				   TimeUs _now);
 
 void recordPrefix(PrefixTable& _table, absl::Span<const uint64_t> _blocks, UpstreamId _upstream, TimeUs _now);
 } // namespace spanplank
--- a/include/spanplank/run_once.h
+++ b/include/spanplank/run_once.h
@@ -174,7 +174,7 @@
 };
 
 using GuardAction =
-    std::variant<RunCall, ReplayAnswer, RefuseCall, SendIntent, SendOutcome, AskRecords, TableAdopted>;
+	std::variant<RunCall, ReplayAnswer, RefuseCall, SendIntent, SendOutcome, AskRecords, TableAdopted>;
 using GuardActions = std::vector<GuardAction>;
 
 struct RunOnceLimits
@@ -236,7 +236,7 @@
 
 /// A call arrived. @param[in] _now monotonic time. @param[in] _wallMs wall time, for births and retention.
 void begin(RunOnceGuard& _guard, const GuardedCall& _call, TimeUs _now, int64_t _wallMs,
-           GuardActions& _actions);
+		   GuardActions& _actions);
 
 /// A forwarded call ended.
 void finish(RunOnceGuard& _guard, const std::string& _key, const CallAnswer& _answer, GuardActions& _actions);
@@ -246,9 +246,9 @@
 
 /// The successor's side of an intent. @returns The reply for the asker.
 IntentReply handleIntent(RunOnceGuard& _guard, const Intent& _intent, TimeUs _now, int64_t _wallMs,
-                         GuardActions& _actions);
+						 GuardActions& _actions);
 void handleIntentReply(RunOnceGuard& _guard, const std::string& _from, const IntentReply& _reply, TimeUs _now,
-                       GuardActions& _actions);
+					   GuardActions& _actions);
 void handleOutcome(RunOnceGuard& _guard, const Outcome& _outcome);
 
 /// Adopts a table if its epoch is higher. Calls under way under the old one are asked anew or refused.
@@ -268,7 +268,7 @@
 	bool linked = false;
 	TimeUs lostFor = 0; ///< How long there has been no link to it.
 	bool gone =
-	    false; ///< Proof that this incarnation is dead: its box runs another one, or was taken off the list.
+		false; ///< Proof that this incarnation is dead: its box runs another one, or was taken off the list.
 };
 
 struct ProposeInput
@@ -283,7 +283,7 @@
 /// @remarks One removal or one joiner at a time. A removal is safe if all survivors hold all records; then a
 /// suspicion is enough. Any other removal needs proof of death, and raises `doubtBeforeMs`.
 std::optional<HomeTable> proposeTable(const RunOnceGuard& _guard, const HomeTable& _current,
-                                      const ProposeInput& _input, absl::Span<const MemberSight> _sights);
+									  const ProposeInput& _input, absl::Span<const MemberSight> _sights);
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HomeMember, incarnation, box, settledEpoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(HomeTable, pool, epoch, members, doubtBeforeMs)
--- a/include/spanplank/session_token.h
+++ b/include/spanplank/session_token.h
@@ -25,7 +25,7 @@
 /// @param[in] _account The account that presents it.
 /// @throws Failure(SessionInvalid) unless signed, unexpired and the account's own.
 SessionToken openSession(std::string_view _text, absl::Span<const std::string> _keys,
-                         std::string_view _account, int64_t _wallMs);
+						 std::string_view _account, int64_t _wallMs);
 } // namespace spanplank
 
 #endif // SPANPLANK_SESSION_TOKEN_H_HEADER_GUARD
--- a/include/spanplank/timeline.h
+++ b/include/spanplank/timeline.h
@@ -45,7 +45,7 @@
 };
 
 void recordEvent(Timeline& _timeline, TimeUs _wallNow, std::string _event, std::string _subject,
-                 std::string _detail);
+				 std::string _detail);
 
 /// @returns Events about a subject, or all if it is empty.
 std::vector<TimelineEvent> eventsAbout(const Timeline& _timeline, const std::string& _subject);
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -1,14 +1,9 @@
 /// The agent process: joins the agent's core to links, the upstream, the store and the rating service.
 #include <fmt/format.h>
-#include <map>
-#include <set>
 
-#include "fiber_runtime_p.h"
+#include "agent_p.h"
 #include "log_p.h"
 #include "metrics_p.h"
-#include "node_p.h"
-#include "resource_store_p.h"
-#include "spanplank/agent_core.h"
 #include "spanplank/daemons.h"
 #include "upstream_client_p.h"
 
@@ -18,46 +13,17 @@
 {
 using nlohmann::json;
 
-constexpr uint32_t kTickMs = 50;
+constexpr uint32_t kTickMs = 50; ///< While there is work.
+constexpr uint32_t kIdleTickMs = 200;
 constexpr uint32_t kHomesMs = 200;
 constexpr uint32_t kRatingsMs = 400;
 constexpr TimeUs kOwnerLostUs = 5000 * kMsToUs; ///< A router gone for this long has its bills flushed here.
 
-/// Ratings of one candidate, read so far.
-struct RatingFeed
-{
-	uint32_t generation = 0;
-	uint64_t cursor = 0;
-	RatingTally tally;
-	uint64_t grants = 0; ///< Grants that this incarnation has taken.
-};
-
-struct Agent
-{
-	explicit Agent(const AgentSettings& _settings);
-
-	AgentSettings settings;
-	Node node;
-	AgentCore core;
-	HttpClient upstream;
-	HttpClient ratings;
-	std::map<uint64_t, HttpCancel> calls;       ///< By work: the running call to the upstream.
-	std::map<std::string, TimeUs> memberLostAt; ///< By incarnation.
-	std::map<std::string, TimeUs> ownerLostAt;  ///< By incarnation of a router.
-	json lastReport;
-	uint64_t reportedSubmits = 0;
-	std::map<std::string, RatingFeed> feeds; ///< By candidate version.
-	std::vector<Halt> unwrittenHalts;        ///< Obeyed here, not yet in the store.
-	bool homesBusy = false;
-};
-
-void perform(Agent& _agent, const AgentActions& _actions);
-
 AgentInit coreInit(const AgentSettings& _settings, const std::string& _incarnation)
 {
 	AgentInit init;
 	init.self = {"agent",        _settings.common.box, _incarnation,      _settings.common.hall,
-	             _settings.pool, _settings.versions,   _settings.services};
+				 _settings.pool, _settings.versions,   _settings.services};
 	init.admission.slots = _settings.slots;
 	init.admission.kvTokens = _settings.kvTokens;
 	init.admission.maxQueued = _settings.maxQueued;
@@ -68,21 +34,6 @@
 	return init;
 }
 
-Agent::Agent(const AgentSettings& _settings)
-    : settings(_settings), node(_settings.common),
-      core(createAgentCore(coreInit(_settings, node.incarnation)))
-{
-	upstream.io = &node.io;
-	upstream.endpoint = _settings.upstream;
-	ratings.io = &node.io;
-	ratings.endpoint = _settings.ratings;
-}
-
-int64_t wallMs()
-{
-	return wallNow() / 1000;
-}
-
 // ---- The upstream ----------------------------------------------------------------------------------------
 
 void runWork(Agent& _agent, const ForwardWork& _forward)
@@ -92,27 +43,25 @@
 	try
 	{
 		UpstreamHandlers handlers;
-		handlers.onStart = [&](int _status, const std::string& _contentType)
-		{
+		handlers.onStart = [&](int _status, const std::string& _contentType) {
 			AgentActions started;
 			onUpstreamStart(_agent.core, work, _status, _contentType, started);
 			perform(_agent, started);
 		};
-		handlers.onPart = [&](std::string _data)
-		{
+		handlers.onPart = [&](std::string _data) {
 			AgentActions parts;
 			onUpstreamPart(_agent.core, work, std::move(_data), parts);
 			perform(_agent, parts);
 		};
 		const UpstreamEnd end =
-		    forwardWork(_agent.upstream, _forward.submit, _agent.settings.upstreamTimeoutMs, handlers,
-		                _agent.calls[work.idx]);
-		onUpstreamEnd(_agent.core, work, end, monotonicNow(), wallMs(), actions);
+			forwardWork(_agent.upstream, _forward.submit, _agent.settings.upstreamTimeoutMs, handlers,
+						_agent.calls[work.idx]);
+		onUpstreamEnd(_agent.core, work, end, monotonicNow(), wallNowMs(), actions);
 	}
 	catch (const HttpFailure& failure)
 	{
 		onUpstreamFailed(_agent.core, work, failure.sent(), failure.refusal().detail, monotonicNow(),
-		                 wallMs(), actions);
+						 wallNowMs(), actions);
 	}
 	_agent.calls.erase(work.idx);
 	perform(_agent, actions);
@@ -178,26 +127,18 @@
 	void operator()(const TableAdopted& _action) const
 	{
 		noteEvent(
-		    agent.node, "home_table", agent.settings.pool,
-		    fmt::format("epoch {} with {} members", _action.epoch, agent.core.guard.table.members.size()));
+			agent.node, "home_table", agent.settings.pool,
+			fmt::format("epoch {} with {} members", _action.epoch, agent.core.guard.table.members.size()));
 		agent.node.hub->sendAll(MessageType::Table, TableMessage{agent.core.guard.table});
 	}
 };
 
-void perform(Agent& _agent, const AgentActions& _actions)
-{
-	for (const AgentAction& action : _actions)
-	{
-		std::visit(Performer{_agent}, action);
-	}
-}
-
 // ---- Messages --------------------------------------------------------------------------------------------
 
 Heartbeat heartbeatOf(Agent& _agent)
 {
 	return {_agent.core.config.revision, _agent.core.leaving, _agent.core.stopping,
-	        stamp(_agent.node.timeline.clock, wallNow())};
+			stamp(_agent.node.timeline.clock, wallNow())};
 }
 
 void onLinkOpen(Agent& _agent, LinkId _link, const PeerInfo& _peer)
@@ -232,8 +173,7 @@
 	if (_agent.core.config.revision != before)
 	{
 		recordEvent(_agent.node.timeline, wallNow(), "config_in_force", "config",
-		            fmt::format("revision {}", _agent.core.config.revision));
-		_agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
+					fmt::format("revision {}", _agent.core.config.revision));
 	}
 }
 
@@ -280,16 +220,16 @@
 		break;
 	case MessageType::ConfigAsk:
 		hub.send(_from, MessageType::Config,
-		         updateSince(_agent.core.config, _message.body.get<ConfigAsk>().since));
+				 updateSince(_agent.core.config, _message.body.get<ConfigAsk>().since));
 		break;
 	case MessageType::Halts:
 		onHalts(_agent, _message.body.get<Halts>());
 		break;
 	case MessageType::Submit:
-		onSubmit(_agent.core, _from, _message.body.get<Submit>(), now, wallMs(), actions);
+		onSubmit(_agent.core, _from, _message.body.get<Submit>(), now, wallNowMs(), actions);
 		break;
 	case MessageType::CancelAttempt:
-		onCancel(_agent.core, _from, _message.body.get<CancelAttempt>().attempt, now, wallMs(), actions);
+		onCancel(_agent.core, _from, _message.body.get<CancelAttempt>().attempt, now, wallNowMs(), actions);
 		break;
 	case MessageType::BillsFlushed:
 	{
@@ -299,23 +239,23 @@
 	}
 	case MessageType::Intent:
 		hub.send(_from, MessageType::IntentReply,
-		         onIntent(_agent.core, _message.body.get<Intent>(), now, wallMs(), actions));
+				 onIntent(_agent.core, _message.body.get<Intent>(), now, wallNowMs(), actions));
 		break;
 	case MessageType::IntentReply:
-		onIntentReply(_agent.core, incarnation, _message.body.get<IntentReply>(), now, wallMs(), actions);
+		onIntentReply(_agent.core, incarnation, _message.body.get<IntentReply>(), now, wallNowMs(), actions);
 		break;
 	case MessageType::Outcome:
 		handleOutcome(_agent.core.guard, _message.body.get<Outcome>());
 		break;
 	case MessageType::RecordsAsk:
 		hub.send(_from, MessageType::Records,
-		         recordsFor(_agent.core.guard, _message.body.get<RecordsRequest>()));
+				 recordsFor(_agent.core.guard, _message.body.get<RecordsRequest>()));
 		break;
 	case MessageType::Records:
 		handleRecords(_agent.core.guard, incarnation, _message.body.get<RecordsMessage>());
 		break;
 	case MessageType::Table:
-		onTable(_agent.core, _message.body.get<TableMessage>().table, now, wallMs(), actions);
+		onTable(_agent.core, _message.body.get<TableMessage>().table, now, wallNowMs(), actions);
 		break;
 	default:
 		break;
@@ -323,303 +263,6 @@
 	perform(_agent, actions);
 }
 
-// ---- The run-once group ----------------------------------------------------------------------------------
-
-std::string tableKey(const Agent& _agent)
-{
-	return "homes/" + _agent.settings.pool;
-}
-
-HomeTable readTable(Agent& _agent, uint64_t& _revision)
-{
-	const StoreItem item = readStore(_agent.node.store, tableKey(_agent));
-	_revision = item.revision;
-	HomeTable table;
-	if (item.revision != 0 && !item.deleted)
-	{
-		table = json::parse(item.value).get<HomeTable>();
-	}
-	table.pool = _agent.settings.pool;
-	return table;
-}
-
-std::vector<MemberSight> sightsOf(Agent& _agent, const HomeTable& _table)
-{
-	LinkHub& hub = *_agent.node.hub;
-	const TimeUs now = monotonicNow();
-	std::vector<MemberSight> sights;
-	for (const HomeMember& member : _table.members)
-	{
-		MemberSight sight;
-		sight.incarnation = member.incarnation;
-		sight.box = member.box;
-		sight.linked =
-		    member.incarnation == _agent.node.incarnation || isValid(hub.linkTo(member.incarnation));
-		if (sight.linked)
-		{
-			_agent.memberLostAt.erase(member.incarnation);
-		}
-		else
-		{
-			const TimeUs lostAt = _agent.memberLostAt.emplace(member.incarnation, now).first->second;
-			sight.lostFor = now - lostAt;
-		}
-		for (const LinkId link : hub.openLinks())
-		{
-			const PeerInfo* peer = hub.peer(link);
-			sight.gone = sight.gone || (peer->box == member.box && peer->incarnation != member.incarnation);
-		}
-		sights.push_back(sight);
-	}
-	return sights;
-}
-
-ProposeInput proposeInput(const Agent& _agent)
-{
-	ProposeInput input;
-	input.self = {_agent.node.incarnation, _agent.settings.common.box, 0};
-	input.leaving = _agent.core.leaving;
-	input.wallMs = wallMs();
-	return input;
-}
-
-bool isHome(const Agent& _agent)
-{
-	for (const HomeMember& member : _agent.core.guard.table.members)
-	{
-		if (member.incarnation == _agent.node.incarnation)
-		{
-			return true;
-		}
-	}
-	return false;
-}
-
-/// @returns Whether nothing is to be done about the group: all members are linked and settled, none leaves.
-bool isQuiet(const Agent& _agent, const HomeTable& _table, const std::vector<MemberSight>& _sights)
-{
-	bool quiet = _table.epoch != 0 && !_agent.core.leaving && isHome(_agent);
-	for (const HomeMember& member : _table.members)
-	{
-		quiet = quiet && member.settledEpoch == _table.epoch;
-	}
-	for (const MemberSight& sight : _sights)
-	{
-		quiet = quiet && sight.linked && !sight.gone;
-	}
-	return quiet;
-}
-
-/// Brings the table in the store to what this member wants. Reads the store only when there is need.
-void stepHomes(Agent& _agent)
-{
-	const HomeTable& held = _agent.core.guard.table;
-	const bool resigned = _agent.core.leaving && held.epoch != 0 && !isHome(_agent);
-	if (resigned || isQuiet(_agent, held, sightsOf(_agent, held)))
-	{
-		return;
-	}
-	uint64_t revision = 0;
-	const HomeTable current = readTable(_agent, revision);
-	AgentActions actions;
-	onTable(_agent.core, current, monotonicNow(), wallMs(), actions);
-	perform(_agent, actions);
-	const std::optional<HomeTable> next =
-	    proposeTable(_agent.core.guard, current, proposeInput(_agent), sightsOf(_agent, current));
-	if (!next)
-	{
-		return;
-	}
-	_agent.core.guard.resigned = _agent.core.leaving; // Before the write: its answer may be lost.
-	const CasResult result =
-	    casStore(_agent.node.store, tableKey(_agent), json(*next).dump(), revision, revision);
-	if (result == CasResult::Done)
-	{
-		AgentActions adopted;
-		onTable(_agent.core, *next, monotonicNow(), wallMs(), adopted);
-		perform(_agent, adopted);
-	}
-}
-
-// ---- Roll-outs -------------------------------------------------------------------------------------------
-
-void readRatings(Agent& _agent, const std::string& _version, RatingFeed& _feed)
-{
-	HttpCall request;
-	request.method = "GET";
-	request.target = fmt::format("/ratings?version={}&after={}", _version, _feed.cursor);
-	request.timeoutMs = 1000;
-	const HttpResponse response = call(_agent.ratings, request);
-	const json answer = json::parse(response.body, nullptr, false);
-	if (response.status != 200 || !answer.is_object())
-	{
-		return;
-	}
-	_feed.cursor = answer.value("next", _feed.cursor);
-	_feed.tally.good += answer.value("good", uint64_t(0));
-	_feed.tally.bad += answer.value("bad", uint64_t(0));
-}
-
-std::string exposureKey(const std::string& _version, uint32_t _generation)
-{
-	return fmt::format("exposure/{}/{}", _version, _generation);
-}
-
-/// Takes credits for a candidate out of the shared ledger, by compare-and-swap.
-void takeCredits(Agent& _agent, const std::string& _version, const Rollout& _rollout, RatingFeed& _feed)
-{
-	ExposureCredits& credits = _agent.core.credits[_version];
-	if (credits.generation != _feed.generation)
-	{
-		credits = ExposureCredits{};
-		credits.generation = _feed.generation;
-	}
-	const bool wanted = credits.left == 0;
-	if (!wanted)
-	{
-		return;
-	}
-	const std::string key = exposureKey(_version, _feed.generation);
-	const StoreItem item = readStore(_agent.node.store, key);
-	ExposureLedger ledger;
-	if (item.revision != 0)
-	{
-		ledger = json::parse(item.value).get<ExposureLedger>();
-	}
-	ledger.version = _version;
-	ledger.generation = _feed.generation;
-	const uint64_t credit = grantable(ledger, _feed.tally, _rollout, _agent.core.init.grantSize);
-	if (credit == 0)
-	{
-		return;
-	}
-	const uint64_t seq = _feed.grants + 1;
-	addGrant(ledger, _agent.node.incarnation, seq, credit);
-	uint64_t revision = 0;
-	CasResult result = casStore(_agent.node.store, key, json(ledger).dump(), item.revision, revision);
-	if (result == CasResult::Lost)
-	{
-		const auto held = json::parse(readStore(_agent.node.store, key).value, nullptr, false);
-		const bool took =
-		    held.is_object() && held.get<ExposureLedger>().grantSeq[_agent.node.incarnation] == seq;
-		result = took ? CasResult::Done : CasResult::Conflict;
-	}
-	if (result == CasResult::Done)
-	{
-		_feed.grants = seq;
-		credits.left += credit;
-		credits.refused = 0;
-	}
-}
-
-/// Writes a version's next state; the operation id makes it the same write from every agent.
-void writeState(Agent& _agent, const std::string& _version, uint32_t _generation, VersionState _state)
-{
-	const auto held = _agent.core.config.versions.find(_version);
-	if (held == _agent.core.config.versions.end() || held->second.generation != _generation ||
-	    held->second.state >= _state)
-	{
-		return;
-	}
-	Version version = held->second;
-	version.state = _state;
-	ResourceWrite write;
-	write.kind = kKindVersion;
-	write.name = _version;
-	write.spec = version;
-	write.op = fmt::format("rollout-{}-{}-{}", _version, _generation, int(_state));
-	write.expected = _agent.core.config.resources.at({kKindVersion, _version}).revision;
-	try
-	{
-		writeResource(_agent.node.store, write);
-		noteEvent(_agent.node, "version_state", _version, json(_state).get<std::string>());
-	}
-	catch (const Failure& failure)
-	{
-		if (failure.refusal().code != ErrorCode::RevisionConflict)
-		{
-			throw;
-		}
-	}
-}
-
-/// The feed of a version, started anew for a new generation.
-RatingFeed& feedOf(Agent& _agent, const std::string& _name, uint32_t _generation)
-{
-	RatingFeed& feed = _agent.feeds[_name];
-	if (feed.generation != _generation)
-	{
-		const uint64_t cursor = feed.cursor; // Ratings of the earlier generation don't count for this one.
-		feed = RatingFeed{};
-		feed.generation = _generation;
-		feed.cursor = cursor;
-	}
-	return feed;
-}
-
-void stepRollout(Agent& _agent, const std::string& _name)
-{
-	const Rollout* rollout = rolloutOf(_agent.core.config, _name);
-	if (rollout == nullptr)
-	{
-		return;
-	}
-	const Rollout declared = *rollout;
-	RatingFeed& feed = feedOf(_agent, _name, _agent.core.config.versions.at(_name).generation);
-	readRatings(_agent, _name, feed);
-	AgentActions actions;
-	const RolloutVerdict verdict = onRatings(_agent.core, _name, feed.tally, actions);
-	perform(_agent, actions);
-	if (verdict == RolloutVerdict::Serve)
-	{
-		writeState(_agent, _name, feed.generation, VersionState::Serving);
-	}
-	else if (verdict == RolloutVerdict::Undecided && !declared.paused)
-	{
-		takeCredits(_agent, _name, declared, feed);
-	}
-}
-
-/// A version that serves may turn bad at any time.
-void stepDrift(Agent& _agent, const std::string& _name, uint32_t _generation)
-{
-	if (!watchesRatings(_agent.core, _name))
-	{
-		return;
-	}
-	RatingFeed& feed = feedOf(_agent, _name, _generation);
-	const RatingTally before = feed.tally;
-	readRatings(_agent, _name, feed);
-	AgentActions actions;
-	onDrift(_agent.core, _name, {feed.tally.good - before.good, feed.tally.bad - before.bad}, actions);
-	perform(_agent, actions);
-}
-
-void stepRatings(Agent& _agent, const std::string& _name)
-{
-	const auto version = _agent.core.config.versions.find(_name);
-	if (version == _agent.core.config.versions.end() || !mayServe(_agent.core.config, _name, true))
-	{
-		return;
-	}
-	if (version->second.state == VersionState::Candidate)
-	{
-		stepRollout(_agent, _name);
-		return;
-	}
-	stepDrift(_agent, _name, version->second.generation);
-}
-
-void writeHalts(Agent& _agent)
-{
-	while (!_agent.unwrittenHalts.empty())
-	{
-		const Halt halt = _agent.unwrittenHalts.front();
-		writeState(_agent, halt.version, halt.generation, VersionState::Withdrawn);
-		_agent.unwrittenHalts.erase(_agent.unwrittenHalts.begin());
-	}
-}
-
 // ---- Bills -----------------------------------------------------------------------------------------------
 
 /// Flushes the bills of routers that are gone, in their place.
@@ -655,22 +298,20 @@
 /// Runs a step over and over in a fiber of its own. A failed step is tried again at its next turn.
 void every(uint32_t _ms, std::function<void()> _step)
 {
-	spawnFiber(
-	    [_ms, step = std::move(_step)]
-	    {
-		    while (true)
-		    {
-			    try
-			    {
-				    step();
-			    }
-			    catch (const Failure&)
-			    {
-				    // Counted by the adapter that failed; logged there when its state changes.
-			    }
-			    sleepFor(_ms);
-		    }
-	    });
+	spawnFiber([_ms, step = std::move(_step)] {
+		while (true)
+		{
+			try
+			{
+				step();
+			}
+			catch (const Failure&)
+			{
+				// Counted by the adapter that failed; logged there when its state changes.
+			}
+			sleepFor(_ms);
+		}
+	});
 }
 
 void linkPeers(Agent& _agent)
@@ -706,13 +347,13 @@
 	addCounter(page, "cancelled_total", "Attempts cancelled.", double(stats.cancelled));
 	addCounter(page, "run_once_run_total", "Non-repeatable calls run.", double(once.run));
 	addCounter(page, "run_once_replayed_total", "Non-repeatable calls answered from the record.",
-	           double(once.replayed));
+			   double(once.replayed));
 	addCounter(page, "run_once_in_doubt_total", "Non-repeatable calls refused as in doubt.",
-	           double(once.inDoubt));
+			   double(once.inDoubt));
 	addGauge(page, "run_once_keys", "Keys remembered.", double(_agent.core.guard.entries.size()));
 	addGauge(page, "home_epoch", "Epoch of the run-once group.", double(_agent.core.guard.table.epoch));
 	addGauge(page, "config_revision", "Configuration revision in force.",
-	         double(_agent.core.config.revision));
+			 double(_agent.core.config.revision));
 	addGauge(page, "running", "Requests at the upstream.", double(_agent.core.queue.running.size()));
 	addGauge(page, "queued", "Requests that wait.", double(_agent.core.queue.waiting.size()));
 	addGauge(page, "bills_kept", "Bills not yet in the ledger.", double(_agent.core.bills.count));
@@ -740,7 +381,7 @@
 	}
 	_agent.lastReport = report;
 	_agent.reportedSubmits =
-	    submitted; // Routers count what they sent since a report: work asks for a new one.
+		submitted; // Routers count what they sent since a report: work asks for a new one.
 	for (const LinkId link : _agent.node.hub->openLinks())
 	{
 		if (_agent.node.hub->peer(link)->role == "router")
@@ -755,53 +396,48 @@
 	LinkInit init;
 	init.self = _agent.core.init.self;
 	init.keys = _agent.settings.common.linkKeys;
-	init.handlers.onOpen = [&_agent](LinkId _link, const PeerInfo& _peer)
-	{
+	init.handlers.onOpen = [&_agent](LinkId _link, const PeerInfo& _peer) {
 		onLinkOpen(_agent, _link, _peer);
 	};
-	init.handlers.onMessage = [&_agent](LinkId _link, const LinkMessage& _message)
-	{
+	init.handlers.onMessage = [&_agent](LinkId _link, const LinkMessage& _message) {
 		onMessage(_agent, _link, _message);
 	};
-	init.handlers.onClose = [&_agent](LinkId _link)
-	{
+	init.handlers.onClose = [&_agent](LinkId _link) {
 		AgentActions actions;
-		onLinkDown(_agent.core, _link, monotonicNow(), wallMs(), actions);
+		onLinkDown(_agent.core, _link, monotonicNow(), wallNowMs(), actions);
 		perform(_agent, actions);
 	};
 	_agent.node.hub = std::make_unique<LinkHub>(_agent.node.io, init);
 	_agent.node.hub->listen(_agent.settings.link);
-	_agent.node.http.handler = [&_agent](HttpExchange& _exchange)
-	{
+	_agent.node.http.handler = [&_agent](HttpExchange& _exchange) {
 		answerHttp(_agent, _exchange);
 	};
 	startHttpServer(_agent.node.io, _agent.node.http, _agent.settings.common.listen);
 	noteEvent(_agent.node, "started", _agent.settings.common.box, _agent.node.incarnation);
 	followBoxList(_agent.node, [&_agent] { linkPeers(_agent); });
-	every(kHeartbeatMs,
-	      [&_agent]
-	      {
-		      _agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
-		      sendReport(_agent);
-	      });
-	every(kTickMs,
-	      [&_agent]
-	      {
-		      AgentActions actions;
-		      tick(_agent.core, monotonicNow(), wallMs(), actions);
-		      perform(_agent, actions);
-	      });
+	every(kHeartbeatMs, [&_agent] {
+		_agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
+		sendReport(_agent);
+	});
+	spawnFiber([&_agent] {
+		while (true)
+		{
+			AgentActions actions;
+			tick(_agent.core, monotonicNow(), wallNowMs(), actions);
+			perform(_agent, actions);
+			const bool idle = _agent.core.works.empty() && _agent.core.guardedSubmits.empty();
+			sleepFor(idle ? kIdleTickMs : kTickMs);
+		}
+	});
 	every(kHomesMs, [&_agent] { stepHomes(_agent); });
 	every(kBillFlushMs, [&_agent] { flushOrphans(_agent); });
-	every(kRatingsMs,
-	      [&_agent]
-	      {
-		      for (const std::string& version : _agent.settings.versions)
-		      {
-			      stepRatings(_agent, version);
-		      }
-		      writeHalts(_agent);
-	      });
+	every(kRatingsMs, [&_agent] {
+		for (const std::string& version : _agent.settings.versions)
+		{
+			stepRatings(_agent, version);
+		}
+		writeHalts(_agent);
+	});
 }
 
 /// A planned stop: hand the homes over, take no more work, end what runs, flush the bills.
@@ -822,17 +458,35 @@
 		sleepFor(kPollMs);
 	}
 	noteEvent(_agent.node, "drained", _agent.settings.common.box,
-	          fmt::format("{} cut, {} bills kept", _agent.core.works.size(), _agent.core.bills.count));
+			  fmt::format("{} cut, {} bills kept", _agent.core.works.size(), _agent.core.bills.count));
 	sleepFor(kPollMs); // Lets the last frames leave.
 }
 } // namespace
 
+Agent::Agent(const AgentSettings& _settings)
+	: settings(_settings), node(_settings.common),
+	  core(createAgentCore(coreInit(_settings, node.incarnation)))
+{
+	upstream.io = &node.io;
+	upstream.endpoint = _settings.upstream;
+	ratings.io = &node.io;
+	ratings.endpoint = _settings.ratings;
+}
+
+void perform(Agent& _agent, const AgentActions& _actions)
+{
+	for (const AgentAction& action : _actions)
+	{
+		std::visit(Performer{_agent}, action);
+	}
+}
+
 int runAgent(const std::string& _settingsFile)
 {
 	static Agent* s_agent = nullptr; // Lives as long as the process: fibers refer to it to the end.
 	s_agent = new Agent(loadAgentSettings(_settingsFile));
 	return runNode(
-	    s_agent->node, [] { start(*s_agent); }, [] { stop(*s_agent); });
+		s_agent->node, [] { start(*s_agent); }, [] { stop(*s_agent); });
 }
 
 void checkAgentSettings(const std::string& _settingsFile)
--- /dev/null
+++ b/src/adapters/agent_homes.cpp
@@ -0,0 +1,127 @@
+/// The agent's run-once group: its table in the store, and what is seen of the other members.
+#include <fmt/format.h>
+
+#include "agent_p.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+std::string tableKey(const Agent& _agent)
+{
+	return "homes/" + _agent.settings.pool;
+}
+
+HomeTable readTable(Agent& _agent, uint64_t& _revision)
+{
+	const StoreItem item = readStore(_agent.node.store, tableKey(_agent));
+	_revision = item.revision;
+	HomeTable table;
+	if (item.revision != 0 && !item.deleted)
+	{
+		table = json::parse(item.value).get<HomeTable>();
+	}
+	table.pool = _agent.settings.pool;
+	return table;
+}
+
+std::vector<MemberSight> sightsOf(Agent& _agent, const HomeTable& _table)
+{
+	LinkHub& hub = *_agent.node.hub;
+	const TimeUs now = monotonicNow();
+	std::vector<MemberSight> sights;
+	for (const HomeMember& member : _table.members)
+	{
+		MemberSight sight;
+		sight.incarnation = member.incarnation;
+		sight.box = member.box;
+		sight.linked =
+			member.incarnation == _agent.node.incarnation || isValid(hub.linkTo(member.incarnation));
+		if (sight.linked)
+		{
+			_agent.memberLostAt.erase(member.incarnation);
+		}
+		else
+		{
+			const TimeUs lostAt = _agent.memberLostAt.emplace(member.incarnation, now).first->second;
+			sight.lostFor = now - lostAt;
+		}
+		for (const LinkId link : hub.openLinks())
+		{
+			const PeerInfo* peer = hub.peer(link);
+			sight.gone = sight.gone || (peer->box == member.box && peer->incarnation != member.incarnation);
+		}
+		sights.push_back(sight);
+	}
+	return sights;
+}
+
+ProposeInput proposeInput(const Agent& _agent)
+{
+	ProposeInput input;
+	input.self = {_agent.node.incarnation, _agent.settings.common.box, 0};
+	input.leaving = _agent.core.leaving;
+	input.wallMs = wallNowMs();
+	return input;
+}
+
+/// @returns Whether nothing is to be done about the group: all members are linked and settled, none leaves.
+bool isQuiet(const Agent& _agent, const HomeTable& _table, const std::vector<MemberSight>& _sights)
+{
+	bool quiet = _table.epoch != 0 && !_agent.core.leaving && isHome(_agent);
+	for (const HomeMember& member : _table.members)
+	{
+		quiet = quiet && member.settledEpoch == _table.epoch;
+	}
+	for (const MemberSight& sight : _sights)
+	{
+		quiet = quiet && sight.linked && !sight.gone;
+	}
+	return quiet;
+}
+} // namespace
+
+bool isHome(const Agent& _agent)
+{
+	for (const HomeMember& member : _agent.core.guard.table.members)
+	{
+		if (member.incarnation == _agent.node.incarnation)
+		{
+			return true;
+		}
+	}
+	return false;
+}
+
+void stepHomes(Agent& _agent)
+{
+	const HomeTable& held = _agent.core.guard.table;
+	const bool resigned = _agent.core.leaving && held.epoch != 0 && !isHome(_agent);
+	if (resigned || isQuiet(_agent, held, sightsOf(_agent, held)))
+	{
+		return;
+	}
+	uint64_t revision = 0;
+	const HomeTable current = readTable(_agent, revision);
+	AgentActions actions;
+	onTable(_agent.core, current, monotonicNow(), wallNowMs(), actions);
+	perform(_agent, actions);
+	const std::optional<HomeTable> next =
+		proposeTable(_agent.core.guard, current, proposeInput(_agent), sightsOf(_agent, current));
+	if (!next)
+	{
+		return;
+	}
+	_agent.core.guard.resigned = _agent.core.leaving; // Before the write: its answer may be lost.
+	const CasResult result =
+		casStore(_agent.node.store, tableKey(_agent), json(*next).dump(), revision, revision);
+	if (result == CasResult::Done)
+	{
+		AgentActions adopted;
+		onTable(_agent.core, *next, monotonicNow(), wallNowMs(), adopted);
+		perform(_agent, adopted);
+	}
+}
+} // namespace spanplank
--- a/src/adapters/box_list.cpp
+++ b/src/adapters/box_list.cpp
@@ -20,8 +20,8 @@
 	for (const nlohmann::json& item : list)
 	{
 		boxes.push_back({item.value("box", ""), item.value("role", ""), item.value("address", ""),
-		                 item.value("link", ""), item.value("hall", ""), item.value("pool", ""),
-		                 item.value("state", "live")});
+						 item.value("link", ""), item.value("hall", ""), item.value("pool", ""),
+						 item.value("state", "live")});
 	}
 	return boxes;
 }
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -77,7 +77,7 @@
 	}
 	const bool hasModel = body.contains("model") && body["model"].is_string();
 	const bool hasMessages =
-	    body.contains("messages") && body["messages"].is_array() && !body["messages"].empty();
+		body.contains("messages") && body["messages"].is_array() && !body["messages"].empty();
 	if (!hasModel || !hasMessages)
 	{
 		throw Failure(ErrorCode::BadRequest, "the body needs model and messages");
@@ -85,7 +85,7 @@
 	const json& stream = body.value("stream", json(false));
 	const json& most = body.value("max_tokens", json(256));
 	if (!stream.is_boolean() || !most.is_number_integer() || most.get<int64_t>() < 1 ||
-	    most.get<int64_t>() > 1000000)
+		most.get<int64_t>() > 1000000)
 	{
 		throw Failure(ErrorCode::BadRequest, "stream must be true or false, max_tokens from 1 to 1000000");
 	}
@@ -111,7 +111,7 @@
 std::vector<HttpHeader> headersOf(const AnswerHead& _head)
 {
 	std::vector<HttpHeader> headers = {{"X-Spanplank-Version", _head.version},
-	                                   {"X-Spanplank-Request", _head.requestId}};
+									   {"X-Spanplank-Request", _head.requestId}};
 	if (!_head.session.empty())
 	{
 		headers.push_back({"X-Spanplank-Session", _head.session});
@@ -188,7 +188,7 @@
 	FiberQueue<CallerEvent> events;
 	_router.callers[id.idx] = &events;
 	RouterActions actions;
-	arrive(_router.core, id, _request, monotonicNow(), wallMs(), actions);
+	arrive(_router.core, id, _request, monotonicNow(), wallNowMs(), actions);
 	perform(_router, actions);
 	bool done = false;
 	while (!done)
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -19,7 +19,7 @@
 {
 public:
 	explicit AsioRoundRobin(boost::asio::io_context& _io)
-	    : m_io(_io), m_work(boost::asio::make_work_guard(_io)), m_timer(_io)
+		: m_io(_io), m_work(boost::asio::make_work_guard(_io)), m_timer(_io)
 	{
 	}
 
@@ -80,14 +80,12 @@
 		}
 		m_armed = _until;
 		m_timer.expires_at(_until);
-		m_timer.async_wait(
-		    [this, _until](boost::system::error_code _error)
-		    {
-			    if (!_error && m_armed == _until)
-			    {
-				    m_armed = std::chrono::steady_clock::time_point::max();
-			    }
-		    });
+		m_timer.async_wait([this, _until](boost::system::error_code _error) {
+			if (!_error && m_armed == _until)
+			{
+				m_armed = std::chrono::steady_clock::time_point::max();
+			}
+		});
 	}
 
 	boost::asio::io_context& m_io;
@@ -116,6 +114,11 @@
 	return clockNow(CLOCK_REALTIME);
 }
 
+int64_t wallNowMs()
+{
+	return wallNow() / 1000;
+}
+
 void installFiberScheduler(boost::asio::io_context& _io)
 {
 	fibers::use_scheduling_algorithm<AsioRoundRobin>(_io);
@@ -123,19 +126,16 @@
 
 void spawnFiber(std::function<void()> _body)
 {
-	fibers::fiber(fibers::launch::post,
-	              [body = std::move(_body)]
-	              {
-		              try
-		              {
-			              body();
-		              }
-		              catch (const std::exception& failure)
-		              {
-			              logEvent("fiber_failed", {{"error", failure.what()}});
-		              }
-	              })
-	    .detach();
+	fibers::fiber(fibers::launch::post, [body = std::move(_body)] {
+		try
+		{
+			body();
+		}
+		catch (const std::exception& failure)
+		{
+			logEvent("fiber_failed", {{"error", failure.what()}});
+		}
+	}).detach();
 }
 
 void sleepFor(uint32_t _ms)
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -20,6 +20,9 @@
 /// Microseconds since 1970.
 TimeUs wallNow();
 
+/// Milliseconds since 1970.
+int64_t wallNowMs();
+
 /// Installs the scheduler in the calling thread. Call once, before the first fiber.
 void installFiberScheduler(boost::asio::io_context& _io);
 
@@ -73,19 +76,17 @@
 IoResult awaitIo(Start&& _start)
 {
 	WaitSlot<IoResult> slot;
-	_start(
-	    [&slot](boost::system::error_code _error, auto... _rest)
-	    {
-		    IoResult result{_error, 0};
-		    if constexpr (sizeof...(_rest) == 1)
-		    {
-			    if constexpr ((std::is_convertible_v<decltype(_rest), size_t> && ...))
-			    {
-				    result.bytes = (size_t(_rest) + ...);
-			    }
-		    }
-		    slot.set(result);
-	    });
+	_start([&slot](boost::system::error_code _error, auto... _rest) {
+		IoResult result{_error, 0};
+		if constexpr (sizeof...(_rest) == 1)
+		{
+			if constexpr ((std::is_convertible_v<decltype(_rest), size_t> && ...))
+			{
+				result.bytes = (size_t(_rest) + ...);
+			}
+		}
+		slot.set(result);
+	});
 	return slot.wait();
 }
 
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -65,7 +65,7 @@
 }
 
 HttpResponse readAnswer(beast::tcp_stream& _stream, const HttpCall& _call, const HttpPartHandler& _onPart,
-                        bool& _keepAlive)
+						bool& _keepAlive)
 {
 	beast::flat_buffer buffer;
 	http::response_parser<http::buffer_body> parser;
@@ -109,9 +109,9 @@
 } // namespace
 
 HttpFailure::HttpFailure(std::string _detail, bool _sent)
-    : Failure(
-          Refusal{ErrorCode::UpstreamLost, _sent ? RunState::Unknown : RunState::No, 0, std::move(_detail)}),
-      m_sent(_sent)
+	: Failure(
+		  Refusal{ErrorCode::UpstreamLost, _sent ? RunState::Unknown : RunState::No, 0, std::move(_detail)}),
+	  m_sent(_sent)
 {
 }
 
@@ -125,7 +125,7 @@
 }
 
 HttpResponse call(HttpClient& _client, const HttpCall& _call, const HttpPartHandler& _onPart,
-                  HttpCancel* _cancel)
+				  HttpCancel* _cancel)
 {
 	Stream stream = takeIdle(_client);
 	if (!stream)
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -152,7 +152,7 @@
 
 /// @throws HttpFailure
 HttpResponse call(HttpClient& _client, const HttpCall& _call, const HttpPartHandler& _onPart = {},
-                  HttpCancel* _cancel = nullptr);
+				  HttpCancel* _cancel = nullptr);
 } // namespace spanplank
 
 #endif // SPANPLANK_HTTP_P_H_HEADER_GUARD
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -29,7 +29,7 @@
 	response.status = httpStatus(_code);
 	response.headers.push_back({"Content-Type", "application/json"});
 	response.body = fmt::format(R"({{"error":{{"code":"{}","run":"no","retry_after_ms":0,"detail":"{}"}}}})",
-	                            name(_code), _detail);
+								name(_code), _detail);
 	return response;
 }
 
@@ -45,7 +45,7 @@
 	for (size_t total = 0; total < kMostBytes;)
 	{
 		const IoResult read =
-		    awaitIo([&](auto _done) { _stream.async_read_some(boost::asio::buffer(bytes), _done); });
+			awaitIo([&](auto _done) { _stream.async_read_some(boost::asio::buffer(bytes), _done); });
 		if (read.error)
 		{
 			return;
@@ -55,7 +55,7 @@
 }
 
 bool readRequest(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer,
-                 http::request_parser<http::string_body>& _parser, HttpRequest& _request)
+				 http::request_parser<http::string_body>& _parser, HttpRequest& _request)
 {
 	_parser.body_limit(_server.limits.bodyBytes);
 	_parser.header_limit(uint32_t(_server.limits.headerBytes));
@@ -73,7 +73,7 @@
 		drain(_stream);
 	}
 	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
-	         read.error != http::error::end_of_stream && read.error != http::error::partial_message)
+			 read.error != http::error::end_of_stream && read.error != http::error::partial_message)
 	{
 		exchange.respond(refusalResponse(ErrorCode::BadRequest, "malformed HTTP request"));
 	}
@@ -119,7 +119,7 @@
 	{
 		auto stream = std::make_shared<beast::tcp_stream>(_io);
 		const IoResult accepted =
-		    awaitIo([&](auto _done) { _server.acceptor->async_accept(stream->socket(), _done); });
+			awaitIo([&](auto _done) { _server.acceptor->async_accept(stream->socket(), _done); });
 		if (accepted.error)
 		{
 			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
@@ -127,12 +127,10 @@
 		}
 		stream->socket().set_option(tcp::no_delay(true));
 		++_server.connections;
-		spawnFiber(
-		    [&_server, stream]
-		    {
-			    serveConnection(_server, *stream);
-			    --_server.connections;
-		    });
+		spawnFiber([&_server, stream] {
+			serveConnection(_server, *stream);
+			--_server.connections;
+		});
 	}
 }
 } // namespace
@@ -158,7 +156,7 @@
 }
 
 HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request)
-    : m_stream(_stream), m_request(_request)
+	: m_stream(_stream), m_request(_request)
 {
 }
 
@@ -175,7 +173,7 @@
 }
 
 bool HttpExchange::startStream(int _status, const std::vector<HttpHeader>& _headers,
-                               std::string_view _contentType)
+							   std::string_view _contentType)
 {
 	m_answered = true;
 	http::response<http::empty_body> head(http::status(_status), m_request.version());
@@ -186,7 +184,7 @@
 	head.chunked(true);
 	http::response_serializer<http::empty_body> serializer(head);
 	const IoResult written =
-	    awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
+		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
 	m_broken = m_broken || written.error;
 	return !m_broken;
 }
@@ -198,12 +196,10 @@
 		return !m_broken;
 	}
 	m_stream.expires_after(std::chrono::seconds(30));
-	const IoResult written = awaitIo(
-	    [&](auto _done)
-	    {
-		    boost::asio::async_write(
-		        m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())), _done);
-	    });
+	const IoResult written = awaitIo([&](auto _done) {
+		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
+								 _done);
+	});
 	m_broken = m_broken || written.error;
 	return !m_broken;
 }
@@ -215,7 +211,7 @@
 		return false;
 	}
 	const IoResult written =
-	    awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
+		awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
 	m_broken = m_broken || written.error;
 	return !m_broken;
 }
@@ -231,7 +227,7 @@
 {
 	char byte = 0;
 	const ssize_t peeked =
-	    ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
+		::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
 	return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -109,21 +109,19 @@
 	void setHandlers(Side& _side)
 	{
 		_side.init_asio(&io);
-		_side.set_message_handler(
-		    [this](const connection_hdl& _handle, typename Side::message_ptr _message)
-		    { receive(_handle, _message->get_opcode() == binary, _message->get_payload()); });
+		_side.set_message_handler([this](const connection_hdl& _handle, typename Side::message_ptr _message) {
+			receive(_handle, _message->get_opcode() == binary, _message->get_payload());
+		});
 		_side.set_close_handler([this](const connection_hdl& _handle) { closed(_handle); });
 		// Only here is the socket open on both sides; an option set earlier is lost without a word.
-		_side.set_tcp_post_init_handler(
-		    [&_side](const connection_hdl& _handle)
-		    {
-			    websocketpp::lib::error_code error;
-			    const auto connection = _side.get_con_from_hdl(_handle, error);
-			    if (!error)
-			    {
-				    tuneSocket(connection->get_raw_socket());
-			    }
-		    });
+		_side.set_tcp_post_init_handler([&_side](const connection_hdl& _handle) {
+			websocketpp::lib::error_code error;
+			const auto connection = _side.get_con_from_hdl(_handle, error);
+			if (!error)
+			{
+				tuneSocket(connection->get_raw_socket());
+			}
+		});
 		_side.set_open_handshake_timeout(2000);
 		_side.set_close_handshake_timeout(500);
 	}
@@ -186,7 +184,7 @@
 	}
 
 	std::string proof(const std::string& _key, const char* _side, const Link& _link,
-	                  const std::string& _hello)
+					  const std::string& _hello)
 	{
 		const std::string first = _link.outgoing ? _link.peerNonce : _link.ownNonce;
 		const std::string second = _link.outgoing ? _link.ownNonce : _link.peerNonce;
@@ -205,7 +203,7 @@
 	{
 		const std::string hello = json(init.self).dump();
 		json message{{"hello", hello},
-		             {"mac", proof(_key, _link.outgoing ? "client" : "server", _link, hello)}};
+					 {"mac", proof(_key, _link.outgoing ? "client" : "server", _link, hello)}};
 		if (_link.outgoing)
 		{
 			message["nonce"] = _link.ownNonce;
@@ -257,7 +255,7 @@
 		for (auto& [idx, other] : links)
 		{
 			const bool same = idx != _idx && other.open && other.peer.incarnation == link.peer.incarnation &&
-			                  other.outgoing == link.outgoing;
+							  other.outgoing == link.outgoing;
 			if (same)
 			{
 				closeLink(other); // A newer connection of the same process replaces a dead one.
@@ -304,9 +302,9 @@
 		Link& link = links.at(_idx);
 		const std::string_view payload(_payload);
 		const bool authentic =
-		    link.open && payload.size() >= kMacBytes &&
-		    equalConstantTime(frameMac(link.receiveKey, link.received, payload.substr(kMacBytes)),
-		                      payload.substr(0, kMacBytes));
+			link.open && payload.size() >= kMacBytes &&
+			equalConstantTime(frameMac(link.receiveKey, link.received, payload.substr(kMacBytes)),
+							  payload.substr(0, kMacBytes));
 		if (!authentic)
 		{
 			refuse(link, "forged or replayed frame");
@@ -367,8 +365,9 @@
 			return;
 		}
 		dialing.insert(text);
-		connection->set_open_handler([this, _endpoint](const connection_hdl& _handle)
-		                             { addLink(_handle, true).endpoint = _endpoint; });
+		connection->set_open_handler([this, _endpoint](const connection_hdl& _handle) {
+			addLink(_handle, true).endpoint = _endpoint;
+		});
 		connection->set_fail_handler([this, text](const connection_hdl&) { dialing.erase(text); });
 		client.connect(connection);
 	}
@@ -415,7 +414,7 @@
 			std::string payload(kMacBytes, '0');
 			json::to_cbor(link.outbox, nlohmann::detail::output_adapter<char>(payload));
 			const std::string mac =
-			    frameMac(link.sendKey, link.sent++, std::string_view(payload).substr(kMacBytes));
+				frameMac(link.sendKey, link.sent++, std::string_view(payload).substr(kMacBytes));
 			payload.replace(0, kMacBytes, mac);
 			link.outbox.clear();
 			sendRaw(link, payload, true);
@@ -424,22 +423,20 @@
 };
 
 LinkHub::LinkHub(boost::asio::io_context& _io, LinkInit _init)
-    : m_impl(std::make_unique<Impl>(_io, std::move(_init)))
+	: m_impl(std::make_unique<Impl>(_io, std::move(_init)))
 {
 	Impl& impl = *m_impl;
 	impl.setHandlers(impl.server);
 	impl.setHandlers(impl.client);
 	impl.server.set_open_handler([&impl](const connection_hdl& _handle) { impl.challenge(_handle); });
-	spawnFiber(
-	    [&impl]
-	    {
-		    while (true)
-		    {
-			    impl.closeSilent();
-			    impl.dialMissing();
-			    sleepFor(kLinkRetryMs);
-		    }
-	    });
+	spawnFiber([&impl] {
+		while (true)
+		{
+			impl.closeSilent();
+			impl.dialMissing();
+			sleepFor(kLinkRetryMs);
+		}
+	});
 }
 
 LinkHub::~LinkHub() = default;
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -27,7 +27,7 @@
 	fmt::memory_buffer line;
 	auto out = std::back_inserter(line);
 	fmt::format_to(out, "ts={:%Y-%m-%dT%H:%M:%S}.{:06}Z proc={} event={}", fmt::gmtime(time_t(now / 1000000)),
-	               now % 1000000, processName(), _event);
+				   now % 1000000, processName(), _event);
 	for (const LogField& field : _fields)
 	{
 		fmt::format_to(out, " {}={:?}", field.first, field.second);
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 prometheus::MetricFamily family(const std::string& _name, const std::string& _help,
-                                prometheus::MetricType _type)
+								prometheus::MetricType _type)
 {
 	prometheus::MetricFamily result;
 	result.name = "spanplank_" + _name;
@@ -39,17 +39,17 @@
 	rusage usage{};
 	getrusage(RUSAGE_SELF, &usage);
 	const double seconds = double(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-	                       double(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) * 1e-6;
+						   double(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) * 1e-6;
 	addCounter(_page, "cpu_seconds_total", "Processor time of the process.", seconds);
 	addGauge(_page, "max_resident_bytes", "Most resident memory of the process.",
-	         double(usage.ru_maxrss) * 1024.0);
+			 double(usage.ru_maxrss) * 1024.0);
 	addCounter(_page, "link_frames_in_total", "Messages read from links.", double(_links.framesIn));
 	addCounter(_page, "link_frames_out_total", "Messages written to links.", double(_links.framesOut));
 	addCounter(_page, "link_bytes_in_total", "Bytes read from links.", double(_links.bytesIn));
 	addCounter(_page, "link_bytes_out_total", "Bytes written to links.", double(_links.bytesOut));
 	addCounter(_page, "links_opened_total", "Links that both ends proved.", double(_links.opened));
 	addCounter(_page, "links_refused_total", "Links closed for a wrong key or a forged frame.",
-	           double(_links.refused));
+			   double(_links.refused));
 	addCounter(_page, "store_reads_total", "Reads of the store.", double(_store.reads));
 	addCounter(_page, "store_writes_total", "Writes to the store.", double(_store.writes));
 	addCounter(_page, "store_watches_total", "Waiting watches on the store.", double(_store.watches));
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -41,8 +41,8 @@
 } // namespace
 
 Node::Node(const CommonSettings& _settings)
-    : settings(_settings), incarnation(newIncarnation(_settings.box)),
-      boxListClient(clientFor(io, _settings.boxList))
+	: settings(_settings), incarnation(newIncarnation(_settings.box)),
+	  boxListClient(clientFor(io, _settings.boxList))
 {
 	timeline.process = _settings.box;
 	store.http = clientFor(io, _settings.store);
@@ -57,7 +57,7 @@
 }
 
 void noteEvent(Node& _node, const std::string& _event, const std::string& _subject,
-               const std::string& _detail)
+			   const std::string& _detail)
 {
 	recordEvent(_node.timeline, wallNow(), _event, _subject, _detail);
 	logEvent(_event, {{"subject", _subject}, {"detail", _detail}});
@@ -65,33 +65,31 @@
 
 void followBoxList(Node& _node, std::function<void()> _onRead)
 {
-	spawnFiber(
-	    [&_node, onRead = std::move(_onRead)]
-	    {
-		    bool readable = true;
-		    while (true)
-		    {
-			    try
-			    {
-				    _node.boxes = readBoxList(_node.boxListClient);
-				    if (!readable)
-				    {
-					    noteEvent(_node, "box_list_readable", _node.settings.box, "");
-				    }
-				    readable = true;
-				    onRead();
-			    }
-			    catch (const Failure& failure)
-			    {
-				    if (readable)
-				    {
-					    noteEvent(_node, "box_list_unreadable", _node.settings.box, failure.refusal().detail);
-				    }
-				    readable = false;
-			    }
-			    sleepFor(kBoxListPollMs);
-		    }
-	    });
+	spawnFiber([&_node, onRead = std::move(_onRead)] {
+		bool readable = true;
+		while (true)
+		{
+			try
+			{
+				_node.boxes = readBoxList(_node.boxListClient);
+				if (!readable)
+				{
+					noteEvent(_node, "box_list_readable", _node.settings.box, "");
+				}
+				readable = true;
+				onRead();
+			}
+			catch (const Failure& failure)
+			{
+				if (readable)
+				{
+					noteEvent(_node, "box_list_unreadable", _node.settings.box, failure.refusal().detail);
+				}
+				readable = false;
+			}
+			sleepFor(kBoxListPollMs + kBoxListPollPerBoxMs * uint32_t(_node.boxes.size()));
+		}
+	});
 }
 
 int runNode(Node& _node, const std::function<void()>& _start, const std::function<void()>& _stop)
@@ -100,9 +98,9 @@
 	installFiberScheduler(_node.io);
 	boost::asio::signal_set signals(_node.io, SIGTERM, SIGINT);
 	_start();
-	awaitIo(
-	    [&signals](auto _done)
-	    { signals.async_wait([_done](boost::system::error_code _error, int) mutable { _done(_error); }); });
+	awaitIo([&signals](auto _done) {
+		signals.async_wait([_done](boost::system::error_code _error, int) mutable { _done(_error); });
+	});
 	noteEvent(_node, "stopping", _node.settings.box, "signal");
 	_node.stopping = true;
 	_stop();
@@ -114,16 +112,16 @@
 HttpResponse jsonResponse(int _status, const json& _body)
 {
 	return {_status,
-	        {{"Content-Type", "application/json"}},
-	        _body.dump(-1, ' ', false, json::error_handler_t::replace)};
+			{{"Content-Type", "application/json"}},
+			_body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 HttpResponse refusalResponse(const Refusal& _refusal, const std::string& _requestId)
 {
 	json error{{"code", name(_refusal.code)},
-	           {"run", name(_refusal.run)},
-	           {"retry_after_ms", _refusal.retryAfterMs},
-	           {"message", _refusal.detail}};
+			   {"run", name(_refusal.run)},
+			   {"retry_after_ms", _refusal.retryAfterMs},
+			   {"message", _refusal.detail}};
 	if (!_requestId.empty())
 	{
 		error["request"] = _requestId;
@@ -138,7 +136,7 @@
 }
 
 bool answerCommon(Node& _node, HttpExchange& _exchange, bool _ready,
-                  const std::function<std::string()>& _metrics)
+				  const std::function<std::string()>& _metrics)
 {
 	const Target target = parseTarget(std::string_view(_exchange.request().target()));
 	const std::string first = target.path.empty() ? "" : target.path[0];
@@ -149,7 +147,7 @@
 	if (first == "healthz")
 	{
 		_exchange.respond(
-		    jsonResponse(200, {{"box", _node.settings.box}, {"incarnation", _node.incarnation}}));
+			jsonResponse(200, {{"box", _node.settings.box}, {"incarnation", _node.incarnation}}));
 		return true;
 	}
 	if (first == "readyz")
@@ -162,7 +160,7 @@
 		const auto subject = target.query.find("subject");
 		const std::string about = subject == target.query.end() ? "" : subject->second;
 		_exchange.respond(jsonResponse(
-		    200, {{"events", eventsAbout(_node.timeline, about)}, {"dropped", _node.timeline.dropped}}));
+			200, {{"events", eventsAbout(_node.timeline, about)}, {"dropped", _node.timeline.dropped}}));
 		return true;
 	}
 	if (first == "metrics")
@@ -189,7 +187,7 @@
 			addBills(ledger, _batch.bills);
 			addVoids(ledger, _batch.voids);
 			const CasResult result =
-			    casStore(_node.store, ledgerKey(_owner), json(ledger).dump(), revision, revision);
+				casStore(_node.store, ledgerKey(_owner), json(ledger).dump(), revision, revision);
 			if (result == CasResult::Done)
 			{
 				return true;
@@ -226,7 +224,7 @@
 		const std::string_view pair = query.substr(0, query.find('&'));
 		const size_t equals = pair.find('=');
 		target.query[std::string(pair.substr(0, equals))] =
-		    equals == std::string_view::npos ? "" : std::string(pair.substr(equals + 1));
+			equals == std::string_view::npos ? "" : std::string(pair.substr(equals + 1));
 		query.remove_prefix(std::min(query.size(), pair.size() + 1));
 	}
 	return target;
--- a/src/adapters/node_p.h
+++ b/src/adapters/node_p.h
@@ -40,7 +40,7 @@
 
 /// Logs a change of state and puts it on the time line.
 void noteEvent(Node& _node, const std::string& _event, const std::string& _subject,
-               const std::string& _detail);
+			   const std::string& _detail);
 
 /// Polls the box list; calls back after each read.
 void followBoxList(Node& _node, std::function<void()> _onRead);
@@ -51,7 +51,7 @@
 /// Answers the paths that every process has: /healthz, /readyz, /timeline, /metrics.
 /// @returns Whether the path was one of them.
 bool answerCommon(Node& _node, HttpExchange& _exchange, bool _ready,
-                  const std::function<std::string()>& _metrics);
+				  const std::function<std::string()>& _metrics);
 
 /// Writes the batch of one owner into its ledger. @returns Whether the ledger holds it now.
 /// @remarks Safe to repeat, and to run in several processes at once.
--- a/src/adapters/operator_api.cpp
+++ b/src/adapters/operator_api.cpp
@@ -29,10 +29,10 @@
 json shown(const Resource& _resource)
 {
 	return {{"kind", _resource.kind},
-	        {"name", _resource.name},
-	        {"revision", _resource.revision},
-	        {"deleted", _resource.deleted},
-	        {"spec", _resource.spec}};
+			{"name", _resource.name},
+			{"revision", _resource.revision},
+			{"deleted", _resource.deleted},
+			{"spec", _resource.spec}};
 }
 
 void listResources(Router& _router, HttpExchange& _exchange, const Target& _target)
@@ -99,7 +99,7 @@
 {
 	const Resource accepted = writeResource(_router.node.store, readWrite(_exchange.request(), _target));
 	noteEvent(_router.node, "accepted", accepted.kind + "/" + accepted.name,
-	          fmt::format("revision {}", accepted.revision));
+			  fmt::format("revision {}", accepted.revision));
 	ConfigUpdate update;
 	update.changes.push_back(accepted);
 	takeConfig(_router, update); // In force here at once; the watch brings the revision in order.
@@ -108,17 +108,16 @@
 
 void watchResources(Router& _router, HttpExchange& _exchange, const Target& _target)
 {
-	const auto number = [&](const char* _name, uint64_t _default)
-	{
+	const auto number = [&](const char* _name, uint64_t _default) {
 		const auto found = _target.query.find(_name);
 		const bool digits = found != _target.query.end() && !found->second.empty() &&
-		                    found->second.size() < 19 &&
-		                    found->second.find_first_not_of("0123456789") == std::string::npos;
+							found->second.size() < 19 &&
+							found->second.find_first_not_of("0123456789") == std::string::npos;
 		return digits ? std::stoull(found->second) : _default;
 	};
 	const uint64_t after = number("after", 0);
 	const TimeUs until =
-	    monotonicNow() + TimeUs(std::min<uint64_t>(number("wait_ms", 10000), kMaxWatchMs)) * kMsToUs;
+		monotonicNow() + TimeUs(std::min<uint64_t>(number("wait_ms", 10000), kMaxWatchMs)) * kMsToUs;
 	while (_router.core.config.revision <= after && monotonicNow() < until && !_router.node.stopping)
 	{
 		sleepFor(kWatchPollMs);
@@ -142,13 +141,13 @@
 	for (const UpstreamState& upstream : _router.core.upstreams)
 	{
 		agents.push_back({{"box", upstream.info.box},
-		                  {"incarnation", upstream.info.incarnation},
-		                  {"linked", upstream.linked},
-		                  {"leaving", upstream.leaving},
-		                  {"revision", upstream.revision},
-		                  {"behind", upstream.linked && upstream.revision < _router.core.config.revision},
-		                  {"running", upstream.report.running},
-		                  {"queued", upstream.report.queued}});
+						  {"incarnation", upstream.info.incarnation},
+						  {"linked", upstream.linked},
+						  {"leaving", upstream.leaving},
+						  {"revision", upstream.revision},
+						  {"behind", upstream.linked && upstream.revision < _router.core.config.revision},
+						  {"running", upstream.report.running},
+						  {"queued", upstream.report.queued}});
 	}
 	json halts = json::object();
 	for (const auto& [version, generation] : _router.core.config.haltedGeneration)
@@ -161,15 +160,15 @@
 		homes.push_back(table);
 	}
 	_exchange.respond(jsonResponse(200, {{"box", _router.node.settings.box},
-	                                     {"incarnation", _router.node.incarnation},
-	                                     {"revision", _router.core.config.revision},
-	                                     {"store_reachable", _router.node.store.reachable},
-	                                     {"config_from_store", _router.fromStore},
-	                                     {"watching", _router.watching},
-	                                     {"halted", halts},
-	                                     {"homes", homes},
-	                                     {"agents", agents},
-	                                     {"bills_kept", _router.core.bills.count}}));
+										 {"incarnation", _router.node.incarnation},
+										 {"revision", _router.core.config.revision},
+										 {"store_reachable", _router.node.store.reachable},
+										 {"config_from_store", _router.fromStore},
+										 {"watching", _router.watching},
+										 {"halted", halts},
+										 {"homes", homes},
+										 {"agents", agents},
+										 {"bills_kept", _router.core.bills.count}}));
 }
 
 void route(Router& _router, HttpExchange& _exchange, const Target& _target)
@@ -207,7 +206,7 @@
 {
 	const std::vector<std::string>& path = _target.path;
 	const bool known = path.size() >= 2 && path[0] == "v1" &&
-	                   (path[1] == "resources" || path[1] == "watch" || path[1] == "status");
+					   (path[1] == "resources" || path[1] == "watch" || path[1] == "status");
 	if (!known)
 	{
 		return false;
--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -66,7 +66,7 @@
 	if (after.generation < before.generation || (!newer && after.state < before.state))
 	{
 		throw Failure(ErrorCode::BadRequest,
-		              "spec.state: moves forwards only; raise spec.generation to bring a version back");
+					  "spec.state: moves forwards only; raise spec.generation to bring a version back");
 	}
 }
 
@@ -102,8 +102,8 @@
 		}
 	}
 	throw Failure(
-	    Refusal{ErrorCode::StoreUnavailable, RunState::Unknown, 1000,
-	            "the answer of the store was lost; send the write again with the same operation id"});
+		Refusal{ErrorCode::StoreUnavailable, RunState::Unknown, 1000,
+				"the answer of the store was lost; send the write again with the same operation id"});
 }
 
 std::shared_ptr<boost::fibers::mutex> turnOf(StoreClient& _client, const std::string& _key)
@@ -125,7 +125,7 @@
 		throw Failure(ErrorCode::BadRequest, "op: is missing");
 	}
 	const std::vector<std::string> mistakes =
-	    checkResource(_write.kind, _write.name, _write.remove ? json::object() : _write.spec);
+		checkResource(_write.kind, _write.name, _write.remove ? json::object() : _write.spec);
 	if (!_write.remove && !mistakes.empty())
 	{
 		throw Failure(ErrorCode::BadRequest, fmt::format("{}", fmt::join(mistakes, "; ")));
@@ -155,7 +155,7 @@
 		checkForwards(old, _write);
 		Resource resource = next(old, _write);
 		const CasResult result =
-		    casStore(_client, key, json(resource).dump(), old.revision, resource.revision);
+			casStore(_client, key, json(resource).dump(), old.revision, resource.revision);
 		if (result == CasResult::Done)
 		{
 			return resource;
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -11,8 +11,8 @@
 {
 namespace
 {
-constexpr uint32_t kTickMs = 25; ///< While requests are in flight.
-constexpr uint32_t kIdleTickMs = 200;
+constexpr uint32_t kTickMs = 25;      ///< While requests are in flight.
+constexpr uint32_t kIdleTickMs = 200; ///< While requests are in flight.
 constexpr uint32_t kWatchMs = 10000;
 constexpr uint32_t kStoreRetryMs = 300;
 
@@ -48,7 +48,7 @@
 	void operator()(SendCancel& _action) const
 	{
 		router.node.hub->send(linkOf(router, _action.to), MessageType::CancelAttempt,
-		                      CancelAttempt{_action.attempt});
+							  CancelAttempt{_action.attempt});
 	}
 	template <typename Event>
 	void operator()(Event& _event) const
@@ -66,7 +66,7 @@
 Heartbeat heartbeatOf(Router& _router)
 {
 	return {_router.core.config.revision, false, _router.node.stopping,
-	        stamp(_router.node.timeline.clock, wallNow())};
+			stamp(_router.node.timeline.clock, wallNow())};
 }
 
 Halts allHalts(const Router& _router)
@@ -112,7 +112,7 @@
 	_router.linkOfUpstream.erase(upstream.idx);
 	noteEvent(_router.node, "upstream_lost", _router.core.upstreams[upstream.idx].info.box, "");
 	RouterActions actions;
-	linkDown(_router.core, upstream, monotonicNow(), wallMs(), actions);
+	linkDown(_router.core, upstream, monotonicNow(), wallNowMs(), actions);
 	perform(_router, actions);
 }
 
@@ -152,7 +152,7 @@
 		break;
 	case MessageType::ConfigAsk:
 		_router.node.hub->send(_from, MessageType::Config,
-		                       updateSince(core.config, _message.body.get<ConfigAsk>().since));
+							   updateSince(core.config, _message.body.get<ConfigAsk>().since));
 		break;
 	case MessageType::Halts:
 		takeHalts(_router, _message.body.get<Halts>());
@@ -167,13 +167,13 @@
 		onStart(core, upstream, _message.body.get<AnswerStart>(), actions);
 		break;
 	case MessageType::AnswerPart:
-		onPart(core, upstream, _message.body.get<AnswerPart>(), wallMs(), actions);
+		onPart(core, upstream, _message.body.get<AnswerPart>(), wallNowMs(), actions);
 		break;
 	case MessageType::AnswerEnd:
-		onEnd(core, upstream, _message.body.get<AnswerEnd>(), now, wallMs(), actions);
+		onEnd(core, upstream, _message.body.get<AnswerEnd>(), now, wallNowMs(), actions);
 		break;
 	case MessageType::AnswerRefused:
-		onRefused(core, upstream, _message.body.get<AnswerRefused>(), now, wallMs(), actions);
+		onRefused(core, upstream, _message.body.get<AnswerRefused>(), now, wallNowMs(), actions);
 		break;
 	default:
 		break;
@@ -192,7 +192,7 @@
 	for (const BoxEntry& entry : _router.node.boxes)
 	{
 		const bool rival = entry.role == "router" && entry.hall == self.hall && entry.state == "live" &&
-		                   entry.box != self.box;
+						   entry.box != self.box;
 		if (rival && stableHash(entry.box, stableHash(self.hall)) > own)
 		{
 			++ahead;
@@ -268,7 +268,7 @@
 	for (const BoxEntry& entry : _router.node.boxes)
 	{
 		const bool rival =
-		    entry.role == "router" && entry.state == "live" && entry.box != _router.settings.common.box;
+			entry.role == "router" && entry.state == "live" && entry.box != _router.settings.common.box;
 		ahead += rival && stableHash(entry.box, agent) > own ? 1 : 0;
 	}
 	return most == 0 || ahead < most;
@@ -277,7 +277,7 @@
 void linkAgents(Router& _router)
 {
 	const auto routers = std::count_if(_router.node.boxes.begin(), _router.node.boxes.end(),
-	                                   [](const BoxEntry& _entry) { return _entry.role == "router"; });
+									   [](const BoxEntry& _entry) { return _entry.role == "router"; });
 	_router.core.routers = uint32_t(std::max<std::ptrdiff_t>(1, routers));
 	for (const BoxEntry& entry : _router.node.boxes)
 	{
@@ -315,7 +315,7 @@
 	addGauge(page, "in_flight", "Requests in flight.", double(_router.core.requests.size()));
 	addGauge(page, "connections", "Callers' connections.", double(_router.node.http.connections));
 	addGauge(page, "config_revision", "Configuration revision in force.",
-	         double(_router.core.config.revision));
+			 double(_router.core.config.revision));
 	addGauge(page, "bills_kept", "Bills not yet in the ledger.", double(_router.core.bills.count));
 	addProcessMetrics(page, _router.node.hub->stats(), _router.node.store.stats);
 	return serialize(page);
@@ -343,19 +343,16 @@
 {
 	LinkInit init;
 	init.self = {
-	    "router", _router.settings.common.box, _router.node.incarnation, _router.settings.common.hall, "", {},
-	    {}};
+		"router", _router.settings.common.box, _router.node.incarnation, _router.settings.common.hall, "", {},
+		{}};
 	init.keys = _router.settings.common.linkKeys;
-	init.handlers.onOpen = [&_router](LinkId _link, const PeerInfo& _peer)
-	{
+	init.handlers.onOpen = [&_router](LinkId _link, const PeerInfo& _peer) {
 		onLinkOpen(_router, _link, _peer);
 	};
-	init.handlers.onMessage = [&_router](LinkId _link, const LinkMessage& _message)
-	{
+	init.handlers.onMessage = [&_router](LinkId _link, const LinkMessage& _message) {
 		onMessage(_router, _link, _message);
 	};
-	init.handlers.onClose = [&_router](LinkId _link)
-	{
+	init.handlers.onClose = [&_router](LinkId _link) {
 		onLinkClose(_router, _link);
 	};
 	_router.node.hub = std::make_unique<LinkHub>(_router.node.io, init);
@@ -367,43 +364,36 @@
 	_router.node.http.limits.bodyBytes = _router.settings.maxBodyBytes;
 	_router.node.http.limits.headerBytes = kMaxHeaderBytes;
 	_router.node.http.limits.slowMs = _router.settings.slowCallerMs;
-	_router.node.http.handler = [&_router](HttpExchange& _exchange)
-	{
+	_router.node.http.handler = [&_router](HttpExchange& _exchange) {
 		answerHttp(_router, _exchange);
 	};
 	startHttpServer(_router.node.io, _router.node.http, _router.settings.common.listen);
 	noteEvent(_router.node, "started", _router.settings.common.box, _router.node.incarnation);
 	followBoxList(_router.node, [&_router] { linkAgents(_router); });
 	spawnFiber([&_router] { followConfig(_router); });
-	spawnFiber(
-	    [&_router]
-	    {
-		    while (true)
-		    {
-			    _router.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_router));
-			    sleepFor(kHeartbeatMs);
-		    }
-	    });
-	spawnFiber(
-	    [&_router]
-	    {
-		    while (true)
-		    {
-			    RouterActions actions;
-			    tick(_router.core, monotonicNow(), actions);
-			    perform(_router, actions);
-			    sleepFor(kTickMs);
-		    }
-	    });
-	spawnFiber(
-	    [&_router]
-	    {
-		    while (true)
-		    {
-			    flushOwnBills(_router);
-			    sleepFor(kBillFlushMs);
-		    }
-	    });
+	spawnFiber([&_router] {
+		while (true)
+		{
+			_router.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_router));
+			sleepFor(kHeartbeatMs);
+		}
+	});
+	spawnFiber([&_router] {
+		while (true)
+		{
+			RouterActions actions;
+			tick(_router.core, monotonicNow(), actions);
+			perform(_router, actions);
+			sleepFor(_router.core.requests.empty() ? kIdleTickMs : kTickMs);
+		}
+	});
+	spawnFiber([&_router] {
+		while (true)
+		{
+			flushOwnBills(_router);
+			sleepFor(std::max(kBillFlushMs, kBillFlushPerRouterMs * _router.core.routers));
+		}
+	});
 }
 
 /// A planned stop: the balancer sees it, what is in flight ends, the bills are flushed.
@@ -423,20 +413,15 @@
 		sleepFor(kStoreRetryMs);
 	}
 	noteEvent(_router.node, "drained", _router.settings.common.box,
-	          fmt::format("{} cut, {} bills kept", _router.callers.size(), _router.core.bills.count));
+			  fmt::format("{} cut, {} bills kept", _router.callers.size(), _router.core.bills.count));
 	sleepFor(kPollMs); // Lets the last frames leave.
 }
 } // namespace
 
 Router::Router(const RouterSettings& _settings)
-    : settings(_settings), node(_settings.common),
-      core(createRouterCore(coreInit(_settings, node.incarnation)))
-{
-}
-
-int64_t wallMs()
+	: settings(_settings), node(_settings.common),
+	  core(createRouterCore(coreInit(_settings, node.incarnation)))
 {
-	return wallNow() / 1000;
 }
 
 std::string bearerOf(const HttpRequest& _request)
@@ -444,7 +429,7 @@
 	const std::string value(_request["Authorization"]);
 	constexpr std::string_view kBearer = "Bearer ";
 	const bool bearer = value.size() > kBearer.size() &&
-	                    boost::beast::iequals(value.substr(0, kBearer.size()), std::string(kBearer));
+						boost::beast::iequals(value.substr(0, kBearer.size()), std::string(kBearer));
 	return bearer ? value.substr(kBearer.size()) : "";
 }
 
@@ -466,7 +451,7 @@
 	if (_router.core.config.revision != before)
 	{
 		recordEvent(_router.node.timeline, wallNow(), "config_in_force", "config",
-		            fmt::format("revision {}", _router.core.config.revision));
+					fmt::format("revision {}", _router.core.config.revision));
 	}
 	_router.node.hub->sendAll(MessageType::Config, _update);
 }
@@ -493,7 +478,7 @@
 	static Router* s_router = nullptr; // Lives as long as the process: fibers refer to it to the end.
 	s_router = new Router(loadRouterSettings(_settingsFile));
 	return runNode(
-	    s_router->node, [] { start(*s_router); }, [] { stop(*s_router); });
+		s_router->node, [] { start(*s_router); }, [] { stop(*s_router); });
 }
 
 void checkRouterSettings(const std::string& _settingsFile)
--- a/src/adapters/router_p.h
+++ b/src/adapters/router_p.h
@@ -46,9 +46,6 @@
 /// Obeys halts and passes on what is new.
 void takeHalts(Router& _router, const Halts& _halts);
 
-/// @returns Wall time, milliseconds since 1970.
-int64_t wallMs();
-
 /// @returns The bearer token of a request, or an empty text.
 std::string bearerOf(const HttpRequest& _request);
 } // namespace spanplank
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -17,7 +17,7 @@
 	for (const SettingsMistake& mistake : _mistakes)
 	{
 		text += fmt::format("{}{}:{}: {}: {}", text.empty() ? "" : "\n", mistake.file, mistake.line,
-		                    mistake.path, mistake.what);
+							mistake.path, mistake.what);
 	}
 	return text;
 }
@@ -100,7 +100,7 @@
 	}
 
 	void texts(const char* _key, std::vector<std::string>& _values, bool _required, size_t _leastSize,
-	           const char* _rule)
+			   const char* _rule)
 	{
 		const YAML::Node node = take(_key, _required);
 		if (!node)
@@ -140,7 +140,7 @@
 			int64_t read = -1;
 			const std::string path = fmt::format("{}.{}", _key, item.first.Scalar());
 			if (!item.second.IsScalar() || !YAML::convert<int64_t>::decode(item.second, read) || read < 0 ||
-			    read > int64_t(_most))
+				read > int64_t(_most))
 			{
 				note(item.second, path, fmt::format("must be a whole number from 0 to {}", _most));
 				continue;
@@ -234,7 +234,7 @@
 } // namespace
 
 SettingsFailure::SettingsFailure(std::vector<SettingsMistake> _mistakes)
-    : Failure(ErrorCode::BadRequest, joinMistakes(_mistakes)), m_mistakes(std::move(_mistakes))
+	: Failure(ErrorCode::BadRequest, joinMistakes(_mistakes)), m_mistakes(std::move(_mistakes))
 {
 }
 
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -20,7 +20,7 @@
 }
 
 json callStore(StoreClient& _client, HttpClient& _http, const char* _path, const json& _body,
-               uint32_t _timeoutMs)
+			   uint32_t _timeoutMs)
 {
 	HttpCall request;
 	request.target = _path;
@@ -34,7 +34,7 @@
 			++_client.stats.failures;
 			noteReachable(_client, false);
 			throw Failure(ErrorCode::StoreUnavailable,
-			              "the store answered " + std::to_string(response.status));
+						  "the store answered " + std::to_string(response.status));
 		}
 		noteReachable(_client, true);
 		return json::parse(response.body);
@@ -55,7 +55,7 @@
 StoreItem toItem(const json& _json)
 {
 	return {_json.value("key", ""), _json.value("value", ""), _json.value("revision", uint64_t(0)),
-	        _json.value("deleted", false)};
+			_json.value("deleted", false)};
 }
 
 StoreList toList(const json& _json)
@@ -90,14 +90,14 @@
 }
 
 CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
-                   uint64_t _expected, uint64_t& _revision)
+				   uint64_t _expected, uint64_t& _revision)
 {
 	++_client.stats.writes;
 	try
 	{
 		const json answer =
-		    callStore(_client, _client.http, "/kv/cas",
-		              {{"key", _key}, {"value", _value}, {"expected", _expected}}, kStoreTimeoutMs);
+			callStore(_client, _client.http, "/kv/cas",
+					  {{"key", _key}, {"value", _value}, {"expected", _expected}}, kStoreTimeoutMs);
 		_revision = answer.value("revision", uint64_t(0));
 		return answer.value("ok", false) ? CasResult::Done : CasResult::Conflict;
 	}
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -63,7 +63,7 @@
 /// @param[out] _revision The new revision when done.
 /// @throws Failure(StoreUnavailable) if the store certainly did not take it.
 CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
-                   uint64_t _expected, uint64_t& _revision);
+				   uint64_t _expected, uint64_t& _revision);
 } // namespace spanplank
 
 #endif // SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -88,7 +88,7 @@
 } // namespace
 
 UpstreamEnd forwardWork(HttpClient& _client, const Submit& _submit, uint32_t _timeoutMs,
-                        const UpstreamHandlers& _handlers, HttpCancel& _cancel)
+						const UpstreamHandlers& _handlers, HttpCancel& _cancel)
 {
 	HttpCall request = _submit.service.empty() ? engineCall(_submit) : serviceCall(_submit);
 	request.timeoutMs = _timeoutMs;
@@ -98,23 +98,22 @@
 	bool started = false;
 	std::string tail;
 	const HttpResponse response = call(
-	    _client, request,
-	    [&](const HttpResponse& _head, std::string_view _part)
-	    {
-		    if (!started)
-		    {
-			    started = true;
-			    _handlers.onStart(_head.status, contentTypeOf(_head));
-		    }
-		    tail.append(_part);
-		    const bool whole = !_submit.stream && tail.size() <= (1u << 20);
-		    if (!whole && tail.size() > kTailBytes)
-		    {
-			    tail.erase(0, tail.size() - kTailBytes);
-		    }
-		    _handlers.onPart(std::string(_part));
-	    },
-	    &_cancel);
+		_client, request,
+		[&](const HttpResponse& _head, std::string_view _part) {
+			if (!started)
+			{
+				started = true;
+				_handlers.onStart(_head.status, contentTypeOf(_head));
+			}
+			tail.append(_part);
+			const bool whole = !_submit.stream && tail.size() <= (1u << 20);
+			if (!whole && tail.size() > kTailBytes)
+			{
+				tail.erase(0, tail.size() - kTailBytes);
+			}
+			_handlers.onPart(std::string(_part));
+		},
+		&_cancel);
 	if (!started)
 	{
 		_handlers.onStart(response.status, contentTypeOf(response));
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -14,7 +14,7 @@
 {
 	const bool alone = _queue.running.empty(); // A request larger than the memory still gets its turn, alone.
 	return _queue.running.size() < _queue.limits.slots &&
-	       (alone || _queue.runningTokens + _tokens <= _queue.limits.kvTokens);
+		   (alone || _queue.runningTokens + _tokens <= _queue.limits.kvTokens);
 }
 
 /// Expected seconds that the work takes in its slot.
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -13,7 +13,7 @@
 constexpr uint32_t kLateRetryMs = 1000;
 
 void drainGuard(AgentCore& _core, GuardActions& _guardActions, TimeUs _now, int64_t _wallMs,
-                AgentActions& _actions);
+				AgentActions& _actions);
 
 bool hasText(const std::vector<std::string>& _list, std::string_view _text)
 {
@@ -81,7 +81,7 @@
 	if (_submit.revision > _core.config.revision)
 	{
 		return Refusal{ErrorCode::ConfigBehind, RunState::No, kStoppingRetryMs,
-		               "the agent has not the configuration that the router judged by"};
+					   "the agent has not the configuration that the router judged by"};
 	}
 	if (_core.bills.count >= _core.init.maxUnflushedBills)
 	{
@@ -123,7 +123,7 @@
 }
 
 void refuseWork(AgentCore& _core, WorkId _id, const Refusal& _refusal, TimeUs _now, int64_t _wallMs,
-                AgentActions& _actions)
+				AgentActions& _actions)
 {
 	const Work work = _core.works.at(_id.idx);
 	dropWork(_core, _id, 0, 0.0);
@@ -144,7 +144,7 @@
 
 /// The last gate: judged again, paid for, forwarded.
 void startWork(AgentCore& _core, WorkId _id, bool _judgeAgain, TimeUs _now, int64_t _wallMs,
-               AgentActions& _actions)
+			   AgentActions& _actions)
 {
 	Work& work = _core.works.at(_id.idx);
 	std::optional<Refusal> refusal;
@@ -155,7 +155,7 @@
 	if (!refusal && !payExposure(_core, work.submit))
 	{
 		refusal = Refusal{ErrorCode::ExposureSpent, RunState::No, kExposureRetryMs,
-		                  "the candidate may give no more answers until ratings are in"};
+						  "the candidate may give no more answers until ratings are in"};
 	}
 	if (refusal)
 	{
@@ -201,7 +201,7 @@
 
 /// Takes judged work into the queue, or starts it.
 void admitWork(AgentCore& _core, LinkId _from, const Submit& _submit, std::string _guardKey, TimeUs _now,
-               int64_t _wallMs, AgentActions& _actions)
+			   int64_t _wallMs, AgentActions& _actions)
 {
 	const WorkId id{_core.nextWork++};
 	const TimeUs deadline = _now + TimeUs(_submit.deadlineMs) * kMsToUs;
@@ -212,7 +212,7 @@
 	work.guardKey = std::move(_guardKey);
 	const AdmissionResult result = admit(_core.queue, demandOf(_core, id, _submit, deadline), _now);
 	const Refusal overloaded{ErrorCode::Overloaded, RunState::No, result.retryAfterMs,
-	                         "it would not be done in time"};
+							 "it would not be done in time"};
 	if (result.evicted)
 	{
 		refuseWork(_core, *result.evicted, overloaded, _now, _wallMs, _actions);
@@ -229,7 +229,7 @@
 
 /// The answer of a run-once call, sent whole to one waiter.
 void sendWhole(const CallWaiter& _waiter, const CallAnswer& _answer, const Bill& _bill,
-               AgentActions& _actions)
+			   AgentActions& _actions)
 {
 	_actions.push_back(ReplyStart{_waiter.link, {_waiter.attempt, _answer.status, _answer.contentType}});
 	_actions.push_back(ReplyPart{_waiter.link, {_waiter.attempt, 0, _answer.body}});
@@ -254,7 +254,7 @@
 
 /// Turns the guard's actions into the agent's.
 void drainGuard(AgentCore& _core, GuardActions& _guardActions, TimeUs _now, int64_t _wallMs,
-                AgentActions& _actions)
+				AgentActions& _actions)
 {
 	const GuardActions drained = std::move(_guardActions);
 	_guardActions.clear();
@@ -297,7 +297,7 @@
 }
 
 void submitGuarded(AgentCore& _core, LinkId _from, const Submit& _submit, TimeUs _now, int64_t _wallMs,
-                   AgentActions& _actions)
+				   AgentActions& _actions)
 {
 	const std::string body = _submit.method + " " + _submit.path + "\n" + _submit.body;
 	GuardedCall guarded;
@@ -330,7 +330,7 @@
 
 /// Ends guarded work; the bill goes to the first waiter, whose call it was that ran.
 void finishGuarded(AgentCore& _core, const std::string& _key, const CallAnswer& _answer, const Bill& _bill,
-                   TimeUs _now, int64_t _wallMs, AgentActions& _actions)
+				   TimeUs _now, int64_t _wallMs, AgentActions& _actions)
 {
 	GuardActions guardActions;
 	finish(_core.guard, _key, _answer, guardActions);
@@ -364,7 +364,7 @@
 }
 
 void onSubmit(AgentCore& _core, LinkId _from, const Submit& _submit, TimeUs _now, int64_t _wallMs,
-              AgentActions& _actions)
+			  AgentActions& _actions)
 {
 	++_core.stats.submitted;
 	const TimeUs deadline = _now + TimeUs(_submit.deadlineMs) * kMsToUs;
@@ -382,7 +382,7 @@
 }
 
 void onCancel(AgentCore& _core, LinkId _from, uint64_t _attempt, TimeUs _now, int64_t _wallMs,
-              AgentActions& _actions)
+			  AgentActions& _actions)
 {
 	for (auto& [idx, work] : _core.works)
 	{
@@ -422,7 +422,7 @@
 }
 
 void onUpstreamStart(AgentCore& _core, WorkId _work, int _status, const std::string& _contentType,
-                     AgentActions& _actions)
+					 AgentActions& _actions)
 {
 	const auto found = _core.works.find(_work.idx);
 	if (found == _core.works.end())
@@ -460,7 +460,7 @@
 }
 
 void onUpstreamEnd(AgentCore& _core, WorkId _work, const UpstreamEnd& _end, TimeUs _now, int64_t _wallMs,
-                   AgentActions& _actions)
+				   AgentActions& _actions)
 {
 	const auto found = _core.works.find(_work.idx);
 	if (found == _core.works.end())
@@ -480,13 +480,13 @@
 	else if (!work.abandoned)
 	{
 		_actions.push_back(
-		    ReplyEnd{work.link, {work.submit.attempt, work.parts, _end.confidence, false, bill}});
+			ReplyEnd{work.link, {work.submit.attempt, work.parts, _end.confidence, false, bill}});
 	}
 	startWaiting(_core, _now, _wallMs, _actions);
 }
 
 void onUpstreamFailed(AgentCore& _core, WorkId _work, bool _sent, const std::string& _detail, TimeUs _now,
-                      int64_t _wallMs, AgentActions& _actions)
+					  int64_t _wallMs, AgentActions& _actions)
 {
 	const auto found = _core.works.find(_work.idx);
 	if (found == _core.works.end())
@@ -515,7 +515,7 @@
 }
 
 IntentReply onIntent(AgentCore& _core, const Intent& _intent, TimeUs _now, int64_t _wallMs,
-                     AgentActions& _actions)
+					 AgentActions& _actions)
 {
 	GuardActions guardActions;
 	IntentReply reply = handleIntent(_core.guard, _intent, _now, _wallMs, guardActions);
@@ -524,7 +524,7 @@
 }
 
 void onIntentReply(AgentCore& _core, const std::string& _from, const IntentReply& _reply, TimeUs _now,
-                   int64_t _wallMs, AgentActions& _actions)
+				   int64_t _wallMs, AgentActions& _actions)
 {
 	GuardActions guardActions;
 	handleIntentReply(_core.guard, _from, _reply, _now, guardActions);
@@ -544,7 +544,7 @@
 }
 
 RolloutVerdict onRatings(AgentCore& _core, const std::string& _version, const RatingTally& _tally,
-                         AgentActions& _actions)
+						 AgentActions& _actions)
 {
 	const Rollout* rollout = rolloutOf(_core.config, _version);
 	const auto version = _core.config.versions.find(_version);
@@ -554,7 +554,7 @@
 	}
 	const RolloutVerdict verdict = judgeRatings(_tally, *rollout);
 	const Halt halt{_version, version->second.generation,
-	                fmt::format("{} bad of {} ratings", _tally.bad, _tally.good + _tally.bad)};
+					fmt::format("{} bad of {} ratings", _tally.bad, _tally.good + _tally.bad)};
 	if (verdict == RolloutVerdict::Halt && onHalt(_core, halt))
 	{
 		_actions.push_back(AnnounceHalt{halt});
--- a/src/core/billing.cpp
+++ b/src/core/billing.cpp
@@ -10,8 +10,8 @@
 void insertSeq(std::vector<SeqRange>& _ranges, uint64_t _seq)
 {
 	auto next =
-	    std::lower_bound(_ranges.begin(), _ranges.end(), _seq,
-	                     [](const SeqRange& _range, uint64_t _value) { return _range.last < _value; });
+		std::lower_bound(_ranges.begin(), _ranges.end(), _seq,
+						 [](const SeqRange& _range, uint64_t _value) { return _range.last < _value; });
 	const bool joinsNext = next != _ranges.end() && next->first == _seq + 1;
 	const bool joinsPrevious = next != _ranges.begin() && std::prev(next)->last + 1 == _seq;
 	if (joinsPrevious && joinsNext)
@@ -37,8 +37,8 @@
 bool isCounted(const BillingLedger& _ledger, uint64_t _seq)
 {
 	const auto range =
-	    std::lower_bound(_ledger.counted.begin(), _ledger.counted.end(), _seq,
-	                     [](const SeqRange& _range, uint64_t _value) { return _range.last < _value; });
+		std::lower_bound(_ledger.counted.begin(), _ledger.counted.end(), _seq,
+						 [](const SeqRange& _range, uint64_t _value) { return _range.last < _value; });
 	return range != _ledger.counted.end() && range->first <= _seq;
 }
 
--- a/src/core/config_replica.cpp
+++ b/src/core/config_replica.cpp
@@ -131,7 +131,7 @@
 		}
 	}
 	std::sort(update.changes.begin(), update.changes.end(),
-	          [](const Resource& _a, const Resource& _b) { return _a.revision < _b.revision; });
+			  [](const Resource& _a, const Resource& _b) { return _a.revision < _b.revision; });
 	return update;
 }
 
--- a/src/core/errors.cpp
+++ b/src/core/errors.cpp
@@ -13,15 +13,15 @@
 };
 
 constexpr std::array<ErrorRow, size_t(ErrorCode::Count)> kErrors = {{
-    {"bad_request", 400},       {"bad_key", 401},           {"not_allowed", 403},
-    {"unknown_model", 404},     {"unknown_service", 404},   {"oversize", 413},
-    {"deadline_passed", 408},   {"version_withdrawn", 410}, {"session_invalid", 400},
-    {"no_upstream", 503},       {"overloaded", 429},        {"exposure_spent", 503},
-    {"upstream_lost", 502},     {"upstream_failed", 502},   {"key_reused", 422},
-    {"in_doubt", 409},          {"home_changing", 503},     {"config_behind", 503},
-    {"stopping", 503},          {"cancelled", 499},         {"store_unavailable", 503},
-    {"revision_conflict", 409}, {"not_found", 404},         {"link_refused", 403},
-    {"bills_full", 503},        {"internal", 500},
+	{"bad_request", 400},       {"bad_key", 401},           {"not_allowed", 403},
+	{"unknown_model", 404},     {"unknown_service", 404},   {"oversize", 413},
+	{"deadline_passed", 408},   {"version_withdrawn", 410}, {"session_invalid", 400},
+	{"no_upstream", 503},       {"overloaded", 429},        {"exposure_spent", 503},
+	{"upstream_lost", 502},     {"upstream_failed", 502},   {"key_reused", 422},
+	{"in_doubt", 409},          {"home_changing", 503},     {"config_behind", 503},
+	{"stopping", 503},          {"cancelled", 499},         {"store_unavailable", 503},
+	{"revision_conflict", 409}, {"not_found", 404},         {"link_refused", 403},
+	{"bills_full", 503},        {"internal", 500},
 }};
 } // namespace
 
@@ -58,7 +58,7 @@
 }
 
 Failure::Failure(ErrorCode _code, std::string _detail)
-    : Failure(Refusal{_code, RunState::No, 0, std::move(_detail)})
+	: Failure(Refusal{_code, RunState::No, 0, std::move(_detail)})
 {
 }
 } // namespace spanplank
--- a/src/core/exposure.cpp
+++ b/src/core/exposure.cpp
@@ -12,7 +12,7 @@
 double logRatio(const RatingTally& _tally, double _from, double _to)
 {
 	return double(_tally.bad) * std::log(_to / _from) +
-	       double(_tally.good) * std::log((1.0 - _to) / (1.0 - _from));
+		   double(_tally.good) * std::log((1.0 - _to) / (1.0 - _from));
 }
 
 double clampRate(double _rate)
@@ -25,7 +25,7 @@
 {
 	const double base = clampRate(_rollout.badRate);
 	const std::array<double, 3> worse = {clampRate(std::max(_rollout.haltRate, base * 1.5)),
-	                                     clampRate(std::max(0.4, base * 1.5)), 0.95};
+										 clampRate(std::max(0.4, base * 1.5)), 0.95};
 	// A mean of martingales is a martingale: each worse rate gets a third of the stake.
 	double largest = std::numeric_limits<double>::lowest();
 	std::array<double, 3> logs{};
@@ -66,8 +66,7 @@
 	constexpr double kSevereRate = 0.5;
 	const double base = clampRate(_badRate);
 	const double halt = clampRate(std::max(_haltRate, base * 1.5));
-	const auto add = [&](double& _sum, double _rate)
-	{
+	const auto add = [&](double& _sum, double _rate) {
 		_sum = std::max(0.0, _sum + logRatio({_news.good, 0}, base, _rate));
 		_sum = std::max(0.0, _sum + logRatio({0, _news.bad}, base, _rate));
 	};
@@ -85,7 +84,7 @@
 }
 
 uint64_t grantable(const ExposureLedger& _ledger, const RatingTally& _tally, const Rollout& _rollout,
-                   uint64_t _want)
+				   uint64_t _want)
 {
 	if (_rollout.paused || judgeRatings(_tally, _rollout) == RolloutVerdict::Halt)
 	{
--- a/src/core/resources.cpp
+++ b/src/core/resources.cpp
@@ -35,30 +35,30 @@
 const std::vector<KindRule>& kindRules()
 {
 	static const std::vector<KindRule> s_rules = {
-	    {kKindAccount,
-	     {{"keyHashes", FieldType::TextList, true},
-	      {"allowed", FieldType::TextList, true},
-	      {"weight", FieldType::Number, false}}},
-	    {kKindModel, {{"quality", FieldType::Share, false}}},
-	    {kKindVersion,
-	     {{"model", FieldType::Text, true},
-	      {"state", FieldType::State, false},
-	      {"generation", FieldType::Count, false},
-	      {"costPerKiloToken", FieldType::Number, false},
-	      {"badRate", FieldType::Share, false},
-	      {"haltRate", FieldType::Share, false}}},
-	    {kKindCascade,
-	     {{"steps", FieldType::TextList, true},
-	      {"qualityTarget", FieldType::Share, false},
-	      {"confidence", FieldType::Share, false}}},
-	    {kKindRollout,
-	     {{"candidate", FieldType::Text, true},
-	      {"exposure", FieldType::Count, false},
-	      {"share", FieldType::Share, false},
-	      {"badRate", FieldType::Share, false},
-	      {"haltRate", FieldType::Share, false},
-	      {"paused", FieldType::Flag, false}}},
-	    {kKindService, {{"repeatable", FieldType::Flag, false}}},
+		{kKindAccount,
+		 {{"keyHashes", FieldType::TextList, true},
+		  {"allowed", FieldType::TextList, true},
+		  {"weight", FieldType::Number, false}}},
+		{kKindModel, {{"quality", FieldType::Share, false}}},
+		{kKindVersion,
+		 {{"model", FieldType::Text, true},
+		  {"state", FieldType::State, false},
+		  {"generation", FieldType::Count, false},
+		  {"costPerKiloToken", FieldType::Number, false},
+		  {"badRate", FieldType::Share, false},
+		  {"haltRate", FieldType::Share, false}}},
+		{kKindCascade,
+		 {{"steps", FieldType::TextList, true},
+		  {"qualityTarget", FieldType::Share, false},
+		  {"confidence", FieldType::Share, false}}},
+		{kKindRollout,
+		 {{"candidate", FieldType::Text, true},
+		  {"exposure", FieldType::Count, false},
+		  {"share", FieldType::Share, false},
+		  {"badRate", FieldType::Share, false},
+		  {"haltRate", FieldType::Share, false},
+		  {"paused", FieldType::Flag, false}}},
+		{kKindService, {{"repeatable", FieldType::Flag, false}}},
 	};
 	return s_rules;
 }
@@ -86,25 +86,25 @@
 	{
 	case FieldType::Text:
 		return _value.is_string() && !_value.get_ref<const std::string&>().empty() ? nullptr
-		                                                                           : "must be a text";
+																				   : "must be a text";
 	case FieldType::TextList:
 		return isTextList(_value) ? nullptr : "must be a list of texts";
 	case FieldType::Number:
 		return _value.is_number() && _value.get<double>() > 0 ? nullptr : "must be a number above 0";
 	case FieldType::Share:
 		return _value.is_number() && _value.get<double>() >= 0 && _value.get<double>() <= 1
-		           ? nullptr
-		           : "must be a number from 0 to 1";
+				   ? nullptr
+				   : "must be a number from 0 to 1";
 	case FieldType::Count:
 		return _value.is_number_integer() && _value.get<int64_t>() >= 1 && _value.get<int64_t>() <= 1000000
-		           ? nullptr
-		           : "must be a whole number from 1 to 1000000";
+				   ? nullptr
+				   : "must be a whole number from 1 to 1000000";
 	case FieldType::Flag:
 		return _value.is_boolean() ? nullptr : "must be true or false";
 	case FieldType::State:
 		return _value == "candidate" || _value == "serving" || _value == "retiring" || _value == "withdrawn"
-		           ? nullptr
-		           : "must be candidate, serving, retiring or withdrawn";
+				   ? nullptr
+				   : "must be candidate, serving, retiring or withdrawn";
 	}
 	return "has no rule";
 }
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -89,14 +89,14 @@
 }
 
 std::vector<std::string> servingVersions(const RouterCore& _core, const RequestState& _request,
-                                         const std::string& _name, VersionState _state)
+										 const std::string& _name, VersionState _state)
 {
 	std::vector<std::string> names;
 	for (const auto& [versionName, version] : _core.config.versions)
 	{
 		const bool named = versionName == _name || version.model == _name;
 		if (named && version.state == _state && mayServe(_core.config, versionName, false) &&
-		    allowsVersion(_core.config, _request.account, versionName))
+			allowsVersion(_core.config, _request.account, versionName))
 		{
 			names.push_back(versionName);
 		}
@@ -125,7 +125,7 @@
 }
 
 UpstreamId pickAmong(RouterCore& _core, const RequestState& _request,
-                     const std::vector<uint32_t>& _candidates, TimeUs _now)
+					 const std::vector<uint32_t>& _candidates, TimeUs _now)
 {
 	if (!_core.init.loadAware)
 	{
@@ -144,14 +144,14 @@
 
 /// @returns Upstreams that have the version or service and have not failed this request.
 std::vector<uint32_t> upstreamsWith(const RouterCore& _core, const RequestState& _request,
-                                    const std::string& _version, TimeUs _now)
+									const std::string& _version, TimeUs _now)
 {
 	std::vector<uint32_t> found;
 	for (uint32_t ii = 0; ii < _core.upstreams.size(); ++ii)
 	{
 		const UpstreamState& upstream = _core.upstreams[ii];
 		const std::vector<std::string>& offers =
-		    _request.caller.service.empty() ? upstream.info.versions : upstream.info.services;
+			_request.caller.service.empty() ? upstream.info.versions : upstream.info.services;
 		const auto spent = upstream.exposureSpentUntil.find(_version);
 		const bool exhausted = spent != upstream.exposureSpentUntil.end() && spent->second > _now;
 		if (takesWork(upstream) && hasText(offers, _version) && !exhausted && _request.tried.count(ii) == 0)
@@ -179,7 +179,7 @@
 
 /// The home of a run-once call, if its link is up.
 UpstreamId homeOf(const RouterCore& _core, const RequestState& _request, const std::string& _what,
-                  const std::string& _key)
+				  const std::string& _key)
 {
 	const bool service = !_request.caller.service.empty();
 	const auto table = _core.tables.find(poolWith(_core, service, _what));
@@ -202,7 +202,7 @@
 std::string stepKey(const RequestState& _request)
 {
 	return _request.step == 0 ? _request.caller.key
-	                          : fmt::format("{}#{}", _request.caller.key, _request.step);
+							  : fmt::format("{}#{}", _request.caller.key, _request.step);
 }
 
 /// What a run-once key is scoped by: the service, or the name that the caller asked for.
@@ -215,7 +215,7 @@
 {
 	const Rollout* rollout = rolloutOf(_core.config, _version);
 	if (rollout == nullptr || rollout->paused || !_request.caller.session.empty() ||
-	    !_request.caller.key.empty() || _request.offeredCandidate)
+		!_request.caller.key.empty() || _request.offeredCandidate)
 	{
 		return false;
 	}
@@ -255,16 +255,16 @@
 		const std::string& service = _request.caller.service;
 		const std::string key = callKey(_request.account, keyScope(_request), stepKey(_request));
 		const UpstreamId upstream =
-		    _runOnce ? homeOf(_core, _request, service, key)
-		             : pickAmong(_core, _request, upstreamsWith(_core, _request, service, _now), _now);
+			_runOnce ? homeOf(_core, _request, service, key)
+					 : pickAmong(_core, _request, upstreamsWith(_core, _request, service, _now), _now);
 		return {"", upstream};
 	}
 	const std::string key = _runOnce ? callKey(_request.account, keyScope(_request), stepKey(_request)) : "";
 	for (const std::string& version : versionOrder(_core, _request))
 	{
 		const UpstreamId upstream =
-		    _runOnce ? homeOf(_core, _request, version, key)
-		             : pickAmong(_core, _request, upstreamsWith(_core, _request, version, _now), _now);
+			_runOnce ? homeOf(_core, _request, version, key)
+					 : pickAmong(_core, _request, upstreamsWith(_core, _request, version, _now), _now);
 		if (isValid(upstream))
 		{
 			return {version, upstream};
@@ -274,7 +274,7 @@
 }
 
 Submit makeSubmit(RouterCore& _core, const RequestState& _request, const Target& _target, bool _runOnce,
-                  TimeUs _now)
+				  TimeUs _now)
 {
 	const CallerRequest& caller = _request.caller;
 	Submit submit;
@@ -309,7 +309,7 @@
 	if (_runOnce)
 	{
 		return {ErrorCode::HomeChanging, RunState::No, kHomeChangeRetryMs,
-		        "the home of the key is not reached"};
+				"the home of the key is not reached"};
 	}
 	if (_request.caller.service.empty() && _request.sessionVersion.empty())
 	{
@@ -318,7 +318,7 @@
 		if (!serving)
 		{
 			return {ErrorCode::VersionWithdrawn, RunState::No, 0,
-			        fmt::format("no version of '{}' is serving", step)};
+					fmt::format("no version of '{}' is serving", step)};
 		}
 	}
 	return {ErrorCode::NoUpstream, RunState::No, kNoUpstreamRetryMs, "no upstream takes it now"};
@@ -391,7 +391,7 @@
 
 /// Tries again elsewhere if that is allowed, else gives up.
 void retryOrGiveUp(RouterCore& _core, RequestId _id, const Refusal& _refusal, bool _free, TimeUs _now,
-                   RouterActions& _actions)
+				   RouterActions& _actions)
 {
 	RequestState& request = _core.requests.at(_id.idx);
 	const bool ran = _refusal.run == RunState::Unknown;
@@ -459,7 +459,7 @@
 	const auto version = _core.config.versions.find(_request.version);
 	const uint32_t generation = version == _core.config.versions.end() ? 0 : version->second.generation;
 	const SessionToken token{_request.account, _request.version, generation, _wallMs,
-	                         fmt::format("{:016x}", nextRandom(_core.random))};
+							 fmt::format("{:016x}", nextRandom(_core.random))};
 	return signSession(token, _core.init.sessionKeys.front());
 }
 
@@ -499,10 +499,10 @@
 		return;
 	}
 	const SessionToken token =
-	    openSession(_request.caller.session, _core.init.sessionKeys, _request.account, _wallMs);
+		openSession(_request.caller.session, _core.init.sessionKeys, _request.account, _wallMs);
 	const auto version = _core.config.versions.find(token.version);
 	const bool same =
-	    version != _core.config.versions.end() && version->second.generation == token.generation;
+		version != _core.config.versions.end() && version->second.generation == token.generation;
 	if (!same || !mayServe(_core.config, token.version, true))
 	{
 		throw Failure(ErrorCode::VersionWithdrawn, "the session's version has been withdrawn");
@@ -525,13 +525,13 @@
 		throw Failure(ErrorCode::UnknownModel, fmt::format("'{}' is not known", model));
 	}
 	const bool allowed = allowsName(_core.config, _request.account, model) ||
-	                     (isVersion && allowsVersion(_core.config, _request.account, model));
+						 (isVersion && allowsVersion(_core.config, _request.account, model));
 	if (!allowed)
 	{
 		throw Failure(ErrorCode::NotAllowed, fmt::format("the account may not use '{}'", model));
 	}
 	_request.steps =
-	    cascade == _core.config.cascades.end() ? std::vector<std::string>{model} : cascade->second.steps;
+		cascade == _core.config.cascades.end() ? std::vector<std::string>{model} : cascade->second.steps;
 }
 
 void resolveService(const RouterCore& _core, const RequestState& _request)
@@ -600,7 +600,7 @@
 	for (const std::string& name : account->second.allowed)
 	{
 		const bool known = _config.models.count(name) != 0 || _config.versions.count(name) != 0 ||
-		                   _config.cascades.count(name) != 0;
+						   _config.cascades.count(name) != 0;
 		if (known)
 		{
 			names.push_back(name);
@@ -610,7 +610,7 @@
 }
 
 void arrive(RouterCore& _core, RequestId _id, const CallerRequest& _request, TimeUs _now, int64_t _wallMs,
-            RouterActions& _actions)
+			RouterActions& _actions)
 {
 	++_core.stats.requests;
 	RequestState& request = _core.requests[_id.idx];
@@ -689,7 +689,7 @@
 	{
 		closeAttempt(_core, _core.requests.at(id), true);
 		const Refusal refusal{ErrorCode::UpstreamLost, RunState::Unknown, kNoUpstreamRetryMs,
-		                      "the upstream was lost"};
+							  "the upstream was lost"};
 		retryOrGiveUp(_core, RequestId{id}, refusal, false, _now, _actions);
 	}
 }
@@ -742,7 +742,7 @@
 }
 
 void onPart(RouterCore& _core, UpstreamId _from, const AnswerPart& _part, int64_t _wallMs,
-            RouterActions& _actions)
+			RouterActions& _actions)
 {
 	RequestId id;
 	RequestState* request = requestOf(_core, _from, _part.attempt, id);
@@ -755,13 +755,13 @@
 		_actions.push_back(SendCancel{_from, _part.attempt});
 		closeAttempt(_core, *request, true);
 		giveUp(_core, id,
-		       {ErrorCode::UpstreamFailed, RunState::Unknown, 0, "a part of the answer is missing"},
-		       _actions);
+			   {ErrorCode::UpstreamFailed, RunState::Unknown, 0, "a part of the answer is missing"},
+			   _actions);
 		return;
 	}
 	++request->parts;
 	const bool streamed = request->caller.stream && isLastStep(*request) && request->head.status == 200 &&
-	                      !isRunOnce(_core, *request);
+						  !isRunOnce(_core, *request);
 	if (!streamed)
 	{
 		request->buffer.append(_part.data);
@@ -777,7 +777,7 @@
 }
 
 void onEnd(RouterCore& _core, UpstreamId _from, const AnswerEnd& _end, TimeUs _now, int64_t _wallMs,
-           RouterActions& _actions)
+		   RouterActions& _actions)
 {
 	RequestId id;
 	RequestState* request = requestOf(_core, _from, _end.attempt, id);
@@ -789,7 +789,7 @@
 	if (request->parts != _end.parts)
 	{
 		retryOrGiveUp(_core, id, {ErrorCode::UpstreamFailed, RunState::Unknown, 0, "the answer is not whole"},
-		              false, _now, _actions);
+					  false, _now, _actions);
 		return;
 	}
 	keepBill(_core.bills, _end.bill);
@@ -814,7 +814,7 @@
 }
 
 void onRefused(RouterCore& _core, UpstreamId _from, const AnswerRefused& _refused, TimeUs _now, int64_t,
-               RouterActions& _actions)
+			   RouterActions& _actions)
 {
 	RequestId id;
 	RequestState* request = requestOf(_core, _from, _refused.attempt, id);
@@ -825,20 +825,20 @@
 	const ErrorCode code = errorCode(_refused.code);
 	closeAttempt(_core, *request, _refused.mayHaveRun);
 	const Refusal refusal{code, _refused.mayHaveRun ? RunState::Unknown : RunState::No, _refused.retryAfterMs,
-	                      _refused.detail};
+						  _refused.detail};
 	if (code == ErrorCode::ExposureSpent)
 	{
 		_core.upstreams[_from.idx].exposureSpentUntil[request->version] = _now + kExposureBackoff;
 	}
 	const bool free = code == ErrorCode::ExposureSpent || code == ErrorCode::VersionWithdrawn ||
-	                  code == ErrorCode::Stopping || code == ErrorCode::ConfigBehind ||
-	                  code == ErrorCode::HomeChanging;
+					  code == ErrorCode::Stopping || code == ErrorCode::ConfigBehind ||
+					  code == ErrorCode::HomeChanging;
 	if (code == ErrorCode::Stopping)
 	{
 		_core.upstreams[_from.idx].leaving = true;
 	}
 	const bool final = code == ErrorCode::KeyReused || code == ErrorCode::InDoubt ||
-	                   code == ErrorCode::NotAllowed || code == ErrorCode::BadRequest;
+					   code == ErrorCode::NotAllowed || code == ErrorCode::BadRequest;
 	if (final)
 	{
 		request->mayHaveRun = request->mayHaveRun || _refused.mayHaveRun;
@@ -872,7 +872,7 @@
 			closeAttempt(_core, request, false);
 		}
 		giveUp(_core, RequestId{id}, {ErrorCode::DeadlinePassed, RunState::No, 0, "the deadline has come"},
-		       _actions);
+			   _actions);
 	}
 	std::vector<uint64_t> parked;
 	for (const auto& [id, request] : _core.requests)
--- a/src/core/routing.cpp
+++ b/src/core/routing.cpp
@@ -27,7 +27,7 @@
 }
 
 uint32_t pickUpstream(absl::Span<const UpstreamLoad> _loads, uint32_t _promptTokens,
-                      const EngineCosts& _costs, Random& _random)
+					  const EngineCosts& _costs, Random& _random)
 {
 	const auto count = uint32_t(_loads.size());
 	if (count == 0)
@@ -36,8 +36,7 @@
 	}
 	uint32_t best = kInvalidIdx;
 	double bestTime = 0.0;
-	const auto consider = [&](uint32_t _idx)
-	{
+	const auto consider = [&](uint32_t _idx) {
 		const double time = expectedFirstToken(_loads[_idx], _promptTokens, _costs);
 		if (best == kInvalidIdx || time < bestTime)
 		{
@@ -86,7 +85,7 @@
 }
 
 uint32_t prefixHit(const PrefixTable& _table, absl::Span<const uint64_t> _blocks, UpstreamId _upstream,
-                   TimeUs _now)
+				   TimeUs _now)
 {
 	uint32_t tokens = 0;
 	for (const uint64_t block : _blocks)
@@ -97,10 +96,9 @@
 			break;
 		}
 		const auto& seen = found->second.seen;
-		const bool hit =
-		    std::any_of(std::begin(seen), std::end(seen),
-		                [&](const PrefixTable::Seen& _seen)
-		                { return _seen.upstream == _upstream && _now - _seen.at < _table.lifetime; });
+		const bool hit = std::any_of(std::begin(seen), std::end(seen), [&](const PrefixTable::Seen& _seen) {
+			return _seen.upstream == _upstream && _now - _seen.at < _table.lifetime;
+		});
 		if (!hit)
 		{
 			break;
--- a/src/core/run_once.cpp
+++ b/src/core/run_once.cpp
@@ -108,8 +108,8 @@
 	if (_entry.record.bodyHash != _call.bodyHash)
 	{
 		refuse(_guard, _call.waiter,
-		       Refusal{ErrorCode::KeyReused, RunState::No, 0, "the key was used with another body"},
-		       _actions);
+			   Refusal{ErrorCode::KeyReused, RunState::No, 0, "the key was used with another body"},
+			   _actions);
 		return;
 	}
 	switch (_entry.record.state)
@@ -300,7 +300,7 @@
 }
 
 void begin(RunOnceGuard& _guard, const GuardedCall& _call, TimeUs _now, int64_t _wallMs,
-           GuardActions& _actions)
+		   GuardActions& _actions)
 {
 	const auto known = _guard.entries.find(_call.key);
 	if (known != _guard.entries.end())
@@ -324,7 +324,7 @@
 		return;
 	}
 	_actions.push_back(SendIntent{
-	    entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, entry.record.ask, _guard.table}});
+		entry.askedOf, Intent{_call.key, _call.bodyHash, _guard.self, entry.record.ask, _guard.table}});
 }
 
 void finish(RunOnceGuard& _guard, const std::string& _key, const CallAnswer& _answer, GuardActions& _actions)
@@ -347,9 +347,9 @@
 		if (_answer.unknown)
 		{
 			refuse(
-			    _guard, waiter,
-			    Refusal{ErrorCode::UpstreamLost, RunState::Unknown, 0, "the upstream was lost while it ran"},
-			    _actions);
+				_guard, waiter,
+				Refusal{ErrorCode::UpstreamLost, RunState::Unknown, 0, "the upstream was lost while it ran"},
+				_actions);
 			continue;
 		}
 		_actions.push_back(ReplayAnswer{waiter, _answer});
@@ -367,13 +367,13 @@
 	if (!found->second.askedOf.empty())
 	{
 		_actions.push_back(
-		    SendOutcome{found->second.askedOf, Outcome{_key, found->second.record.ask, true, {}}});
+			SendOutcome{found->second.askedOf, Outcome{_key, found->second.record.ask, true, {}}});
 	}
 	eraseEntry(_guard, _key);
 }
 
 IntentReply handleIntent(RunOnceGuard& _guard, const Intent& _intent, TimeUs _now, int64_t _wallMs,
-                         GuardActions& _actions)
+						 GuardActions& _actions)
 {
 	IntentReply reply;
 	reply.key = _intent.key;
@@ -386,7 +386,7 @@
 	}
 	const std::vector<size_t> rank = rankMembers(_guard.table.members, _intent.key);
 	const bool ranksMatch = rank.size() >= 2 && _guard.table.members[rank[0]].incarnation == _intent.owner &&
-	                        _guard.table.members[rank[1]].incarnation == _guard.self;
+							_guard.table.members[rank[1]].incarnation == _guard.self;
 	if (!ranksMatch || _guard.resigned)
 	{
 		return reply;
@@ -420,11 +420,11 @@
 }
 
 void handleIntentReply(RunOnceGuard& _guard, const std::string& _from, const IntentReply& _reply, TimeUs _now,
-                       GuardActions& _actions)
+					   GuardActions& _actions)
 {
 	const auto found = _guard.entries.find(_reply.key);
 	const bool waiting = found != _guard.entries.end() && found->second.record.state == CallState::Asking &&
-	                     found->second.askedOf == _from && found->second.record.ask == _reply.ask;
+						 found->second.askedOf == _from && found->second.record.ask == _reply.ask;
 	if (!waiting)
 	{
 		adoptTable(_guard, _reply.table, _now, _actions);
@@ -458,7 +458,7 @@
 			continue;
 		}
 		answerKnown(_guard, merged->second, GuardedCall{_reply.key, bodyHash, std::nullopt, waiter},
-		            _actions);
+					_actions);
 	}
 }
 
@@ -466,7 +466,7 @@
 {
 	const auto found = _guard.entries.find(_outcome.key);
 	const bool matches = found != _guard.entries.end() && found->second.record.state == CallState::Doubt &&
-	                     found->second.record.ask == _outcome.ask;
+						 found->second.record.ask == _outcome.ask;
 	if (!matches)
 	{
 		return; // It ends an earlier intent: the one that was granted since stands.
@@ -535,11 +535,11 @@
 		for (const HomeMember& member : _guard.table.members)
 		{
 			if (member.incarnation != _guard.self &&
-			    _guard.pulledEpoch[member.incarnation] < _guard.table.epoch)
+				_guard.pulledEpoch[member.incarnation] < _guard.table.epoch)
 			{
 				_actions.push_back(
-				    AskRecords{member.incarnation,
-				               RecordsRequest{_guard.table.epoch, _guard.pulledUpTo[member.incarnation]}});
+					AskRecords{member.incarnation,
+							   RecordsRequest{_guard.table.epoch, _guard.pulledUpTo[member.incarnation]}});
 			}
 		}
 	}
@@ -634,7 +634,7 @@
 /// Members out of reach may be alive and go on granting each other calls, unaware. So long as one survivor
 /// had pulled all records, it refuses them; without such a survivor only their death makes a removal sound.
 bool mayRemove(const HomeTable& _table, size_t _at, const ProposeInput& _input,
-               absl::Span<const MemberSight> _sights)
+			   absl::Span<const MemberSight> _sights)
 {
 	const HomeMember& member = _table.members[_at];
 	if (member.incarnation == _input.self.incarnation)
@@ -647,7 +647,7 @@
 } // namespace
 
 std::optional<HomeTable> proposeTable(const RunOnceGuard& _guard, const HomeTable& _current,
-                                      const ProposeInput& _input, absl::Span<const MemberSight> _sights)
+									  const ProposeInput& _input, absl::Span<const MemberSight> _sights)
 {
 	const size_t self = memberIndex(_current, _input.self.incarnation);
 	if (_input.leaving)
--- a/src/core/session_token.cpp
+++ b/src/core/session_token.cpp
@@ -21,7 +21,7 @@
 	std::vector<std::string_view> fields;
 	size_t start = 0;
 	for (size_t end = _text.find(kSeparator); end != std::string_view::npos;
-	     end = _text.find(kSeparator, start))
+		 end = _text.find(kSeparator, start))
 	{
 		fields.push_back(_text.substr(start, end - start));
 		start = end + 1;
@@ -34,7 +34,7 @@
 {
 	std::string text = "s1";
 	for (const std::string& field : {_token.account, _token.version, std::to_string(_token.generation),
-	                                 std::to_string(_token.issuedMs), _token.id})
+									 std::to_string(_token.issuedMs), _token.id})
 	{
 		text.push_back(kSeparator);
 		text.append(field);
@@ -55,7 +55,7 @@
 }
 
 SessionToken openSession(std::string_view _text, absl::Span<const std::string> _keys,
-                         std::string_view _account, int64_t _wallMs)
+						 std::string_view _account, int64_t _wallMs)
 {
 	const std::vector<std::string_view> fields = split(_text);
 	if (fields.size() != kFields || fields[0] != "s1")
@@ -63,9 +63,9 @@
 		refuse("not a session token");
 	}
 	const std::string_view signedText = _text.substr(0, _text.rfind(kSeparator));
-	const bool valid = std::any_of(_keys.begin(), _keys.end(),
-	                               [&](const std::string& _key)
-	                               { return equalConstantTime(hmacHex(_key, signedText), fields[6]); });
+	const bool valid = std::any_of(_keys.begin(), _keys.end(), [&](const std::string& _key) {
+		return equalConstantTime(hmacHex(_key, signedText), fields[6]);
+	});
 	if (!valid)
 	{
 		refuse("the signature is wrong");
--- a/src/core/timeline.cpp
+++ b/src/core/timeline.cpp
@@ -16,7 +16,7 @@
 }
 
 void recordEvent(Timeline& _timeline, TimeUs _wallNow, std::string _event, std::string _subject,
-                 std::string _detail)
+				 std::string _detail)
 {
 	if (_timeline.events.size() >= _timeline.maxEvents)
 	{
@@ -24,7 +24,7 @@
 		++_timeline.dropped;
 	}
 	_timeline.events.push_back({stamp(_timeline.clock, _wallNow), _timeline.process, std::move(_event),
-	                            std::move(_subject), std::move(_detail)});
+								std::move(_subject), std::move(_detail)});
 }
 
 std::vector<TimelineEvent> eventsAbout(const Timeline& _timeline, const std::string& _subject)
@@ -42,8 +42,8 @@
 
 void mergeEvents(std::vector<TimelineEvent>& _events)
 {
-	std::stable_sort(_events.begin(), _events.end(),
-	                 [](const TimelineEvent& _a, const TimelineEvent& _b)
-	                 { return _a.at != _b.at ? _a.at < _b.at : _a.process < _b.process; });
+	std::stable_sort(_events.begin(), _events.end(), [](const TimelineEvent& _a, const TimelineEvent& _b) {
+		return _a.at != _b.at ? _a.at < _b.at : _a.process < _b.process;
+	});
 }
 } // namespace spanplank
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -41,7 +41,7 @@
 	unsigned char digest[EVP_MAX_MD_SIZE];
 	unsigned int size = 0;
 	HMAC(EVP_sha256(), _key.data(), int(_key.size()), reinterpret_cast<const unsigned char*>(_bytes.data()),
-	     _bytes.size(), digest, &size);
+		 _bytes.size(), digest, &size);
 	return std::string(reinterpret_cast<const char*>(digest), size);
 }
 
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -70,8 +70,8 @@
 json usageOf(const EngineJob& _job)
 {
 	return {{"prompt_tokens", _job.promptTokens},
-	        {"completion_tokens", _job.outputTokens},
-	        {"confidence", _job.confidence}};
+			{"completion_tokens", _job.outputTokens},
+			{"confidence", _job.confidence}};
 }
 
 void sleepExactly(double _ms)
@@ -124,10 +124,10 @@
 	}
 	const json message{{"role", "assistant"}, {"content", text}};
 	_exchange.respond(
-	    jsonResponse(200, {{"object", "chat.completion"},
-	                       {"model", _job.version},
-	                       {"choices", {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
-	                       {"usage", usageOf(_job)}}));
+		jsonResponse(200, {{"object", "chat.completion"},
+						   {"model", _job.version},
+						   {"choices", {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
+						   {"usage", usageOf(_job)}}));
 	return !_exchange.broken();
 }
 
@@ -151,7 +151,7 @@
 	++_engine.running;
 	sleepExactly(prefillMs(_engine, job));
 	const bool whole =
-	    job.stream ? streamTokens(_engine, _exchange, job) : answerWhole(_engine, _exchange, job);
+		job.stream ? streamTokens(_engine, _exchange, job) : answerWhole(_engine, _exchange, job);
 	--_engine.running;
 	if (!whole)
 	{
@@ -192,9 +192,9 @@
 	else if (path == "counts")
 	{
 		_exchange.respond(jsonResponse(200, {{"runs_by_version", _engine.runsByVersion},
-		                                     {"bad_by_version", _engine.badByVersion},
-		                                     {"runs_by_request", _engine.runsByRequest},
-		                                     {"cancelled", _engine.cancelled}}));
+											 {"bad_by_version", _engine.badByVersion},
+											 {"runs_by_request", _engine.runsByRequest},
+											 {"cancelled", _engine.cancelled}}));
 	}
 	else
 	{
@@ -222,15 +222,14 @@
 	++_service.runsByKey[key]; // The effect comes first: a lost answer does not undo it.
 	sleepFor(_service.workMs);
 	_exchange.respond(
-	    jsonResponse(200, {{"done", path}, {"key", key}, {"body", _exchange.request().body()}}));
+		jsonResponse(200, {{"done", path}, {"key", key}, {"body", _exchange.request().body()}}));
 }
 } // namespace
 
 uint16_t startFakeEngine(boost::asio::io_context& _io, FakeEngine& _engine, const Endpoint& _endpoint)
 {
 	_engine.http.limits.bodyBytes = 8u << 20;
-	_engine.http.handler = [&_engine](HttpExchange& _exchange)
-	{
+	_engine.http.handler = [&_engine](HttpExchange& _exchange) {
 		answerEngine(_engine, _exchange);
 	};
 	return startHttpServer(_io, _engine.http, _endpoint);
@@ -238,8 +237,7 @@
 
 uint16_t startFakeService(boost::asio::io_context& _io, FakeService& _service, const Endpoint& _endpoint)
 {
-	_service.http.handler = [&_service](HttpExchange& _exchange)
-	{
+	_service.http.handler = [&_service](HttpExchange& _exchange) {
 		answerService(_service, _exchange);
 	};
 	return startHttpServer(_io, _service.http, _endpoint);
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -52,7 +52,7 @@
 json storeCounts(const FakeStore& _store)
 {
 	return {{"reads", _store.reads},     {"writes", _store.writes},        {"watches", _store.watches},
-	        {"limited", _store.limited}, {"peak_calls", _store.peakCalls}, {"revision", _store.revision}};
+			{"limited", _store.limited}, {"peak_calls", _store.peakCalls}, {"revision", _store.revision}};
 }
 
 void answerPlatform(FakePlatform& _platform, HttpExchange& _exchange)
@@ -100,8 +100,7 @@
 uint16_t startFakePlatform(boost::asio::io_context& _io, FakePlatform& _platform, const Endpoint& _endpoint)
 {
 	_platform.http.limits.bodyBytes = 4u << 20;
-	_platform.http.handler = [&_platform](HttpExchange& _exchange)
-	{
+	_platform.http.handler = [&_platform](HttpExchange& _exchange) {
 		answerPlatform(_platform, _exchange);
 	};
 	return startHttpServer(_io, _platform.http, _endpoint);
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -21,7 +21,7 @@
 }
 
 void change(FakeStore& _store, const std::string& _key, const std::string& _value, uint64_t _lease,
-            bool _deleted)
+			bool _deleted)
 {
 	FakeStore::Item& item = _store.items[_key];
 	item = {_value, ++_store.revision, _deleted, _lease};
@@ -107,9 +107,9 @@
 json changesAfter(const FakeStore& _store, const std::string& _prefix, uint64_t _after)
 {
 	json items = json::array();
-	const auto first = std::lower_bound(_store.history.begin(), _store.history.end(), _after + 1,
-	                                    [](const FakeStore::Change& _change, uint64_t _rev)
-	                                    { return _change.revision < _rev; });
+	const auto first = std::lower_bound(
+		_store.history.begin(), _store.history.end(), _after + 1,
+		[](const FakeStore::Change& _change, uint64_t _rev) { return _change.revision < _rev; });
 	for (auto it = first; it != _store.history.end(); ++it)
 	{
 		if (startsWith(it->key, _prefix))
--- a/tests/core/billing_test.cpp
+++ b/tests/core/billing_test.cpp
@@ -35,58 +35,55 @@
 
 TEST(BillingLedger, EqualsASetWhateverTheBatches)
 {
-	const bool held =
-	    rc::check("counted once",
-	              [](const std::vector<std::vector<uint8_t>>& _batches)
-	              {
-		              BillingLedger ledger;
-		              ledger.owner = "router.1";
-		              std::set<uint64_t> billed; // The naive ledger: a set of numbers.
-		              std::set<uint64_t> voided;
-		              for (size_t ii = 0; ii < _batches.size(); ++ii)
-		              {
-			              std::vector<Bill> bills;
-			              std::vector<uint64_t> voids;
-			              for (const uint8_t number : _batches[ii])
-			              {
-				              const uint64_t seq = uint64_t(number) + 1;
-				              if (ii % 3 == 2)
-				              {
-					              voids.push_back(seq);
-				              }
-				              else
-				              {
-					              bills.push_back(billOf(seq));
-				              }
-			              }
-			              addBills(ledger, bills);
-			              addVoids(ledger, voids);
-			              for (const Bill& bill : bills)
-			              {
-				              if (voided.count(bill.seq) == 0)
-				              {
-					              billed.insert(bill.seq);
-				              }
-			              }
-			              for (const uint64_t seq : voids)
-			              {
-				              if (billed.count(seq) == 0)
-				              {
-					              voided.insert(seq);
-				              }
-			              }
-		              }
-		              RC_ASSERT(requestsIn(ledger) == billed.size());
-		              RC_ASSERT(ledger.billed == billed.size());
-		              for (uint64_t seq = 1; seq <= 256; ++seq)
-		              {
-			              RC_ASSERT(isCounted(ledger, seq) == (billed.count(seq) + voided.count(seq) > 0));
-		              }
-		              for (size_t ii = 1; ii < ledger.counted.size(); ++ii)
-		              {
-			              RC_ASSERT(ledger.counted[ii - 1].last + 1 < ledger.counted[ii].first);
-		              }
-	              });
+	const bool held = rc::check("counted once", [](const std::vector<std::vector<uint8_t>>& _batches) {
+		BillingLedger ledger;
+		ledger.owner = "router.1";
+		std::set<uint64_t> billed; // The naive ledger: a set of numbers.
+		std::set<uint64_t> voided;
+		for (size_t ii = 0; ii < _batches.size(); ++ii)
+		{
+			std::vector<Bill> bills;
+			std::vector<uint64_t> voids;
+			for (const uint8_t number : _batches[ii])
+			{
+				const uint64_t seq = uint64_t(number) + 1;
+				if (ii % 3 == 2)
+				{
+					voids.push_back(seq);
+				}
+				else
+				{
+					bills.push_back(billOf(seq));
+				}
+			}
+			addBills(ledger, bills);
+			addVoids(ledger, voids);
+			for (const Bill& bill : bills)
+			{
+				if (voided.count(bill.seq) == 0)
+				{
+					billed.insert(bill.seq);
+				}
+			}
+			for (const uint64_t seq : voids)
+			{
+				if (billed.count(seq) == 0)
+				{
+					voided.insert(seq);
+				}
+			}
+		}
+		RC_ASSERT(requestsIn(ledger) == billed.size());
+		RC_ASSERT(ledger.billed == billed.size());
+		for (uint64_t seq = 1; seq <= 256; ++seq)
+		{
+			RC_ASSERT(isCounted(ledger, seq) == (billed.count(seq) + voided.count(seq) > 0));
+		}
+		for (size_t ii = 1; ii < ledger.counted.size(); ++ii)
+		{
+			RC_ASSERT(ledger.counted[ii - 1].last + 1 < ledger.counted[ii].first);
+		}
+	});
 	EXPECT_TRUE(held);
 }
 
--- a/tests/core/config_replica_test.cpp
+++ b/tests/core/config_replica_test.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 Resource versionAt(const std::string& _name, uint64_t _revision, VersionState _state,
-                   uint32_t _generation = 1)
+				   uint32_t _generation = 1)
 {
 	Version version;
 	version.model = "m";
@@ -37,29 +37,26 @@
 
 TEST(ConfigReplica, AnyOrderAndRepetitionGivesTheNewestOfEach)
 {
-	const bool held = rc::check(
-	    "newest wins",
-	    [](const std::vector<uint8_t>& _order)
-	    {
-		    ConfigReplica replica;
-		    std::map<std::string, uint64_t> newest; // The naive replica: the highest revision by name.
-		    uint64_t revision = 0;
-		    for (const uint8_t number : _order)
-		    {
-			    const uint64_t changed = uint64_t(number) + 1;
-			    const std::string name = "v" + std::to_string(number % 5);
-			    Resource resource = versionAt(name, changed, VersionState::Serving, uint32_t(changed));
-			    apply(replica, updateOf(0, changed, {resource}));
-			    newest[name] = std::max(newest[name], changed);
-			    RC_ASSERT(replica.revision >= revision);
-			    revision = replica.revision;
-		    }
-		    for (const auto& [name, expected] : newest)
-		    {
-			    RC_ASSERT(replica.resources.at({kKindVersion, name}).revision == expected);
-			    RC_ASSERT(replica.versions.at(name).generation == expected);
-		    }
-	    });
+	const bool held = rc::check("newest wins", [](const std::vector<uint8_t>& _order) {
+		ConfigReplica replica;
+		std::map<std::string, uint64_t> newest; // The naive replica: the highest revision by name.
+		uint64_t revision = 0;
+		for (const uint8_t number : _order)
+		{
+			const uint64_t changed = uint64_t(number) + 1;
+			const std::string name = "v" + std::to_string(number % 5);
+			Resource resource = versionAt(name, changed, VersionState::Serving, uint32_t(changed));
+			apply(replica, updateOf(0, changed, {resource}));
+			newest[name] = std::max(newest[name], changed);
+			RC_ASSERT(replica.revision >= revision);
+			revision = replica.revision;
+		}
+		for (const auto& [name, expected] : newest)
+		{
+			RC_ASSERT(replica.resources.at({kKindVersion, name}).revision == expected);
+			RC_ASSERT(replica.versions.at(name).generation == expected);
+		}
+	});
 	EXPECT_TRUE(held);
 }
 
@@ -124,8 +121,8 @@
 {
 	ConfigReplica first;
 	apply(
-	    first,
-	    updateOf(0, 4, {versionAt("a", 2, VersionState::Serving), versionAt("b", 4, VersionState::Serving)}));
+		first,
+		updateOf(0, 4, {versionAt("a", 2, VersionState::Serving), versionAt("b", 4, VersionState::Serving)}));
 	ConfigReplica second;
 	EXPECT_EQ(apply(second, updateSince(first, 0)), ApplyResult::Applied);
 	EXPECT_EQ(second.revision, 4u);
--- a/tests/core/exposure_test.cpp
+++ b/tests/core/exposure_test.cpp
@@ -12,7 +12,7 @@
 {
 /// Draws ratings one by one, looking after each. @returns The verdict, at the latest after `_most` ratings.
 RolloutVerdict rollOut(Random& _random, double _badRate, const Rollout& _rollout, uint64_t _most,
-                       uint64_t& _rated)
+					   uint64_t& _rated)
 {
 	RatingTally tally;
 	RolloutVerdict verdict = RolloutVerdict::Undecided;
@@ -86,26 +86,23 @@
 
 TEST(ExposureLedger, UnratedNeverPassesTheBudgetHoweverTheGrantsRace)
 {
-	const bool held = rc::check("bounded",
-	                            [](const std::vector<std::pair<uint8_t, uint8_t>>& _steps)
-	                            {
-		                            const Rollout rollout;
-		                            ExposureLedger ledger;
-		                            RatingTally tally;
-		                            uint64_t spent = 0; // The naive count: answers given in all.
-		                            for (const auto& [want, rated] : _steps)
-		                            {
-			                            const uint64_t credits = grantable(ledger, tally, rollout, want);
-			                            addGrant(ledger, "agent", ledger.grantSeq["agent"] + 1, credits);
-			                            spent += credits;
-			                            const uint64_t allowance = exposureAllowance(tally, rollout);
-			                            RC_ASSERT(spent <= allowance);
-			                            RC_ASSERT(tally.good > 0 || spent - tally.bad <= rollout.exposure);
-			                            const uint64_t news =
-			                                std::min<uint64_t>(rated % 4, spent - tally.good - tally.bad);
-			                            tally.good += news;
-		                            }
-	                            });
+	const bool held = rc::check("bounded", [](const std::vector<std::pair<uint8_t, uint8_t>>& _steps) {
+		const Rollout rollout;
+		ExposureLedger ledger;
+		RatingTally tally;
+		uint64_t spent = 0; // The naive count: answers given in all.
+		for (const auto& [want, rated] : _steps)
+		{
+			const uint64_t credits = grantable(ledger, tally, rollout, want);
+			addGrant(ledger, "agent", ledger.grantSeq["agent"] + 1, credits);
+			spent += credits;
+			const uint64_t allowance = exposureAllowance(tally, rollout);
+			RC_ASSERT(spent <= allowance);
+			RC_ASSERT(tally.good > 0 || spent - tally.bad <= rollout.exposure);
+			const uint64_t news = std::min<uint64_t>(rated % 4, spent - tally.good - tally.bad);
+			tally.good += news;
+		}
+	});
 	EXPECT_TRUE(held);
 }
 
--- a/tests/core/run_once_test.cpp
+++ b/tests/core/run_once_test.cpp
@@ -19,8 +19,8 @@
 	std::string to;   ///< Incarnation.
 	std::string from; ///< Incarnation.
 	std::variant<Intent, IntentReply, Outcome, RecordsRequest, RecordsMessage, HomeTable, RunCall,
-	             GuardedCall>
-	    what;
+				 GuardedCall>
+		what;
 };
 
 struct Member
@@ -74,7 +74,7 @@
 	const auto from = _world.members.find(_from);
 	const auto to = _world.members.find(_to);
 	return from != _world.members.end() && to != _world.members.end() &&
-	       _world.cuts.count(std::minmax(from->second.box, to->second.box)) == 0;
+		   _world.cuts.count(std::minmax(from->second.box, to->second.box)) == 0;
 }
 
 void carryOut(World& _world, const std::string& _self, const GuardActions& _actions)
@@ -200,7 +200,7 @@
 	{
 		const auto found = _world.members.find(member.incarnation);
 		const bool linked = found != _world.members.end() && !found->second.frozen &&
-		                    reaches(_world, _self, member.incarnation);
+							reaches(_world, _self, member.incarnation);
 		const std::string pair = _self + "/" + member.incarnation;
 		if (linked)
 		{
@@ -212,7 +212,7 @@
 		}
 		const bool gone = found == _world.members.end(); // Its box runs another incarnation.
 		const MemberSight sight{member.incarnation, member.box, linked,
-		                        linked ? 0 : _world.now - _world.lostSince.at(pair), gone};
+								linked ? 0 : _world.now - _world.lostSince.at(pair), gone};
 		sights.push_back(sight);
 	}
 	return sights;
@@ -233,7 +233,7 @@
 	input.deadAfterUs = 200 * kMsToUs;
 	input.wallMs = wallMs(_world);
 	const auto next =
-	    proposeTable(member.guard, _world.stored, input, sightsOf(_world, _self, _world.stored));
+		proposeTable(member.guard, _world.stored, input, sightsOf(_world, _self, _world.stored));
 	if (next)
 	{
 		_world.stored = *next;
@@ -385,23 +385,19 @@
 
 TEST(RunOnceHistory, NoKeyRunsTwiceThroughCrashesFreezesCutsAndOutages)
 {
-	const bool held = rc::check("at most once",
-	                            [](uint64_t _seed)
-	                            {
-		                            const World world = runHistory(_seed, RunOnceLimits{}, 4000, 0.15);
-		                            RC_ASSERT(mostExecutions(world) <= 1);
-	                            });
+	const bool held = rc::check("at most once", [](uint64_t _seed) {
+		const World world = runHistory(_seed, RunOnceLimits{}, 4000, 0.15);
+		RC_ASSERT(mostExecutions(world) <= 1);
+	});
 	EXPECT_TRUE(held);
 }
 
 TEST(RunOnceHistory, NoKeyRunsTwiceWithoutCrashes)
 {
-	const bool held = rc::check("at most once",
-	                            [](uint64_t _seed)
-	                            {
-		                            const World world = runHistory(_seed, RunOnceLimits{}, 4000, 0.0);
-		                            RC_ASSERT(mostExecutions(world) <= 1);
-	                            });
+	const bool held = rc::check("at most once", [](uint64_t _seed) {
+		const World world = runHistory(_seed, RunOnceLimits{}, 4000, 0.0);
+		RC_ASSERT(mostExecutions(world) <= 1);
+	});
 	EXPECT_TRUE(held);
 }
 
@@ -484,11 +480,11 @@
 	}
 
 	GuardActions call(const std::string& _at, const std::string& _key, const std::string& _body = "body",
-	                  std::optional<int64_t> _birth = std::nullopt)
+					  std::optional<int64_t> _birth = std::nullopt)
 	{
 		GuardActions actions;
 		begin(world.members.at(_at).guard, {_key, _body, _birth, {LinkId{1}, world.nextAttempt++}}, world.now,
-		      wallMs(world), actions);
+			  wallMs(world), actions);
 		return actions;
 	}
 };
@@ -515,7 +511,7 @@
 	const auto intent = std::get<SendIntent>(first[0]);
 	GuardActions actions;
 	const IntentReply reply = handleIntent(group.world.members.at(intent.to).guard, intent.intent,
-	                                       group.world.now, wallMs(group.world), actions);
+										   group.world.now, wallMs(group.world), actions);
 	ASSERT_TRUE(reply.granted);
 	handleIntentReply(guard, intent.to, reply, group.world.now, actions);
 	ASSERT_TRUE(std::holds_alternative<RunCall>(actions.back()));
@@ -649,7 +645,7 @@
 	GuardActions actions;
 	adoptTable(successor, newer, group.world.now, actions);
 	const IntentReply reply =
-	    handleIntent(successor, asked.intent, group.world.now, wallMs(group.world), actions);
+		handleIntent(successor, asked.intent, group.world.now, wallMs(group.world), actions);
 	EXPECT_FALSE(reply.granted);
 	EXPECT_EQ(reply.table.epoch, newer.epoch);
 }
@@ -664,7 +660,7 @@
 	ASSERT_TRUE(handleIntent(successor, asked.intent, group.world.now, wallMs(group.world), actions).granted);
 	successor.entries.at("k").record.owner = "an-earlier-home";
 	const IntentReply reply =
-	    handleIntent(successor, asked.intent, group.world.now, wallMs(group.world), actions);
+		handleIntent(successor, asked.intent, group.world.now, wallMs(group.world), actions);
 	EXPECT_FALSE(reply.granted);
 	EXPECT_TRUE(reply.known);
 }
@@ -679,11 +675,11 @@
 	for (const HomeMember& member : table.members)
 	{
 		sights.push_back({member.incarnation, member.box, member.incarnation != table.members[2].incarnation,
-		                  100000 * kMsToUs, false});
+						  100000 * kMsToUs, false});
 	}
 	const ProposeInput input{self, false, 200 * kMsToUs, wallMs(group.world)};
 	ASSERT_TRUE(proposeTable(guard, table, input, sights).has_value())
-	    << "all settled: a suspicion is enough";
+		<< "all settled: a suspicion is enough";
 	table.members[1].settledEpoch = 0;
 	guard.table = table;
 	EXPECT_FALSE(proposeTable(guard, table, input, sights).has_value()) << "a survivor lacks records";
@@ -706,7 +702,7 @@
 	}
 	const ProposeInput input{self, false, 200 * kMsToUs, wallMs(group.world)};
 	EXPECT_FALSE(
-	    proposeTable(group.world.members.at(self.incarnation).guard, table, input, sights).has_value());
+		proposeTable(group.world.members.at(self.incarnation).guard, table, input, sights).has_value());
 }
 
 TEST(RunOnce, KeysForgottenAfterRetention)
--- a/tests/system/gate_test.cpp
+++ b/tests/system/gate_test.cpp
@@ -29,31 +29,25 @@
 	bodies.emplace_back([&_system, blocker] { _system.chat(0, blocker); });
 	for (uint32_t ii = 0; ii < kQueued; ++ii)
 	{
-		bodies.emplace_back(
-		    [&_system, &answers, ii]
-		    {
-			    pause(300);
-			    ChatOptions options;
-			    options.marker = fmt::format("queued{}", ii);
-			    answers[ii] = _system.chat(ii % 2, options);
-		    });
+		bodies.emplace_back([&_system, &answers, ii] {
+			pause(300);
+			ChatOptions options;
+			options.marker = fmt::format("queued{}", ii);
+			answers[ii] = _system.chat(ii % 2, options);
+		});
 	}
-	bodies.emplace_back(
-	    [&_system, &_change]
-	    {
-		    eventually(
-		        [&]
-		        {
-			        uint32_t queued = 0;
-			        const json state = _system.status(0);
-			        for (const json& agent : state.at("agents"))
-			        {
-				        queued += agent.value("queued", 0u);
-			        }
-			        return queued >= kQueued;
-		        });
-		    _change();
-	    });
+	bodies.emplace_back([&_system, &_change] {
+		eventually([&] {
+			uint32_t queued = 0;
+			const json state = _system.status(0);
+			for (const json& agent : state.at("agents"))
+			{
+				queued += agent.value("queued", 0u);
+			}
+			return queued >= kQueued;
+		});
+		_change();
+	});
 	together(bodies);
 	return answers;
 }
@@ -73,7 +67,7 @@
 	System system(oneSlot());
 	system.declareBasics();
 	const auto answers =
-	    queueThen(system, [&] { system.put(0, "versions", "small@1", versionSpec("withdrawn")); });
+		queueThen(system, [&] { system.put(0, "versions", "small@1", versionSpec("withdrawn")); });
 	for (const Answer& answer : answers)
 	{
 		EXPECT_EQ(answer.code(), "version_withdrawn") << answer.body;
@@ -95,12 +89,9 @@
 {
 	System system(oneSlot());
 	system.declareBasics();
-	const auto answers =
-	    queueThen(system,
-	              [&] {
-		              system.put(0, "accounts", "town",
-		                         {{"keyHashes", {sha256Hex("key-town")}}, {"allowed", {"large"}}});
-	              });
+	const auto answers = queueThen(system, [&] {
+		system.put(0, "accounts", "town", {{"keyHashes", {sha256Hex("key-town")}}, {"allowed", {"large"}}});
+	});
 	for (const Answer& answer : answers)
 	{
 		EXPECT_EQ(answer.code(), "not_allowed") << answer.body;
@@ -200,7 +191,7 @@
 	_system.put(0, "versions", "small@2", {{"model", "small"}, {"state", "withdrawn"}});
 	_system.put(0, "versions", "small@2", {{"model", "small"}, {"state", "candidate"}, {"generation", 2}});
 	const Answer last = _system.put(0, "rollouts", "two",
-	                                {{"candidate", "small@2"}, {"exposure", _exposure}, {"share", 1.0}});
+									{{"candidate", "small@2"}, {"exposure", _exposure}, {"share", 1.0}});
 	eventually([&] { return _system.inForce(last.json().value("revision", uint64_t(0))); });
 }
 
@@ -209,14 +200,12 @@
 	std::vector<std::function<void()>> bodies;
 	for (uint32_t lane = 0; lane < 6; ++lane)
 	{
-		bodies.emplace_back(
-		    [&_system, lane, _requests]
-		    {
-			    for (uint32_t ii = 0; ii < _requests / 6; ++ii)
-			    {
-				    EXPECT_EQ(_system.chat(lane % 2, {}).status, 200);
-			    }
-		    });
+		bodies.emplace_back([&_system, lane, _requests] {
+			for (uint32_t ii = 0; ii < _requests / 6; ++ii)
+			{
+				EXPECT_EQ(_system.chat(lane % 2, {}).status, 200);
+			}
+		});
 	}
 	together(bodies);
 }
@@ -226,12 +215,10 @@
 	System system(rolloutShape());
 	system.platformFault({{"ratings_delay_ms", 600000}}); // No rating ever comes in.
 	declareBadCandidate(system, 12);
-	eventually(
-	    [&]
-	    {
-		    load(system, 60);
-		    return system.runsOfVersion("small@2") == 12;
-	    });
+	eventually([&] {
+		load(system, 60);
+		return system.runsOfVersion("small@2") == 12;
+	});
 	system.killHard("engine-0"); // A blank agent must not bring new credit.
 	system.start("engine-0");
 	system.killHard("router-1");
@@ -256,20 +243,16 @@
 	System system(rolloutShape());
 	system.platformFault({{"ratings_delay_ms", 300}});
 	declareBadCandidate(system, 12);
-	ASSERT_TRUE(eventually(
-	    [&]
-	    {
-		    load(system, 24);
-		    return system.runsOfVersion("small@2") > 0;
-	    }));
+	ASSERT_TRUE(eventually([&] {
+		load(system, 24);
+		return system.runsOfVersion("small@2") > 0;
+	}));
 	system.platformFault({{"store_down", true}});
-	ASSERT_TRUE(eventually(
-	    [&]
-	    {
-		    load(system, 12);
-		    const json state = system.status(1);
-		    return state.at("halted").value("small@2", 0u) == 2u;
-	    }));
+	ASSERT_TRUE(eventually([&] {
+		load(system, 12);
+		const json state = system.status(1);
+		return state.at("halted").value("small@2", 0u) == 2u;
+	}));
 	const uint64_t atHalt = system.runsOfVersion("small@2");
 	load(system, 120);
 	EXPECT_EQ(system.runsOfVersion("small@2"), atHalt) << "no new work after the halt";
@@ -311,13 +294,12 @@
 		system.engineFault(ii, {{"bad_rate", json::object()}});
 	}
 	EXPECT_TRUE(eventually(
-	    [&]
-	    {
-		    load(system, 30);
-		    const json items = system.readStore("config/versions/small@2").at("items");
-		    return json::parse(items.at(0).value("value", ""))["spec"]["state"] == "serving";
-	    },
-	    60));
+		[&] {
+			load(system, 30);
+			const json items = system.readStore("config/versions/small@2").at("items");
+			return json::parse(items.at(0).value("value", ""))["spec"]["state"] == "serving";
+		},
+		60));
 }
 } // namespace
 } // namespace spanplank
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -51,8 +51,7 @@
 
 boost::asio::io_context& testIo()
 {
-	static auto* s_io = []
-	{
+	static auto* s_io = [] {
 		auto* io = new boost::asio::io_context;
 		std::signal(SIGPIPE, SIG_IGN);
 		installFiberScheduler(*io);
@@ -140,11 +139,11 @@
 	}
 	const std::string binary = SPANPLANK_BIN_DIR;
 	m_processes["fakes"].command = {binary + "/spanplank-fakes",
-	                                "--platform=" + m_platform,
-	                                fmt::format("--engines={}", fmt::join(m_engines, ",")),
-	                                fmt::format("--services={}", fmt::join(m_services, ",")),
-	                                fmt::format("--slots={}", _shape.slots),
-	                                fmt::format("--token_ms={}", _shape.tokenMs)};
+									"--platform=" + m_platform,
+									fmt::format("--engines={}", fmt::join(m_engines, ",")),
+									fmt::format("--services={}", fmt::join(m_services, ",")),
+									fmt::format("--slots={}", _shape.slots),
+									fmt::format("--token_ms={}", _shape.tokenMs)};
 	start("fakes");
 	eventually([this] { return http(m_platform, "GET", "/counts").status == 200; });
 	for (uint32_t ii = 0; ii < _shape.routers; ++ii)
@@ -183,8 +182,8 @@
 std::string System::commonSettings(const std::string& _box, uint32_t _index, uint16_t _port) const
 {
 	return fmt::format("box: {}\nhall: hall-{}\nlisten: {}\nstore: {}\nboxList: {}\nlinkKeys: [{}]\n"
-	                   "drainMs: 20000\nbalancerMs: 200\n",
-	                   _box, _index % 3, loopback(_port), m_platform, m_platform, m_shape.linkKey);
+					   "drainMs: 20000\nbalancerMs: 200\n",
+					   _box, _index % 3, loopback(_port), m_platform, m_platform, m_shape.linkKey);
 }
 
 void System::addRouter(uint32_t _index)
@@ -194,15 +193,15 @@
 	m_routers.push_back(loopback(port));
 	std::ofstream file(m_dir + "/" + box + ".yaml");
 	file << commonSettings(box, _index, port) << "sessionKeys: [a-session-key-of-32-characters-1]\n"
-	     << "operatorTokens: [" << sha256Hex(kOperatorToken) << "]\n"
-	     << m_shape.routerExtra;
+		 << "operatorTokens: [" << sha256Hex(kOperatorToken) << "]\n"
+		 << m_shape.routerExtra;
 	m_processes[box].command = {SPANPLANK_BIN_DIR "/spanplank-router",
-	                            "--settings=" + m_dir + "/" + box + ".yaml"};
+								"--settings=" + m_dir + "/" + box + ".yaml"};
 	m_boxes.push_back({{"box", box},
-	                   {"role", "router"},
-	                   {"address", loopback(port)},
-	                   {"hall", fmt::format("hall-{}", _index % 3)},
-	                   {"state", "live"}});
+					   {"role", "router"},
+					   {"address", loopback(port)},
+					   {"hall", fmt::format("hall-{}", _index % 3)},
+					   {"state", "live"}});
 }
 
 void System::addAgent(uint32_t _index, bool _service)
@@ -213,20 +212,20 @@
 	const std::string pool = _service ? "services" : "engines";
 	std::ofstream file(m_dir + "/" + box + ".yaml");
 	file << commonSettings(box, _index, port)
-	     << fmt::format("pool: {}\nlink: {}\nupstream: {}\nratings: {}\nslots: {}\n", pool, loopback(link),
-	                    _service ? m_services[_index] : m_engines[_index], m_platform, m_shape.slots);
+		 << fmt::format("pool: {}\nlink: {}\nupstream: {}\nratings: {}\nslots: {}\n", pool, loopback(link),
+						_service ? m_services[_index] : m_engines[_index], m_platform, m_shape.slots);
 	file << (_service ? std::string("services: [orders]\n")
-	                  : fmt::format("versions: [{}]\n", fmt::join(m_shape.versions, ", ")))
-	     << m_shape.agentExtra;
+					  : fmt::format("versions: [{}]\n", fmt::join(m_shape.versions, ", ")))
+		 << m_shape.agentExtra;
 	m_processes[box].command = {SPANPLANK_BIN_DIR "/spanplank-agent",
-	                            "--settings=" + m_dir + "/" + box + ".yaml"};
+								"--settings=" + m_dir + "/" + box + ".yaml"};
 	m_boxes.push_back({{"box", box},
-	                   {"role", "agent"},
-	                   {"address", loopback(port)},
-	                   {"link", loopback(link)},
-	                   {"hall", fmt::format("hall-{}", _index % 3)},
-	                   {"pool", pool},
-	                   {"state", "live"}});
+					   {"role", "agent"},
+					   {"address", loopback(port)},
+					   {"link", loopback(link)},
+					   {"hall", fmt::format("hall-{}", _index % 3)},
+					   {"pool", pool},
+					   {"state", "live"}});
 }
 
 void System::publishBoxes()
@@ -328,7 +327,7 @@
 }
 
 Answer System::http(const std::string& _address, const std::string& _method, const std::string& _target,
-                    const std::string& _body, const std::vector<HttpHeader>& _headers)
+					const std::string& _body, const std::vector<HttpHeader>& _headers)
 {
 	HttpClient client;
 	client.io = &testIo();
@@ -342,13 +341,12 @@
 	Answer answer;
 	try
 	{
-		const HttpResponse response = call(client, request,
-		                                   [&](const HttpResponse& _head, std::string_view _part)
-		                                   {
-			                                   answer.status = _head.status;
-			                                   answer.headers = _head.headers;
-			                                   answer.body.append(_part);
-		                                   });
+		const HttpResponse response =
+			call(client, request, [&](const HttpResponse& _head, std::string_view _part) {
+				answer.status = _head.status;
+				answer.headers = _head.headers;
+				answer.body.append(_part);
+			});
 		answer.status = response.status;
 		answer.headers = response.headers;
 	}
@@ -362,7 +360,7 @@
 Answer System::chat(uint32_t _router, const ChatOptions& _options)
 {
 	std::vector<HttpHeader> headers = {{"Authorization", "Bearer " + _options.key},
-	                                   {"X-Spanplank-Deadline-Ms", std::to_string(_options.deadlineMs)}};
+									   {"X-Spanplank-Deadline-Ms", std::to_string(_options.deadlineMs)}};
 	if (!_options.session.empty())
 	{
 		headers.push_back({"X-Spanplank-Session", _options.session});
@@ -372,36 +370,36 @@
 		headers.push_back({"Idempotency-Key", _options.idempotencyKey});
 	}
 	const json body{{"model", _options.model},
-	                {"stream", _options.stream},
-	                {"max_tokens", _options.maxTokens},
-	                {"messages", {{{"role", "user"}, {"content", "say " + _options.marker}}}}};
+					{"stream", _options.stream},
+					{"max_tokens", _options.maxTokens},
+					{"messages", {{{"role", "user"}, {"content", "say " + _options.marker}}}}};
 	return http(m_routers.at(_router), "POST", "/v1/chat/completions", body.dump(), headers);
 }
 
 Answer System::callService(uint32_t _router, const std::string& _idempotencyKey, const std::string& _body,
-                           uint32_t _deadlineMs)
+						   uint32_t _deadlineMs)
 {
 	return http(m_routers.at(_router), "POST", "/v1/services/orders/new", _body,
-	            {{"Authorization", "Bearer key-town"},
-	             {"X-Spanplank-Deadline-Ms", std::to_string(_deadlineMs)},
-	             {"Idempotency-Key", _idempotencyKey}});
+				{{"Authorization", "Bearer key-town"},
+				 {"X-Spanplank-Deadline-Ms", std::to_string(_deadlineMs)},
+				 {"Idempotency-Key", _idempotencyKey}});
 }
 
 Answer System::put(uint32_t _router, const std::string& _kind, const std::string& _name, const json& _spec,
-                   const json& _more)
+				   const json& _more)
 {
 	static uint64_t s_op = 0;
 	json body{{"spec", _spec}, {"op", fmt::format("op-{}-{}", ::getpid(), ++s_op)}};
 	body.update(_more);
 	return http(m_routers.at(_router), "PUT", "/v1/resources/" + _kind + "/" + _name, body.dump(),
-	            {{"Authorization", std::string("Bearer ") + kOperatorToken}});
+				{{"Authorization", std::string("Bearer ") + kOperatorToken}});
 }
 
 json System::status(uint32_t _router)
 {
 	return http(m_routers.at(_router), "GET", "/v1/status", "",
-	            {{"Authorization", std::string("Bearer ") + kOperatorToken}})
-	    .json();
+				{{"Authorization", std::string("Bearer ") + kOperatorToken}})
+		.json();
 }
 
 bool System::inForce(uint64_t _revision)
@@ -442,8 +440,8 @@
 	put(0, "services", "orders", {{"repeatable", false}});
 	put(0, "accounts", "village", {{"keyHashes", {sha256Hex("key-village")}}, {"allowed", {"small"}}});
 	const Answer last =
-	    put(0, "accounts", "town",
-	        {{"keyHashes", {sha256Hex("key-town")}}, {"allowed", {"small", "large", "orders"}}});
+		put(0, "accounts", "town",
+			{{"keyHashes", {sha256Hex("key-town")}}, {"allowed", {"small", "large", "orders"}}});
 	const uint64_t revision = last.json().value("revision", uint64_t(0));
 	eventually([&] { return revision > 0 && inForce(revision); });
 	if (m_shape.services > 0)
@@ -514,7 +512,7 @@
 		if (table.pool == "services" && !table.members.empty())
 		{
 			const std::vector<size_t> rank =
-			    rankMembers(table.members, callKey("town", "orders", _idempotencyKey));
+				rankMembers(table.members, callKey("town", "orders", _idempotencyKey));
 			return table.members[rank[0]].box;
 		}
 	}
@@ -529,32 +527,30 @@
 
 bool System::homesSettled(uint32_t _members, uint64_t _afterEpoch)
 {
-	return eventually(
-	    [&]
-	    {
-		    const json items = readStore("homes/services")["items"];
-		    if (items.empty())
-		    {
-			    return false;
-		    }
-		    const auto table = json::parse(items[0].value("value", "")).get<HomeTable>();
-		    bool settled = table.members.size() == _members && table.epoch > _afterEpoch;
-		    for (const HomeMember& member : table.members)
-		    {
-			    settled = settled && member.settledEpoch == table.epoch;
-		    }
-		    for (uint32_t ii = 0; settled && ii < m_routers.size(); ++ii)
-		    {
-			    const json state = status(ii);
-			    bool known = !state.is_object(); // A router that is down does not count.
-			    for (const json& home : state.is_object() ? state["homes"] : json::array())
-			    {
-				    known = known || (home.value("pool", "") == "services" &&
-				                      home.value("epoch", uint64_t(0)) >= table.epoch);
-			    }
-			    settled = settled && known;
-		    }
-		    return settled;
-	    });
+	return eventually([&] {
+		const json items = readStore("homes/services")["items"];
+		if (items.empty())
+		{
+			return false;
+		}
+		const auto table = json::parse(items[0].value("value", "")).get<HomeTable>();
+		bool settled = table.members.size() == _members && table.epoch > _afterEpoch;
+		for (const HomeMember& member : table.members)
+		{
+			settled = settled && member.settledEpoch == table.epoch;
+		}
+		for (uint32_t ii = 0; settled && ii < m_routers.size(); ++ii)
+		{
+			const json state = status(ii);
+			bool known = !state.is_object(); // A router that is down does not count.
+			for (const json& home : state.is_object() ? state["homes"] : json::array())
+			{
+				known = known || (home.value("pool", "") == "services" &&
+								  home.value("epoch", uint64_t(0)) >= table.epoch);
+			}
+			settled = settled && known;
+		}
+		return settled;
+	});
 }
 } // namespace spanplank
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -67,13 +67,13 @@
 
 	Answer chat(uint32_t _router, const ChatOptions& _options);
 	Answer callService(uint32_t _router, const std::string& _idempotencyKey, const std::string& _body = "{}",
-	                   uint32_t _deadlineMs = 10000);
+					   uint32_t _deadlineMs = 10000);
 	Answer http(const std::string& _address, const std::string& _method, const std::string& _target,
-	            const std::string& _body = "", const std::vector<HttpHeader>& _headers = {});
+				const std::string& _body = "", const std::vector<HttpHeader>& _headers = {});
 
 	/// Writes a resource through a router. @returns The answer.
 	Answer put(uint32_t _router, const std::string& _kind, const std::string& _name,
-	           const nlohmann::json& _spec, const nlohmann::json& _more = nlohmann::json::object());
+			   const nlohmann::json& _spec, const nlohmann::json& _more = nlohmann::json::object());
 	nlohmann::json status(uint32_t _router);
 	/// @returns Whether every router and linked agent holds at least the revision.
 	bool inForce(uint64_t _revision);
--- a/tests/system/operations_test.cpp
+++ b/tests/system/operations_test.cpp
@@ -25,28 +25,26 @@
 	std::set<std::string> refused;
 	for (uint32_t ii = 0; ii < kClients; ++ii)
 	{
-		bodies.emplace_back(
-		    [&, ii]
-		    {
-			    const std::string op = fmt::format("race-{}", ii);
-			    for (uint32_t tries = 0; tries < 50; ++tries)
-			    {
-				    const Answer answer = system.put(
-				        ii % 2, "accounts", "raced",
-				        {{"keyHashes", {fmt::format("hash-{}", ii)}}, {"allowed", {"small"}}}, {{"op", op}});
-				    if (answer.status == 200)
-				    {
-					    accepted.insert(op);
-					    return;
-				    }
-				    if (answer.code() == "revision_conflict")
-				    {
-					    refused.insert(op);
-					    return;
-				    }
-				    pause(20); // Unknown or unavailable: the same operation again.
-			    }
-		    });
+		bodies.emplace_back([&, ii] {
+			const std::string op = fmt::format("race-{}", ii);
+			for (uint32_t tries = 0; tries < 50; ++tries)
+			{
+				const Answer answer = system.put(
+					ii % 2, "accounts", "raced",
+					{{"keyHashes", {fmt::format("hash-{}", ii)}}, {"allowed", {"small"}}}, {{"op", op}});
+				if (answer.status == 200)
+				{
+					accepted.insert(op);
+					return;
+				}
+				if (answer.code() == "revision_conflict")
+				{
+					refused.insert(op);
+					return;
+				}
+				pause(20); // Unknown or unavailable: the same operation again.
+			}
+		});
 	}
 	together(bodies);
 	system.platformFault({{"store_lose_answers", 0.0}});
@@ -75,14 +73,11 @@
 	std::vector<std::function<void()>> bodies;
 	for (uint32_t ii = 0; ii < 20; ++ii)
 	{
-		bodies.emplace_back(
-		    [&, ii]
-		    {
-			    const Answer answer =
-			        system.put(ii % 2, "models", "contested", spec, {{"expected", revision}});
-			    won += answer.status == 200 ? 1 : 0;
-			    EXPECT_TRUE(answer.status == 200 || answer.code() == "revision_conflict") << answer.body;
-		    });
+		bodies.emplace_back([&, ii] {
+			const Answer answer = system.put(ii % 2, "models", "contested", spec, {{"expected", revision}});
+			won += answer.status == 200 ? 1 : 0;
+			EXPECT_TRUE(answer.status == 200 || answer.code() == "revision_conflict") << answer.body;
+		});
 	}
 	together(bodies);
 	EXPECT_EQ(won, 1);
@@ -99,13 +94,10 @@
 	EXPECT_EQ(system.chat(0, {}).status, 200);
 	system.killHard("router-1");
 	system.start("router-1");
-	EXPECT_TRUE(eventually(
-	    [&]
-	    {
-		    const json state = system.status(1);
-		    return state.is_object() && state["revision"] == before;
-	    }))
-	    << "a blank router takes what its agents hold";
+	EXPECT_TRUE(eventually([&] {
+		const json state = system.status(1);
+		return state.is_object() && state["revision"] == before;
+	})) << "a blank router takes what its agents hold";
 	EXPECT_TRUE(eventually([&] { return system.chat(1, {}).status == 200; }));
 }
 
@@ -138,43 +130,39 @@
 	std::vector<std::function<void()>> bodies;
 	for (uint32_t lane = 0; lane < 6; ++lane)
 	{
-		bodies.emplace_back(
-		    [&, lane]
-		    {
-			    ChatOptions options;
-			    options.stream = _stream;
-			    options.maxTokens = 20;
-			    for (uint32_t ii = 0; !stop; ++ii)
-			    {
-				    const uint32_t router = (lane + ii) % 2;
-				    if (_system.http(_system.routerAddress(router), "GET", "/readyz").status != 200)
-				    {
-					    pause(10); // The balancer would not send it there.
-					    continue;
-				    }
-				    const Answer answer = _system.chat(router, options);
-				    if (answer.status == 200 && !answer.cut)
-				    {
-					    ++result.answered;
-				    }
-				    else if (answer.status == 0)
-				    {
-					    ++result.refusedConnections; // The router went between the look and the call.
-				    }
-				    else
-				    {
-					    ++(answer.run() == "no" ? result.refused : result.unknown);
-					    ++result.codes[answer.code()];
-				    }
-			    }
-		    });
+		bodies.emplace_back([&, lane] {
+			ChatOptions options;
+			options.stream = _stream;
+			options.maxTokens = 20;
+			for (uint32_t ii = 0; !stop; ++ii)
+			{
+				const uint32_t router = (lane + ii) % 2;
+				if (_system.http(_system.routerAddress(router), "GET", "/readyz").status != 200)
+				{
+					pause(10); // The balancer would not send it there.
+					continue;
+				}
+				const Answer answer = _system.chat(router, options);
+				if (answer.status == 200 && !answer.cut)
+				{
+					++result.answered;
+				}
+				else if (answer.status == 0)
+				{
+					++result.refusedConnections; // The router went between the look and the call.
+				}
+				else
+				{
+					++(answer.run() == "no" ? result.refused : result.unknown);
+					++result.codes[answer.code()];
+				}
+			}
+		});
 	}
-	bodies.emplace_back(
-	    [&]
-	    {
-		    _meanwhile();
-		    stop = true;
-	    });
+	bodies.emplace_back([&] {
+		_meanwhile();
+		stop = true;
+	});
 	together(bodies);
 	return result;
 }
@@ -184,17 +172,15 @@
 	System system{SystemShape{}};
 	system.declareBasics();
 	system.platformFault({{"store_lose_answers", 0.3}});
-	const LoadResult result = loadWhile(system,
-	                                    [&]
-	                                    {
-		                                    pause(500);
-		                                    system.killHard("engine-0");
-		                                    system.start("engine-0");
-		                                    pause(1500);
-		                                    system.killHard("router-1");
-		                                    system.start("router-1");
-		                                    pause(1500);
-	                                    });
+	const LoadResult result = loadWhile(system, [&] {
+		pause(500);
+		system.killHard("engine-0");
+		system.start("engine-0");
+		pause(1500);
+		system.killHard("router-1");
+		system.start("router-1");
+		pause(1500);
+	});
 	system.platformFault({{"store_lose_answers", 0.0}});
 	ASSERT_GT(result.answered, 100u);
 	// Requests that the killed router had in flight may be billed although their callers saw a cut: at most
@@ -217,11 +203,11 @@
 	system.platformFault({{"store_down", true}});
 	const LoadResult result = loadWhile(system, [&] { pause(1500); });
 	const uint64_t kept =
-	    system.status(0).value("bills_kept", uint64_t(0)) + system.status(1).value("bills_kept", uint64_t(0));
+		system.status(0).value("bills_kept", uint64_t(0)) + system.status(1).value("bills_kept", uint64_t(0));
 	EXPECT_EQ(kept, result.answered);
 	system.platformFault({{"store_down", false}});
 	EXPECT_TRUE(eventually([&] { return billedInStore(system) == result.answered; }))
-	    << billedInStore(system) << " of " << result.answered;
+		<< billedInStore(system) << " of " << result.answered;
 }
 
 TEST(Leaving, ListedAsLeavingGetsNoNewWork)
@@ -242,20 +228,19 @@
 	System system{SystemShape{}};
 	system.declareBasics();
 	const LoadResult result = loadWhile(
-	    system,
-	    [&]
-	    {
-		    for (const char* process : {"engine-0", "engine-1", "engine-2", "router-0", "router-1"})
-		    {
-			    EXPECT_EQ(system.stopPlanned(process), 0) << process;
-			    EXPECT_NE(system.log(process).find("event=drained"), std::string::npos);
-			    EXPECT_NE(system.log(process).find("0 cut, 0 bills kept"), std::string::npos)
-			        << system.log(process);
-			    system.start(process);
-			    pause(1500);
-		    }
-	    },
-	    true);
+		system,
+		[&] {
+			for (const char* process : {"engine-0", "engine-1", "engine-2", "router-0", "router-1"})
+			{
+				EXPECT_EQ(system.stopPlanned(process), 0) << process;
+				EXPECT_NE(system.log(process).find("event=drained"), std::string::npos);
+				EXPECT_NE(system.log(process).find("0 cut, 0 bills kept"), std::string::npos)
+					<< system.log(process);
+				system.start(process);
+				pause(1500);
+			}
+		},
+		true);
 	EXPECT_GT(result.answered, 200u);
 	EXPECT_EQ(result.refused, 0u) << json(result.codes).dump();
 	EXPECT_EQ(result.unknown, 0u);
@@ -303,7 +288,7 @@
 	system.declareBasics();
 	system.killHard("router-1");
 	system.changeSettings("router-1", "a-link-key-of-32-characters-1234",
-	                      "another-link-key-of-32-characters");
+						  "another-link-key-of-32-characters");
 	system.start("router-1");
 	ASSERT_TRUE(eventually([&] { return system.log("engine-0").find("wrong key") != std::string::npos; }));
 	const json state = system.status(1);
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -74,7 +74,7 @@
 TEST_F(Path, ListsTheAccountsModels)
 {
 	const Answer answer = s_system->http(s_system->routerAddress(0), "GET", "/v1/models", "",
-	                                     {{"Authorization", "Bearer key-village"}});
+										 {{"Authorization", "Bearer key-village"}});
 	ASSERT_EQ(answer.status, 200);
 	ASSERT_EQ(answer.json()["data"].size(), 1u);
 	EXPECT_EQ(answer.json()["data"][0]["id"], "small");
@@ -129,6 +129,12 @@
 	const char* code;
 };
 
+/// Names a case in the runner's output.
+void PrintTo(const RefusalCase& _case, std::ostream* _out)
+{
+	*_out << _case.name;
+}
+
 class Refusals : public Path, public ::testing::WithParamInterface<RefusalCase>
 {
 };
@@ -140,7 +146,7 @@
 	std::vector<HttpHeader> headers = refusal.headers;
 	headers.push_back({"Authorization", "Bearer " + refusal.key});
 	const Answer answer =
-	    s_system->http(s_system->routerAddress(0), "POST", "/v1/chat/completions", refusal.body, headers);
+		s_system->http(s_system->routerAddress(0), "POST", "/v1/chat/completions", refusal.body, headers);
 	EXPECT_EQ(answer.status, refusal.status) << answer.body;
 	EXPECT_EQ(answer.code(), refusal.code);
 	EXPECT_EQ(answer.run(), "no");
@@ -150,44 +156,44 @@
 const std::string kGood = R"({"model":"small","messages":[{"role":"user","content":"x"}]})";
 
 INSTANTIATE_TEST_SUITE_P(
-    Caller, Refusals,
-    ::testing::Values(
-        RefusalCase{"BadKey", "nobody", kGood, {}, 401, "bad_key"},
-        RefusalCase{"Malformed", "key-town", "{", {}, 400, "bad_request"},
-        RefusalCase{"NoMessages", "key-town", R"({"model":"small"})", {}, 400, "bad_request"},
-        RefusalCase{"UnknownModel",
-                    "key-town",
-                    R"({"model":"huge","messages":[{"content":"x"}]})",
-                    {},
-                    404,
-                    "unknown_model"},
-        RefusalCase{"NotAllowed",
-                    "key-village",
-                    R"({"model":"large","messages":[{"content":"x"}]})",
-                    {},
-                    403,
-                    "not_allowed"},
-        RefusalCase{"NotAllowedByVersion",
-                    "key-village",
-                    R"({"model":"large@1","messages":[{"content":"x"}]})",
-                    {},
-                    403,
-                    "not_allowed"},
-        RefusalCase{
-            "DeadlinePast", "key-town", kGood, {{"X-Spanplank-Deadline-Ms", "0"}}, 408, "deadline_passed"},
-        RefusalCase{
-            "BadDeadline", "key-town", kGood, {{"X-Spanplank-Deadline-Ms", "soon"}}, 400, "bad_request"},
-        RefusalCase{
-            "BadSession", "key-town", kGood, {{"X-Spanplank-Session", "forged"}}, 400, "session_invalid"},
-        RefusalCase{"Oversize", "key-town", std::string(2u << 20, 'x'), {}, 413, "oversize"}),
-    [](const ::testing::TestParamInfo<RefusalCase>& _info) { return _info.param.name; });
+	Caller, Refusals,
+	::testing::Values(
+		RefusalCase{"BadKey", "nobody", kGood, {}, 401, "bad_key"},
+		RefusalCase{"Malformed", "key-town", "{", {}, 400, "bad_request"},
+		RefusalCase{"NoMessages", "key-town", R"({"model":"small"})", {}, 400, "bad_request"},
+		RefusalCase{"UnknownModel",
+					"key-town",
+					R"({"model":"huge","messages":[{"content":"x"}]})",
+					{},
+					404,
+					"unknown_model"},
+		RefusalCase{"NotAllowed",
+					"key-village",
+					R"({"model":"large","messages":[{"content":"x"}]})",
+					{},
+					403,
+					"not_allowed"},
+		RefusalCase{"NotAllowedByVersion",
+					"key-village",
+					R"({"model":"large@1","messages":[{"content":"x"}]})",
+					{},
+					403,
+					"not_allowed"},
+		RefusalCase{
+			"DeadlinePast", "key-town", kGood, {{"X-Spanplank-Deadline-Ms", "0"}}, 408, "deadline_passed"},
+		RefusalCase{
+			"BadDeadline", "key-town", kGood, {{"X-Spanplank-Deadline-Ms", "soon"}}, 400, "bad_request"},
+		RefusalCase{
+			"BadSession", "key-town", kGood, {{"X-Spanplank-Session", "forged"}}, 400, "session_invalid"},
+		RefusalCase{"Oversize", "key-town", std::string(2u << 20, 'x'), {}, 413, "oversize"}),
+	[](const ::testing::TestParamInfo<RefusalCase>& _info) { return _info.param.name; });
 
 TEST_F(Path, OperatorsNeedTheirToken)
 {
 	const Answer none = s_system->http(s_system->routerAddress(0), "GET", "/v1/resources");
 	EXPECT_EQ(none.status, 401);
 	const Answer caller = s_system->http(s_system->routerAddress(0), "GET", "/v1/resources", "",
-	                                     {{"Authorization", "Bearer key-town"}});
+										 {{"Authorization", "Bearer key-town"}});
 	EXPECT_EQ(caller.code(), "bad_key");
 }
 
@@ -197,7 +203,7 @@
 	EXPECT_EQ(s_system->http(router, "GET", "/healthz").status, 200);
 	EXPECT_EQ(s_system->http(router, "GET", "/readyz").status, 200);
 	EXPECT_NE(s_system->http(router, "GET", "/metrics").body.find("spanplank_requests_total"),
-	          std::string::npos);
+			  std::string::npos);
 	EXPECT_FALSE(s_system->http(router, "GET", "/timeline").json()["events"].empty());
 	EXPECT_EQ(s_system->http(router, "GET", "/nowhere").code(), "not_found");
 }
