--- a/tests/system/run_once_test.cpp
+++ b/tests/system/run_once_test.cpp
@@ -46,12 +46,11 @@
 	const uint64_t epoch = _system.homesEpoch();
 	Answer first;
 	together({[&] { first = _system.callService(0, _key); },
-	          [&]
-	          {
-		          eventually([&] { return _system.runsOf(_key) == 1; });
-		          _system.killHard(home);
-		          _system.start(home);
-	          }});
+			  [&] {
+				  eventually([&] { return _system.runsOf(_key) == 1; });
+				  _system.killHard(home);
+				  _system.start(home);
+			  }});
 	EXPECT_EQ(first.run(), "unknown") << first.body;
 	_system.serviceFault({{"work_ms", 5}});
 	EXPECT_TRUE(_system.homesSettled(3, epoch));
@@ -95,10 +94,9 @@
 	Answer first;
 	Answer second;
 	together({[&] { first = system.callService(0, key, "{}", 1000); }, // Waits in the frozen agent's socket.
-	          [&]
-	          {
-		          second = insist(system, 1, key);
-	          }});
+			  [&] {
+				  second = insist(system, 1, key);
+			  }});
 	EXPECT_EQ(first.status == 200 ? "" : first.run(), first.status == 200 ? "" : "unknown");
 	ASSERT_EQ(second.status, 200) << second.body << " the others took over";
 	system.wake(home);
@@ -116,12 +114,11 @@
 	const std::string home = system.homeOf(0, key);
 	const uint64_t epoch = system.homesEpoch();
 	together({[&] { system.callService(0, key); },
-	          [&]
-	          {
-		          eventually([&] { return system.runsOf(key) == 1; });
-		          system.killHard("router-0");
-		          system.killHard(home);
-	          }});
+			  [&] {
+				  eventually([&] { return system.runsOf(key) == 1; });
+				  system.killHard("router-0");
+				  system.killHard(home);
+			  }});
 	system.start("router-0");
 	system.start(home);
 	system.serviceFault({{"work_ms", 5}});
@@ -137,11 +134,10 @@
 	system.serviceFault({{"work_ms", kLongWorkMs}});
 	const std::string key = "router-order";
 	together({[&] { system.callService(0, key); },
-	          [&]
-	          {
-		          eventually([&] { return system.runsOf(key) == 1; });
-		          system.killHard("router-0");
-	          }});
+			  [&] {
+				  eventually([&] { return system.runsOf(key) == 1; });
+				  system.killHard("router-0");
+			  }});
 	const Answer again = system.callService(1, key);
 	EXPECT_EQ(again.status, 200) << again.body;
 	EXPECT_EQ(system.runsOf(key), 1u);
--- a/tools/spanplank_agent.cpp
+++ b/tools/spanplank_agent.cpp
@@ -5,7 +5,7 @@
 int main(int _argc, char** _argv)
 {
 	return spanplank::daemonMain(_argc, _argv,
-	                             {"spanplank-agent: the last gate before an upstream.\n"
-	                              "usage: spanplank-agent --settings FILE [--check]",
-	                              spanplank::runAgent, spanplank::checkAgentSettings});
+								 {"spanplank-agent: the last gate before an upstream.\n"
+								  "usage: spanplank-agent --settings FILE [--check]",
+								  spanplank::runAgent, spanplank::checkAgentSettings});
 }
--- a/tools/spanplank_cli.cpp
+++ b/tools/spanplank_cli.cpp
@@ -19,7 +19,7 @@
 
 ABSL_FLAG(std::vector<std::string>, router, {}, "ip:port of the routers, asked in order");
 ABSL_FLAG(std::string, boxes, "",
-          "ip:port of the platform's box list, for status and timeline over all boxes");
+		  "ip:port of the platform's box list, for status and timeline over all boxes");
 ABSL_FLAG(std::string, token, "", "operator token; default: the environment's SPANPLANK_TOKEN");
 ABSL_FLAG(std::string, f, "", "file for apply");
 ABSL_FLAG(std::string, role, "", "role for check-settings: router or agent");
@@ -34,19 +34,19 @@
 using nlohmann::json;
 
 constexpr const char* kUsage =
-    "spanplank: declares and observes the configuration of a spanplank system.\n"
-    "usage: spanplank COMMAND [--flags]\n"
-    "  apply --f FILE          put the resources of a YAML file in force\n"
-    "  get [KIND [NAME]]       show resources\n"
-    "  delete KIND NAME        delete a resource\n"
-    "  watch                   follow changes\n"
-    "  status                  revisions in force, per box\n"
-    "  withdraw VERSION        take a version out of service\n"
-    "  rollout VERSION         show a roll-out\n"
-    "  timeline                events of all processes in order\n"
-    "  check-settings FILE --role ROLE\n"
-    "exit codes: 0 done, 1 refused or failed, 2 wrong command line, 3 settings that don't hold, 4 not known "
-    "whether it took effect";
+	"spanplank: declares and observes the configuration of a spanplank system.\n"
+	"usage: spanplank COMMAND [--flags]\n"
+	"  apply --f FILE          put the resources of a YAML file in force\n"
+	"  get [KIND [NAME]]       show resources\n"
+	"  delete KIND NAME        delete a resource\n"
+	"  watch                   follow changes\n"
+	"  status                  revisions in force, per box\n"
+	"  withdraw VERSION        take a version out of service\n"
+	"  rollout VERSION         show a roll-out\n"
+	"  timeline                events of all processes in order\n"
+	"  check-settings FILE --role ROLE\n"
+	"exit codes: 0 done, 1 refused or failed, 2 wrong command line, 3 settings that don't hold, 4 not known "
+	"whether it took effect";
 constexpr int kExitUnknown = 4;
 constexpr uint32_t kRetries = 8;
 
@@ -64,7 +64,7 @@
 }
 
 HttpResponse askOne(Cli& _cli, const std::string& _address, const std::string& _method,
-                    const std::string& _target, const std::string& _body, uint32_t _timeoutMs)
+					const std::string& _target, const std::string& _body, uint32_t _timeoutMs)
 {
 	HttpClient client;
 	client.io = &_cli.io;
@@ -89,7 +89,7 @@
 		{
 			const std::string& router = routers[ii % routers.size()];
 			const HttpResponse response =
-			    askOne(_cli, router, _method, _target, _body.is_null() ? "" : _body.dump(), 40000);
+				askOne(_cli, router, _method, _target, _body.is_null() ? "" : _body.dump(), 40000);
 			json answer = json::parse(response.body, nullptr, false);
 			if (response.status == 200)
 			{
@@ -97,8 +97,8 @@
 			}
 			const json error = answer.is_object() ? answer.value("error", json::object()) : json::object();
 			last = {errorCode(error.value("code", "internal")),
-			        error.value("run", "no") == "no" ? RunState::No : RunState::Unknown, 0,
-			        error.value("message", error.value("detail", ""))};
+					error.value("run", "no") == "no" ? RunState::No : RunState::Unknown, 0,
+					error.value("message", error.value("detail", ""))};
 			if (last.code != ErrorCode::StoreUnavailable)
 			{
 				throw Failure(last);
@@ -190,7 +190,7 @@
 				continue;
 			}
 			Declared item{node["kind"].Scalar(), node["name"].Scalar(),
-			              node["spec"] ? toJson(node["spec"]) : json::object(), line};
+						  node["spec"] ? toJson(node["spec"]) : json::object(), line};
 			for (const std::string& mistake : checkResource(item.kind, item.name, item.spec))
 			{
 				mistakes.push_back({_file, line, item.kind + "/" + item.name, mistake});
@@ -274,7 +274,7 @@
 	{
 		const json body{{"spec", item.spec}, {"op", newOp()}};
 		const json accepted =
-		    ask(_cli, "PUT", fmt::format("/v1/resources/{}/{}", item.kind, item.name), body);
+			ask(_cli, "PUT", fmt::format("/v1/resources/{}/{}", item.kind, item.name), body);
 		revision = accepted.value("revision", uint64_t(0));
 		fmt::print("{}/{} accepted at revision {}\n", item.kind, item.name, revision);
 	}
@@ -352,17 +352,17 @@
 			continue;
 		}
 		fmt::print("{:<16} revision {} store {} config from {}{}\n", status.value("box", ""),
-		           status.value("revision", uint64_t(0)),
-		           status.value("store_reachable", false) ? "reachable" : "unreachable",
-		           status.value("config_from_store", false) ? "store" : "peers",
-		           status.value("watching", false) ? " (watching)" : "");
+				   status.value("revision", uint64_t(0)),
+				   status.value("store_reachable", false) ? "reachable" : "unreachable",
+				   status.value("config_from_store", false) ? "store" : "peers",
+				   status.value("watching", false) ? " (watching)" : "");
 		for (const json& agent : status["agents"])
 		{
 			fmt::print("  {:<14} revision {} {}{}{} running {} queued {}\n", agent.value("box", ""),
-			           agent.value("revision", uint64_t(0)), agent.value("linked", false) ? "linked" : "lost",
-			           agent.value("leaving", false) ? " leaving" : "",
-			           agent.value("behind", false) ? " behind" : "", agent.value("running", 0),
-			           agent.value("queued", 0));
+					   agent.value("revision", uint64_t(0)), agent.value("linked", false) ? "linked" : "lost",
+					   agent.value("leaving", false) ? " leaving" : "",
+					   agent.value("behind", false) ? " behind" : "", agent.value("running", 0),
+					   agent.value("queued", 0));
 		}
 		for (const auto& halt : status["halted"].items())
 		{
@@ -385,9 +385,9 @@
 		try
 		{
 			const json accepted =
-			    ask(_cli, "PUT", target, {{"spec", spec}, {"op", op}, {"expected", held["revision"]}});
+				ask(_cli, "PUT", target, {{"spec", spec}, {"op", op}, {"expected", held["revision"]}});
 			fmt::print("{} withdrawn at revision {}\n", _cli.words.at(1),
-			           accepted.value("revision", uint64_t(0)));
+					   accepted.value("revision", uint64_t(0)));
 			return kExitOk;
 		}
 		catch (const Failure& failure)
@@ -438,8 +438,8 @@
 	for (const TimelineEvent& event : events)
 	{
 		fmt::print("{:%Y-%m-%dT%H:%M:%S}.{:06} {:<14} {:<18} {} {}\n",
-		           fmt::gmtime(time_t(event.at / 1000000)), event.at % 1000000, event.process, event.event,
-		           event.subject, event.detail);
+				   fmt::gmtime(time_t(event.at / 1000000)), event.at % 1000000, event.process, event.event,
+				   event.subject, event.detail);
 	}
 	return kExitOk;
 }
@@ -466,9 +466,9 @@
 };
 
 constexpr Command kCommands[] = {
-    {"apply", 1, apply},     {"get", 1, get},           {"delete", 3, remove},
-    {"watch", 1, watch},     {"status", 1, status},     {"withdraw", 2, withdraw},
-    {"rollout", 2, rollout}, {"timeline", 1, timeline}, {"check-settings", 2, checkSettings},
+	{"apply", 1, apply},     {"get", 1, get},           {"delete", 3, remove},
+	{"watch", 1, watch},     {"status", 1, status},     {"withdraw", 2, withdraw},
+	{"rollout", 2, rollout}, {"timeline", 1, timeline}, {"check-settings", 2, checkSettings},
 };
 
 int run(Cli& _cli)
--- a/tools/spanplank_fakes.cpp
+++ b/tools/spanplank_fakes.cpp
@@ -52,8 +52,8 @@
 int main(int _argc, char** _argv)
 {
 	absl::SetProgramUsageMessage("spanplank-fakes: stand-ins that take fault commands at POST /fault.\n"
-	                             "usage: spanplank-fakes --platform IP:PORT --engines IP:PORT,... "
-	                             "--services IP:PORT,...");
+								 "usage: spanplank-fakes --platform IP:PORT --engines IP:PORT,... "
+								 "--services IP:PORT,...");
 	absl::ParseCommandLine(_argc, _argv);
 	std::signal(SIGPIPE, SIG_IGN);
 	auto* fakes = new Fakes; // Lives as long as the process.
@@ -68,9 +68,9 @@
 		return kExitFailed;
 	}
 	boost::asio::signal_set signals(fakes->io, SIGTERM, SIGINT);
-	awaitIo(
-	    [&signals](auto _done)
-	    { signals.async_wait([_done](boost::system::error_code _error, int) mutable { _done(_error); }); });
+	awaitIo([&signals](auto _done) {
+		signals.async_wait([_done](boost::system::error_code _error, int) mutable { _done(_error); });
+	});
 	std::fflush(nullptr);
 	::_exit(kExitOk);
 }
--- a/tools/spanplank_load.cpp
+++ b/tools/spanplank_load.cpp
@@ -168,7 +168,7 @@
 	const uint64_t high = nextRandom(_random);
 	const uint64_t low = nextRandom(_random);
 	return fmt::format("{:08x}-{:04x}-7{:03x}-{:04x}-{:012x}", uint64_t(_wallMs) >> 16, _wallMs & 0xffff,
-	                   high & 0xfff, 0x8000 | (low & 0x3fff), (high >> 12) & 0xffffffffffffull);
+					   high & 0xfff, 0x8000 | (low & 0x3fff), (high >> 12) & 0xffffffffffffull);
 }
 
 std::string promptOf(const Request& _request, const Workload& _workload)
@@ -192,9 +192,9 @@
 	HttpCall call;
 	call.timeoutMs = _request.kind->deadlineMs + 3000;
 	call.headers = {{"Authorization", "Bearer " + _request.key},
-	                {"X-Spanplank-Kind", _request.kind->name},
-	                {"X-Spanplank-Deadline-Ms", std::to_string(_request.kind->deadlineMs)},
-	                {"Content-Type", "application/json"}};
+					{"X-Spanplank-Kind", _request.kind->name},
+					{"X-Spanplank-Deadline-Ms", std::to_string(_request.kind->deadlineMs)},
+					{"Content-Type", "application/json"}};
 	if (!_request.idempotencyKey.empty())
 	{
 		call.headers.push_back({"Idempotency-Key", _request.idempotencyKey});
@@ -203,7 +203,7 @@
 	{
 		const auto token = _load.sessions.find(_request.session);
 		call.headers.push_back(
-		    {"X-Spanplank-Session", token == _load.sessions.end() ? "new" : token->second});
+			{"X-Spanplank-Session", token == _load.sessions.end() ? "new" : token->second});
 	}
 	if (!_request.kind->service.empty())
 	{
@@ -213,10 +213,10 @@
 	}
 	call.target = "/v1/chat/completions";
 	call.body = json{{"model", _request.kind->model},
-	                 {"stream", _request.kind->stream},
-	                 {"max_tokens", _request.kind->maxTokens},
-	                 {"messages", {{{"role", "user"}, {"content", promptOf(_request, _load.workload)}}}}}
-	                .dump();
+					 {"stream", _request.kind->stream},
+					 {"max_tokens", _request.kind->maxTokens},
+					 {"messages", {{{"role", "user"}, {"content", promptOf(_request, _load.workload)}}}}}
+					.dump();
 	return call;
 }
 
@@ -239,8 +239,8 @@
 	{
 		const json body = json::parse(_body, nullptr, false);
 		return body.is_object() && body.contains("choices")
-		           ? body["choices"][0]["message"].value("content", "")
-		           : "";
+				   ? body["choices"][0]["message"].value("content", "")
+				   : "";
 	}
 	std::string text;
 	for (size_t at = _body.find("data: {"); at != std::string::npos; at = _body.find("data: {", at + 1))
@@ -270,7 +270,7 @@
 }
 
 void noteAnswer(Load& _load, const Request& _request, const HttpResponse& _response, const std::string& _body,
-                TimeUs _firstAt, Tally& _tally)
+				TimeUs _firstAt, Tally& _tally)
 {
 	const TimeUs now = monotonicNow();
 	++_tally.answered;
@@ -312,11 +312,10 @@
 	try
 	{
 		head = call(*_load.routers[_request.router], toCall(_load, _request),
-		            [&](const HttpResponse&, std::string_view _part)
-		            {
-			            firstAt = firstAt == 0 ? monotonicNow() : firstAt;
-			            body.append(_part);
-		            });
+					[&](const HttpResponse&, std::string_view _part) {
+						firstAt = firstAt == 0 ? monotonicNow() : firstAt;
+						body.append(_part);
+					});
 	}
 	catch (const HttpFailure&)
 	{
@@ -332,7 +331,7 @@
 	const std::string run = typed ? answer["error"].value("run", "unknown") : "unknown";
 	_pauseMs = typed ? answer["error"].value("retry_after_ms", 0u) : 100;
 	const bool mayComeBack =
-	    run == "no" ? _pauseMs > 0 : (_request.kind->once || _request.kind->service.empty());
+		run == "no" ? _pauseMs > 0 : (_request.kind->once || _request.kind->service.empty());
 	if (!_last && mayComeBack)
 	{
 		++_tally.comebacks;
@@ -457,23 +456,23 @@
 json tallyReport(const Tally& _tally)
 {
 	return {{"requests", _tally.requests},
-	        {"answered", _tally.answered},
-	        {"late", _tally.late},
-	        {"refused", _tally.refused},
-	        {"unknown", _tally.unknown},
-	        {"lost", _tally.lost},
-	        {"wrong", _tally.wrong},
-	        {"comebacks", _tally.comebacks},
-	        {"codes", _tally.codes},
-	        {"versions", _tally.versions},
-	        {"first_ms",
-	         {{"p50", percentileMs(_tally.first, 0.5)},
-	          {"p95", percentileMs(_tally.first, 0.95)},
-	          {"p99", percentileMs(_tally.first, 0.99)}}},
-	        {"whole_ms",
-	         {{"p50", percentileMs(_tally.whole, 0.5)},
-	          {"p95", percentileMs(_tally.whole, 0.95)},
-	          {"p99", percentileMs(_tally.whole, 0.99)}}}};
+			{"answered", _tally.answered},
+			{"late", _tally.late},
+			{"refused", _tally.refused},
+			{"unknown", _tally.unknown},
+			{"lost", _tally.lost},
+			{"wrong", _tally.wrong},
+			{"comebacks", _tally.comebacks},
+			{"codes", _tally.codes},
+			{"versions", _tally.versions},
+			{"first_ms",
+			 {{"p50", percentileMs(_tally.first, 0.5)},
+			  {"p95", percentileMs(_tally.first, 0.95)},
+			  {"p99", percentileMs(_tally.first, 0.99)}}},
+			{"whole_ms",
+			 {{"p50", percentileMs(_tally.whole, 0.5)},
+			  {"p95", percentileMs(_tally.whole, 0.95)},
+			  {"p99", percentileMs(_tally.whole, 0.99)}}}};
 }
 
 void addTo(Tally& _sum, const Tally& _part)
@@ -501,9 +500,9 @@
 void printRow(const std::string& _name, const Tally& _tally)
 {
 	fmt::print("{:<14} {:>8} {:>8} {:>6} {:>7} {:>7} {:>5} {:>6} {:>9.1f} {:>8.1f} {:>8.1f}\n", _name,
-	           _tally.requests, _tally.answered, _tally.late, _tally.refused, _tally.unknown, _tally.lost,
-	           _tally.wrong, percentileMs(_tally.first, 0.5), percentileMs(_tally.first, 0.95),
-	           percentileMs(_tally.first, 0.99));
+			   _tally.requests, _tally.answered, _tally.late, _tally.refused, _tally.unknown, _tally.lost,
+			   _tally.wrong, percentileMs(_tally.first, 0.5), percentileMs(_tally.first, 0.95),
+			   percentileMs(_tally.first, 0.99));
 }
 
 /// @returns The exit code: failed on any lost, doubled or wrong answer.
@@ -512,7 +511,7 @@
 	Tally sum;
 	json kinds = json::object();
 	fmt::print("{:<14} {:>8} {:>8} {:>6} {:>7} {:>7} {:>5} {:>6} {:>9} {:>8} {:>8}\n", "kind", "requests",
-	           "answered", "late", "refused", "unknown", "lost", "wrong", "first p50", "p95 ms", "p99 ms");
+			   "answered", "late", "refused", "unknown", "lost", "wrong", "first p50", "p95 ms", "p99 ms");
 	for (const auto& [name, tally] : _load.tallies)
 	{
 		printRow(name, tally);
@@ -522,10 +521,10 @@
 	printRow("all", sum);
 	const uint64_t doubled = countDoubled(_load);
 	fmt::print("{}: requests {} answered {} refused {} unknown {} lost {} doubled {} wrong {} "
-	           "first_ms p50 {:.1f} p95 {:.1f} p99 {:.1f}\n",
-	           _load.workload.name, sum.requests, sum.answered, sum.refused, sum.unknown, sum.lost, doubled,
-	           sum.wrong, percentileMs(sum.first, 0.5), percentileMs(sum.first, 0.95),
-	           percentileMs(sum.first, 0.99));
+			   "first_ms p50 {:.1f} p95 {:.1f} p99 {:.1f}\n",
+			   _load.workload.name, sum.requests, sum.answered, sum.refused, sum.unknown, sum.lost, doubled,
+			   sum.wrong, percentileMs(sum.first, 0.5), percentileMs(sum.first, 0.95),
+			   percentileMs(sum.first, 0.99));
 	const std::string file = absl::GetFlag(FLAGS_json);
 	if (!file.empty())
 	{
@@ -554,7 +553,7 @@
 	workload.rate = absl::GetFlag(FLAGS_rate) > 0.0 ? absl::GetFlag(FLAGS_rate) : workload.rate;
 	workload.seed = absl::GetFlag(FLAGS_seed) > 0 ? absl::GetFlag(FLAGS_seed) : workload.seed;
 	fmt::print("workload {} seed {} rate {}/s for {} s\n", workload.name, workload.seed, workload.rate,
-	           workload.seconds);
+			   workload.seconds);
 	generate(_load);
 	while (_load.running > 0)
 	{
@@ -567,7 +566,7 @@
 int main(int _argc, char** _argv)
 {
 	absl::SetProgramUsageMessage("spanplank-load: open-loop load, checked answers, a report.\n"
-	                             "usage: spanplank-load --workload FILE --routers IP:PORT,...");
+								 "usage: spanplank-load --workload FILE --routers IP:PORT,...");
 	absl::ParseCommandLine(_argc, _argv);
 	if (absl::GetFlag(FLAGS_workload).empty() || absl::GetFlag(FLAGS_routers).empty())
 	{
