--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -264,6 +264,7 @@
 	}
 	const auto points = [](const std::vector<Row>& _rows, bool _byAgents, auto&& _value) {
 		std::vector<std::pair<double, double>> result;
+		result.reserve(_rows.size());
 		for (const Row& row : _rows)
 		{
 			result.emplace_back(_byAgents ? row.agents : row.routers, _value(row));
