--- a/include/spanplank/config.h
+++ b/include/spanplank/config.h
@@ -40,7 +40,8 @@
 constexpr size_t kMaxUnflushedBills = 200000;
 /// Least period of the bill flush, milliseconds.
 constexpr uint32_t kBillFlushMs = 1000;
-/// The period grows with the live routers, so that all flushes together stay at 100 a second, milliseconds each.
+/// The period grows with the live routers, so that all flushes together stay at 100 a second, milliseconds
+/// each.
 constexpr uint32_t kBillFlushPerRouterMs = 10;
 /// Events that a process keeps for the time line.
 constexpr size_t kTimelineEvents = 8192;
