--- a/tests/core/router_core_test.cpp
+++ b/tests/core/router_core_test.cpp
@@ -50,7 +50,7 @@
 		request.bearer = "key";
 		request.model = _model;
 		request.stream = _stream;
-		request.deadline = kNow + 10 * 1000000;
+		request.deadline = kNow + 10000 * kMsToUs;
 		arrive(core, RequestId{1}, request, kNow, 1, actions);
 		return take<SendSubmit>();
 	}
@@ -60,7 +60,7 @@
 	Action take()
 	{
 		EXPECT_EQ(actions.size(), 1u);
-		const Action action = std::get<Action>(actions.at(0));
+		Action action = std::get<Action>(actions.at(0));
 		actions.clear();
 		return action;
 	}
