Ports of tests and scripts stay below the kernel's ephemeral range

Cause: the demo failed once: a stand-in could not bind (address in use). Its port, in 32768 to 60999, had been given to an outgoing connection between the look and the bind; the test harness drew from the same range. Ruled out: a listener left over (no process of ours was alive).

--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -7,7 +7,7 @@
 PIDS=()
 OPERATOR_TOKEN="operator-token"
 export SPANPLANK_TOKEN="$OPERATOR_TOKEN"
-NEXT_PORT=$((20000 + RANDOM % 20000))
+NEXT_PORT=$((10000 + RANDOM % 20000)) # Below the ports that the kernel gives to outgoing connections.
 
 # Prints a port that nobody listens on.
 freePort()
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -23,22 +23,26 @@
 
 constexpr const char* kOperatorToken = "operator-token";
 
-/// Ports that nobody listens on; a run takes them upwards so that two tests don't meet.
+/// Ports that nobody listens on, below those that the kernel gives to outgoing connections: one of those
+/// could take a port between the look and the child's bind.
 uint16_t freePort()
 {
-	static uint16_t s_next = uint16_t(20000 + (uint32_t(::getpid()) * 53) % 40000);
+	constexpr uint32_t kFirst = 10000;
+	constexpr uint32_t kCount = 22000;
+	constexpr uint32_t kApart = 53; // Two tests started one after the other take other ports.
+	static uint32_t s_next = uint32_t(::getpid()) * kApart;
 	while (true)
 	{
-		s_next = s_next >= 60000 ? 20000 : uint16_t(s_next + 1);
+		const auto port = uint16_t(kFirst + s_next++ % kCount);
 		boost::system::error_code error;
 		boost::asio::ip::tcp::acceptor probe(testIo());
-		const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"), s_next);
+		const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"), port);
 		probe.open(address.protocol());
 		probe.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
 		probe.bind(address, error);
 		if (!error)
 		{
-			return s_next;
+			return port;
 		}
 	}
 }
