Membership looked up in one place; a loop that stood twice in a test; a field nobody read

Cause: a read of the whole change. The agent's process looped over the group's table for what the guard's isMember does; the run-once test had the same loop twice; UpstreamLoad::ownInFlight was set and never read; a stand-in's function was named with get.

Change: isMember is public and isHome calls it; runFresh in the test, same assertions; the field is gone; readItem.

Ruled out: one refusal body for the HTTP server and the node (its field name would change for callers).

Conclusion: behaviour as before.

--- a/include/spanplank/routing.h
+++ b/include/spanplank/routing.h
@@ -22,7 +22,6 @@
 	uint64_t prefillBacklog = 0; ///< Prompt tokens that wait there, from the latest report.
 	uint32_t sentSince = 0;      ///< Requests sent by this router after that report was made.
 	uint64_t sentTokens = 0;     ///< Their prompt tokens.
-	uint32_t ownInFlight = 0;    ///< This router's requests there now.
 	uint32_t prefixTokens = 0;   ///< Prompt tokens that its prefix cache likely holds.
 	double reportAge = 0.0;      ///< Seconds since that report was made.
 	uint32_t routers = 1;        ///< Routers that send there, this one included.
--- a/include/spanplank/run_once.h
+++ b/include/spanplank/run_once.h
@@ -231,6 +231,9 @@
 /// @returns Indices of members from first rank to last for a key.
 std::vector<size_t> rankMembers(absl::Span<const HomeMember> _members, std::string_view _key);
 
+/// @returns Whether an incarnation is a member of the table.
+bool isMember(const HomeTable& _table, std::string_view _incarnation);
+
 /// @returns Whether the guard is a member that holds all records of its epoch.
 bool isSettled(const RunOnceGuard& _guard);
 
--- a/src/adapters/agent_homes.cpp
+++ b/src/adapters/agent_homes.cpp
@@ -85,14 +85,7 @@
 
 bool isHome(const Agent& _agent)
 {
-	for (const HomeMember& member : _agent.core.guard.table.members)
-	{
-		if (member.incarnation == _agent.node.incarnation)
-		{
-			return true;
-		}
-	}
-	return false;
+	return isMember(_agent.core.guard.table, _agent.node.incarnation);
 }
 
 void stepHomes(Agent& _agent)
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -115,7 +115,6 @@
 	load.prefillBacklog = upstream.report.prefillBacklog;
 	load.sentSince = upstream.sentSince;
 	load.sentTokens = upstream.sentTokens;
-	load.ownInFlight = upstream.inFlight;
 	load.prefixTokens = prefixHit(_core.prefixes, _blocks, load.id, _now);
 	load.reportAge = double(_now - upstream.reportAt) * 1e-6;
 	load.routers = std::max(1u, _core.routers);
--- a/src/core/run_once.cpp
+++ b/src/core/run_once.cpp
@@ -22,11 +22,6 @@
 	return kNoMember;
 }
 
-bool isMember(const HomeTable& _table, std::string_view _incarnation)
-{
-	return memberIndex(_table, _incarnation) != kNoMember;
-}
-
 Refusal homeChanging(const char* _why)
 {
 	return Refusal{ErrorCode::HomeChanging, RunState::No, kHomeChangeRetryMs, _why};
@@ -281,6 +276,11 @@
 	return rank;
 }
 
+bool isMember(const HomeTable& _table, std::string_view _incarnation)
+{
+	return memberIndex(_table, _incarnation) != kNoMember;
+}
+
 bool isSettled(const RunOnceGuard& _guard)
 {
 	if (!isMember(_guard.table, _guard.self))
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -59,7 +59,7 @@
 	}
 }
 
-json getItem(FakeStore& _store, const json& _request)
+json readItem(FakeStore& _store, const json& _request)
 {
 	++_store.reads;
 	const std::string key = _request.value("key", "");
@@ -204,7 +204,7 @@
 	const bool write = _path == "kv/cas" || _path == "kv/lease";
 	if (_path == "kv/get")
 	{
-		answer = getItem(_store, request);
+		answer = readItem(_store, request);
 	}
 	else if (_path == "kv/list")
 	{
--- a/tests/core/run_once_test.cpp
+++ b/tests/core/run_once_test.cpp
@@ -604,33 +604,34 @@
 	EXPECT_NE(std::get<RefuseCall>(unborn.at(0)).refusal.run, RunState::Unknown);
 }
 
+/// Calls 100 fresh keys at their homes. @returns How often they ran in all.
+uint64_t runFresh(Group& _group, const std::string& _prefix)
+{
+	uint64_t runs = 0;
+	for (int ii = 0; ii < 100; ++ii)
+	{
+		const std::string key = fmt::format("{}-{}", _prefix, ii);
+		const std::string home = _group.primaryOf(key);
+		carryOut(_group.world, home, _group.call(home, key));
+		_group.drain();
+		runs += uint64_t(_group.world.executions[key]);
+	}
+	return runs;
+}
+
 TEST(RunOnce, FreshKeysRunOnAfterOneDeathAndWithTheStoreDown)
 {
 	Group group;
 	group.world.storeDown = true;
 	uint64_t answered = 0;
-	for (int ii = 0; ii < 100; ++ii)
-	{
-		const std::string key = fmt::format("down-{}", ii);
-		const std::string home = group.primaryOf(key);
-		carryOut(group.world, home, group.call(home, key));
-		group.drain();
-		answered += group.world.executions[key];
-	}
+	answered += runFresh(group, "down");
 	EXPECT_EQ(answered, 100u);
 	group.world.storeDown = false;
 	group.world.members.erase(group.world.members.begin());
 	group.settle();
 	ASSERT_EQ(group.world.stored.members.size(), 2u);
 	EXPECT_EQ(group.world.stored.doubtBeforeMs, 0);
-	for (int ii = 0; ii < 100; ++ii)
-	{
-		const std::string key = fmt::format("dead-{}", ii);
-		const std::string home = group.primaryOf(key);
-		carryOut(group.world, home, group.call(home, key));
-		group.drain();
-		answered += group.world.executions[key];
-	}
+	answered += runFresh(group, "dead");
 	EXPECT_EQ(answered, 200u);
 }
 
