--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -1,8 +1,8 @@
 /// Roll-outs of an upstream's version in direct mode: exposure, evidence, halt and completion.
 ///
-/// Every router holds the same small share of its own requests until late, so that the bound on the share of
-/// all requests holds without talk. Each judges by its own evidence; a halt is written to the store for the
-/// others.
+/// Sessions move between routers, so the version of a session may not depend on what one router has seen: it
+/// follows from a hash of the session and from the time since the order, which all routers share. Each router
+/// judges by its own evidence; a halt is obeyed at once and written to the store for the others.
 #ifndef SPANPLANK_VERSION_TRIAL_H_HEADER_GUARD
 #define SPANPLANK_VERSION_TRIAL_H_HEADER_GUARD
 
@@ -53,31 +53,21 @@
 {
 	RolloutOrder order;
 	uint64_t orderRevision = 0; ///< Of the order in the store: a new one begins a new trial.
-	TimeUs startedAt = 0;       ///< When this router learned of the order, or its age told it.
+	TimeUs startedAt = 0; ///< Of the order, as far as this router knows; the store's progress moves it back.
 	RolloutState state = RolloutState::Running;
 	uint64_t statusRevision = 0;                  ///< Of the status in the store; 0: none.
 	bool decided = false;                         ///< This router wants `state` in the store.
 	std::map<std::string, TrialCounts> candidate; ///< By route.
 	std::map<std::string, TrialCounts> others;    ///< By route.
 	std::map<std::string, uint32_t> badBy;        ///< Bad answers by upstream of the new version.
-	uint32_t candidateRequests = 0;
-	uint32_t requests = 0;
-	uint32_t candidateInFlight = 0;
-	uint32_t othersInFlight = 0;
-};
-
-/// The version that a session's last request ran on.
-struct SessionVersion
-{
-	std::string version;
-	TimeUs at = 0;
+	uint32_t othersInFlight = 0;                  ///< Attempts on the old version.
+	TimeUs progressSaved = 0;      ///< Progress that the store holds, so that a blank router can go on.
+	uint64_t progressRevision = 0; ///< Of that record; 0: none.
 };
 
 struct TrialBook
 {
 	std::map<std::string, VersionTrial> trials; ///< By service.
-	std::unordered_map<std::string, SessionVersion> sessions;
-	TimeUs sessionLifetime = 5000 * kMsToUs; ///< From the settings; a session ends after this pause.
 };
 
 /// An order was read. An order that is known stays as it is.
@@ -94,18 +84,15 @@
 	std::string never;
 };
 
-/// Chooses for a request's first attempt. @param[in] _session Empty: none.
-VersionChoice chooseVersion(TrialBook& _book, const std::string& _service, const std::string& _session,
-							TimeUs _now, Random& _random);
+/// Chooses for a request. @param[in] _sessionHash The same for all requests of a session.
+VersionChoice chooseVersion(const TrialBook& _book, const std::string& _service, uint64_t _sessionHash,
+							TimeUs _now);
 
 /// @returns The choice for a further attempt of a request, or after a halt: never a version that was rolled
 /// back.
 VersionChoice withoutHalted(const TrialBook& _book, const std::string& _service,
 							const VersionChoice& _choice);
 
-/// A request began to run on a version.
-void noteSession(TrialBook& _book, const std::string& _session, const std::string& _version, TimeUs _now);
-
 /// An attempt was sent, or ended.
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version);
 void noteTrialEnded(TrialBook& _book, const std::string& _service, const std::string& _version);
@@ -114,11 +101,14 @@
 void noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
 					 const std::string& _route, const std::string& _upstream, bool _bad, TimeUs _latency);
 
-/// @returns The state that this router wants to write for a service, if it differs from what the store holds.
+/// @returns Whether this router wants to write the status. @param[out] _status What it wants to write.
 bool wantsStatus(VersionTrial& _trial, TimeUs _now, RolloutStatus& _status);
 
-/// Forgets sessions that have ended.
-void forgetSessions(TrialBook& _book, TimeUs _now);
+/// @returns Whether the progress in the store is old enough to be written anew. @param[in] _jitter 0 to 1.
+bool wantsProgress(const VersionTrial& _trial, TimeUs _now, double _jitter);
+
+/// The store's record of the time since the order was read or written.
+void takeProgress(VersionTrial& _trial, TimeUs _progress, uint64_t _revision, TimeUs _now);
 } // namespace spanplank
 
 #endif // SPANPLANK_VERSION_TRIAL_H_HEADER_GUARD
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -300,7 +300,6 @@
 	reader.address("store", settings.store);
 	reader.seconds("graceSeconds", settings.graceMs, 0.1, 3600.0);
 	reader.number("revokeMs", settings.revokeMs, 100, kHourMs);
-	reader.seconds("sessionSeconds", settings.sessionMs, 0.0, 3600.0);
 	reader.seconds("retryWindowSeconds", settings.retryWindowMs, 0.1, 3600.0);
 	reader.decimal("retryRatio", settings.retryRatio, 0.0, 100.0);
 	reader.decimal("exposureShare", settings.exposureShare, 0.0, 1.0);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -47,7 +47,6 @@
 	Endpoint store;
 	uint32_t graceMs = 8000;        ///< Between the signal to stop and the kill.
 	uint32_t revokeMs = 5000;       ///< A removed key stops working within this time.
-	uint32_t sessionMs = 5000;      ///< A session ends after this pause.
 	uint32_t retryWindowMs = 10000; ///< Sliding window of the bound on retries.
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -6,15 +6,18 @@
 {
 namespace
 {
-constexpr double kTrialShare = 0.09; ///< Of a router's requests until late; the bound in use is 0.15 of all.
-constexpr double kWidenFrom = 0.55;  ///< Part of the duration after which the share grows.
-constexpr double kAllFrom = 0.68;    ///< Part of the duration after which all new requests go there.
+// Parts of a roll-out's duration. Sessions keep the old version for the first half.
+constexpr double kTrialFrom = 0.53; ///< The new version gets its first share.
+constexpr double kWidenFrom = 0.68; ///< Its share grows from here ...
+constexpr double kAllFrom = 0.77;   ///< ... to everything. Up to here it got 0.08 of all requests.
 constexpr double kCompleteFrom =
-	0.78;                           ///< Part after which the old version may be stopped once it has no work.
-constexpr double kCompleteAt = 0.9; ///< Part after which it is stopped whatever it has: the deadline is near.
-constexpr double kPinnedUntil = 0.52; ///< Sessions keep the old version for the first half.
-constexpr uint32_t kLeastGood = 6;    ///< Good answers of the new version before its share may grow.
-constexpr uint32_t kLeastBad = 4;     ///< Bad answers before a version is halted.
+	0.83; ///< The old version may be stopped once it has no work. 0.14 of all requests.
+constexpr double kCompleteAt = 0.9;  ///< It is stopped whatever it has: the deadline is near.
+constexpr double kTrialShare = 0.25; ///< Enough for a verdict within seconds, with few requests spent on it.
+constexpr TimeUs kProgressEvery = 2000 * kMsToUs; ///< What a blank router may be wrong by.
+constexpr TimeUs kProgressJitter = 1000 * kMsToUs;
+constexpr uint32_t kLeastGood = 6; ///< Good answers of the new version before its share may grow.
+constexpr uint32_t kLeastBad = 4;  ///< Bad answers before a version is halted.
 constexpr double kBadRate = 0.2; ///< Halted above this share of bad answers, if the old version has less ...
 constexpr double kBadExcess = 0.12; ///< ... by at least this.
 constexpr double kSlowRatio = 3.0;  ///< Halted if its latency is this many times the old version's.
@@ -74,18 +77,16 @@
 	return sum(_trial.candidate).good >= kLeastGood && !isBad(_trial);
 }
 
+/// Grows with time alone, so that all routers agree on every session.
 double shareAt(const VersionTrial& _trial, TimeUs _now)
 {
 	const double part = elapsed(_trial, _now);
-	if (part < kWidenFrom || !isProved(_trial))
+	if (part < kTrialFrom)
 	{
-		return kTrialShare;
+		return 0.0;
 	}
-	if (part >= kAllFrom)
-	{
-		return 1.0;
-	}
-	return kTrialShare + (1.0 - kTrialShare) * (part - kWidenFrom) / (kAllFrom - kWidenFrom);
+	const double widened = (part - kWidenFrom) / (kAllFrom - kWidenFrom);
+	return kTrialShare + (1.0 - kTrialShare) * std::clamp(widened, 0.0, 1.0);
 }
 
 TrialCounts& countsOf(VersionTrial& _trial, const std::string& _version, const std::string& _route)
@@ -93,26 +94,6 @@
 	return _version == _trial.order.version ? _trial.candidate[_route] : _trial.others[_route];
 }
 
-VersionChoice runningChoice(TrialBook& _book, VersionTrial& _trial, const std::string& _session, TimeUs _now,
-							Random& _random)
-{
-	const std::string& version = _trial.order.version;
-	const auto session = _session.empty() ? _book.sessions.end() : _book.sessions.find(_session);
-	const bool known = session != _book.sessions.end() && _now - session->second.at < _book.sessionLifetime;
-	const double part = elapsed(_trial, _now);
-	if (known && session->second.version == version)
-	{
-		return {version, ""};
-	}
-	if (known && part < kPinnedUntil)
-	{
-		return {"", version};
-	}
-	const double share = shareAt(_trial, _now);
-	const bool withinShare = double(_trial.candidateRequests) < share * double(_trial.requests + 1);
-	const bool offered = share >= 1.0 || (nextUnit(_random) < share && withinShare);
-	return offered ? VersionChoice{version, ""} : VersionChoice{"", version};
-}
 } // namespace
 
 const char* name(RolloutState _state)
@@ -163,16 +144,15 @@
 	return changed;
 }
 
-VersionChoice chooseVersion(TrialBook& _book, const std::string& _service, const std::string& _session,
-							TimeUs _now, Random& _random)
+VersionChoice chooseVersion(const TrialBook& _book, const std::string& _service, uint64_t _sessionHash,
+							TimeUs _now)
 {
 	const auto found = _book.trials.find(_service);
 	if (found == _book.trials.end())
 	{
 		return {};
 	}
-	VersionTrial& trial = found->second;
-	++trial.requests;
+	const VersionTrial& trial = found->second;
 	switch (trial.state)
 	{
 	case RolloutState::RolledBack:
@@ -182,7 +162,10 @@
 	case RolloutState::Running:
 		break;
 	}
-	return runningChoice(_book, trial, _session, _now, _random);
+	constexpr double kHashRange = 18446744073709551616.0; // 2^64
+	const bool offered =
+		double(stableHash(trial.order.version, _sessionHash)) < shareAt(trial, _now) * kHashRange;
+	return offered ? VersionChoice{trial.order.version, ""} : VersionChoice{"", trial.order.version};
 }
 
 VersionChoice withoutHalted(const TrialBook& _book, const std::string& _service, const VersionChoice& _choice)
@@ -195,14 +178,6 @@
 	return {"", found->second.order.version};
 }
 
-void noteSession(TrialBook& _book, const std::string& _session, const std::string& _version, TimeUs _now)
-{
-	if (!_session.empty())
-	{
-		_book.sessions[_session] = {_version, _now};
-	}
-}
-
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version)
 {
 	const auto found = _book.trials.find(_service);
@@ -210,9 +185,7 @@
 	{
 		return;
 	}
-	const bool candidate = found->second.order.version == _version;
-	found->second.candidateRequests += candidate ? 1 : 0;
-	++(candidate ? found->second.candidateInFlight : found->second.othersInFlight);
+	found->second.othersInFlight += found->second.order.version == _version ? 0 : 1;
 }
 
 void noteTrialEnded(TrialBook& _book, const std::string& _service, const std::string& _version)
@@ -222,9 +195,8 @@
 	{
 		return;
 	}
-	VersionTrial& trial = found->second;
-	uint32_t& inFlight = trial.order.version == _version ? trial.candidateInFlight : trial.othersInFlight;
-	inFlight -= std::min(inFlight, 1u);
+	uint32_t& inFlight = found->second.othersInFlight;
+	inFlight -= found->second.order.version == _version ? 0 : std::min(inFlight, 1u);
 }
 
 void noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
@@ -264,22 +236,25 @@
 		_trial.state = RolloutState::Completed;
 		_trial.decided = true;
 	}
-	const bool late = _trial.state == RolloutState::Running && part >= kCompleteAt && !isProved(_trial);
-	if (late)
-	{
-		_trial.state = RolloutState::RolledBack; // Not proved in time: the old version is the safe one.
-		_trial.decided = true;
-	}
 	_status = {_trial.order.version, _trial.state};
 	return _trial.decided || _trial.statusRevision < _trial.orderRevision;
 }
 
-void forgetSessions(TrialBook& _book, TimeUs _now)
+bool wantsProgress(const VersionTrial& _trial, TimeUs _now, double _jitter)
 {
-	for (auto at = _book.sessions.begin(); at != _book.sessions.end();)
+	const TimeUs ahead = _now - _trial.startedAt - _trial.progressSaved;
+	return _trial.state == RolloutState::Running &&
+		   ahead > kProgressEvery + TimeUs(_jitter * double(kProgressJitter));
+}
+
+void takeProgress(VersionTrial& _trial, TimeUs _progress, uint64_t _revision, TimeUs _now)
+{
+	if (_revision <= _trial.progressRevision || _revision < _trial.orderRevision)
 	{
-		const bool ended = _now - at->second.at > 2 * _book.sessionLifetime;
-		at = ended ? _book.sessions.erase(at) : std::next(at);
+		return;
 	}
+	_trial.progressRevision = _revision;
+	_trial.progressSaved = _progress;
+	_trial.startedAt = std::min(_trial.startedAt, _now - _progress);
 }
 } // namespace spanplank
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -71,7 +71,6 @@
 		const TimeUs now = monotonicNow();
 		dropIdle(_router.pool, now);
 		forgetGone(_router.upstreams, now);
-		forgetSessions(_router.trials, now);
 	}
 }
 
@@ -83,7 +82,6 @@
 		const DirectSettings settings = loadDirectSettings(_router.settingsFile);
 		const Endpoint store = settings.store;
 		_router.settings = settings;
-		_router.trials.sessionLifetime = TimeUs(settings.sessionMs) * kMsToUs;
 		_router.retries.clear();
 		_router.store.http.endpoint = store;
 		_router.store.watchHttp.endpoint = store;
@@ -122,6 +120,7 @@
 						  {"connections", std::to_string(_router.callers.connections)}});
 	const uint32_t grace = std::max(_router.settings.graceMs, kEndMarginMs + 1);
 	const TimeUs until = begin + TimeUs(grace - kEndMarginMs) * kMsToUs;
+	_router.stopsAt = until;
 	const TimeUs earliest = std::min(until, begin + kBalancerMs * kMsToUs);
 	while (monotonicNow() < earliest || (_router.inFlight > 0 && monotonicNow() < until))
 	{
@@ -141,7 +140,6 @@
 	store.watchHttp = clientFor(io, _settings.store);
 	store.protocol = &platform::storeProtocol();
 	pool.io = &io;
-	trials.sessionLifetime = TimeUs(_settings.sessionMs) * kMsToUs;
 	random.state = stableHash(_settings.box) ^ uint64_t(wallNow());
 	setLogProcess(_settings.box);
 }
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -62,6 +62,7 @@
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
 	bool stopping = false;
 	TimeUs stoppingSince = 0;
+	TimeUs stopsAt = 0; ///< What is in flight then is cut.
 };
 
 /// Serves one caller's request.
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -1,4 +1,5 @@
 /// Follows the platform's store: configuration with proofs of its freshness, registered upstreams, roll-outs.
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
 #include "direct_router_p.h"
@@ -15,6 +16,8 @@
 	400; ///< ... and the longest: a router must learn of a return within the bounds.
 constexpr uint32_t kRolloutTickMs = 200;
 
+constexpr std::string_view kProgressPrefix = "spanplank/rollout/"; ///< The routers' own records, by service.
+
 bool hasPrefix(std::string_view _text, std::string_view _prefix)
 {
 	return _text.substr(0, _prefix.size()) == _prefix;
@@ -97,6 +100,17 @@
 	}
 }
 
+/// The routers' own record: how long ago a roll-out was ordered.
+void takeProgressItem(DirectRouter& _router, const StoreItem& _item, TimeUs _now)
+{
+	const auto found = _router.trials.trials.find(afterPrefix(_item.key, kProgressPrefix));
+	TimeUs progress = 0;
+	if (found != _router.trials.trials.end() && absl::SimpleAtoi(_item.value, &progress))
+	{
+		takeProgress(found->second, progress, _item.revision, _now);
+	}
+}
+
 void takeOperatorItem(DirectRouter& _router, const StoreItem& _item, TimeUs _now)
 {
 	if (_item.deleted)
@@ -115,6 +129,10 @@
 	{
 		takeStatusItem(_router, _item);
 	}
+	else if (hasPrefix(_item.key, kProgressPrefix))
+	{
+		takeProgressItem(_router, _item, _now);
+	}
 }
 
 void logUpstream(const char* _event, const UpstreamRecord& _record)
@@ -318,6 +336,24 @@
 	}
 }
 
+/// Keeps the time since the order in the store, so that routers that start blank go on from there.
+void saveProgress(DirectRouter& _router, const std::string& _service, VersionTrial& _trial)
+{
+	const TimeUs now = monotonicNow();
+	if (!wantsProgress(_trial, now, nextUnit(_router.random)))
+	{
+		return;
+	}
+	const TimeUs progress = now - _trial.startedAt;
+	uint64_t revision = 0;
+	const CasResult result = casStore(_router.store, std::string(kProgressPrefix) + _service,
+									  std::to_string(progress), _trial.progressRevision, revision);
+	if (result == CasResult::Done)
+	{
+		takeProgress(_trial, progress, revision, now);
+	}
+}
+
 void runRollouts(DirectRouter& _router)
 {
 	while (true)
@@ -328,6 +364,7 @@
 			try
 			{
 				settleRollout(_router, service, trial);
+				saveProgress(_router, service, trial);
 			}
 			catch (const Failure& failure)
 			{
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -16,6 +16,8 @@
 	0.75; ///< Of the revocation bound: watches may be silent for a second and more.
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
 constexpr uint32_t kMeanPromptTokens = 4000; ///< A request of this size counts as one unit of work.
+constexpr TimeUs kLateStop = 2600 * kMsToUs; ///< The balancer has seen the stop by then.
+constexpr uint32_t kStoppingRetryMs = 20;    ///< Another router takes the request at once.
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
 
 /// One request and what its attempts need.
@@ -127,6 +129,20 @@
 	return true;
 }
 
+/// @returns Whether a request that came late in a planned stop can still end within it; otherwise it was
+/// refused.
+bool admitByStop(Serving& _serving)
+{
+	const DirectRouter& router = _serving.router;
+	if (!router.stopping || monotonicNow() - router.stoppingSince < kLateStop ||
+		_serving.plan.deadline <= router.stopsAt)
+	{
+		return true;
+	}
+	refuse(_serving, 503, "stopping", "this router stops before the request could end", kStoppingRetryMs);
+	return false;
+}
+
 // ---- One attempt ------------------------------------------------------------------------------------------
 
 uint64_t affinityOf(const Serving& _serving, const std::string& _model)
@@ -412,7 +428,6 @@
 	request.freshOnly = !_serving.plan.repeatable;
 	noteSent(router.upstreams, _upstream, workOf(_serving), begin);
 	noteTrialSent(router.trials, _serving.service, upstream.version);
-	noteSession(router.trials, _serving.call.session, upstream.version, begin);
 	TimeUs headAfter = 0;
 	double confidence = -1.0;
 	AttemptEnd end = AttemptEnd::NotSent;
@@ -434,6 +449,7 @@
 			  {"end", name(end)},
 			  {"upstream", upstream.id},
 			  {"version", upstream.version},
+			  {"session", _serving.call.session},
 			  {"model", model},
 			  {"confidence", fmt::format("{:.0f}", confidence)},
 			  {"config", std::to_string(_serving.config->version)},
@@ -513,8 +529,10 @@
 	DirectRouter& router = _serving.router;
 	RetryWindow& window = retryWindow(router, _serving.service);
 	noteRequest(window, _serving.plan.arrivedAt);
-	const VersionChoice version = chooseVersion(router.trials, _serving.service, _serving.call.session,
-												_serving.plan.arrivedAt, router.random);
+	const std::string& session =
+		_serving.call.session.empty() ? _serving.call.requestId : _serving.call.session;
+	const VersionChoice version =
+		chooseVersion(router.trials, _serving.service, stableHash(session), _serving.plan.arrivedAt);
 	NextMove move = NextMove::Again;
 	while (move == NextMove::Again)
 	{
@@ -545,6 +563,10 @@
 	serving.plan = planRequest(*serving.route, serving.call.deadlineMs, serving.plan.arrivedAt);
 	serving.events.lastId = serving.call.lastEventId;
 	serving.service = pickService(*serving.route, stableHash(serving.call.requestId));
+	if (!admitByStop(serving))
+	{
+		return;
+	}
 	_exchange.onCallerGone([&serving] {
 		serving.callerGone = true;
 		if (serving.running != nullptr)
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -15,8 +15,9 @@
 constexpr TimeUs kFreshIdle = 1500 * kMsToUs; ///< Longest pause before a request that can't be repeated.
 constexpr size_t kMostIdle = 16;              ///< Of one upstream.
 constexpr int kMostSkipped = 3; ///< Answers to other requests on one connection before it is given up.
-constexpr size_t kHeadLimit = 32u << 10;     ///< Bytes of an answer's head.
-constexpr uint64_t kBodyLimit = 1ull << 40;  ///< Streams have no limit; Beast 1.74 rejects lengths when none is set.
+constexpr size_t kHeadLimit = 32u << 10; ///< Bytes of an answer's head.
+constexpr uint64_t kBodyLimit =
+	1ull << 40; ///< Streams have no limit; Beast 1.74 rejects lengths when none is set.
 
 /// An idle connection that has bytes or an end to read must not be used.
 bool isQuiet(tcp::socket& _socket)
