--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -88,10 +88,8 @@
 VersionChoice chooseVersion(const TrialBook& _book, const std::string& _service, uint64_t _sessionHash,
 							TimeUs _now);
 
-/// @returns The choice for a further attempt of a request, or after a halt: never a version that was rolled
-/// back.
-VersionChoice withoutHalted(const TrialBook& _book, const std::string& _service,
-							const VersionChoice& _choice);
+/// @returns The version that was rolled back, which gets no more requests; empty: none.
+std::string haltedVersion(const TrialBook& _book, const std::string& _service);
 
 /// An attempt was sent, or ended.
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version);
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -168,14 +168,11 @@
 	return offered ? VersionChoice{trial.order.version, ""} : VersionChoice{"", trial.order.version};
 }
 
-VersionChoice withoutHalted(const TrialBook& _book, const std::string& _service, const VersionChoice& _choice)
+std::string haltedVersion(const TrialBook& _book, const std::string& _service)
 {
 	const auto found = _book.trials.find(_service);
-	if (found == _book.trials.end() || found->second.state != RolloutState::RolledBack)
-	{
-		return _choice;
-	}
-	return {"", found->second.order.version};
+	const bool halted = found != _book.trials.end() && found->second.state == RolloutState::RolledBack;
+	return halted ? found->second.order.version : "";
 }
 
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version)
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -192,7 +192,7 @@
 }
 
 /// Takes a full list of what the operators, the upstreams and the routers keep in the store.
-void takeAll(DirectRouter& _router, const StoreList& _list, TimeUs _sentAt)
+void takeAll(DirectRouter& _router, const StoreList& _list)
 {
 	StoreList upstreams;
 	upstreams.revision = _list.revision;
@@ -204,13 +204,13 @@
 		}
 		else
 		{
-			takeOperatorItem(_router, item, _sentAt);
+			takeOperatorItem(_router, item, monotonicNow());
 		}
 	}
 	takeUpstreamList(_router, upstreams, monotonicNow());
 }
 
-void takeChanges(DirectRouter& _router, const StoreList& _list, TimeUs _sentAt)
+void takeChanges(DirectRouter& _router, const StoreList& _list)
 {
 	for (const StoreItem& item : _list.items)
 	{
@@ -220,7 +220,7 @@
 		}
 		else
 		{
-			takeOperatorItem(_router, item, _sentAt);
+			takeOperatorItem(_router, item, monotonicNow());
 		}
 	}
 }
@@ -240,7 +240,7 @@
 	if (!_follower.listed)
 	{
 		const StoreList list = listStore(_follower.client, "");
-		takeAll(_router, list, sentAt);
+		takeAll(_router, list);
 		_follower.revision = list.revision;
 		_follower.listed = true;
 	}
@@ -248,7 +248,7 @@
 	{
 		const StoreList changes =
 			watchStore(_follower.client, "", _follower.revision, _router.settings.configWaitMs);
-		takeChanges(_router, changes, sentAt);
+		takeChanges(_router, changes);
 		_follower.revision = std::max(_follower.revision, changes.revision);
 	}
 	_router.config.provedAt = std::max(_router.config.provedAt, sentAt);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -185,9 +185,9 @@
 	{
 		return picked;
 	}
-	const VersionChoice any = withoutHalted(router.trials, _serving.service, {});
-	query.version = any.only;
-	query.notVersion = any.never;
+	const std::string halted = haltedVersion(router.trials, _serving.service);
+	query.version = "";
+	query.notVersion = halted;
 	return pickDirectUpstream(router.upstreams, query, _now, router.random);
 }
 
@@ -531,14 +531,14 @@
 	noteRequest(window, _serving.plan.arrivedAt);
 	const std::string& session =
 		_serving.call.session.empty() ? _serving.call.requestId : _serving.call.session;
-	const VersionChoice version =
-		chooseVersion(router.trials, _serving.service, stableHash(session), _serving.plan.arrivedAt);
 	NextMove move = NextMove::Again;
 	while (move == NextMove::Again)
 	{
 		const TimeUs now = monotonicNow();
-		const UpstreamId upstream =
-			pickUpstreamFor(_serving, withoutHalted(router.trials, _serving.service, version), now);
+		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
+		const VersionChoice version =
+			chooseVersion(router.trials, _serving.service, stableHash(session), now);
+		const UpstreamId upstream = pickUpstreamFor(_serving, version, now);
 		if (!isValid(upstream))
 		{
 			return;
