Placement by the expected time to the first token

Ruled out: nothing else measured yet; the reading again of shared parts rises. Change: an upstream's cost is the reading time of what it lacks of the prompt plus what waits there; homes of shared parts are remembered, the first of the hash order is assumed to keep them.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "spanplank/types.h"
 
@@ -44,15 +45,24 @@
 	TimeUs goneAt = 0;      ///< When its registration went; 0: it has one.
 	bool mayReturn = false; ///< Its registration went during an outage of the store.
 	uint32_t inFlight = 0;
-	double work = 0.0; ///< Of the requests in flight, in units of a mean request.
+	double prefillMs = 0.0; ///< Expected reading time of the prompts sent there that have no first token yet.
 	UpstreamHealth health;
 };
 
+/// Where the shared parts of a prompt were last read for one model, newest first.
+struct PromptHome
+{
+	uint32_t upstream = kInvalidIdx;
+	TimeUs at = 0;
+};
+
 struct UpstreamTable
 {
 	std::map<uint32_t, UpstreamEntry> entries;
 	std::unordered_map<std::string, uint32_t> idxOfId;
 	std::map<std::string, double> latencyOf; ///< Decayed latency in microseconds, by service and model.
+	std::map<std::string, double> tokenMsOf; ///< Reading time of a prompt token, by service and model.
+	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of shared parts and model.
 	uint32_t nextIdx = 0;
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
 };
@@ -79,7 +89,10 @@
 	std::string_view hall;    ///< Of the router; the same hall is preferred.
 	std::string_view version; ///< Only this version; empty: any but `notVersion`.
 	std::string_view notVersion;
-	uint64_t affinity = 0; ///< Requests with the same value share cached prompt parts; 0: none.
+	std::string_view model;
+	uint64_t affinity = 0;     ///< Requests with the same value share cached prompt parts; 0: none.
+	uint32_t sharedTokens = 0; ///< Of the prompt, in parts that other requests have too.
+	uint32_t ownTokens = 0;    ///< The rest of the prompt.
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Not these.
 };
@@ -91,8 +104,15 @@
 /// @returns Whether work may be sent to an upstream.
 bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now);
 
-/// An attempt began.
-void noteSent(UpstreamTable& _table, UpstreamId _id, double _work, TimeUs _now);
+/// @returns Expected time to read a prompt at an upstream, with what it likely keeps of it, in milliseconds.
+double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, TimeUs _now);
+
+/// An attempt began. @returns What it adds to `prefillMs`, to be given back by `noteHead` or `noteEnded`.
+double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
+
+/// The first token came. @param[in] _latency Since the attempt began.
+void noteHead(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, double _prefillMs,
+			  TimeUs _latency);
 
 /// How an attempt went, as a sign of the upstream's health.
 enum class HealthSign : uint8_t
@@ -104,11 +124,8 @@
 	None,        ///< Says nothing: the caller left, or the upstream was full.
 };
 
-/// An attempt ended.
-/// @param[in] _model Of the request, or empty. @param[in] _latency Until the head of the answer; 0: none
-/// came.
-void noteEnded(UpstreamTable& _table, UpstreamId _id, double _work, HealthSign _sign, std::string_view _model,
-			   TimeUs _latency, TimeUs _now);
+/// An attempt ended. @param[in] _prefillMs What it still adds; 0 after its head came.
+void noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign, TimeUs _now);
 
 /// @returns Usable upstreams of a service.
 size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now);
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -17,10 +17,19 @@
 constexpr uint32_t kFailedInRow = 4;         ///< Failed attempts in a row that eject.
 constexpr TimeUs kEjection = 1000 * kMsToUs; ///< First ejection; each further one doubles it.
 constexpr uint32_t kMostDoublings = 3;
-constexpr double kLoadBound = 1.3; ///< Work above the mean that affinity may pile on one upstream.
-constexpr double kLoadSlack = 2.0; ///< Mean requests that any upstream may hold whatever the mean.
 constexpr double kOtherHall = 1.0; ///< Requests in flight that another hall counts as.
-constexpr double kSlowLimit = 2.5; ///< Slowness from which affinity avoids an upstream.
+constexpr double kOtherHallMs =
+	4.0;                          ///< Waiting that another hall counts as: the way, and its bytes are priced.
+constexpr double kPeerLoad = 2.0; ///< Other routers send to the same homes: own waiting work stands for more.
+constexpr double kDecodeMs = 1.5; ///< What each running stream adds to the steps of the others, all in all.
+constexpr double kFirstTokenMs = 0.02;  ///< Reading time of a prompt token before any was measured.
+constexpr uint32_t kLeastTokens = 1000; ///< Shorter prompts say little of the time for a token.
+constexpr double kTokenRise = 0.02;     ///< The time for a token follows the quick answers: those that
+constexpr double kTokenFall = 0.2;      ///< waited for others say little of it.
+constexpr double kUnseenHome = 0.6; ///< Part of shared tokens that the first of the hash order likely keeps.
+constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
+constexpr size_t kMostHomes = 3;
+constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
 constexpr TimeUs kForgetAfter = 30000 * kMsToUs;
 
 struct Candidate
@@ -53,7 +62,7 @@
 double loadOf(const UpstreamEntry& _entry, std::string_view _hall)
 {
 	const double away = _entry.record.hall == _hall ? 0.0 : kOtherHall;
-	return (_entry.work + 1.0) * std::max(1.0, _entry.health.slowness) *
+	return (double(_entry.inFlight) + 1.0) * std::max(1.0, _entry.health.slowness) *
 			   (1.0 + 4.0 * _entry.health.failureRate) +
 		   away;
 }
@@ -90,32 +99,89 @@
 	return best;
 }
 
-/// Rendezvous hashing with bounded load: the first upstream in the order of the affinity that is not
-/// overloaded.
-uint32_t byAffinity(const std::vector<Candidate>& _candidates, const UpstreamQuery& _query)
+uint64_t hashRank(const UpstreamEntry& _entry, uint64_t _affinity)
 {
-	double total = 0.0;
+	return stableHash(_entry.record.id, _affinity);
+}
+
+/// The first in the order of the affinity: routers that know nothing of each other agree on it.
+uint32_t firstOfOrder(const std::vector<Candidate>& _candidates, uint64_t _affinity)
+{
+	uint32_t best = kInvalidIdx;
+	uint64_t bestRank = 0;
 	for (const Candidate& candidate : _candidates)
 	{
-		total += candidate.entry->work;
+		const uint64_t rank = hashRank(*candidate.entry, _affinity);
+		if (best == kInvalidIdx || rank > bestRank)
+		{
+			best = candidate.idx;
+			bestRank = rank;
+		}
+	}
+	return best;
+}
+
+double tokenMs(const UpstreamTable& _table, const UpstreamQuery& _query)
+{
+	const auto found = _table.tokenMsOf.find(std::string(_query.service) + " " + std::string(_query.model));
+	return found == _table.tokenMsOf.end() ? kFirstTokenMs : found->second;
+}
+
+bool wasReadAt(const UpstreamTable& _table, uint64_t _affinity, uint32_t _upstream, TimeUs _now)
+{
+	const auto found = _table.homes.find(_affinity);
+	if (found == _table.homes.end())
+	{
+		return false;
 	}
-	const double bound = kLoadBound * total / double(_candidates.size()) + kLoadSlack;
+	return std::any_of(found->second.begin(), found->second.end(), [&](const PromptHome& _home) {
+		return _home.upstream == _upstream && _now - _home.at < kHomeLifetime;
+	});
+}
+
+/// The upstream with the least expected time to the first token.
+uint32_t soonestFirstToken(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+						   const UpstreamQuery& _query, TimeUs _now, Random& _random)
+{
+	const uint32_t first = firstOfOrder(_candidates, _query.affinity);
+	const double perToken = tokenMs(_table, _query);
 	uint32_t best = kInvalidIdx;
-	uint64_t bestRank = 0;
+	double bestMs = 0.0;
 	for (const Candidate& candidate : _candidates)
 	{
-		const uint64_t rank = stableHash(candidate.entry->record.id, _query.affinity);
-		const bool overloaded =
-			candidate.entry->work >= bound || candidate.entry->health.slowness > kSlowLimit;
-		if (!overloaded && (best == kInvalidIdx || rank > bestRank))
+		const UpstreamEntry& entry = *candidate.entry;
+		const double kept = wasReadAt(_table, _query.affinity, candidate.idx, _now) ? 1.0
+							: candidate.idx == first                                ? kUnseenHome
+																					: 0.0;
+		const double read = perToken * (_query.ownTokens + (1.0 - kept) * _query.sharedTokens);
+		const double wait = kPeerLoad * entry.prefillMs + kDecodeMs * entry.inFlight;
+		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
+		const double health = std::max(1.0, entry.health.slowness) * (1.0 + 4.0 * entry.health.failureRate);
+		const double ms = (read + wait) * health + hall + 0.1 * nextUnit(_random);
+		if (best == kInvalidIdx || ms < bestMs)
 		{
 			best = candidate.idx;
-			bestRank = rank;
+			bestMs = ms;
 		}
 	}
 	return best;
 }
 
+/// Remembers that the shared parts of a prompt are read at an upstream now.
+void noteHome(UpstreamTable& _table, uint64_t _affinity, uint32_t _upstream, TimeUs _now)
+{
+	if (_affinity == 0 || (_table.homes.size() >= kMostParts && _table.homes.count(_affinity) == 0))
+	{
+		return;
+	}
+	std::vector<PromptHome>& homes = _table.homes[_affinity];
+	homes.erase(std::remove_if(homes.begin(), homes.end(),
+							   [_upstream](const PromptHome& _home) { return _home.upstream == _upstream; }),
+				homes.end());
+	homes.insert(homes.begin(), {_upstream, _now});
+	homes.resize(std::min(homes.size(), kMostHomes));
+}
+
 void eject(UpstreamHealth& _health, TimeUs _now)
 {
 	_health.ejectedUntil = _now + (kEjection << std::min(_health.ejections, kMostDoublings));
@@ -125,9 +191,10 @@
 	_health.samples = 0;
 }
 
-void noteLatency(UpstreamTable& _table, UpstreamEntry& _entry, std::string_view _model, TimeUs _latency)
+/// Compares an upstream with its service.
+void noteSlowness(UpstreamTable& _table, UpstreamEntry& _entry, const std::string& _kind, TimeUs _latency)
 {
-	double& mean = _table.latencyOf[_entry.record.service + " " + std::string(_model)];
+	double& mean = _table.latencyOf[_kind];
 	mean = mean == 0.0 ? double(_latency) : mean * kServiceDecay + double(_latency) * (1.0 - kServiceDecay);
 	const double ratio = double(_latency) / std::max(1.0, mean);
 	_entry.health.slowness = _entry.health.slowness * kLatencyDecay + ratio * (1.0 - kLatencyDecay);
@@ -206,6 +273,11 @@
 
 void forgetGone(UpstreamTable& _table, TimeUs _now)
 {
+	for (auto at = _table.homes.begin(); at != _table.homes.end();)
+	{
+		const bool old = at->second.empty() || _now - at->second.front().at > kHomeLifetime;
+		at = old ? _table.homes.erase(at) : std::next(at);
+	}
 	for (auto at = _table.entries.begin(); at != _table.entries.end();)
 	{
 		const UpstreamEntry& entry = at->second;
@@ -235,20 +307,57 @@
 	{
 		return UpstreamId{};
 	}
-	const uint32_t close = _query.affinity != 0 ? byAffinity(candidates, _query) : kInvalidIdx;
-	return UpstreamId{close != kInvalidIdx ? close : leastLoaded(candidates, _query.hall, _random)};
+	if (_query.affinity == 0)
+	{
+		return UpstreamId{leastLoaded(candidates, _query.hall, _random)};
+	}
+	return UpstreamId{soonestFirstToken(_table, candidates, _query, _now, _random)};
+}
+
+double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, TimeUs _now)
+{
+	const bool kept = wasReadAt(_table, _query.affinity, _upstream, _now);
+	return tokenMs(_table, _query) * double(_query.ownTokens + (kept ? 0 : _query.sharedTokens));
 }
 
-void noteSent(UpstreamTable& _table, UpstreamId _id, double _work, TimeUs _now)
+double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now)
 {
 	UpstreamEntry& entry = _table.entries.at(_id.idx);
 	++entry.inFlight;
-	entry.work += _work;
 	entry.health.onTrial = entry.health.ejections > 0 && !isEjected(entry, _now);
+	if (_query.affinity == 0)
+	{
+		return 0.0;
+	}
+	const double prefillMs = prefillMsAt(_table, _query, _id.idx, _now);
+	entry.prefillMs += prefillMs;
+	noteHome(_table, _query.affinity, _id.idx, _now);
+	return prefillMs;
 }
 
-void noteEnded(UpstreamTable& _table, UpstreamId _id, double _work, HealthSign _sign, std::string_view _model,
-			   TimeUs _latency, TimeUs _now)
+void noteHead(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, double _prefillMs,
+			  TimeUs _latency)
+{
+	const auto found = _table.entries.find(_id.idx);
+	if (found == _table.entries.end())
+	{
+		return;
+	}
+	UpstreamEntry& entry = found->second;
+	entry.prefillMs = std::max(0.0, entry.prefillMs - _prefillMs);
+	const std::string kind = std::string(_query.service) + " " + std::string(_query.model);
+	noteSlowness(_table, entry, kind, _latency);
+	const double perToken = tokenMs(_table, _query);
+	const double tokens = perToken > 0.0 ? _prefillMs / perToken : 0.0;
+	if (tokens >= kLeastTokens)
+	{
+		const double sample = double(_latency) / double(kMsToUs) / tokens;
+		_table.tokenMsOf[kind] =
+			perToken + (sample - perToken) * (sample > perToken ? kTokenRise : kTokenFall);
+	}
+}
+
+void noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign, TimeUs _now)
 {
 	const auto found = _table.entries.find(_id.idx);
 	if (found == _table.entries.end())
@@ -258,12 +367,8 @@
 	UpstreamEntry& entry = found->second;
 	UpstreamHealth& health = entry.health;
 	entry.inFlight -= std::min(entry.inFlight, 1u);
-	entry.work = entry.inFlight == 0 ? 0.0 : std::max(0.0, entry.work - _work);
+	entry.prefillMs = entry.inFlight == 0 ? 0.0 : std::max(0.0, entry.prefillMs - _prefillMs);
 	health.onTrial = false;
-	if (_latency > 0)
-	{
-		noteLatency(_table, entry, _model, _latency);
-	}
 	if (_sign == HealthSign::None)
 	{
 		return;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -15,7 +15,6 @@
 constexpr double kFreshShare =
 	0.75; ///< Of the revocation bound: watches may be silent for a second and more.
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
-constexpr uint32_t kMeanPromptTokens = 4000; ///< A request of this size counts as one unit of work.
 constexpr TimeUs kLateStop = 2600 * kMsToUs; ///< The balancer has seen the stop by then.
 constexpr uint32_t kStoppingRetryMs = 20;    ///< Another router takes the request at once.
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
@@ -145,52 +144,66 @@
 
 // ---- One attempt ------------------------------------------------------------------------------------------
 
-uint64_t affinityOf(const Serving& _serving, const std::string& _model)
+std::string modelOf(const Serving& _serving)
+{
+	return _serving.plan.models.empty() ? _serving.call.model : _serving.plan.models[_serving.plan.model];
+}
+
+/// What the attempt needs of an upstream. The views in it last as long as the serving and the model's name.
+UpstreamQuery queryOf(const Serving& _serving, const std::string& _model)
 {
+	UpstreamQuery query;
+	query.service = _serving.service;
+	query.hall = _serving.router.settings.hall;
+	query.model = _model;
+	query.repeatable = _serving.plan.repeatable;
+	query.tried = &_serving.plan.tried;
 	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
 	if (parts.empty())
 	{
-		return 0;
+		return query;
 	}
-	const size_t shared =
-		parts.size() >= 3 ? parts.size() - 2 : 0; // The last part is the request's or session's own.
-	return stableHash(parts[shared].id, stableHash(_model)) | 1;
-}
-
-double workOf(const Serving& _serving)
-{
-	return 0.5 + double(_serving.call.promptTokens) / kMeanPromptTokens;
-}
-
-std::string modelOf(const Serving& _serving)
-{
-	return _serving.plan.models.empty() ? _serving.call.model : _serving.plan.models[_serving.plan.model];
+	const size_t lastShared = parts.size() >= 2 ? parts.size() - 2 : 0; // The last part is the request's own.
+	query.affinity = stableHash(parts[lastShared].id, stableHash(_model)) | 1;
+	for (size_t ii = 0; ii + 1 < parts.size(); ++ii)
+	{
+		query.sharedTokens += parts[ii].tokens;
+	}
+	const uint32_t prompt = std::max(_serving.call.promptTokens, query.sharedTokens + parts.back().tokens);
+	query.ownTokens = prompt - query.sharedTokens;
+	return query;
 }
 
 /// Picks an upstream within the versions allowed; without one among them, any but a version that was rolled
 /// back.
-UpstreamId pickUpstreamFor(Serving& _serving, const VersionChoice& _choice, TimeUs _now)
+UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, const VersionChoice& _choice, TimeUs _now)
 {
 	DirectRouter& router = _serving.router;
-	UpstreamQuery query;
-	query.service = _serving.service;
-	query.hall = router.settings.hall;
-	query.affinity = affinityOf(_serving, modelOf(_serving));
-	query.repeatable = _serving.plan.repeatable;
-	query.tried = &_serving.plan.tried;
-	query.version = _choice.only;
-	query.notVersion = _choice.never;
-	const UpstreamId picked = pickDirectUpstream(router.upstreams, query, _now, router.random);
+	_query.version = _choice.only;
+	_query.notVersion = _choice.never;
+	const UpstreamId picked = pickDirectUpstream(router.upstreams, _query, _now, router.random);
 	if (isValid(picked))
 	{
 		return picked;
 	}
 	const std::string halted = haltedVersion(router.trials, _serving.service);
-	query.version = "";
-	query.notVersion = halted;
-	return pickDirectUpstream(router.upstreams, query, _now, router.random);
+	_query.version = "";
+	_query.notVersion = halted;
+	return pickDirectUpstream(router.upstreams, _query, _now, router.random);
 }
 
+/// What is noted while an attempt runs.
+struct AttemptNotes
+{
+	UpstreamId upstream;
+	const UpstreamQuery& query;
+	TimeUs begin = 0;
+	TimeUs headAfter = 0;     ///< Time until the head came; 0: none did.
+	double prefillMs = 0.0;   ///< Still counted at the upstream.
+	double confidence = -1.0; ///< The model's own; -1: it told none.
+	std::string error;
+};
+
 HttpExchange::Fields attemptHead(const Serving& _serving, const UpstreamRecord& _upstream, TimeUs _now)
 {
 	platform::AttemptHeaders headers;
@@ -336,20 +349,25 @@
 	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
 }
 
-/// @returns How the attempt ended. @param[out] _headAfter Time until the head came; 0: none did.
-AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, TimeUs _begin,
-				   TimeUs& _headAfter, double& _confidence)
+/// @returns How the attempt ended.
+AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
 	const CallState opened = _call.open(_times.connectBy, _times.headBy);
 	if (opened != CallState::Ok)
 	{
 		return endOf(_serving, opened);
 	}
-	_headAfter = monotonicNow() - _begin;
+	_notes.headAfter = std::max<TimeUs>(1, monotonicNow() - _notes.begin);
 	const int status = int(_call.head().result_int());
 	const platform::AnswerHeaders answer = platform::readAnswerHeaders(_call.head(), status);
 	AttemptEnd end = AttemptEnd::Broken;
-	_confidence = answer.confidence.value_or(-1.0);
+	_notes.confidence = answer.confidence.value_or(-1.0);
+	if (!answer.notRun)
+	{
+		noteHead(_serving.router.upstreams, _notes.upstream, _notes.query, _notes.prefillMs,
+				 _notes.headAfter);
+		_notes.prefillMs = 0.0;
+	}
 	if (_serving.plan.stream && status == 200 && !answer.notRun)
 	{
 		const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
@@ -405,63 +423,72 @@
 					_headAfter);
 }
 
-/// Runs one attempt at an upstream and takes note of how it went.
-AttemptEnd attempt(Serving& _serving, UpstreamId _upstream)
+AttemptRequest requestFor(const Serving& _serving, UpstreamId _upstream, const std::string& _address,
+						  const HttpExchange::Fields& _head)
 {
-	DirectRouter& router = _serving.router;
-	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
-	const TimeUs begin = monotonicNow();
-	const bool another = _serving.plan.repeatable && _serving.plan.runs + 1 < _serving.plan.maxAttempts;
-	const AttemptTimes times = attemptTimes(_serving.plan, another, begin);
-	const HttpExchange::Fields head = attemptHead(_serving, upstream, begin);
 	const HttpRequest& caller = _serving.exchange.request();
 	AttemptRequest request;
 	request.upstream = _upstream;
-	request.address = parseEndpoint(upstream.address);
+	request.address = parseEndpoint(_address);
 	request.method = caller.method();
 	request.methodText = {caller.method_string().data(), caller.method_string().size()};
 	request.target = {caller.target().data(), caller.target().size()};
-	request.head = &head;
+	request.head = &_head;
 	request.body = caller.body();
 	request.idHeader = platform::kRequestIdHeader;
 	request.requestId = _serving.call.requestId;
 	request.freshOnly = !_serving.plan.repeatable;
-	noteSent(router.upstreams, _upstream, workOf(_serving), begin);
+	return request;
+}
+
+void logAttempt(const Serving& _serving, const AttemptNotes& _notes, const UpstreamRecord& _upstream,
+				AttemptEnd _end, TimeUs _now)
+{
+	const auto entry = _serving.router.upstreams.entries.find(_notes.upstream.idx);
+	const bool known = entry != _serving.router.upstreams.entries.end();
+	logEvent("attempt_ended", {{"request", _serving.call.requestId},
+							   {"end", name(_end)},
+							   {"upstream", _upstream.id},
+							   {"version", _upstream.version},
+							   {"route", _serving.route->name},
+							   {"session", _serving.call.session},
+							   {"model", std::string(_notes.query.model)},
+							   {"prompt_tokens", std::to_string(_serving.call.promptTokens)},
+							   {"confidence", fmt::format("{:.0f}", _notes.confidence)},
+							   {"config", std::to_string(_serving.config->version)},
+							   {"in_flight", std::to_string(known ? entry->second.inFlight : 0)},
+							   {"waiting_ms", fmt::format("{:.0f}", known ? entry->second.prefillMs : 0.0)},
+							   {"error", _notes.error},
+							   {"head_ms", ms(_notes.headAfter)},
+							   {"last_event", std::to_string(_serving.events.lastId)},
+							   {"took_ms", ms(_now - _notes.begin)}});
+}
+
+/// Runs one attempt at an upstream and takes note of how it went.
+AttemptEnd attempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
+{
+	DirectRouter& router = _serving.router;
+	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
+	AttemptNotes notes{_upstream, _query, monotonicNow(), 0, 0.0, -1.0, ""};
+	const bool another = _serving.plan.repeatable && _serving.plan.runs + 1 < _serving.plan.maxAttempts;
+	const AttemptTimes times = attemptTimes(_serving.plan, another, notes.begin);
+	const HttpExchange::Fields head = attemptHead(_serving, upstream, notes.begin);
+	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, head);
+	notes.prefillMs = noteSent(router.upstreams, _upstream, _query, notes.begin);
 	noteTrialSent(router.trials, _serving.service, upstream.version);
-	TimeUs headAfter = 0;
-	double confidence = -1.0;
 	AttemptEnd end = AttemptEnd::NotSent;
-	const std::string model = modelOf(_serving);
-	std::string error;
 	{
 		UpstreamCall call(router.pool, request);
 		_serving.running = &call;
-		end = runCall(_serving, call, times, begin, headAfter, confidence);
+		end = runCall(_serving, call, times, notes);
 		_serving.running = nullptr;
-		error = call.error();
+		notes.error = call.error();
 	}
 	const TimeUs now = monotonicNow();
-	noteEnded(router.upstreams, _upstream, workOf(_serving), signOf(end), model, headAfter, now);
-	noteTrial(_serving, upstream, end, headAfter);
+	noteEnded(router.upstreams, _upstream, notes.prefillMs, signOf(end), now);
+	noteTrial(_serving, upstream, end, notes.headAfter);
 	++router.stats.attempts[name(end)];
-	logEvent("attempt_ended",
-			 {{"request", _serving.call.requestId},
-			  {"end", name(end)},
-			  {"upstream", upstream.id},
-			  {"version", upstream.version},
-			  {"session", _serving.call.session},
-			  {"model", model},
-			  {"prompt_tokens", std::to_string(_serving.call.promptTokens)},
-			  {"route", _serving.route->name},
-			  {"confidence", fmt::format("{:.0f}", confidence)},
-			  {"config", std::to_string(_serving.config->version)},
-			  {"in_flight", std::to_string(router.upstreams.entries.count(_upstream.idx) != 0
-											   ? router.upstreams.entries.at(_upstream.idx).inFlight
-											   : 0)},
-			  {"error", error},
-			  {"head_ms", ms(headAfter)},
-			  {"last_event", std::to_string(_serving.events.lastId)},
-			  {"took_ms", ms(now - begin)}});
+	logAttempt(_serving, notes, upstream, end, now);
 	return end;
 }
 
@@ -540,12 +567,14 @@
 		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 		const VersionChoice version =
 			chooseVersion(router.trials, _serving.service, stableHash(session), now);
-		const UpstreamId upstream = pickUpstreamFor(_serving, version, now);
+		const std::string model = modelOf(_serving);
+		const UpstreamQuery query = queryOf(_serving, model);
+		const UpstreamId upstream = pickUpstreamFor(_serving, query, version, now);
 		if (!isValid(upstream))
 		{
 			return;
 		}
-		_serving.last = attempt(_serving, upstream);
+		_serving.last = attempt(_serving, upstream, query);
 		move = afterAttempt(_serving.plan, _serving.last, upstream.idx, window, monotonicNow());
 		router.stats.escalated += _serving.last == AttemptEnd::Doubted ? 1 : 0;
 		router.stats.resumed += move == NextMove::Again && _serving.plan.started ? 1 : 0;
