Patience by the expected time to the first token; cached parts counted level by level

Change: an upstream counts as silent after 3 times the expected time, at least 0.4 and at most 0.75 of the objective; kept parts are known part by part.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -61,7 +61,8 @@
 };
 
 /// @param[in] _another Whether a further attempt may follow: without one, waiting on is all that is left.
-AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, TimeUs _now);
+/// @param[in] _expectedMs Until the head; 0: unknown.
+AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, double _expectedMs, TimeUs _now);
 
 /// @returns The confidence below which an answer is dropped and the next model asked; 0: take any.
 double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, TimeUs _now);
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -62,7 +62,7 @@
 	std::unordered_map<std::string, uint32_t> idxOfId;
 	std::map<std::string, double> latencyOf; ///< Decayed latency in microseconds, by service and model.
 	std::map<std::string, double> tokenMsOf; ///< Reading time of a prompt token, by service and model.
-	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of shared parts and model.
+	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	uint32_t nextIdx = 0;
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
 };
@@ -82,6 +82,13 @@
 /// Forgets upstreams that are gone and have nothing in flight.
 void forgetGone(UpstreamTable& _table, TimeUs _now);
 
+/// One shared part of a prompt. An engine keeps it only together with all parts before it.
+struct SharedPart
+{
+	uint64_t hash = 0; ///< Of the model, this part and all parts before it.
+	uint32_t tokens = 0;
+};
+
 /// What a request needs of an upstream.
 struct UpstreamQuery
 {
@@ -90,9 +97,9 @@
 	std::string_view version; ///< Only this version; empty: any but `notVersion`.
 	std::string_view notVersion;
 	std::string_view model;
-	uint64_t affinity = 0;     ///< Requests with the same value share cached prompt parts; 0: none.
-	uint32_t sharedTokens = 0; ///< Of the prompt, in parts that other requests have too.
-	uint32_t ownTokens = 0;    ///< The rest of the prompt.
+	/// The prompt's parts that other requests have too, in order; empty: there is no prompt or no sharing.
+	std::vector<SharedPart> shared;
+	uint32_t ownTokens = 0; ///< The rest of the prompt.
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Not these.
 };
@@ -105,7 +112,12 @@
 bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now);
 
 /// @returns Expected time to read a prompt at an upstream, with what it likely keeps of it, in milliseconds.
-double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, TimeUs _now);
+double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+				   TimeUs _now);
+
+/// @returns Expected time to the first token, with what waits there, in milliseconds; 0: unknown.
+double expectedHeadMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now);
 
 /// An attempt began. @returns What it adds to `prefillMs`, to be given back by `noteHead` or `noteEnded`.
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -11,6 +11,8 @@
 constexpr double kHeadShare =
 	0.4; ///< Of the objective, for the first event of a stream that may be repeated.
 constexpr double kPlainHeadShare = 0.6; ///< Of the objective, for an answer that may be repeated.
+constexpr double kMostHeadShare = 0.75; ///< Of the objective, for a head that is expected late.
+constexpr double kPatience = 3.0;       ///< Times the expected time, before an upstream counts as silent.
 constexpr double kGapShare = 0.8;       ///< Of the longest timely pause, before another upstream goes on.
 constexpr double kConfidence =
 	60.0; ///< Measured on quiet days beside 50, 70 and 85: see docs/design/platform.md.
@@ -46,7 +48,7 @@
 	return plan;
 }
 
-AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, TimeUs _now)
+AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, double _expectedMs, TimeUs _now)
 {
 	AttemptTimes times;
 	times.connectBy = std::min(_plan.deadline, _now + kConnectMs * kMsToUs);
@@ -55,7 +57,10 @@
 	if (_another)
 	{
 		const double share = _plan.stream ? kHeadShare : kPlainHeadShare;
-		times.headBy = std::min(_plan.deadline, _now + shareOf(_plan.targetMs, share));
+		const TimeUs least = shareOf(_plan.targetMs, share);
+		const TimeUs patient = TimeUs(_expectedMs * kPatience * double(kMsToUs));
+		const TimeUs most = shareOf(_plan.targetMs, kMostHeadShare);
+		times.headBy = std::min(_plan.deadline, _now + std::max(least, std::min(patient, most)));
 		times.gap = shareOf(_plan.eventGapMs, kGapShare);
 	}
 	return times;
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -28,7 +28,7 @@
 constexpr double kTokenFall = 0.2;      ///< waited for others say little of it.
 constexpr double kUnseenHome = 0.6; ///< Part of shared tokens that the first of the hash order likely keeps.
 constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
-constexpr size_t kMostHomes = 3;
+constexpr size_t kMostHomes = 32;    ///< Of one part; the first parts of prompts are kept nearly everywhere.
 constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
 constexpr TimeUs kForgetAfter = 30000 * kMsToUs;
 
@@ -139,25 +139,56 @@
 	});
 }
 
+/// @returns Tokens of the prompt that an upstream likely keeps. @param[in] _first It is the first of the hash
+/// order.
+double keptTokens(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, bool _first,
+				  TimeUs _now)
+{
+	double kept = 0.0;
+	for (const SharedPart& part : _query.shared)
+	{
+		if (wasReadAt(_table, part.hash, _upstream, _now))
+		{
+			kept += part.tokens;
+			continue;
+		}
+		return kept + (_first ? kUnseenHome * part.tokens : 0.0);
+	}
+	return kept;
+}
+
+double promptTokens(const UpstreamQuery& _query)
+{
+	double tokens = _query.ownTokens;
+	for (const SharedPart& part : _query.shared)
+	{
+		tokens += part.tokens;
+	}
+	return tokens;
+}
+
+double waitMs(const UpstreamEntry& _entry)
+{
+	return kPeerLoad * _entry.prefillMs + kDecodeMs * _entry.inFlight;
+}
+
 /// The upstream with the least expected time to the first token.
 uint32_t soonestFirstToken(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						   const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
-	const uint32_t first = firstOfOrder(_candidates, _query.affinity);
+	const uint32_t first = firstOfOrder(_candidates, _query.shared.back().hash);
 	const double perToken = tokenMs(_table, _query);
+	const double tokens = promptTokens(_query);
 	uint32_t best = kInvalidIdx;
 	double bestMs = 0.0;
 	for (const Candidate& candidate : _candidates)
 	{
 		const UpstreamEntry& entry = *candidate.entry;
-		const double kept = wasReadAt(_table, _query.affinity, candidate.idx, _now) ? 1.0
-							: candidate.idx == first                                ? kUnseenHome
-																					: 0.0;
-		const double read = perToken * (_query.ownTokens + (1.0 - kept) * _query.sharedTokens);
-		const double wait = kPeerLoad * entry.prefillMs + kDecodeMs * entry.inFlight;
+		const double kept = keptTokens(_table, _query, candidate.idx, candidate.idx == first, _now);
 		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
 		const double health = std::max(1.0, entry.health.slowness) * (1.0 + 4.0 * entry.health.failureRate);
-		const double ms = (read + wait) * health + hall + 0.1 * nextUnit(_random);
+		const double ms =
+			(perToken * (tokens - kept) + waitMs(entry)) * health + hall + 0.1 * nextUnit(_random);
 		if (best == kInvalidIdx || ms < bestMs)
 		{
 			best = candidate.idx;
@@ -167,14 +198,14 @@
 	return best;
 }
 
-/// Remembers that the shared parts of a prompt are read at an upstream now.
-void noteHome(UpstreamTable& _table, uint64_t _affinity, uint32_t _upstream, TimeUs _now)
+/// Remembers that a shared part of a prompt is read at an upstream now.
+void noteHome(UpstreamTable& _table, uint64_t _part, uint32_t _upstream, TimeUs _now)
 {
-	if (_affinity == 0 || (_table.homes.size() >= kMostParts && _table.homes.count(_affinity) == 0))
+	if (_table.homes.size() >= kMostParts && _table.homes.count(_part) == 0)
 	{
 		return;
 	}
-	std::vector<PromptHome>& homes = _table.homes[_affinity];
+	std::vector<PromptHome>& homes = _table.homes[_part];
 	homes.erase(std::remove_if(homes.begin(), homes.end(),
 							   [_upstream](const PromptHome& _home) { return _home.upstream == _upstream; }),
 				homes.end());
@@ -307,17 +338,29 @@
 	{
 		return UpstreamId{};
 	}
-	if (_query.affinity == 0)
+	if (_query.shared.empty())
 	{
 		return UpstreamId{leastLoaded(candidates, _query.hall, _random)};
 	}
 	return UpstreamId{soonestFirstToken(_table, candidates, _query, _now, _random)};
 }
 
-double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, TimeUs _now)
+double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+				   TimeUs _now)
+{
+	return tokenMs(_table, _query) *
+		   (promptTokens(_query) - keptTokens(_table, _query, _upstream.idx, false, _now));
+}
+
+double expectedHeadMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now)
 {
-	const bool kept = wasReadAt(_table, _query.affinity, _upstream, _now);
-	return tokenMs(_table, _query) * double(_query.ownTokens + (kept ? 0 : _query.sharedTokens));
+	const auto found = _table.entries.find(_upstream.idx);
+	if (found == _table.entries.end() || _query.shared.empty())
+	{
+		return 0.0;
+	}
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(found->second);
 }
 
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now)
@@ -325,13 +368,16 @@
 	UpstreamEntry& entry = _table.entries.at(_id.idx);
 	++entry.inFlight;
 	entry.health.onTrial = entry.health.ejections > 0 && !isEjected(entry, _now);
-	if (_query.affinity == 0)
+	if (_query.shared.empty())
 	{
 		return 0.0;
 	}
-	const double prefillMs = prefillMsAt(_table, _query, _id.idx, _now);
+	const double prefillMs = prefillMsAt(_table, _query, _id, _now);
 	entry.prefillMs += prefillMs;
-	noteHome(_table, _query.affinity, _id.idx, _now);
+	for (const SharedPart& part : _query.shared)
+	{
+		noteHome(_table, part.hash, _id.idx, _now);
+	}
 	return prefillMs;
 }
 
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -163,14 +163,15 @@
 	{
 		return query;
 	}
-	const size_t lastShared = parts.size() >= 2 ? parts.size() - 2 : 0; // The last part is the request's own.
-	query.affinity = stableHash(parts[lastShared].id, stableHash(_model)) | 1;
-	for (size_t ii = 0; ii + 1 < parts.size(); ++ii)
+	uint64_t hash = stableHash(_model);
+	uint32_t shared = 0;
+	for (size_t ii = 0; ii + 1 < parts.size(); ++ii) // The last part is the request's own.
 	{
-		query.sharedTokens += parts[ii].tokens;
+		hash = stableHash(parts[ii].id, hash);
+		query.shared.push_back({hash, parts[ii].tokens});
+		shared += parts[ii].tokens;
 	}
-	const uint32_t prompt = std::max(_serving.call.promptTokens, query.sharedTokens + parts.back().tokens);
-	query.ownTokens = prompt - query.sharedTokens;
+	query.ownTokens = std::max(_serving.call.promptTokens, shared + parts.back().tokens) - shared;
 	return query;
 }
 
@@ -471,7 +472,8 @@
 	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
 	AttemptNotes notes{_upstream, _query, monotonicNow(), 0, 0.0, -1.0, ""};
 	const bool another = _serving.plan.repeatable && _serving.plan.runs + 1 < _serving.plan.maxAttempts;
-	const AttemptTimes times = attemptTimes(_serving.plan, another, notes.begin);
+	const double expectedMs = expectedHeadMs(router.upstreams, _query, _upstream, notes.begin);
+	const AttemptTimes times = attemptTimes(_serving.plan, another, expectedMs, notes.begin);
 	const HttpExchange::Fields head = attemptHead(_serving, upstream, notes.begin);
 	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, head);
 	notes.prefillMs = noteSent(router.upstreams, _upstream, _query, notes.begin);
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -124,7 +124,7 @@
 		registerUpstream(table, record(fmt::format("u{}", ii)));
 	}
 	UpstreamQuery shared = query();
-	shared.affinity = 42;
+	shared.shared = {{42, 4000}};
 	const std::string home = pick(shared, 0);
 	for (int ii = 0; ii < 20; ++ii)
 	{
