--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -46,7 +46,8 @@
 {
 	uint32_t good = 0;
 	uint32_t bad = 0;
-	double latency = 0.0; ///< Decayed, in microseconds.
+	double slowness =
+		0.0; ///< Decayed latency until the head, over what was expected for the prompt and the queue.
 };
 
 struct VersionTrial
@@ -95,9 +96,10 @@
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version);
 void noteTrialEnded(TrialBook& _book, const std::string& _service, const std::string& _version);
 
-/// Evidence from an attempt's end. @param[in] _latency Until the head, microseconds; 0: none came.
+/// Evidence from an attempt's end. @param[in] _slowness Latency until the head over the expected one; 0: no
+/// head came.
 void noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
-					 const std::string& _route, const std::string& _upstream, bool _bad, TimeUs _latency);
+					 const std::string& _route, const std::string& _upstream, bool _bad, double _slowness);
 
 /// @returns Whether this router wants to write the status. @param[out] _status What it wants to write.
 bool wantsStatus(VersionTrial& _trial, TimeUs _now, RolloutStatus& _status);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -17,6 +17,8 @@
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
 constexpr TimeUs kLateStop = 2600 * kMsToUs; ///< The balancer has seen the stop by then.
 constexpr uint32_t kStoppingRetryMs = 20;    ///< Another router takes the request at once.
+constexpr double kLeastExpectedMs =
+	20.0; ///< Shorter expectations say nothing: connections and steps take as long.
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
 
 /// One request and what its attempts need.
@@ -410,7 +412,8 @@
 	return HealthSign::None;
 }
 
-void noteTrial(Serving& _serving, const UpstreamRecord& _upstream, AttemptEnd _end, TimeUs _headAfter)
+void noteTrial(Serving& _serving, const UpstreamRecord& _upstream, AttemptEnd _end, TimeUs _headAfter,
+			   double _expectedMs)
 {
 	const HealthSign sign = signOf(_end);
 	DirectRouter& router = _serving.router;
@@ -419,9 +422,10 @@
 	{
 		return;
 	}
+	const double slowness = double(_headAfter) / double(kMsToUs) / std::max(kLeastExpectedMs, _expectedMs);
 	noteTrialResult(router.trials, _serving.service, _upstream.version,
 					_serving.route->name + modelOf(_serving), _upstream.id, sign != HealthSign::Good,
-					_headAfter);
+					slowness);
 }
 
 AttemptRequest requestFor(const Serving& _serving, UpstreamId _upstream, const std::string& _address,
@@ -488,7 +492,7 @@
 	}
 	const TimeUs now = monotonicNow();
 	noteEnded(router.upstreams, _upstream, notes.prefillMs, signOf(end), now);
-	noteTrial(_serving, upstream, end, notes.headAfter);
+	noteTrial(_serving, upstream, end, notes.headAfter, expectedMs);
 	++router.stats.attempts[name(end)];
 	logAttempt(_serving, notes, upstream, end, now);
 	return end;
