Roll-outs judge slow answers by their share; lapsed upstreams end within the bound; blank routers wait

(2) The decayed mean slowness halted a good version whose caches were cold. (4) All routers answered 503 for the first 25 ms after a start.

Change: a lapsed upstream is used for 0.8 of the bound, after that only if there is none else; slow answers are counted beside the old version's; any exception of a handler becomes a typed 500 that claims nothing; a request that meets a router without configuration waits for the store's first answer, at most 0.4 s after the start. Tests that failed first: lapsed upstreams beside others, the evidence line.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -65,12 +65,14 @@
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	uint32_t nextIdx = 0;
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
+	TimeUs leaveBound =
+		2000 * kMsToUs; ///< An upstream that leaves gets no request this long after; from the settings.
 };
 
 /// An upstream registered or changed its record. @returns Its id.
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record);
 
-/// A registration went. During trouble of the store the upstream stays usable for `kReturnGrace`.
+/// A registration went. During trouble of the store the upstream stays usable for a while.
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now);
 
 /// The store could not be reached, or has just come back. @param[in] _now Time of the sign.
@@ -142,9 +144,11 @@
 /// @returns Usable upstreams of a service.
 size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now);
 
-/// How long an upstream is usable after its registration went while the store was in trouble. Upstreams that
-/// live are back about 2 s after an outage; this leaves them a little more.
+/// How long an upstream may return after its registration went while the store was in trouble: upstreams that
+/// live are back about 2 s after an outage. It is used like any other for the first 0.8 of the bound on
+/// leaving ones, as it may have left; after that only if there is none else.
 constexpr TimeUs kReturnGrace = 2300 * kMsToUs;
+constexpr double kGraceShare = 0.8;
 
 /// Registrations that lapsed during an outage may still be reported gone this long after its end.
 constexpr TimeUs kTroubleTail = 1000 * kMsToUs;
--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -46,8 +46,8 @@
 {
 	uint32_t good = 0;
 	uint32_t bad = 0;
-	double slowness =
-		0.0; ///< Decayed latency until the head, over what was expected for the prompt and the queue.
+	uint32_t slow = 0;     ///< Good answers whose head came far later than the old version's do.
+	double slowness = 0.0; ///< Decayed latency until the head, over what prompt and queue let expect.
 };
 
 struct VersionTrial
@@ -96,11 +96,14 @@
 void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version);
 void noteTrialEnded(TrialBook& _book, const std::string& _service, const std::string& _version);
 
-/// Evidence from an attempt's end. @param[in] _slowness Latency until the head over the expected one; 0: no
-/// head came.
-void noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
+/// Evidence from an attempt's end. @returns Whether it made this router halt the version. @param[in]
+/// _slowness Latency until the head over the expected one; 0: no head came.
+bool noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
 					 const std::string& _route, const std::string& _upstream, bool _bad, double _slowness);
 
+/// @returns The evidence of a trial in one line, for logs.
+std::string describeEvidence(const VersionTrial& _trial);
+
 /// @returns Whether this router wants to write the status. @param[out] _status What it wants to write.
 bool wantsStatus(VersionTrial& _trial, TimeUs _now, RolloutStatus& _status);
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -25,13 +25,13 @@
 
 constexpr int kHeadTooLarge = 431; ///< RFC 6585
 
-HttpResponse refusalResponse(ErrorCode _code, std::string_view _detail)
+HttpResponse refusalResponse(ErrorCode _code, std::string_view _detail, RunState _run = RunState::No)
 {
 	HttpResponse response;
 	response.status = httpStatus(_code);
 	response.headers.push_back({"Content-Type", "application/json"});
-	response.body = fmt::format(R"({{"error":{{"code":"{}","run":"no","retry_after_ms":0,"detail":"{}"}}}})",
-								name(_code), _detail);
+	response.body = fmt::format(R"({{"error":{{"code":"{}","run":"{}","retry_after_ms":0,"detail":"{}"}}}})",
+								name(_code), name(_run), _detail);
 	return response;
 }
 
@@ -148,6 +148,18 @@
 				exchange.respond(refusalResponse(failure.refusal().code, failure.refusal().detail));
 			}
 		}
+		catch (const std::exception& failure)
+		{
+			logEvent("handler_failed",
+					 {{"target", std::string(request.target())}, {"error", failure.what()}});
+			keepAlive = false;
+			if (!exchange.answered())
+			{
+				request.keep_alive(false);
+				exchange.respond(
+					refusalResponse(ErrorCode::Internal, "the router failed", RunState::Unknown));
+			}
+		}
 		keepAlive = keepAlive && !exchange.broken();
 	}
 	beast::error_code ignored;
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -50,6 +50,7 @@
 	uint32_t retryWindowMs = 10000; ///< Sliding window of the bound on retries.
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
+	uint32_t leaveMs = 2000;        ///< An upstream that leaves gets no request this long after.
 	uint32_t configWaitMs =
 		1000; ///< Longest wait of a watch on the store: how old a proof of the configuration gets.
 };
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -71,15 +71,30 @@
 {
 	std::vector<Candidate> healthy;
 	std::vector<Candidate> ejected;
+	std::vector<Candidate> lapsed;
 	for (const auto& [idx, entry] : _table.entries)
 	{
-		if (!matches(entry, _query, idx) || !isUsable(_table, entry, _now))
+		if (!matches(entry, _query, idx))
 		{
 			continue;
 		}
+		if (!isUsable(_table, entry, _now))
+		{
+			const bool mayLive =
+				!entry.record.leaving && entry.mayReturn && _now - entry.goneAt < kReturnGrace;
+			if (mayLive)
+			{
+				lapsed.push_back({idx, &entry});
+			}
+			continue;
+		}
 		const bool fit = !isEjected(entry, _now) && mayTry(entry, _query.repeatable);
 		(fit ? healthy : ejected).push_back({idx, &entry});
 	}
+	if (healthy.empty() && ejected.empty())
+	{
+		return lapsed;
+	}
 	return healthy.empty() ? ejected : healthy; // With all of them ejected, any is better than none.
 }
 
@@ -321,13 +336,14 @@
 	}
 }
 
-bool isUsable(const UpstreamTable&, const UpstreamEntry& _entry, TimeUs _now)
+bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now)
 {
 	if (_entry.record.leaving)
 	{
 		return false;
 	}
-	return _entry.registered || (_entry.mayReturn && _now - _entry.goneAt < kReturnGrace);
+	const TimeUs grace = std::min(kReturnGrace, TimeUs(double(_table.leaveBound) * kGraceShare));
+	return _entry.registered || (_entry.mayReturn && _now - _entry.goneAt < grace);
 }
 
 UpstreamId pickDirectUpstream(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -1,6 +1,7 @@
 #include "spanplank/version_trial.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace spanplank
 {
@@ -19,9 +20,13 @@
 constexpr uint32_t kLeastGood = 6; ///< Good answers of the new version before its share may grow.
 constexpr uint32_t kLeastBad = 4;  ///< Bad answers before a version is halted.
 constexpr double kBadRate = 0.2; ///< Halted above this share of bad answers, if the old version has less ...
-constexpr double kBadExcess = 0.12;  ///< ... by at least this.
-constexpr double kSlowRatio = 4.0;   ///< Halted if it is this many times slower than the old version.
-constexpr uint32_t kLeastTimed = 10; ///< Answers before a slowness is believed.
+constexpr double kBadExcess = 0.12; ///< ... by at least this.
+constexpr double kSlowRatio = 4.0;  ///< An answer is slow if it takes this many times the old version's mean.
+constexpr double kSlowRate =
+	0.25; ///< Halted above this share of slow answers, if the old version has less ...
+constexpr double kSlowExcess =
+	0.15; ///< ... by at least this. Cold caches make a tenth of a good version's slow.
+constexpr uint32_t kLeastTimed = 12; ///< Answers before a share of slow ones is believed.
 constexpr double kSlownessDecay = 0.9;
 constexpr uint32_t kLeastUpstreams = 2; ///< One bad upstream is not a bad version ...
 constexpr uint32_t kBadOfOne = 12;      ///< ... unless it alone is seen to fail this often.
@@ -49,12 +54,18 @@
 	return all == 0 ? 0.0 : double(_counts.bad) / double(all);
 }
 
+double slowRate(const TrialCounts& _counts)
+{
+	return _counts.good == 0 ? 0.0 : double(_counts.slow) / double(_counts.good);
+}
+
 bool looksBad(const TrialCounts& _candidate, const TrialCounts& _others)
 {
 	const bool failing = _candidate.bad >= kLeastBad && badRate(_candidate) > kBadRate &&
 						 badRate(_candidate) > badRate(_others) + kBadExcess;
 	const bool timed = _candidate.good >= kLeastTimed && _others.good >= kLeastTimed;
-	const bool slow = timed && _candidate.slowness > kSlowRatio * _others.slowness && _others.slowness > 0.0;
+	const bool slow =
+		timed && slowRate(_candidate) > kSlowRate && slowRate(_candidate) > slowRate(_others) + kSlowExcess;
 	return failing || slow;
 }
 
@@ -62,7 +73,7 @@
 bool isBad(const VersionTrial& _trial)
 {
 	const TrialCounts all = sum(_trial.candidate);
-	bool bad = looksBad({all.good, all.bad, 0.0}, sum(_trial.others));
+	bool bad = looksBad(all, sum(_trial.others));
 	for (const auto& [route, counts] : _trial.candidate)
 	{
 		const auto others = _trial.others.find(route);
@@ -196,13 +207,13 @@
 	inFlight -= found->second.order.version == _version ? 0 : std::min(inFlight, 1u);
 }
 
-void noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
+bool noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
 					 const std::string& _route, const std::string& _upstream, bool _bad, double _slowness)
 {
 	const auto found = _book.trials.find(_service);
 	if (found == _book.trials.end())
 	{
-		return;
+		return false;
 	}
 	VersionTrial& trial = found->second;
 	TrialCounts& counts = countsOf(trial, _version, _route);
@@ -213,6 +224,8 @@
 	}
 	if (!_bad && _slowness > 0.0)
 	{
+		const double usual = trial.others[_route].slowness;
+		counts.slow += usual > 0.0 && _slowness > kSlowRatio * usual ? 1 : 0;
 		const double past = counts.slowness == 0.0 ? _slowness : counts.slowness;
 		counts.slowness = past * kSlownessDecay + _slowness * (1.0 - kSlownessDecay);
 	}
@@ -220,7 +233,23 @@
 	{
 		trial.state = RolloutState::RolledBack;
 		trial.decided = true;
+		return true;
+	}
+	return false;
+}
+
+std::string describeEvidence(const VersionTrial& _trial)
+{
+	std::string text;
+	for (const auto& [route, counts] : _trial.candidate)
+	{
+		const auto found = _trial.others.find(route);
+		const TrialCounts others = found == _trial.others.end() ? TrialCounts{} : found->second;
+		text += fmt::format("{}{}: new {} good {} bad {} slow ({:.1f}), old {} good {} bad {} slow ({:.1f})",
+							text.empty() ? "" : "; ", route, counts.good, counts.bad, counts.slow,
+							counts.slowness, others.good, others.bad, others.slow, others.slowness);
 	}
+	return text;
 }
 
 bool wantsStatus(VersionTrial& _trial, TimeUs _now, RolloutStatus& _status)
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -58,6 +58,7 @@
 	std::map<std::string, RetryWindow> retries; ///< By service.
 	DirectStats stats;
 	Random random;
+	TimeUs startedAt = 0;
 	size_t inFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
 	bool stopping = false;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -15,6 +15,8 @@
 constexpr double kFreshShare =
 	0.75; ///< Of the revocation bound: watches may be silent for a second and more.
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
+constexpr TimeUs kBlankWait = 400 * kMsToUs; ///< From the start; a store that answers does so in far less.
+constexpr uint32_t kBlankPollMs = 3;
 constexpr TimeUs kLateStop = 2600 * kMsToUs; ///< The balancer has seen the stop by then.
 constexpr uint32_t kStoppingRetryMs = 20;    ///< Another router takes the request at once.
 constexpr double kLeastExpectedMs =
@@ -89,12 +91,23 @@
 
 // ---- Checks -----------------------------------------------------------------------------------------------
 
+/// A router that has just started reads the store within a few milliseconds: that is sooner than any retry.
+void awaitFirstConfig(const DirectRouter& _router)
+{
+	const TimeUs until = _router.startedAt + kBlankWait;
+	while (_router.config.provedAt == 0 && monotonicNow() < until)
+	{
+		sleepFor(kBlankPollMs);
+	}
+}
+
 /// @returns Whether the configuration allows the request; otherwise it has been refused.
 bool admitByConfig(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
-	_serving.config = router.config.config;
 	const HttpRequest& request = _serving.exchange.request();
+	awaitFirstConfig(router);
+	_serving.config = router.config.config;
 	if (_serving.config->version == 0)
 	{
 		refuse(_serving, 503, "no_config", "this router knows no configuration yet", kUnknownRetryMs);
@@ -423,9 +436,17 @@
 		return;
 	}
 	const double slowness = double(_headAfter) / double(kMsToUs) / std::max(kLeastExpectedMs, _expectedMs);
-	noteTrialResult(router.trials, _serving.service, _upstream.version,
-					_serving.route->name + modelOf(_serving), _upstream.id, sign != HealthSign::Good,
-					slowness);
+	const bool halted = noteTrialResult(router.trials, _serving.service, _upstream.version,
+										_serving.route->name + " " + modelOf(_serving), _upstream.id,
+										sign != HealthSign::Good, slowness);
+	if (halted)
+	{
+		logEvent("rollout_halted",
+				 {{"service", _serving.service},
+				  {"version", _upstream.version},
+				  {"request", _serving.call.requestId},
+				  {"evidence", describeEvidence(router.trials.trials.at(_serving.service))}});
+	}
 }
 
 AttemptRequest requestFor(const Serving& _serving, UpstreamId _upstream, const std::string& _address,
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -79,6 +79,16 @@
 	EXPECT_EQ(pick(query(), 13 * kSecond), "one");
 }
 
+TEST_F(TableTest, ALapsedUpstreamThatMayHaveLeftIsNotUsedBesideOthersUpToTheBound)
+{
+	registerUpstream(table, record("lapsed"));
+	registerUpstream(table, record("other", "b"));
+	noteStoreTrouble(table, 10 * kSecond);
+	unregisterUpstream(table, "lapsed", 10 * kSecond);
+	EXPECT_EQ(pick(query(), 11 * kSecond), "lapsed");
+	EXPECT_EQ(pick(query(), 10 * kSecond + 1900 * kMsToUs), "other");
+}
+
 TEST_F(TableTest, AnUnreachableUpstreamIsAvoidedAndTriedAgainByOneRepeatableRequest)
 {
 	const UpstreamId bad = registerUpstream(table, record("bad"));
--- a/tests/core/version_trial_test.cpp
+++ b/tests/core/version_trial_test.cpp
@@ -87,6 +87,15 @@
 		<< "another router's word does not undo it";
 }
 
+TEST(VersionTrial, TheEvidenceOfAHaltCanBeRead)
+{
+	TrialBook book = ordered(0);
+	feed(book, "v1", 50, 1);
+	feed(book, "v2", 6, 6);
+	EXPECT_EQ(describeEvidence(book.trials.at(kService)),
+			  "route: new 6 good 6 bad 0 slow (1.0), old 50 good 1 bad 0 slow (1.0)");
+}
+
 TEST(VersionTrial, ASlowVersionIsHalted)
 {
 	TrialBook book = ordered(0);
