--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -65,7 +65,12 @@
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, double _expectedMs, TimeUs _now);
 
 /// @returns The confidence below which an answer is dropped and the next model asked; 0: take any.
-double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, TimeUs _now);
+/// @param[in] _nextHeadMs Expected time until the next model's first token. Under load it comes too late:
+/// then the answer at hand is worth more, and the next model's work would delay others.
+double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, double _nextHeadMs, TimeUs _now);
+
+/// @returns The model that is asked after the one under way.
+size_t nextModel(const RequestPlan& _plan);
 
 /// What follows an attempt.
 enum class NextMove : uint8_t
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -17,7 +17,7 @@
 constexpr double kConfidence =
 	60.0; ///< Measured on quiet days beside 50, 70 and 85: see docs/design/platform.md.
 constexpr double kBudgetForDoubt = 0.9; ///< Above this use of the retry window only failures are retried.
-constexpr double kTimeForDoubt = 0.5;   ///< Of the objective, that must be left for a second model.
+constexpr double kTimeForDoubt = 0.15;  ///< Of the objective, that must be left for a second model.
 constexpr uint32_t kRetryAfterMs = 150; ///< Told to callers: rejections by full upstreams pass quickly.
 
 TimeUs shareOf(uint32_t _ms, double _share)
@@ -66,11 +66,17 @@
 	return times;
 }
 
-double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, TimeUs _now)
+size_t nextModel(const RequestPlan& _plan)
+{
+	return _plan.models.empty() ? 0 : _plan.models.size() - 1; // The middle ones were worth less, measured.
+}
+
+double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, double _nextHeadMs, TimeUs _now)
 {
 	const bool last = _plan.model + 1 >= _plan.models.size();
 	const TimeUs left = _plan.arrivedAt + TimeUs(_plan.targetMs) * kMsToUs - _now;
-	const bool inTime = left > shareOf(_plan.targetMs, kTimeForDoubt);
+	const bool inTime =
+		left > TimeUs(_nextHeadMs * double(kMsToUs)) && left > shareOf(_plan.targetMs, kTimeForDoubt);
 	if (last || _plan.started || !_plan.repeatable || !inTime || _budgetUsed > kBudgetForDoubt ||
 		_plan.runs + 1 >= _plan.maxAttempts)
 	{
@@ -102,7 +108,7 @@
 	}
 	if (_end == AttemptEnd::Doubted)
 	{
-		_plan.model = _plan.models.size() - 1; // The largest: the middle one was worth less, measured.
+		_plan.model = nextModel(_plan);
 	}
 	else
 	{
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -159,6 +159,12 @@
 
 // ---- One attempt ------------------------------------------------------------------------------------------
 
+/// The same for all requests of a session, and for all attempts of a request without one.
+uint64_t sessionHash(const Serving& _serving)
+{
+	return stableHash(_serving.call.session.empty() ? _serving.call.requestId : _serving.call.session);
+}
+
 std::string modelOf(const Serving& _serving)
 {
 	return _serving.plan.models.empty() ? _serving.call.model : _serving.plan.models[_serving.plan.model];
@@ -365,6 +371,20 @@
 	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
 }
 
+/// @returns Expected time until the next model's first token at the upstream that would be asked.
+double nextModelHeadMs(Serving& _serving)
+{
+	if (_serving.plan.models.empty())
+	{
+		return 0.0;
+	}
+	DirectRouter& router = _serving.router;
+	const TimeUs now = monotonicNow();
+	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
+	const VersionChoice version = chooseVersion(router.trials, _serving.service, sessionHash(_serving), now);
+	return expectedHeadMs(router.upstreams, query, pickUpstreamFor(_serving, query, version, now), now);
+}
+
 /// @returns How the attempt ended.
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
@@ -387,7 +407,7 @@
 	if (_serving.plan.stream && status == 200 && !answer.notRun)
 	{
 		const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
-		const double limit = confidenceLimit(_serving.plan, used, monotonicNow());
+		const double limit = confidenceLimit(_serving.plan, used, nextModelHeadMs(_serving), monotonicNow());
 		if (answer.confidence && *answer.confidence < limit)
 		{
 			return AttemptEnd::Doubted;
@@ -585,15 +605,13 @@
 	DirectRouter& router = _serving.router;
 	RetryWindow& window = retryWindow(router, _serving.service);
 	noteRequest(window, _serving.plan.arrivedAt);
-	const std::string& session =
-		_serving.call.session.empty() ? _serving.call.requestId : _serving.call.session;
 	NextMove move = NextMove::Again;
 	while (move == NextMove::Again)
 	{
 		const TimeUs now = monotonicNow();
 		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 		const VersionChoice version =
-			chooseVersion(router.trials, _serving.service, stableHash(session), now);
+			chooseVersion(router.trials, _serving.service, sessionHash(_serving), now);
 		const std::string model = modelOf(_serving);
 		const UpstreamQuery query = queryOf(_serving, model);
 		const UpstreamId upstream = pickUpstreamFor(_serving, query, version, now);
