--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -12,8 +12,8 @@
 {
 namespace
 {
-constexpr double kFreshShare =
-	0.75; ///< Of the revocation bound: watches may be silent for a second and more.
+/// Of the revocation bound: a watch may be silent for a moment while changes are made.
+constexpr double kFreshShare = 0.9;
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
 constexpr TimeUs kBlankWait = 400 * kMsToUs; ///< From the start; a store that answers does so in far less.
 constexpr uint32_t kBlankPollMs = 3;
