--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -48,7 +48,9 @@
 public:
 	using Fields = boost::beast::http::fields;
 
-	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request);
+	/// @param[in] _draining Looked at when the answer begins; null: never draining.
+	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request,
+				 const bool* _draining = nullptr);
 	~HttpExchange();
 	HttpExchange(const HttpExchange&) = delete;
 	HttpExchange& operator=(const HttpExchange&) = delete;
@@ -72,6 +74,12 @@
 	/// Ends the connection without an end mark: the caller sees a cut, never a short whole answer.
 	void abort();
 
+	/// @returns Whether the connection takes another request after this one's answer.
+	bool keepAlive() const
+	{
+		return m_request.keep_alive() && (m_draining == nullptr || !*m_draining);
+	}
+
 	bool broken() const
 	{
 		return m_broken;
@@ -90,6 +98,7 @@
 
 	boost::beast::tcp_stream& m_stream;
 	const HttpRequest& m_request;
+	const bool* m_draining;
 	bool m_broken = false;
 	bool m_answered = false;
 	std::shared_ptr<std::function<void()>> m_onGone;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -133,10 +133,8 @@
 		{
 			break;
 		}
-		keepAlive = request.keep_alive() && !_server.draining;
-		request.keep_alive(keepAlive);
 		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		HttpExchange exchange(_stream, request);
+		HttpExchange exchange(_stream, request, &_server.draining);
 		try
 		{
 			_server.handler(exchange);
@@ -152,15 +150,14 @@
 		{
 			logEvent("handler_failed",
 					 {{"target", std::string(request.target())}, {"error", failure.what()}});
-			keepAlive = false;
+			request.keep_alive(false);
 			if (!exchange.answered())
 			{
-				request.keep_alive(false);
 				exchange.respond(
 					refusalResponse(ErrorCode::Internal, "the router failed", RunState::Unknown));
 			}
 		}
-		keepAlive = keepAlive && !exchange.broken();
+		keepAlive = exchange.keepAlive() && !exchange.broken();
 	}
 	beast::error_code ignored;
 	_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -208,8 +205,8 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request)
-	: m_stream(_stream), m_request(_request)
+HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request, const bool* _draining)
+	: m_stream(_stream), m_request(_request), m_draining(_draining)
 {
 }
 
@@ -241,7 +238,7 @@
 	static_cast<http::fields&>(message) = _fields;
 	message.result(unsigned(_status));
 	message.version(m_request.version());
-	message.keep_alive(m_request.keep_alive());
+	message.keep_alive(keepAlive());
 	message.body() = beast::span<const char>(_body.data(), _body.size());
 	message.prepare_payload();
 	m_stream.expires_after(std::chrono::seconds(30));
@@ -261,7 +258,7 @@
 
 bool HttpExchange::sendHead(http::response<http::empty_body>& _head)
 {
-	_head.keep_alive(m_request.keep_alive());
+	_head.keep_alive(keepAlive());
 	_head.chunked(true);
 	http::response_serializer<http::empty_body> serializer(_head);
 	m_stream.expires_after(std::chrono::seconds(30));
@@ -276,7 +273,7 @@
 	m_answered = true;
 	http::response<http::string_body> message(http::status(_response.status), m_request.version());
 	setHeaders(message, _response.headers);
-	message.keep_alive(m_request.keep_alive());
+	message.keep_alive(keepAlive());
 	message.body() = _response.body;
 	message.prepare_payload();
 	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
--- /dev/null
+++ b/tests/direct/direct_harness.cpp
@@ -0,0 +1,523 @@
+#include "direct_harness.h"
+
+#include <absl/strings/escaping.h>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "node_p.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr uint32_t kWatchPollMs = 5;
+
+bool startsWith(const std::string& _text, const std::string& _prefix)
+{
+	return _text.compare(0, _prefix.size(), _prefix) == 0;
+}
+
+json shown(const std::string& _key, const StandInStore::Item& _item)
+{
+	return {{"private_key", _key},
+			{"value", absl::Base64Escape(_item.value)},
+			{"revision", _item.revision},
+			{"created", _item.revision},
+			{"lease", 0}};
+}
+
+void answerRead(StandInStore& _store, HttpExchange& _exchange, const std::string& _key)
+{
+	const auto found = _store.items.find(_key);
+	if (found == _store.items.end())
+	{
+		_exchange.respond(jsonResponse(404, {{"as_of", _store.revision}}));
+		return;
+	}
+	json item = shown(_key, found->second);
+	item["as_of"] = _store.revision;
+	_exchange.respond(jsonResponse(200, item));
+}
+
+void answerRange(StandInStore& _store, HttpExchange& _exchange, const std::string& _prefix)
+{
+	json items = json::array();
+	for (const auto& [key, item] : _store.items)
+	{
+		if (startsWith(key, _prefix))
+		{
+			items.push_back(shown(key, item));
+		}
+	}
+	_exchange.respond(jsonResponse(200, {{"items", items}, {"has_more", false}, {"as_of", _store.revision}}));
+}
+
+json changesAfter(const StandInStore& _store, uint64_t _after)
+{
+	json events = json::array();
+	for (const StandInStore::Change& change : _store.history)
+	{
+		if (change.revision <= _after)
+		{
+			continue;
+		}
+		const auto item = _store.items.find(change.key);
+		if (change.removed || item == _store.items.end())
+		{
+			events.push_back({{"private_key", change.key}, {"revision", change.revision}, {"removed", true}});
+		}
+		else
+		{
+			events.push_back(shown(change.key, item->second));
+		}
+	}
+	return events;
+}
+
+void answerWatch(StandInStore& _store, HttpExchange& _exchange, uint64_t _after, uint32_t _waitMs)
+{
+	const TimeUs until = monotonicNow() + TimeUs(_waitMs) * kMsToUs;
+	while (monotonicNow() < until && _store.fault == StandInStore::Fault::None &&
+		   (_store.mute || changesAfter(_store, _after).empty()) && _after >= _store.forgottenTo)
+	{
+		sleepFor(kWatchPollMs);
+	}
+	if (_after < _store.forgottenTo)
+	{
+		_exchange.respond(jsonResponse(410, json::object()));
+		return;
+	}
+	const json events = _store.mute ? json::array() : changesAfter(_store, _after);
+	_exchange.respond(
+		jsonResponse(200, {{"events", events}, {"as_of", _store.mute ? _after : _store.revision}}));
+}
+
+void answerWrite(StandInStore& _store, HttpExchange& _exchange)
+{
+	const json request = json::parse(_exchange.request().body());
+	for (const json& expected : request["expected_revision"])
+	{
+		const auto item = _store.items.find(expected["private_key"]);
+		const uint64_t revision = item == _store.items.end() ? 0 : item->second.revision;
+		if (revision != expected["revision"].get<uint64_t>())
+		{
+			_exchange.respond(jsonResponse(412, {{"items", json::array()}}));
+			return;
+		}
+	}
+	for (const json& write : request["set_keys"])
+	{
+		std::string value;
+		absl::Base64Unescape(write["value"].get<std::string>(), &value);
+		setItem(_store, write["private_key"], value);
+	}
+	if (_store.loseWrites)
+	{
+		_exchange.abort();
+		return;
+	}
+	_exchange.respond(jsonResponse(200, {{"revision", _store.revision}}));
+}
+
+void answerStoreCall(StandInStore& _store, HttpExchange& _exchange)
+{
+	++_store.calls;
+	switch (_store.fault)
+	{
+	case StandInStore::Fault::Busy:
+		_exchange.respond({503, {}, ""});
+		return;
+	case StandInStore::Fault::Silent:
+		while (_store.fault == StandInStore::Fault::Silent)
+		{
+			sleepFor(kWatchPollMs);
+		}
+		_exchange.abort();
+		return;
+	case StandInStore::Fault::Reset:
+		_exchange.abort();
+		return;
+	case StandInStore::Fault::None:
+		break;
+	}
+	const Target target = parseTarget(std::string_view(_exchange.request().target()));
+	const auto query = [&target](const char* _name) {
+		const auto found = target.query.find(_name);
+		return found == target.query.end() ? std::string() : found->second;
+	};
+	const std::string call = target.path.empty() ? "" : target.path[0];
+	if (call == "kv-key")
+	{
+		answerRead(_store, _exchange, query("private_key"));
+	}
+	else if (call == "kv-range")
+	{
+		answerRange(_store, _exchange, query("path_prefix"));
+	}
+	else if (call == "kv-watch")
+	{
+		answerWatch(_store, _exchange, std::stoull(query("after_revision")),
+					uint32_t(std::stoul(query("wait_ms"))));
+	}
+	else if (call == "kv-txn")
+	{
+		answerWrite(_store, _exchange);
+	}
+	else
+	{
+		_exchange.respond({404, {}, ""});
+	}
+}
+
+json routeJson(const char* _name, const char* _prefix, const char* _kind, uint32_t _attempts,
+			   const char* _service)
+{
+	return {{"name", _name},           {"host", "town.example"},    {"path_prefix", _prefix},
+			{"kind", _kind},           {"timeout_ms", 4000},        {"target_latency_ms", 1000},
+			{"priority", 1},           {"max_attempts", _attempts}, {"service", _service},
+			{"allow_anonymous", false}};
+}
+
+json basicConfig(const std::string& _key)
+{
+	json chat = routeJson("chat", "/chat/", "streaming", 3, "engines");
+	chat["stream_resumption"] = true;
+	chat["session_affinity"] = true;
+	chat["gap_target_ms"] = 500;
+	chat["sizes"] = {"small", "large"};
+	return {{"version", 1},
+			{"routes",
+			 {routeJson("plain", "/plain/", "safe", 2, "app"),
+			  routeJson("once", "/once/", "unsafe", 1, "app"), chat}},
+			{"services",
+			 {{{"name", "app"}, {"connection_limit", 100}},
+			  {{"name", "engines"},
+			   {"connection_limit", 100},
+			   {"engine", {{"slots", 8}, {"models", json::array()}}}}}},
+			{"limits",
+			 {{"max_header_bytes", 4096},
+			  {"max_body_bytes", 100000},
+			  {"header_timeout_ms", 2000},
+			  {"idle_timeout_ms", 5000}}},
+			{"tenants", {{{"name", "town"}, {"api_keys", {_key}}, {"priority", 1}}}}};
+}
+} // namespace
+
+void setItem(StandInStore& _store, const std::string& _key, const std::string& _value)
+{
+	_store.items[_key] = {_value, ++_store.revision};
+	_store.history.push_back({_key, _store.revision, false});
+}
+
+void removeItem(StandInStore& _store, const std::string& _key)
+{
+	_store.items.erase(_key);
+	_store.history.push_back({_key, ++_store.revision, true});
+}
+
+void forgetHistory(StandInStore& _store)
+{
+	_store.forgottenTo = _store.revision;
+	_store.history.clear();
+}
+
+std::vector<HttpHeader> soundHeaders(const StandInUpstream& _upstream, const HttpRequest& _request)
+{
+	return {{"Request-Id", std::string(_request["Request-Id"])},
+			{"Server-Stamp", "stamp-" + _upstream.id},
+			{"Content-Type", "text/plain"}};
+}
+
+void answerWell(StandInUpstream& _upstream, HttpExchange& _exchange, const std::string& _body)
+{
+	_exchange.respond({200, soundHeaders(_upstream, _exchange.request()), _body});
+}
+
+void answerNotRun(HttpExchange& _exchange)
+{
+	_exchange.respond(
+		{503, {{"Not-Executed", "1"}, {"Request-Id", std::string(_exchange.request()["Request-Id"])}}, ""});
+}
+
+void answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
+				  bool _cut, double _confidence)
+{
+	const std::string after(_exchange.request()["Last-Event-Id"]);
+	std::vector<HttpHeader> headers = soundHeaders(_upstream, _exchange.request());
+	headers.pop_back();
+	headers.push_back({"Confidence", std::to_string(int(_confidence))});
+	_exchange.startStream(200, headers, "text/event-stream");
+	for (int id = after.empty() ? 0 : std::stoi(after) + 1; id <= _last; ++id)
+	{
+		sleepFor(_pauseMs);
+		if (!_exchange.write(fmt::format("id: {}\ndata: {} of {}\n\n", id, id, _upstream.id)))
+		{
+			return;
+		}
+	}
+	if (_cut)
+	{
+		_exchange.write("id: 99\nda"); // In the middle of an event.
+		_exchange.abort();
+		return;
+	}
+	_exchange.finish();
+}
+
+std::string DirectAnswer::header(const std::string& _name) const
+{
+	for (const HttpHeader& header : headers)
+	{
+		if (boost::beast::iequals(header.name, _name))
+		{
+			return header.value;
+		}
+	}
+	return "";
+}
+
+DirectSystem::DirectSystem(const std::string& _settings) : m_settings(_settings)
+{
+	testIo();
+	char pattern[] = "/tmp/spanplank-direct-XXXXXX";
+	m_dir = ::mkdtemp(pattern);
+	config = basicConfig(key);
+	writeConfig();
+	store.http.handler = [this](HttpExchange& _exchange) {
+		answerStoreCall(store, _exchange);
+	};
+	m_listen = loopback(freePort());
+	m_readiness = loopback(freePort());
+	m_metrics = loopback(freePort());
+	const std::string address = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
+	std::ofstream(m_dir + "/router.yaml") << fmt::format(
+		"upstreams: direct\nbox: router-0\nhall: hall-a\nlisten: {}\nreadiness: {}\nmetrics: {}\nstore: {}\n"
+		"configWaitMs: 200\n{}",
+		m_listen, m_readiness, m_metrics, address, m_settings);
+}
+
+DirectSystem::~DirectSystem()
+{
+	killHard();
+	store.fault = StandInStore::Fault::None;
+	stopListening(store.http);
+	for (const auto& upstream : m_upstreams)
+	{
+		stopListening(upstream->http);
+	}
+	eventually([this] { return store.http.connections == 0; }, 5);
+	for (const auto& upstream : m_upstreams)
+	{
+		eventually([&upstream] { return upstream->http.connections == 0; }, 5);
+	}
+	std::filesystem::remove_all(m_dir);
+}
+
+StandInUpstream& DirectSystem::addUpstream(const std::string& _id, const std::string& _service)
+{
+	m_upstreams.push_back(std::make_unique<StandInUpstream>());
+	StandInUpstream& upstream = *m_upstreams.back();
+	upstream.id = _id;
+	upstream.service = _service;
+	upstream.answer = [](StandInUpstream& _upstream, HttpExchange& _exchange) {
+		answerWell(_upstream, _exchange);
+	};
+	upstream.http.handler = [&upstream](HttpExchange& _exchange) {
+		upstream.requests.push_back(_exchange.request());
+		++upstream.open;
+		upstream.answer(upstream, _exchange);
+		--upstream.open;
+	};
+	upstream.address = loopback(startHttpServer(testIo(), upstream.http, {"127.0.0.1", 0}));
+	registerUpstream(upstream);
+	return upstream;
+}
+
+void DirectSystem::registerUpstream(const StandInUpstream& _upstream, bool _leaving)
+{
+	setItem(store, "servers/" + _upstream.id,
+			json{{"service", _upstream.service},
+				 {"address", _upstream.address},
+				 {"zone", "hall-a"},
+				 {"version", _upstream.version},
+				 {"slots", 8},
+				 {"state", _leaving ? "draining" : "ready"},
+				 {"cold_remaining_ms", 0}}
+				.dump());
+}
+
+void DirectSystem::writeConfig()
+{
+	config["version"] = config["version"].get<uint64_t>() + 2;
+	setItem(store, "op/config", config.dump());
+}
+
+void DirectSystem::startRouter()
+{
+	std::vector<std::string> command = {std::string(SPANPLANK_BIN_DIR) + "/spanplank-router",
+										"--settings=" + m_dir + "/router.yaml"};
+	std::vector<char*> words = {command[0].data(), command[1].data(), nullptr};
+	posix_spawn_file_actions_t actions;
+	posix_spawn_file_actions_init(&actions);
+	const std::string file = m_dir + "/router.log";
+	posix_spawn_file_actions_addopen(&actions, 1, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn(&m_pid, words[0], &actions, nullptr, words.data(), environ);
+	posix_spawn_file_actions_destroy(&actions);
+}
+
+void DirectSystem::startReady(size_t _upstreams)
+{
+	startRouter();
+	eventually([&] { return isReady() && knownUpstreams() >= _upstreams; });
+}
+
+void DirectSystem::terminate()
+{
+	::kill(m_pid, SIGTERM);
+}
+
+void DirectSystem::killHard()
+{
+	if (m_pid != 0)
+	{
+		::kill(m_pid, SIGKILL);
+		::waitpid(m_pid, nullptr, 0);
+		m_pid = 0;
+	}
+}
+
+int DirectSystem::awaitEnd()
+{
+	int state = 0;
+	if (!eventually([&] { return ::waitpid(m_pid, &state, WNOHANG) == m_pid; }))
+	{
+		return -1;
+	}
+	m_pid = 0;
+	return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+}
+
+HttpClient clientOf(const std::string& _address)
+{
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = parseEndpoint(_address);
+	return client;
+}
+
+bool DirectSystem::isReady()
+{
+	HttpClient client = clientOf(m_readiness);
+	HttpCall request;
+	request.method = "GET";
+	request.target = "/readiness";
+	try
+	{
+		return spanplank::call(client, request).status == 200;
+	}
+	catch (const HttpFailure&)
+	{
+		return false;
+	}
+}
+
+std::string DirectSystem::metric(const std::string& _name)
+{
+	HttpClient client = clientOf(m_metrics);
+	HttpCall request;
+	request.method = "GET";
+	request.target = "/metrics";
+	try
+	{
+		std::istringstream page(spanplank::call(client, request).body);
+		for (std::string line; std::getline(page, line);)
+		{
+			if (startsWith(line, _name + " "))
+			{
+				return line.substr(_name.size() + 1);
+			}
+		}
+	}
+	catch (const HttpFailure&)
+	{
+		return "";
+	}
+	return "";
+}
+
+size_t DirectSystem::knownUpstreams()
+{
+	const std::string value = metric("spanplank_upstreams");
+	return value.empty() ? 0 : size_t(std::stod(value));
+}
+
+std::string DirectSystem::log() const
+{
+	std::stringstream text;
+	text << std::ifstream(m_dir + "/router.log").rdbuf();
+	return text.str();
+}
+
+DirectAnswer DirectSystem::call(const std::string& _method, const std::string& _path,
+								const std::string& _body, std::vector<HttpHeader> _headers,
+								HttpCancel* _cancel)
+{
+	HttpClient client = clientOf(m_listen);
+	HttpCall request;
+	request.method = _method;
+	request.target = _path;
+	request.body = _body;
+	request.timeoutMs = 20000;
+	request.headers = {{"Host", "town.example"},
+					   {"Request-Id", fmt::format("request-{}", m_nextRequest++)},
+					   {"Deadline-Remaining", "4000"},
+					   {"Key", key}};
+	request.headers.insert(request.headers.end(), _headers.begin(), _headers.end());
+	DirectAnswer answer;
+	try
+	{
+		const HttpResponse response = spanplank::call(
+			client, request,
+			[&answer](const HttpResponse& _head, std::string_view _part) {
+				answer.status = _head.status;
+				answer.headers = _head.headers;
+				answer.body.append(_part);
+			},
+			_cancel);
+		answer.status = response.status;
+		answer.headers = response.headers;
+	}
+	catch (const HttpFailure&)
+	{
+		answer.cut = true;
+	}
+	return answer;
+}
+
+std::string DirectSystem::raw(const std::string& _bytes)
+{
+	using boost::asio::ip::tcp;
+	const Endpoint to = parseEndpoint(m_listen);
+	tcp::socket socket(testIo());
+	const tcp::endpoint address(boost::asio::ip::make_address(to.ip), to.port);
+	awaitIo([&](auto _done) { socket.async_connect(address, _done); });
+	awaitIo([&](auto _done) { boost::asio::async_write(socket, boost::asio::buffer(_bytes), _done); });
+	std::string got;
+	awaitIo([&](auto _done) { boost::asio::async_read(socket, boost::asio::dynamic_buffer(got), _done); });
+	return got;
+}
+} // namespace spanplank
--- /dev/null
+++ b/tests/direct/direct_harness.h
@@ -0,0 +1,139 @@
+/// A direct router as a real process, between stand-ins of the platform's store and upstreams in the test's
+/// process.
+#ifndef SPANPLANK_TESTS_DIRECT_HARNESS_H_HEADER_GUARD
+#define SPANPLANK_TESTS_DIRECT_HARNESS_H_HEADER_GUARD
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+#include "http_p.h"
+
+namespace spanplank
+{
+/// The platform's store: items, revisions, watches, conditional writes; with its faults.
+struct StandInStore
+{
+	enum class Fault : uint8_t
+	{
+		None,
+		Busy,   ///< 503 to every call.
+		Silent, ///< No answer.
+		Reset,  ///< The connection is closed.
+	};
+	struct Item
+	{
+		std::string value;
+		uint64_t revision = 0;
+	};
+	struct Change
+	{
+		std::string key;
+		uint64_t revision = 0;
+		bool removed = false;
+	};
+
+	HttpServer http;
+	std::map<std::string, Item> items;
+	std::deque<Change> history;
+	uint64_t revision = 1;
+	uint64_t forgottenTo = 0; ///< Watches from before this revision get 410.
+	Fault fault = Fault::None;
+	bool loseWrites = false; ///< Writes are done and not answered.
+	bool mute = false;       ///< Watches hear nothing.
+	uint64_t calls = 0;
+};
+
+void setItem(StandInStore& _store, const std::string& _key, const std::string& _value);
+void removeItem(StandInStore& _store, const std::string& _key);
+/// Drops the history: watches must list anew.
+void forgetHistory(StandInStore& _store);
+
+/// One upstream; tests say how it answers.
+struct StandInUpstream
+{
+	std::string id;
+	std::string service;
+	std::string address;
+	std::string version = "v1";
+	HttpServer http;
+	std::function<void(StandInUpstream&, HttpExchange&)> answer;
+	std::vector<HttpRequest> requests; ///< All that came, in order.
+	uint32_t open = 0;                 ///< Under way.
+};
+
+/// Answers 200 with the headers that a sound upstream gives.
+void answerWell(StandInUpstream& _upstream, HttpExchange& _exchange, const std::string& _body = "done");
+/// Answers that it has not run the request.
+void answerNotRun(HttpExchange& _exchange);
+/// Streams the events after the caller's last one, up to `_last`, with a pause before each; then ends or
+/// cuts.
+void answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
+				  bool _cut, double _confidence = 100.0);
+
+/// What a caller saw.
+struct DirectAnswer
+{
+	int status = 0; ///< 0: the connection failed.
+	bool cut = false;
+	std::string body;
+	std::vector<HttpHeader> headers;
+
+	std::string header(const std::string& _name) const;
+};
+
+class DirectSystem
+{
+public:
+	/// Starts the store with a configuration of three routes (`/plain/`, `/once/`, `/chat/`) and one account.
+	/// @param[in] _settings More lines for the router's settings.
+	explicit DirectSystem(const std::string& _settings = "");
+	~DirectSystem();
+	DirectSystem(const DirectSystem&) = delete;
+	DirectSystem& operator=(const DirectSystem&) = delete;
+
+	StandInUpstream& addUpstream(const std::string& _id, const std::string& _service);
+	void registerUpstream(const StandInUpstream& _upstream, bool _leaving = false);
+	/// Writes the configuration with its version raised by two.
+	void writeConfig();
+	void startRouter();
+	/// Starts the router and waits until it is ready and knows that many upstreams.
+	void startReady(size_t _upstreams);
+	/// SIGTERM; does not wait.
+	void terminate();
+	void killHard();
+	/// @returns The exit code of a router that ends by itself, or -1.
+	int awaitEnd();
+	bool isReady();
+	size_t knownUpstreams();
+	std::string log() const;
+
+	DirectAnswer call(const std::string& _method, const std::string& _path, const std::string& _body = "",
+					  std::vector<HttpHeader> _headers = {}, HttpCancel* _cancel = nullptr);
+	/// Sends bytes as they are and reads until the router closes. @returns What came.
+	std::string raw(const std::string& _bytes);
+
+	StandInStore store;
+	nlohmann::json config;
+	std::string key = "key-of-the-town";
+
+private:
+	std::string metric(const std::string& _name);
+
+	std::vector<std::unique_ptr<StandInUpstream>> m_upstreams;
+	std::string m_dir;
+	std::string m_listen;
+	std::string m_readiness;
+	std::string m_metrics;
+	std::string m_settings;
+	pid_t m_pid = 0;
+	uint64_t m_nextRequest = 1;
+};
+} // namespace spanplank
+
+#endif // SPANPLANK_TESTS_DIRECT_HARNESS_H_HEADER_GUARD
