A pause between watches of the store

Change: 0.7 s between two watches; a proof gets at most 1.7 s old, changes that come close together are learned of together.

--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -304,6 +304,7 @@
 	reader.decimal("retryRatio", settings.retryRatio, 0.0, 100.0);
 	reader.decimal("exposureShare", settings.exposureShare, 0.0, 1.0);
 	reader.number("leaveMs", settings.leaveMs, 100, kHourMs);
+	reader.number("watchPauseMs", settings.watchPauseMs, 0, 30000);
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
 	reader.finish();
 	return settings;
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -51,8 +51,11 @@
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
 	uint32_t leaveMs = 2000;        ///< An upstream that leaves gets no request this long after.
-	uint32_t configWaitMs =
-		1000; ///< Longest wait of a watch on the store: how old a proof of the configuration gets.
+	/// Pause between two watches. Each change ends a watch, and each call of the store is priced and limited:
+	/// changes that come close together are learned of together.
+	uint32_t watchPauseMs = 700;
+	/// Longest wait of a watch on the store. With the pause: how old a proof of the configuration gets.
+	uint32_t configWaitMs = 1000;
 };
 
 struct AgentSettings
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -32,7 +32,8 @@
 uint32_t backoff(DirectRouter& _router, uint32_t _failures)
 {
 	const uint32_t most = std::min(kRetryMostMs, kRetryLeastMs << std::min(_failures, 4u));
-	return most / 2 + uint32_t(nextUnit(_router.random) * double(most / 2));
+	const double half = double(most) / 2.0;
+	return uint32_t(half + nextUnit(_router.random) * half);
 }
 
 void takeConfigItem(DirectRouter& _router, const StoreItem& _item)
@@ -292,6 +293,7 @@
 		{
 			followOnce(_router, follower);
 			noteRegained(_router, follower);
+			sleepFor(_router.config.config->version != 0 ? _router.settings.watchPauseMs : 0);
 		}
 		catch (const Failure& failure)
 		{
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -306,7 +306,7 @@
 	const std::string address = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
 	std::ofstream(m_dir + "/router.yaml") << fmt::format(
 		"upstreams: direct\nbox: router-0\nhall: hall-a\nlisten: {}\nreadiness: {}\nmetrics: {}\nstore: {}\n"
-		"configWaitMs: 200\n{}",
+		"configWaitMs: 200\nwatchPauseMs: 20\n{}",
 		m_listen, m_readiness, m_metrics, address, m_settings);
 }
 
