--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -18,8 +18,8 @@
 constexpr TimeUs kEjection = 1000 * kMsToUs; ///< First ejection; each further one doubles it.
 constexpr uint32_t kMostDoublings = 3;
 constexpr double kOtherHall = 1.0; ///< Requests in flight that another hall counts as.
-constexpr double kOtherHallMs =
-	4.0;                          ///< Waiting that another hall counts as: the way, and its bytes are priced.
+/// Waiting that another hall counts as: the way there, and its bytes are priced.
+constexpr double kOtherHallMs = 20.0;
 constexpr double kPeerLoad = 2.0; ///< Other routers send to the same homes: own waiting work stands for more.
 constexpr double kDecodeMs = 1.5; ///< What each running stream adds to the steps of the others, all in all.
 constexpr double kFirstTokenMs = 0.02;  ///< Reading time of a prompt token before any was measured.
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -448,17 +448,17 @@
 void noteTrial(Serving& _serving, const UpstreamRecord& _upstream, AttemptEnd _end, TimeUs _headAfter,
 			   double _expectedMs)
 {
-	const HealthSign sign = signOf(_end);
 	DirectRouter& router = _serving.router;
 	noteTrialEnded(router.trials, _serving.service, _upstream.version);
-	if (sign == HealthSign::None || sign == HealthSign::Unreachable)
+	const bool good = _end == AttemptEnd::Whole || _end == AttemptEnd::Doubted;
+	if (!good && _end != AttemptEnd::Failed)
 	{
-		return;
+		return; // Crashes, cuts and full upstreams say nothing of a version; its own failures do.
 	}
 	const double slowness = double(_headAfter) / double(kMsToUs) / std::max(kLeastExpectedMs, _expectedMs);
-	const bool halted = noteTrialResult(router.trials, _serving.service, _upstream.version,
-										_serving.route->name + " " + modelOf(_serving), _upstream.id,
-										sign != HealthSign::Good, slowness);
+	const bool halted =
+		noteTrialResult(router.trials, _serving.service, _upstream.version,
+						_serving.route->name + " " + modelOf(_serving), _upstream.id, !good, slowness);
 	if (halted)
 	{
 		logEvent("rollout_halted",
