--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -133,6 +133,8 @@
 	_exchange.respond(jsonResponse(200, {{"revision", _store.revision}}));
 }
 
+} // namespace
+
 void answerStoreCall(StandInStore& _store, HttpExchange& _exchange)
 {
 	++_store.calls;
@@ -183,6 +185,8 @@
 	}
 }
 
+namespace
+{
 json routeJson(const char* _name, const char* _prefix, const char* _kind, uint32_t _attempts,
 			   const char* _service)
 {
@@ -192,6 +196,8 @@
 			{"allow_anonymous", false}};
 }
 
+} // namespace
+
 json basicConfig(const std::string& _key)
 {
 	json chat = routeJson("chat", "/chat/", "streaming", 3, "engines");
@@ -215,7 +221,6 @@
 			  {"idle_timeout_ms", 5000}}},
 			{"tenants", {{{"name", "town"}, {"api_keys", {_key}}, {"priority", 1}}}}};
 }
-} // namespace
 
 void setItem(StandInStore& _store, const std::string& _key, const std::string& _value)
 {
@@ -253,6 +258,21 @@
 		{503, {{"Not-Executed", "1"}, {"Request-Id", std::string(_exchange.request()["Request-Id"])}}, ""});
 }
 
+/// @returns false once the caller is gone.
+bool pauseUnlessGone(HttpExchange& _exchange, uint32_t _ms)
+{
+	constexpr uint32_t kSliceMs = 10;
+	for (uint32_t waited = 0; waited < _ms; waited += kSliceMs)
+	{
+		sleepFor(std::min(kSliceMs, _ms - waited));
+		if (_exchange.callerGone())
+		{
+			return false;
+		}
+	}
+	return true;
+}
+
 void answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
 				  bool _cut, double _confidence)
 {
@@ -263,8 +283,8 @@
 	_exchange.startStream(200, headers, "text/event-stream");
 	for (int id = after.empty() ? 0 : std::stoi(after) + 1; id <= _last; ++id)
 	{
-		sleepFor(_pauseMs);
-		if (!_exchange.write(fmt::format("id: {}\ndata: {} of {}\n\n", id, id, _upstream.id)))
+		if (!pauseUnlessGone(_exchange, _pauseMs) ||
+			!_exchange.write(fmt::format("id: {}\ndata: {} of {}\n\n", id, id, _upstream.id)))
 		{
 			return;
 		}
@@ -290,41 +310,67 @@
 	return "";
 }
 
-DirectSystem::DirectSystem(const std::string& _settings) : m_settings(_settings)
+RouterProcess::RouterProcess(const std::string& _dir, const std::string& _name, const std::string& _store,
+							 const std::string& _settings)
+	: m_file(_dir + "/" + _name), m_listen(loopback(freePort())), m_readiness(loopback(freePort())),
+	  m_metrics(loopback(freePort()))
 {
-	testIo();
-	char pattern[] = "/tmp/spanplank-direct-XXXXXX";
-	m_dir = ::mkdtemp(pattern);
-	config = basicConfig(key);
-	writeConfig();
-	store.http.handler = [this](HttpExchange& _exchange) {
-		answerStoreCall(store, _exchange);
-	};
-	m_listen = loopback(freePort());
-	m_readiness = loopback(freePort());
-	m_metrics = loopback(freePort());
-	const std::string address = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
-	std::ofstream(m_dir + "/router.yaml") << fmt::format(
-		"upstreams: direct\nbox: router-0\nhall: hall-a\nlisten: {}\nreadiness: {}\nmetrics: {}\nstore: {}\n"
+	std::ofstream(m_file + ".yaml") << fmt::format(
+		"upstreams: direct\nbox: {}\nhall: hall-a\nlisten: {}\nreadiness: {}\nmetrics: {}\nstore: {}\n"
 		"configWaitMs: 200\nwatchPauseMs: 20\n{}",
-		m_listen, m_readiness, m_metrics, address, m_settings);
+		_name, m_listen, m_readiness, m_metrics, _store, _settings);
 }
 
-DirectSystem::~DirectSystem()
+RouterProcess::~RouterProcess()
 {
 	killHard();
-	store.fault = StandInStore::Fault::None;
-	stopListening(store.http);
-	for (const auto& upstream : m_upstreams)
+}
+
+void RouterProcess::start()
+{
+	std::vector<std::string> command = {std::string(SPANPLANK_BIN_DIR) + "/spanplank-router",
+										"--settings=" + m_file + ".yaml"};
+	std::vector<char*> words = {command[0].data(), command[1].data(), nullptr};
+	posix_spawn_file_actions_t actions;
+	posix_spawn_file_actions_init(&actions);
+	const std::string file = m_file + ".log";
+	posix_spawn_file_actions_addopen(&actions, 1, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn(&m_pid, words[0], &actions, nullptr, words.data(), environ);
+	posix_spawn_file_actions_destroy(&actions);
+}
+
+void RouterProcess::signal(int _signal)
+{
+	if (m_pid != 0)
 	{
-		stopListening(upstream->http);
+		::kill(m_pid, _signal);
 	}
-	eventually([this] { return store.http.connections == 0; }, 5);
-	for (const auto& upstream : m_upstreams)
+}
+
+bool RouterProcess::hasEnded()
+{
+	int state = 0;
+	if (m_pid != 0 && ::waitpid(m_pid, &state, WNOHANG) == m_pid)
 	{
-		eventually([&upstream] { return upstream->http.connections == 0; }, 5);
+		m_pid = 0;
+		m_exitCode = WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+	}
+	return m_pid == 0;
+}
+
+int RouterProcess::awaitEnd()
+{
+	return eventually([&] { return hasEnded(); }) ? m_exitCode : -1;
+}
+
+void RouterProcess::killHard()
+{
+	if (m_pid != 0)
+	{
+		::kill(m_pid, SIGKILL);
+		::waitpid(m_pid, nullptr, 0);
+		m_pid = 0;
 	}
-	std::filesystem::remove_all(m_dir);
 }
 
 StandInUpstream& DirectSystem::addUpstream(const std::string& _id, const std::string& _service)
@@ -366,51 +412,6 @@
 	setItem(store, "op/config", config.dump());
 }
 
-void DirectSystem::startRouter()
-{
-	std::vector<std::string> command = {std::string(SPANPLANK_BIN_DIR) + "/spanplank-router",
-										"--settings=" + m_dir + "/router.yaml"};
-	std::vector<char*> words = {command[0].data(), command[1].data(), nullptr};
-	posix_spawn_file_actions_t actions;
-	posix_spawn_file_actions_init(&actions);
-	const std::string file = m_dir + "/router.log";
-	posix_spawn_file_actions_addopen(&actions, 1, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-	posix_spawn(&m_pid, words[0], &actions, nullptr, words.data(), environ);
-	posix_spawn_file_actions_destroy(&actions);
-}
-
-void DirectSystem::startReady(size_t _upstreams)
-{
-	startRouter();
-	eventually([&] { return isReady() && knownUpstreams() >= _upstreams; });
-}
-
-void DirectSystem::terminate()
-{
-	::kill(m_pid, SIGTERM);
-}
-
-void DirectSystem::killHard()
-{
-	if (m_pid != 0)
-	{
-		::kill(m_pid, SIGKILL);
-		::waitpid(m_pid, nullptr, 0);
-		m_pid = 0;
-	}
-}
-
-int DirectSystem::awaitEnd()
-{
-	int state = 0;
-	if (!eventually([&] { return ::waitpid(m_pid, &state, WNOHANG) == m_pid; }))
-	{
-		return -1;
-	}
-	m_pid = 0;
-	return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
-}
-
 HttpClient clientOf(const std::string& _address)
 {
 	HttpClient client;
@@ -419,7 +420,7 @@
 	return client;
 }
 
-bool DirectSystem::isReady()
+bool RouterProcess::isReady()
 {
 	HttpClient client = clientOf(m_readiness);
 	HttpCall request;
@@ -435,7 +436,7 @@
 	}
 }
 
-std::string DirectSystem::metric(const std::string& _name)
+std::string RouterProcess::metric(const std::string& _name)
 {
 	HttpClient client = clientOf(m_metrics);
 	HttpCall request;
@@ -459,24 +460,91 @@
 	return "";
 }
 
+std::string RouterProcess::log() const
+{
+	std::stringstream text;
+	text << std::ifstream(m_file + ".log").rdbuf();
+	return text.str();
+}
+
+DirectSystem::DirectSystem(const std::string& _settings)
+{
+	testIo();
+	char pattern[] = "/tmp/spanplank-direct-XXXXXX";
+	m_dir = ::mkdtemp(pattern);
+	config = basicConfig(key);
+	writeConfig();
+	store.http.handler = [this](HttpExchange& _exchange) {
+		answerStoreCall(store, _exchange);
+	};
+	const std::string address = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
+	m_router = std::make_unique<RouterProcess>(m_dir, "router-0", address, _settings);
+}
+
+DirectSystem::~DirectSystem()
+{
+	m_router->killHard();
+	store.fault = StandInStore::Fault::None;
+	stopListening(store.http);
+	for (const auto& upstream : m_upstreams)
+	{
+		stopListening(upstream->http);
+	}
+	eventually([this] { return store.http.connections == 0; }, 5);
+	for (const auto& upstream : m_upstreams)
+	{
+		eventually([&upstream] { return upstream->http.connections == 0; }, 5);
+	}
+	std::filesystem::remove_all(m_dir);
+}
+
+void DirectSystem::startRouter()
+{
+	m_router->start();
+}
+
+void DirectSystem::startReady(size_t _upstreams)
+{
+	startRouter();
+	eventually([&] { return isReady() && knownUpstreams() >= _upstreams; });
+}
+
+void DirectSystem::terminate()
+{
+	m_router->signal(SIGTERM);
+}
+
+void DirectSystem::killHard()
+{
+	m_router->killHard();
+}
+
+int DirectSystem::awaitEnd()
+{
+	return m_router->awaitEnd();
+}
+
+bool DirectSystem::isReady()
+{
+	return m_router->isReady();
+}
+
 size_t DirectSystem::knownUpstreams()
 {
-	const std::string value = metric("spanplank_upstreams");
+	const std::string value = m_router->metric("spanplank_upstreams");
 	return value.empty() ? 0 : size_t(std::stod(value));
 }
 
 std::string DirectSystem::log() const
 {
-	std::stringstream text;
-	text << std::ifstream(m_dir + "/router.log").rdbuf();
-	return text.str();
+	return m_router->log();
 }
 
 DirectAnswer DirectSystem::call(const std::string& _method, const std::string& _path,
 								const std::string& _body, std::vector<HttpHeader> _headers,
 								HttpCancel* _cancel)
 {
-	HttpClient client = clientOf(m_listen);
+	HttpClient client = clientOf(m_router->listen());
 	HttpCall request;
 	request.method = _method;
 	request.target = _path;
@@ -511,7 +579,7 @@
 std::string DirectSystem::raw(const std::string& _bytes)
 {
 	using boost::asio::ip::tcp;
-	const Endpoint to = parseEndpoint(m_listen);
+	const Endpoint to = parseEndpoint(m_router->listen());
 	tcp::socket socket(testIo());
 	const tcp::endpoint address(boost::asio::ip::make_address(to.ip), to.port);
 	awaitIo([&](auto _done) { socket.async_connect(address, _done); });
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -87,6 +87,49 @@
 	std::string header(const std::string& _name) const;
 };
 
+/// One direct router as a real process.
+class RouterProcess
+{
+public:
+	/// @param[in] _store Address of the store. @param[in] _settings More lines for the settings.
+	RouterProcess(const std::string& _dir, const std::string& _name, const std::string& _store,
+				  const std::string& _settings);
+	~RouterProcess();
+	RouterProcess(const RouterProcess&) = delete;
+	RouterProcess& operator=(const RouterProcess&) = delete;
+
+	void start();
+	void signal(int _signal);
+	/// @returns Whether the process has ended; its exit code is then kept.
+	bool hasEnded();
+	/// @returns The exit code of a router that ends by itself, or -1.
+	int awaitEnd();
+	void killHard();
+	bool isReady();
+	/// @returns The value of a metric; empty: it could not be read.
+	std::string metric(const std::string& _name);
+	std::string log() const;
+
+	const std::string& listen() const
+	{
+		return m_listen;
+	}
+
+private:
+	std::string m_file;
+	std::string m_listen;
+	std::string m_readiness;
+	std::string m_metrics;
+	pid_t m_pid = 0;
+	int m_exitCode = -1;
+};
+
+/// The configuration that tests begin with: routes `/plain/`, `/once/`, `/chat/` and one account.
+nlohmann::json basicConfig(const std::string& _key);
+
+/// Answers a call of the store's protocol.
+void answerStoreCall(StandInStore& _store, HttpExchange& _exchange);
+
 class DirectSystem
 {
 public:
@@ -123,15 +166,9 @@
 	std::string key = "key-of-the-town";
 
 private:
-	std::string metric(const std::string& _name);
-
 	std::vector<std::unique_ptr<StandInUpstream>> m_upstreams;
 	std::string m_dir;
-	std::string m_listen;
-	std::string m_readiness;
-	std::string m_metrics;
-	std::string m_settings;
-	pid_t m_pid = 0;
+	std::unique_ptr<RouterProcess> m_router;
 	uint64_t m_nextRequest = 1;
 };
 } // namespace spanplank
