--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -138,8 +138,17 @@
 	None,        ///< Says nothing: the caller left, or the upstream was full.
 };
 
+/// What an attempt's end changed in the belief about its upstream.
+enum class HealthChange : uint8_t
+{
+	None,
+	Ejected,  ///< It gets no work for a while.
+	Returned, ///< It was ejected before and answers again.
+};
+
 /// An attempt ended. @param[in] _prefillMs What it still adds; 0 after its head came.
-void noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign, TimeUs _now);
+HealthChange noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign,
+					   TimeUs _now);
 
 /// @returns Usable upstreams of a service.
 size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now);
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -419,12 +419,13 @@
 	}
 }
 
-void noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign, TimeUs _now)
+HealthChange noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign,
+					   TimeUs _now)
 {
 	const auto found = _table.entries.find(_id.idx);
 	if (found == _table.entries.end())
 	{
-		return;
+		return HealthChange::None;
 	}
 	UpstreamEntry& entry = found->second;
 	UpstreamHealth& health = entry.health;
@@ -433,7 +434,7 @@
 	health.onTrial = false;
 	if (_sign == HealthSign::None)
 	{
-		return;
+		return HealthChange::None;
 	}
 	const bool good = _sign == HealthSign::Good;
 	++health.samples;
@@ -441,13 +442,17 @@
 	health.failuresInRow = good ? 0 : health.failuresInRow + 1;
 	if (good)
 	{
+		const bool wasEjected = health.ejections > 0;
 		health.ejections = 0;
 		health.ejectedUntil = 0;
+		return wasEjected ? HealthChange::Returned : HealthChange::None;
 	}
-	else if (!isEjected(entry, _now) && (health.ejections > 0 || shouldEject(health, _sign)))
+	if (!isEjected(entry, _now) && (health.ejections > 0 || shouldEject(health, _sign)))
 	{
 		eject(health, _now);
+		return HealthChange::Ejected;
 	}
+	return HealthChange::None;
 }
 
 size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now)
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -510,6 +510,20 @@
 							   {"took_ms", ms(_now - _notes.begin)}});
 }
 
+void logHealthChange(const Serving& _serving, const UpstreamRecord& _upstream, HealthChange _change,
+					 AttemptEnd _end)
+{
+	if (_change == HealthChange::None)
+	{
+		return;
+	}
+	logEvent(_change == HealthChange::Ejected ? "upstream_ejected" : "upstream_returned",
+			 {{"upstream", _upstream.id},
+			  {"service", _upstream.service},
+			  {"request", _serving.call.requestId},
+			  {"end", name(_end)}});
+}
+
 /// Runs one attempt at an upstream and takes note of how it went.
 AttemptEnd attempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
 {
@@ -532,7 +546,8 @@
 		notes.error = call.error();
 	}
 	const TimeUs now = monotonicNow();
-	noteEnded(router.upstreams, _upstream, notes.prefillMs, signOf(end), now);
+	const HealthChange change = noteEnded(router.upstreams, _upstream, notes.prefillMs, signOf(end), now);
+	logHealthChange(_serving, upstream, change, end);
 	noteTrial(_serving, upstream, end, notes.headAfter, expectedMs);
 	++router.stats.attempts[name(end)];
 	logAttempt(_serving, notes, upstream, end, now);
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -102,7 +102,7 @@
 	EXPECT_EQ(pick(repeatable, later), "bad");
 	noteSent(table, bad, repeatable, later);
 	EXPECT_EQ(pick(repeatable, later), "good") << "one trial at a time";
-	noteEnded(table, bad, 0.0, HealthSign::Good, later);
+	EXPECT_EQ(noteEnded(table, bad, 0.0, HealthSign::Good, later), HealthChange::Returned);
 	EXPECT_EQ(pick(query(), later), "bad");
 }
 
