Slow versions are halted by what they leave unanswered

Ruled out: a lower share (halts good versions while they queue).

Crashes and cuts still say nothing.

--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -41,11 +41,20 @@
 	RolloutState state = RolloutState::Running;
 };
 
+/// What an attempt says of its version. Crashes and cuts say nothing.
+enum class TrialSign : uint8_t
+{
+	Good,
+	Bad,    ///< A failure answer.
+	Silent, ///< Nothing came in the time that it should take.
+};
+
 /// Attempts of one version on one route.
 struct TrialCounts
 {
 	uint32_t good = 0;
 	uint32_t bad = 0;
+	uint32_t silent = 0;   ///< Attempts given up because nothing came in time.
 	uint32_t slow = 0;     ///< Good answers whose head came far later than the old version's do.
 	double slowness = 0.0; ///< Decayed latency until the head, over what prompt and queue let expect.
 };
@@ -99,7 +108,8 @@
 /// Evidence from an attempt's end. @returns Whether it made this router halt the version. @param[in]
 /// _slowness Latency until the head over the expected one; 0: no head came.
 bool noteTrialResult(TrialBook& _book, const std::string& _service, const std::string& _version,
-					 const std::string& _route, const std::string& _upstream, bool _bad, double _slowness);
+					 const std::string& _route, const std::string& _upstream, TrialSign _sign,
+					 double _slowness);
 
 /// @returns The evidence of a trial in one line, for logs.
 std::string describeEvidence(const VersionTrial& _trial);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -450,15 +450,26 @@
 {
 	DirectRouter& router = _serving.router;
 	noteTrialEnded(router.trials, _serving.service, _upstream.version);
-	const bool good = _end == AttemptEnd::Whole || _end == AttemptEnd::Doubted;
-	if (!good && _end != AttemptEnd::Failed)
+	TrialSign sign = TrialSign::Good;
+	switch (_end)
 	{
-		return; // Crashes, cuts and full upstreams say nothing of a version; its own failures do.
+	case AttemptEnd::Whole:
+	case AttemptEnd::Doubted:
+		break;
+	case AttemptEnd::Failed:
+		sign = TrialSign::Bad;
+		break;
+	case AttemptEnd::Silent:
+	case AttemptEnd::TimeUp:
+		sign = TrialSign::Silent;
+		break;
+	default:
+		return; // Crashes, cuts and full upstreams say nothing of a version.
 	}
 	const double slowness = double(_headAfter) / double(kMsToUs) / std::max(kLeastExpectedMs, _expectedMs);
 	const bool halted =
 		noteTrialResult(router.trials, _serving.service, _upstream.version,
-						_serving.route->name + " " + modelOf(_serving), _upstream.id, !good, slowness);
+						_serving.route->name + " " + modelOf(_serving), _upstream.id, sign, slowness);
 	if (halted)
 	{
 		logEvent("rollout_halted",
