--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -69,8 +69,8 @@
 	bool decided = false;                         ///< This router wants `state` in the store.
 	std::map<std::string, TrialCounts> candidate; ///< By route.
 	std::map<std::string, TrialCounts> others;    ///< By route.
-	std::map<std::string, uint32_t> badBy;        ///< Bad answers by upstream of the new version.
-	uint32_t othersInFlight = 0;                  ///< Attempts on the old version.
+	std::map<std::string, uint32_t> badBy; ///< Bad, silent and slow answers by upstream of the new version.
+	uint32_t othersInFlight = 0;           ///< Attempts on the old version.
 	TimeUs progressSaved = 0;      ///< Progress that the store holds, so that a blank router can go on.
 	uint64_t progressRevision = 0; ///< Of that record; 0: none.
 };
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -83,7 +83,12 @@
 		const auto others = _trial.others.find(route);
 		bad = bad || looksBad(counts, others == _trial.others.end() ? TrialCounts{} : others->second);
 	}
-	const bool spread = _trial.badBy.size() >= kLeastUpstreams || all.bad >= kBadOfOne;
+	uint32_t signs = 0;
+	for (const auto& [upstream, count] : _trial.badBy)
+	{
+		signs += count;
+	}
+	const bool spread = _trial.badBy.size() >= kLeastUpstreams || signs >= kBadOfOne;
 	return bad && spread;
 }
 
@@ -223,17 +228,19 @@
 	VersionTrial& trial = found->second;
 	TrialCounts& counts = countsOf(trial, _version, _route);
 	++(_sign == TrialSign::Bad ? counts.bad : _sign == TrialSign::Silent ? counts.silent : counts.good);
-	if (_sign != TrialSign::Good && _version == trial.order.version)
-	{
-		++trial.badBy[_upstream];
-	}
+	bool slow = false;
 	if (_sign == TrialSign::Good && _slowness > 0.0)
 	{
 		const double usual = trial.others[_route].slowness;
-		counts.slow += usual > 0.0 && _slowness > kSlowRatio * usual ? 1 : 0;
+		slow = usual > 0.0 && _slowness > kSlowRatio * usual;
+		counts.slow += slow ? 1 : 0;
 		const double past = counts.slowness == 0.0 ? _slowness : counts.slowness;
 		counts.slowness = past * kSlownessDecay + _slowness * (1.0 - kSlownessDecay);
 	}
+	if ((_sign != TrialSign::Good || slow) && _version == trial.order.version)
+	{
+		++trial.badBy[_upstream];
+	}
 	if (trial.state == RolloutState::Running && isBad(trial))
 	{
 		trial.state = RolloutState::RolledBack;
@@ -253,7 +260,7 @@
 		text +=
 			fmt::format("{}{}: new {} good {} bad {} slow {} silent, old {} good {} bad {} slow {} silent",
 						text.empty() ? "" : "; ", route, counts.good, counts.bad, counts.slow,
-						counts.slowness, others.good, others.bad, others.slow, others.silent);
+						counts.silent, others.good, others.bad, others.slow, others.silent);
 	}
 	return text;
 }
