A reload of the settings cuts nothing

Change: windows take the new settings when they are next used. Test that failed first (8 requests in flight over a reload: the process died): now passes.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -83,7 +83,6 @@
 		const Endpoint store = settings.store;
 		_router.settings = settings;
 		_router.upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
-		_router.retries.clear();
 		_router.store.http.endpoint = store;
 		_router.store.watchHttp.endpoint = store;
 		logEvent("settings_reloaded", {{"file", _router.settingsFile}});
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -514,6 +514,11 @@
 	m_router->signal(SIGTERM);
 }
 
+void DirectSystem::reload()
+{
+	m_router->signal(SIGHUP);
+}
+
 void DirectSystem::killHard()
 {
 	m_router->killHard();
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -149,6 +149,8 @@
 	void startReady(size_t _upstreams);
 	/// SIGTERM; does not wait.
 	void terminate();
+	/// SIGHUP.
+	void reload();
 	void killHard();
 	/// @returns The exit code of a router that ends by itself, or -1.
 	int awaitEnd();
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -259,6 +259,32 @@
 	EXPECT_EQ(system.awaitEnd(), 0);
 }
 
+TEST_F(PlainTest, AReloadOfTheSettingsCutsNothing)
+{
+	bothAnswer([this](Upstream& _upstream, Exchange& _exchange) {
+		sleepFor(300);
+		if (arrivals() <= 8)
+		{
+			answerNotRun(_exchange);
+			return;
+		}
+		answerWell(_upstream, _exchange);
+	});
+	std::vector<std::function<void()>> bodies;
+	for (int ii = 0; ii < 8; ++ii)
+	{
+		bodies.emplace_back([this] { EXPECT_EQ(system.call("GET", "/plain/").status, 200); });
+	}
+	bodies.emplace_back([this] {
+		eventually([&] { return arrivals() == 8; });
+		system.reload();
+		EXPECT_TRUE(eventually([&] { return system.log().find("settings_reloaded") != std::string::npos; }));
+	});
+	together(std::move(bodies));
+	EXPECT_TRUE(system.isReady());
+	EXPECT_EQ(arrivals(), 16u);
+}
+
 TEST(Keys, ARemovedKeyStopsWorkingAndAnUnreachedStoreStopsAllKeysWithinTheBound)
 {
 	DirectSystem system("revokeMs: 2000\n");
