--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -12,11 +12,12 @@
 constexpr double kCompleteFrom = 0.83; ///< The old version may be stopped once it has no work.
 constexpr double kCompleteAt = 0.9;    ///< It is stopped whatever it has: the deadline is near.
 // The share grows over a part of the duration, then everything goes to the new version until the verdict is
-// due. Both parts follow from the bound on exposure, so that 0.9 of it is used up to then (0.134 of all
-// requests at 0.15).
-constexpr double kAllPart =
-	0.4; ///< Of the bound, as a part of the duration with everything on the new version.
-constexpr double kWidenPart = 0.55; ///< Of the bound, as a part of the duration in which its share grows.
+// due. Both parts follow from the bound on exposure, so that 0.93 of it is used up to then.
+
+/// Of the bound, as a part of the duration with everything on the new version.
+constexpr double kAllPart = 0.35;
+/// Of the bound, as a part of the duration in which its share grows.
+constexpr double kWidenPart = 0.55;
 constexpr TimeUs kProgressEvery = 2000 * kMsToUs; ///< What a blank router may be wrong by.
 constexpr TimeUs kProgressJitter = 1000 * kMsToUs;
 constexpr uint32_t kLeastGood = 6; ///< Good answers of the new version before its share may grow.
