--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -6,6 +6,7 @@
 #include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "log_p.h"
+#include "node_p.h"
 
 namespace spanplank
 {
@@ -25,14 +26,10 @@
 
 constexpr int kHeadTooLarge = 431; ///< RFC 6585
 
-HttpResponse refusalResponse(ErrorCode _code, std::string_view _detail, RunState _run = RunState::No)
+/// A refusal by the server itself, in the body that all refusals have.
+HttpResponse serverRefusal(ErrorCode _code, const char* _detail, RunState _run = RunState::No)
 {
-	HttpResponse response;
-	response.status = httpStatus(_code);
-	response.headers.push_back({"Content-Type", "application/json"});
-	response.body = fmt::format(R"({{"error":{{"code":"{}","run":"{}","retry_after_ms":0,"detail":"{}"}}}})",
-								name(_code), name(_run), _detail);
-	return response;
+	return refusalResponse(Refusal{_code, _run, 0, _detail}, "");
 }
 
 /// Reads on for a while after a refusal: closing with unread bytes would reset the connection, and the caller
@@ -80,7 +77,7 @@
 	}
 	_request.keep_alive(false);
 	HttpExchange exchange(_stream, _request);
-	exchange.respond(refusalResponse(ErrorCode::BadRequest, "a request needs one Host field"));
+	exchange.respond(serverRefusal(ErrorCode::BadRequest, "a request needs one Host field"));
 	return false;
 }
 
@@ -108,7 +105,7 @@
 	HttpExchange exchange(_stream, _request);
 	if (read.error == http::error::body_limit || read.error == http::error::header_limit)
 	{
-		HttpResponse refusal = refusalResponse(ErrorCode::Oversize, "the request is larger than allowed");
+		HttpResponse refusal = serverRefusal(ErrorCode::Oversize, "the request is larger than allowed");
 		refusal.status = read.error == http::error::header_limit ? kHeadTooLarge : refusal.status;
 		exchange.respond(refusal);
 		drain(_stream);
@@ -116,7 +113,7 @@
 	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
 			 read.error != http::error::end_of_stream && read.error != http::error::partial_message)
 	{
-		exchange.respond(refusalResponse(ErrorCode::BadRequest, "malformed HTTP request"));
+		exchange.respond(serverRefusal(ErrorCode::BadRequest, "malformed HTTP request"));
 	}
 	return false;
 }
@@ -143,7 +140,7 @@
 		{
 			if (!exchange.answered())
 			{
-				exchange.respond(refusalResponse(failure.refusal().code, failure.refusal().detail));
+				exchange.respond(refusalResponse(failure.refusal(), ""));
 			}
 		}
 		catch (const std::exception& failure)
@@ -153,8 +150,7 @@
 			request.keep_alive(false);
 			if (!exchange.answered())
 			{
-				exchange.respond(
-					refusalResponse(ErrorCode::Internal, "the router failed", RunState::Unknown));
+				exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
 			}
 		}
 		keepAlive = exchange.keepAlive() && !exchange.broken();
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -89,7 +89,10 @@
 TEST_F(PlainTest, BadRequestsGetTheirTypedAnswer)
 {
 	EXPECT_EQ(system.call("GET", "/nowhere/", "").status, 404);
-	EXPECT_EQ(system.call("POST", "/once/", std::string(200000, 'x')).status, 413);
+	const DirectAnswer oversize = system.call("POST", "/once/", std::string(200000, 'x'));
+	EXPECT_EQ(oversize.status, 413);
+	EXPECT_NE(oversize.body.find("\"message\":"), std::string::npos)
+		<< "one body for all refusals: " << oversize.body;
 	EXPECT_EQ(system.call("GET", "/plain/", "", {{"X-Big", std::string(8000, 'x')}}).status, 431);
 	EXPECT_EQ(system.raw("GET /plain/ HTTP/1.1\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
 	EXPECT_EQ(system.raw("nonsense\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
