Comments stand above what they explain; module headers

The formatter had broken long trailing comments onto a second line, in the middle of a declaration, and several files did not say what they hold. Such comments now stand as lines above the declaration; each of these files begins with a line on its contents. Comments only.

--- a/include/spanplank/admission.h
+++ b/include/spanplank/admission.h
@@ -78,8 +78,8 @@
 {
 	AdmissionVerdict verdict = AdmissionVerdict::Refuse;
 	uint32_t retryAfterMs = 0;
-	std::optional<WorkId>
-		evicted; ///< Queued work of an account far over its share: refuse it, it has not run.
+	/// Queued work of an account far over its share: refuse it, it has not run.
+	std::optional<WorkId> evicted;
 };
 
 AdmissionQueue createAdmissionQueue(const AdmissionLimits& _limits);
--- a/include/spanplank/run_once.h
+++ b/include/spanplank/run_once.h
@@ -270,8 +270,8 @@
 	std::string box;
 	bool linked = false;
 	TimeUs lostFor = 0; ///< How long there has been no link to it.
-	bool gone =
-		false; ///< Proof that this incarnation is dead: its box runs another one, or was taken off the list.
+	/// Proof that this incarnation is dead: its box runs another one, or was taken off the list.
+	bool gone = false;
 };
 
 struct ProposeInput
--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -41,8 +41,8 @@
 	uint32_t priority = 0;      ///< Lower goes first.
 	bool anonymous = false;     ///< Needs no key.
 	bool resumable = false;     ///< A broken stream may go on at another upstream.
-	std::vector<std::string>
-		models; ///< The router chooses among these, smallest first. Empty: the caller does.
+	/// The router chooses among these, smallest first. Empty: the caller does.
+	std::vector<std::string> models;
 	std::vector<RouteTarget> targets;
 };
 
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,3 +1,4 @@
+/// The log buffer, and writing it without blocking.
 #include "log_p.h"
 
 #include <fmt/chrono.h>
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -1,3 +1,4 @@
+/// The metrics page in the text format of Prometheus.
 #include "metrics_p.h"
 
 #include <limits>
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -1,3 +1,4 @@
+/// Reads and checks settings files.
 #include "settings_p.h"
 
 #include <fmt/format.h>
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -51,8 +51,9 @@
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
 	uint32_t leaveMs = 2000;        ///< An upstream that leaves gets no request this long after.
-	/// Pause between two watches of the store. Each change ends a watch, and each call is priced and limited: changes
-	/// that come close together are learned of together. A change is learned of after at most this long.
+	/// Pause between two watches of the store. Each change ends a watch, and each call is priced and limited:
+	/// changes that come close together are learned of together. A change is learned of after at most this
+	/// long.
 	uint32_t watchPauseMs = 800;
 	/// Longest wait of one watch. Twice this and the pause: how old a proof of the configuration gets.
 	uint32_t configWaitMs = 200;
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -1,3 +1,4 @@
+/// Calls of the store, and the protocol of the stand-in.
 #include "store_client_p.h"
 
 #include "log_p.h"
--- a/src/core/retry_window.cpp
+++ b/src/core/retry_window.cpp
@@ -1,3 +1,4 @@
+/// Counting of requests and extra attempts within the window.
 #include "spanplank/retry_window.h"
 
 namespace spanplank
--- a/tests/direct/fault_proxy.cpp
+++ b/tests/direct/fault_proxy.cpp
@@ -1,3 +1,4 @@
+/// Forwards bytes between two ends and does them harm on demand.
 #include "fault_proxy.h"
 
 #include <boost/asio/write.hpp>
