Numbers in conditions are named constants

Weights, jitters, prefixes and a write limit stood as bare numbers, some of them twice. They are named constants with the same values; the range of a hash and the key of a service and model are each written once; countUsable, which nothing called, is gone.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -65,8 +65,8 @@
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	uint32_t nextIdx = 0;
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
-	TimeUs leaveBound =
-		2000 * kMsToUs; ///< An upstream that leaves gets no request this long after; from the settings.
+	/// An upstream that leaves gets no request this long after; from the settings.
+	TimeUs leaveBound = 2000 * kMsToUs;
 };
 
 /// An upstream registered or changed its record. @returns Its id.
@@ -150,9 +150,6 @@
 HealthChange noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign,
 					   TimeUs _now);
 
-/// @returns Usable upstreams of a service.
-size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now);
-
 /// How long an upstream may return after its registration went while the store was in trouble: upstreams that
 /// live are back about 2 s after an outage. It is used like any other for the first 0.8 of the bound on
 /// leaving ones, as it may have left; after that only if there is none else.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,3 +1,4 @@
+/// Serves HTTP/1.1: reading requests within limits, answers, streams.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,6 +16,10 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+constexpr int kHeadTooLarge = 431;              ///< RFC 6585
+constexpr std::chrono::seconds kWriteLimit(30); ///< For one write to a caller that reads slowly.
+constexpr unsigned kHttpVersion = 11;           ///< HTTP/1.1, as Beast counts.
+
 void setHeaders(http::fields& _fields, const std::vector<HttpHeader>& _headers)
 {
 	for (const HttpHeader& header : _headers)
@@ -23,8 +28,6 @@
 	}
 }
 
-constexpr int kHeadTooLarge = 431; ///< RFC 6585
-
 HttpResponse refusalResponse(ErrorCode _code, std::string_view _detail, RunState _run = RunState::No)
 {
 	HttpResponse response;
@@ -74,7 +77,7 @@
 /// A request of HTTP/1.1 has one Host field (RFC 9112, 3.2).
 bool hasOneHost(beast::tcp_stream& _stream, HttpRequest& _request)
 {
-	if (_request.version() < 11 || _request.count(http::field::host) == 1)
+	if (_request.version() < kHttpVersion || _request.count(http::field::host) == 1)
 	{
 		return true;
 	}
@@ -241,7 +244,7 @@
 	message.keep_alive(keepAlive());
 	message.body() = beast::span<const char>(_body.data(), _body.size());
 	message.prepare_payload();
-	m_stream.expires_after(std::chrono::seconds(30));
+	m_stream.expires_after(kWriteLimit);
 	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
 	m_broken = m_broken || written.error;
 }
@@ -261,7 +264,7 @@
 	_head.keep_alive(keepAlive());
 	_head.chunked(true);
 	http::response_serializer<http::empty_body> serializer(_head);
-	m_stream.expires_after(std::chrono::seconds(30));
+	m_stream.expires_after(kWriteLimit);
 	const IoResult written =
 		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
 	m_broken = m_broken || written.error;
@@ -297,7 +300,7 @@
 	{
 		return !m_broken;
 	}
-	m_stream.expires_after(std::chrono::seconds(30));
+	m_stream.expires_after(kWriteLimit);
 	const IoResult written = awaitIo([&](auto _done) {
 		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
 								 _done);
--- a/src/core/event_stream.cpp
+++ b/src/core/event_stream.cpp
@@ -1,3 +1,4 @@
+/// Finds the ends of server-sent events and the ids in them.
 #include "spanplank/event_stream.h"
 
 #include <charconv>
@@ -7,6 +8,9 @@
 namespace
 {
 constexpr int64_t kNoId = -1;
+constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kPlainEnd = "\n\n";
+constexpr std::string_view kCarriageEnd = "\r\n\r\n";
 
 /// @returns The `id:` field of an event, or `kNoId`.
 int64_t idOf(std::string_view _event)
@@ -18,11 +22,11 @@
 		end = end == std::string_view::npos ? _event.size() : end;
 		std::string_view line = _event.substr(start, end - start);
 		start = end + 1;
-		if (line.substr(0, 3) != "id:")
+		if (line.substr(0, kIdField.size()) != kIdField)
 		{
 			continue;
 		}
-		line.remove_prefix(3);
+		line.remove_prefix(kIdField.size());
 		while (!line.empty() && line.front() == ' ')
 		{
 			line.remove_prefix(1);
@@ -37,10 +41,10 @@
 /// @returns The end of the first whole event, or npos.
 size_t endOfEvent(std::string_view _bytes)
 {
-	const size_t plain = _bytes.find("\n\n");
-	const size_t carriage = _bytes.find("\r\n\r\n");
-	const size_t plainEnd = plain == std::string_view::npos ? plain : plain + 2;
-	const size_t carriageEnd = carriage == std::string_view::npos ? carriage : carriage + 4;
+	const size_t plain = _bytes.find(kPlainEnd);
+	const size_t carriage = _bytes.find(kCarriageEnd);
+	const size_t plainEnd = plain == std::string_view::npos ? plain : plain + kPlainEnd.size();
+	const size_t carriageEnd = carriage == std::string_view::npos ? carriage : carriage + kCarriageEnd.size();
 	return plainEnd < carriageEnd ? plainEnd : carriageEnd;
 }
 } // namespace
--- a/src/core/service_config.cpp
+++ b/src/core/service_config.cpp
@@ -1,8 +1,11 @@
+/// Look-up of routes, accounts and services in a configuration; when a new one comes into force.
 #include "spanplank/service_config.h"
 
 #include <algorithm>
 #include <cctype>
 
+#include "hash_range_p.h"
+
 namespace spanplank
 {
 namespace
@@ -69,7 +72,6 @@
 	{
 		total += std::max(0.0, target.weight);
 	}
-	constexpr double kHashRange = 18446744073709551616.0; // 2^64
 	double at = double(_hash) / kHashRange * total;
 	for (const RouteTarget& target : _route.targets)
 	{
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -1,3 +1,4 @@
+/// Registrations, health and choice of upstreams, with the measured constants behind them.
 #include "spanplank/upstream_table.h"
 
 #include <algorithm>
@@ -10,14 +11,17 @@
 constexpr double kDecay = 0.85;        ///< Weight of the past in a failure rate; about 6 attempts count.
 constexpr double kLatencyDecay = 0.9;  ///< Weight of the past in a latency.
 constexpr double kServiceDecay = 0.98; ///< Of a service's latency, which many upstreams feed.
-constexpr double kEjectRate =
-	0.4; ///< Above it an upstream is ejected; services fail up to 0.15 by themselves.
+/// Above it an upstream is ejected; services fail up to 0.15 by themselves.
+constexpr double kEjectRate = 0.4;
 constexpr uint32_t kEjectSamples = 5;        ///< Attempts before a rate is believed.
 constexpr uint32_t kSilentInRow = 2;         ///< Silent attempts in a row that eject.
 constexpr uint32_t kFailedInRow = 4;         ///< Failed attempts in a row that eject.
 constexpr TimeUs kEjection = 1000 * kMsToUs; ///< First ejection; each further one doubles it.
 constexpr uint32_t kMostDoublings = 3;
-constexpr double kOtherHall = 1.0; ///< Requests in flight that another hall counts as.
+constexpr double kFailureWeight = 4.0; ///< Times the share of failed attempts, as a part of the load or wait.
+constexpr double kLoadJitter = 0.01;   ///< Requests in flight; between equal upstreams chance decides.
+constexpr double kJitterMs = 0.1;      ///< As above, for upstreams chosen by their time to the first token.
+constexpr double kOtherHall = 1.0;     ///< Requests in flight that another hall counts as.
 /// Waiting that another hall counts as: the way there, and its bytes are priced.
 constexpr double kOtherHallMs = 20.0;
 constexpr double kPeerLoad = 2.0; ///< Other routers send to the same homes: own waiting work stands for more.
@@ -63,7 +67,7 @@
 {
 	const double away = _entry.record.hall == _hall ? 0.0 : kOtherHall;
 	return (double(_entry.inFlight) + 1.0) * std::max(1.0, _entry.health.slowness) *
-			   (1.0 + 4.0 * _entry.health.failureRate) +
+			   (1.0 + kFailureWeight * _entry.health.failureRate) +
 		   away;
 }
 
@@ -104,7 +108,7 @@
 	double bestLoad = 0.0;
 	for (const Candidate& candidate : _candidates)
 	{
-		const double load = loadOf(*candidate.entry, _hall) + 0.01 * nextUnit(_random);
+		const double load = loadOf(*candidate.entry, _hall) + kLoadJitter * nextUnit(_random);
 		if (best == kInvalidIdx || load < bestLoad)
 		{
 			best = candidate.idx;
@@ -136,9 +140,16 @@
 	return best;
 }
 
+/// Key of what is measured by service and model.
+std::string kindOf(const UpstreamQuery& _query)
+{
+	return std::string(_query.service) + " " + std::string(_query.model);
+}
+
+/// @returns Reading time of a prompt token in milliseconds.
 double tokenMs(const UpstreamTable& _table, const UpstreamQuery& _query)
 {
-	const auto found = _table.tokenMsOf.find(std::string(_query.service) + " " + std::string(_query.model));
+	const auto found = _table.tokenMsOf.find(kindOf(_query));
 	return found == _table.tokenMsOf.end() ? kFirstTokenMs : found->second;
 }
 
@@ -201,9 +212,10 @@
 		const UpstreamEntry& entry = *candidate.entry;
 		const double kept = keptTokens(_table, _query, candidate.idx, candidate.idx == first, _now);
 		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
-		const double health = std::max(1.0, entry.health.slowness) * (1.0 + 4.0 * entry.health.failureRate);
+		const double health =
+			std::max(1.0, entry.health.slowness) * (1.0 + kFailureWeight * entry.health.failureRate);
 		const double ms =
-			(perToken * (tokens - kept) + waitMs(entry)) * health + hall + 0.1 * nextUnit(_random);
+			(perToken * (tokens - kept) + waitMs(entry)) * health + hall + kJitterMs * nextUnit(_random);
 		if (best == kInvalidIdx || ms < bestMs)
 		{
 			best = candidate.idx;
@@ -407,7 +419,7 @@
 	}
 	UpstreamEntry& entry = found->second;
 	entry.prefillMs = std::max(0.0, entry.prefillMs - _prefillMs);
-	const std::string kind = std::string(_query.service) + " " + std::string(_query.model);
+	const std::string kind = kindOf(_query);
 	noteSlowness(_table, entry, kind, _latency);
 	const double perToken = tokenMs(_table, _query);
 	const double tokens = perToken > 0.0 ? _prefillMs / perToken : 0.0;
@@ -454,11 +466,4 @@
 	}
 	return HealthChange::None;
 }
-
-size_t countUsable(const UpstreamTable& _table, std::string_view _service, TimeUs _now)
-{
-	return size_t(std::count_if(_table.entries.begin(), _table.entries.end(), [&](const auto& _entry) {
-		return _entry.second.record.service == _service && isUsable(_table, _entry.second, _now);
-	}));
-}
 } // namespace spanplank
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -1,8 +1,11 @@
+/// Roll-outs of new versions: their share over time, the evidence, the verdict.
 #include "spanplank/version_trial.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 
+#include "hash_range_p.h"
+
 namespace spanplank
 {
 namespace
@@ -11,8 +14,8 @@
 constexpr double kTrialFrom = 0.53; ///< The new version gets its first share.
 constexpr double kWidenFrom = 0.68; ///< Its share grows from here ...
 constexpr double kAllFrom = 0.77;   ///< ... to everything. Up to here it got 0.09 of all requests.
-constexpr double kCompleteFrom =
-	0.83; ///< The old version may be stopped once it has no work. 0.14 of all requests.
+/// The old version may be stopped once it has no work. 0.14 of all requests.
+constexpr double kCompleteFrom = 0.83;
 constexpr double kCompleteAt = 0.9; ///< It is stopped whatever it has: the deadline is near.
 constexpr double kTrialShare = 0.2; ///< Enough for a verdict within seconds, with few requests spent on it.
 constexpr TimeUs kProgressEvery = 2000 * kMsToUs; ///< What a blank router may be wrong by.
@@ -113,7 +116,6 @@
 {
 	return _version == _trial.order.version ? _trial.candidate[_route] : _trial.others[_route];
 }
-
 } // namespace
 
 const char* name(RolloutState _state)
@@ -182,7 +184,6 @@
 	case RolloutState::Running:
 		break;
 	}
-	constexpr double kHashRange = 18446744073709551616.0; // 2^64
 	const bool offered =
 		double(stableHash(trial.order.version, _sessionHash)) < shareAt(trial, _now) * kHashRange;
 	return offered ? VersionChoice{trial.order.version, ""} : VersionChoice{"", trial.order.version};
@@ -259,8 +260,8 @@
 		const TrialCounts others = found == _trial.others.end() ? TrialCounts{} : found->second;
 		text +=
 			fmt::format("{}{}: new {} good {} bad {} slow {} silent, old {} good {} bad {} slow {} silent",
-						text.empty() ? "" : "; ", route, counts.good, counts.bad, counts.slow,
-						counts.silent, others.good, others.bad, others.slow, others.silent);
+						text.empty() ? "" : "; ", route, counts.good, counts.bad, counts.slow, counts.silent,
+						others.good, others.bad, others.slow, others.silent);
 	}
 	return text;
 }
