The soak and its store are in shorter functions

The soak keeps its own list of the status codes that promise "not run", so that its check does not follow a change of the router's names.

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -1,3 +1,4 @@
+/// The stand-ins of the platform's store and upstreams, and the router process between them.
 #include "direct_harness.h"
 
 #include <absl/strings/escaping.h>
@@ -133,29 +134,39 @@
 	_exchange.respond(jsonResponse(200, {{"revision", _store.revision}}));
 }
 
-} // namespace
-
-void answerStoreCall(StandInStore& _store, HttpExchange& _exchange)
+/// Does what the store's fault, if it has one, makes of a call.
+/// @returns Whether it has one: the call then gets no other answer.
+bool answerFault(StandInStore& _store, HttpExchange& _exchange)
 {
-	++_store.calls;
 	switch (_store.fault)
 	{
 	case StandInStore::Fault::Busy:
 		_exchange.respond({503, {}, ""});
-		return;
+		return true;
 	case StandInStore::Fault::Silent:
 		while (_store.fault == StandInStore::Fault::Silent)
 		{
 			sleepFor(kWatchPollMs);
 		}
 		_exchange.abort();
-		return;
+		return true;
 	case StandInStore::Fault::Reset:
 		_exchange.abort();
-		return;
+		return true;
 	case StandInStore::Fault::None:
 		break;
 	}
+	return false;
+}
+} // namespace
+
+void answerStoreCall(StandInStore& _store, HttpExchange& _exchange)
+{
+	++_store.calls;
+	if (answerFault(_store, _exchange))
+	{
+		return;
+	}
 	const Target target = parseTarget(std::string_view(_exchange.request().target()));
 	const auto query = [&target](const char* _name) {
 		const auto found = target.query.find(_name);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 /// the seed, the schedule of faults and the routers' logs are printed or kept.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
@@ -36,6 +37,19 @@
 constexpr uint32_t kLeaveMs = 2000;
 constexpr uint32_t kReturnWaitMs = 3000;        ///< Ejections and back-off end by then.
 constexpr TimeUs kCallerSlack = 1500 * kMsToUs; ///< Of this machine: many processes share its cores.
+// Status codes, apart from the router's own names: the checks must not follow a change of those.
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kNotRunPromises[] = {503, 429, kMisdirected}; ///< Tell callers that the request has not run.
+constexpr uint32_t kCallTimeoutMs = 8000;                   ///< Of a caller: far over every deadline.
+constexpr uint32_t kDeadlineMs = 3000;                      ///< That callers state.
+constexpr uint32_t kCallsOnOne = 20;      ///< Requests on one connection, before the next router is called.
+constexpr uint32_t kRecoveryS = 15;       ///< Longest wait until a request is served after the faults.
+constexpr uint32_t kStopWaitS = 6;        ///< Over the grace, until a router must have ended.
+constexpr double kRejectChance = 0.05;    ///< Of an upstream: it has not run the request.
+constexpr double kCutChance = 0.02;       ///< Of an upstream: it ran the request and cuts the connection.
+constexpr double kCutEventsChance = 0.05; ///< Of an upstream: it cuts a stream at its last event.
+constexpr double kNewKeyChance = 0.3;     ///< Of a caller: it uses the key that may be removed.
 const std::string kKeptKey = "kept-key";
 const std::string kHost = "town.example";
 
@@ -150,10 +164,10 @@
 	const HttpRequest& request = _exchange.request();
 	if (std::string(request["Expect-Instance"]) != _end.upstream->id)
 	{
-		_exchange.respond({421, {{"Instance-Id", _end.upstream->id}}, ""});
+		_exchange.respond({kMisdirected, {{"Instance-Id", _end.upstream->id}}, ""});
 		return;
 	}
-	if (happens(_soak, 0.05) && absl::GetFlag(FLAGS_mutant) != "twice")
+	if (happens(_soak, kRejectChance) && absl::GetFlag(FLAGS_mutant) != "twice")
 	{
 		answerNotRun(_exchange);
 		return;
@@ -166,12 +180,12 @@
 		return;
 	}
 	checkArrival(_soak, _end, found->second);
-	if (absl::GetFlag(FLAGS_mutant) == "twice" && happens(_soak, 0.05))
+	if (absl::GetFlag(FLAGS_mutant) == "twice" && happens(_soak, kRejectChance))
 	{
 		answerNotRun(_exchange);
 		return;
 	}
-	if (happens(_soak, 0.02))
+	if (happens(_soak, kCutChance))
 	{
 		_exchange.abort();
 		return;
@@ -179,7 +193,7 @@
 	if (found->second.path == "/chat/")
 	{
 		answerEvents(*_end.upstream, _exchange, int(5 + below(_soak, 20)), 1 + below(_soak, 15),
-					 happens(_soak, 0.05), double(below(_soak, 101)));
+					 happens(_soak, kCutEventsChance), double(below(_soak, 101)));
 		return;
 	}
 	sleepFor(1 + below(_soak, 30));
@@ -231,12 +245,20 @@
 	return true;
 }
 
+std::vector<HttpHeader> headersOf(const std::string& _id, const std::string& _key)
+{
+	return {{"Host", kHost},
+			{"Request-Id", _id},
+			{"Deadline-Remaining", std::to_string(kDeadlineMs)},
+			{"Key", _key}};
+}
+
 HttpCall requestFor(Soak& _soak, const std::string& _id, RequestRecord& _record)
 {
 	const uint32_t kind = below(_soak, 3);
 	_record.path = kind == 0 ? "/plain/" : kind == 1 ? "/once/" : "/chat/";
 	_record.key = kKeptKey;
-	if (happens(_soak, 0.3) && _soak.config["tenants"][0]["api_keys"].size() > 1)
+	if (happens(_soak, kNewKeyChance) && _soak.config["tenants"][0]["api_keys"].size() > 1)
 	{
 		_record.key = _soak.config["tenants"][0]["api_keys"].back();
 	}
@@ -245,9 +267,8 @@
 	call.method = kind == 0 ? "GET" : "POST";
 	call.target = _record.path + "x";
 	call.body = kind == 0 ? "" : std::string(1 + below(_soak, 20000), 'b');
-	call.timeoutMs = 8000;
-	call.headers = {
-		{"Host", kHost}, {"Request-Id", _id}, {"Deadline-Remaining", "3000"}, {"Key", _record.key}};
+	call.timeoutMs = kCallTimeoutMs;
+	call.headers = headersOf(_id, _record.key);
 	if (kind == 2)
 	{
 		call.headers.push_back({"Model", "*"});
@@ -259,13 +280,14 @@
 
 void checkAnswer(Soak& _soak, const std::string& _id, RequestRecord& _record, const HttpResponse& _answer)
 {
-	const bool promise = _answer.status == 503 || _answer.status == 429 || _answer.status == 421;
+	const bool promise =
+		std::count(std::begin(kNotRunPromises), std::end(kNotRunPromises), _answer.status) != 0;
 	if (promise && _record.runs > 0)
 	{
 		breach(_soak, "a caller was told that its request has not run, but it had");
 	}
 	_record.toldNotRun = promise;
-	if (_answer.status != 200)
+	if (_answer.status != kOk)
 	{
 		return;
 	}
@@ -289,7 +311,7 @@
 		const auto& router = *_soak.routers[below(_soak, uint32_t(_soak.routers.size()))];
 		client.endpoint = parseEndpoint(router.process->listen());
 		client.idle.clear();
-		for (uint32_t ii = 0; ii < 20 && monotonicNow() < _soak.until; ++ii)
+		for (uint32_t ii = 0; ii < kCallsOnOne && monotonicNow() < _soak.until; ++ii)
 		{
 			const std::string id = fmt::format("r-{}-{}", _caller, _soak.nextRequest++);
 			RequestRecord& record = _soak.requests[id];
@@ -303,7 +325,8 @@
 			catch (const HttpFailure& failure)
 			{
 				++_soak.outcomes[failure.sent() ? "cut" : "no connection"];
-				if (monotonicNow() - record.sentAt > 3000 * kMsToUs + 2 * kCallerSlack && !router.paused)
+				if (monotonicNow() - record.sentAt > kDeadlineMs * kMsToUs + 2 * kCallerSlack &&
+					!router.paused)
 				{
 					++_soak.outcomes["late"];
 				}
@@ -340,6 +363,20 @@
 	note(_soak, "a key is added");
 }
 
+/// A planned stop, which must end within the grace, and a start.
+void restartPlanned(Soak& _soak, SoakRouter& _router)
+{
+	_router.stopping = true;
+	_router.process->signal(SIGTERM);
+	if (!eventually([&] { return _router.process->hasEnded(); }, kGraceMs / 1000 + kStopWaitS))
+	{
+		breach(_soak, "a router did not end within its grace");
+		_router.process->killHard();
+	}
+	_router.process->start();
+	_router.stopping = false;
+}
+
 void harmRouter(Soak& _soak)
 {
 	const uint32_t idx = below(_soak, uint32_t(_soak.routers.size()));
@@ -368,15 +405,7 @@
 		break;
 	case 2:
 		note(_soak, fmt::format("router {} is asked to stop", idx));
-		router.stopping = true;
-		router.process->signal(SIGTERM);
-		if (!eventually([&] { return router.process->hasEnded(); }, kGraceMs / 1000 + 6))
-		{
-			breach(_soak, "a router did not end within its grace");
-			router.process->killHard();
-		}
-		router.process->start();
-		router.stopping = false;
+		restartPlanned(_soak, router);
 		break;
 	default:
 		note(_soak, fmt::format("router {} gets SIGHUP", idx));
@@ -505,6 +534,29 @@
 	}
 }
 
+/// @returns Whether a router answers a request of a path whole.
+bool isServed(Soak& _soak, const SoakRouter& _router, const char* _path)
+{
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = parseEndpoint(_router.process->listen());
+	const std::string id = fmt::format("r-end-{}", _soak.nextRequest++);
+	RequestRecord& record = _soak.requests[id];
+	HttpCall request = requestFor(_soak, id, record);
+	record.path = _path;
+	record.key = kKeptKey;
+	request.target = record.path + "x";
+	request.headers = headersOf(id, kKeptKey);
+	try
+	{
+		return call(client, request).status == kOk;
+	}
+	catch (const HttpFailure&)
+	{
+		return false;
+	}
+}
+
 /// After the faults every kind of request is served again.
 void checkRecovery(Soak& _soak)
 {
@@ -513,31 +565,7 @@
 	{
 		for (const char* path : {"/plain/", "/once/", "/chat/"})
 		{
-			const bool served = eventually(
-				[&] {
-					HttpClient client;
-					client.io = &testIo();
-					client.endpoint = parseEndpoint(router->process->listen());
-					const std::string id = fmt::format("r-end-{}", _soak.nextRequest++);
-					RequestRecord& record = _soak.requests[id];
-					HttpCall request = requestFor(_soak, id, record);
-					record.path = path;
-					record.key = kKeptKey;
-					request.target = record.path + "x";
-					request.headers = {{"Host", kHost},
-									   {"Request-Id", id},
-									   {"Deadline-Remaining", "3000"},
-									   {"Key", kKeptKey}};
-					try
-					{
-						return call(client, request).status == 200;
-					}
-					catch (const HttpFailure&)
-					{
-						return false;
-					}
-				},
-				15);
+			const bool served = eventually([&] { return isServed(_soak, *router, path); }, kRecoveryS);
 			if (!served)
 			{
 				breach(_soak, fmt::format("{} is not served after the faults ended", path));
@@ -546,6 +574,17 @@
 	}
 }
 
+void printResult(const Soak& _soak)
+{
+	std::string outcomes;
+	for (const auto& [outcome, count] : _soak.outcomes)
+	{
+		outcomes += fmt::format(" {}={}", outcome, count);
+	}
+	fmt::print("seed {}: {} requests,{}; {} broken\n", _soak.seed, _soak.requests.size(), outcomes,
+			   _soak.broken.size());
+}
+
 int run()
 {
 	testIo();
@@ -568,13 +607,7 @@
 	bodies.emplace_back([&soak] { harmOn(soak); }); // Two at once: faults overlap.
 	together(std::move(bodies));
 	checkRecovery(soak);
-	std::string outcomes;
-	for (const auto& [outcome, count] : soak.outcomes)
-	{
-		outcomes += fmt::format(" {}={}", outcome, count);
-	}
-	fmt::print("seed {}: {} requests,{}; {} broken\n", soak.seed, soak.requests.size(), outcomes,
-			   soak.broken.size());
+	printResult(soak);
 	for (const auto& router : soak.routers)
 	{
 		router->process->killHard();
