--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -1,8 +1,11 @@
+/// Roll-outs of new versions: their share over time, the evidence, the verdict.
 #include "spanplank/version_trial.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 
+#include "hash_range_p.h"
+
 namespace spanplank
 {
 namespace
@@ -117,7 +120,6 @@
 {
 	return _version == _trial.order.version ? _trial.candidate[_route] : _trial.others[_route];
 }
-
 } // namespace
 
 const char* name(RolloutState _state)
@@ -186,7 +188,6 @@
 	case RolloutState::Running:
 		break;
 	}
-	constexpr double kHashRange = 18446744073709551616.0; // 2^64
 	const bool offered = double(stableHash(trial.order.version, _sessionHash)) <
 						 shareAt(trial, _book.exposureShare, _now) * kHashRange;
 	return offered ? VersionChoice{trial.order.version, ""} : VersionChoice{"", trial.order.version};
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -274,6 +274,7 @@
 		answerWell(_upstream, _exchange);
 	});
 	std::vector<std::function<void()>> bodies;
+	bodies.reserve(9);
 	for (int ii = 0; ii < 8; ++ii)
 	{
 		bodies.emplace_back([this] { EXPECT_EQ(system.call("GET", "/plain/").status, 200); });
