--- a/scripts/tidy.sh
+++ b/scripts/tidy.sh
@@ -14,5 +14,5 @@
 	clang-tidy --quiet -p build/tidy "$file" 2>/dev/null && touch "$stamp"
 }
 export -f tidyOne
-git ls-files 'src/*.cpp' 'tools/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'tools/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
 	xargs -P "$(nproc)" -I{} bash -c 'tidyOne "$1" "$2"' _ {} "$HEADERS"
