--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -18,6 +18,7 @@
 #include "fiber_runtime_p.h"
 #include "harness.h"
 #include "node_p.h"
+#include "ports.h"
 
 namespace spanplank
 {
--- a/tests/direct/fault_proxy.cpp
+++ b/tests/direct/fault_proxy.cpp
@@ -5,6 +5,7 @@
 
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "ports.h"
 
 namespace spanplank
 {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -17,6 +17,7 @@
 #include "fault_proxy.h"
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "ports.h"
 #include "spanplank/types.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "of the schedule of faults and of the load");
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -23,8 +23,8 @@
 
 constexpr const char* kOperatorToken = "operator-token";
 
-} // namespace
-
+/// Ports that nobody listens on, below those that the kernel gives to outgoing connections: one of those
+/// could take a port between the look and the child's bind.
 uint16_t freePort()
 {
 	constexpr uint32_t kFirst = 10000;
@@ -51,6 +51,7 @@
 {
 	return fmt::format("127.0.0.1:{}", _port);
 }
+} // namespace
 
 boost::asio::io_context& testIo()
 {
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -139,13 +139,6 @@
 	std::vector<nlohmann::json> m_boxes;
 };
 
-/// A port that nobody listens on, below those that the kernel gives to outgoing connections: one of those
-/// could take a port between the look and the child's bind.
-uint16_t freePort();
-
-/// @returns 127.0.0.1 with a port.
-std::string loopback(uint16_t _port);
-
 /// Installs fibers in the test's thread, once.
 boost::asio::io_context& testIo();
 
