Placement trusts the hash order for all shared parts; the reading pace is learned at once

Ruled out: capacity of the prompt caches (a router's whole set of parts fits several times).

Change: the first upstream of the hash order counts as keeping 0.85 of all shared parts; the first samples of the reading pace count as a mean.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -56,12 +56,19 @@
 	TimeUs at = 0;
 };
 
+/// How fast prompts are read, as answers show it.
+struct ReadingPace
+{
+	double tokenMs = 0.0; ///< Reading time of a prompt token.
+	uint32_t samples = 0;
+};
+
 struct UpstreamTable
 {
 	std::map<uint32_t, UpstreamEntry> entries;
 	std::unordered_map<std::string, uint32_t> idxOfId;
-	std::map<std::string, double> latencyOf; ///< Decayed latency in microseconds, by service and model.
-	std::map<std::string, double> tokenMsOf; ///< Reading time of a prompt token, by service and model.
+	std::map<std::string, double> latencyOf;   ///< Decayed latency in microseconds, by service and model.
+	std::map<std::string, ReadingPace> paceOf; ///< By service and model.
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	uint32_t nextIdx = 0;
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -28,9 +28,12 @@
 constexpr double kDecodeMs = 1.5; ///< What each running stream adds to the steps of the others, all in all.
 constexpr double kFirstTokenMs = 0.02;  ///< Reading time of a prompt token before any was measured.
 constexpr uint32_t kLeastTokens = 1000; ///< Shorter prompts say little of the time for a token.
-constexpr double kTokenRise = 0.02;     ///< The time for a token follows the quick answers: those that
-constexpr double kTokenFall = 0.2;      ///< waited for others say little of it.
-constexpr double kUnseenHome = 0.6; ///< Part of shared tokens that the first of the hash order likely keeps.
+/// The time for a token follows the quicker answers: those that waited for others say little of it.
+constexpr double kTokenRise = 0.05;
+constexpr double kTokenFall = 0.15;
+/// Part of the shared tokens that the first upstream of the hash order likely keeps, though this router has
+/// not sent them there lately: all routers prefer it.
+constexpr double kUnseenHome = 0.85;
 constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
 constexpr size_t kMostHomes = 32;    ///< Of one part; the first parts of prompts are kept nearly everywhere.
 constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
@@ -149,8 +152,16 @@
 /// @returns Reading time of a prompt token in milliseconds.
 double tokenMs(const UpstreamTable& _table, const UpstreamQuery& _query)
 {
-	const auto found = _table.tokenMsOf.find(kindOf(_query));
-	return found == _table.tokenMsOf.end() ? kFirstTokenMs : found->second;
+	const auto found = _table.paceOf.find(kindOf(_query));
+	return found == _table.paceOf.end() ? kFirstTokenMs : found->second.tokenMs;
+}
+
+/// The first samples count as a mean would count them, so that a router that has just started soon knows.
+void notePace(ReadingPace& _pace, double _sample)
+{
+	const double early = 1.0 / double(++_pace.samples);
+	const double step = _sample > _pace.tokenMs ? kTokenRise : kTokenFall;
+	_pace.tokenMs += (_sample - _pace.tokenMs) * std::max(step, early);
 }
 
 bool wasReadAt(const UpstreamTable& _table, uint64_t _affinity, uint32_t _upstream, TimeUs _now)
@@ -171,14 +182,11 @@
 				  TimeUs _now)
 {
 	double kept = 0.0;
+	bool seen = true; // An engine keeps a part only together with all parts before it.
 	for (const SharedPart& part : _query.shared)
 	{
-		if (wasReadAt(_table, part.hash, _upstream, _now))
-		{
-			kept += part.tokens;
-			continue;
-		}
-		return kept + (_first ? kUnseenHome * part.tokens : 0.0);
+		seen = seen && wasReadAt(_table, part.hash, _upstream, _now);
+		kept += seen ? part.tokens : _first ? kUnseenHome * part.tokens : 0.0;
 	}
 	return kept;
 }
@@ -425,9 +433,7 @@
 	const double tokens = perToken > 0.0 ? _prefillMs / perToken : 0.0;
 	if (tokens >= kLeastTokens)
 	{
-		const double sample = double(_latency) / double(kMsToUs) / tokens;
-		_table.tokenMsOf[kind] =
-			perToken + (sample - perToken) * (sample > perToken ? kTokenRise : kTokenFall);
+		notePace(_table.paceOf[kind], double(_latency) / double(kMsToUs) / tokens);
 	}
 }
 
