A late answer of the larger model is better than a poor one; other routers' work counts in the choice

Change: a doubted answer is asked again also when the second one will be late, unless the engine is busy (waiting above half the objective) or the deadline near. The table takes other routers' waiting work; reading time counts four times in the choice, as it delays those that come after; the first three upstreams of the hash order are presumed to keep 0.95, 0.8 and 0.5 of the shared parts. Two test cases said that a late second answer is never asked for, and one took all reading at the home as free of the order; they are replaced by cases for both sides of the new rule.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -65,10 +65,17 @@
 /// @param[in] _expectedMs Until the head; 0: unknown.
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, double _expectedMs, TimeUs _now);
 
+/// What the next model would take.
+struct NextModel
+{
+	double headMs = 0.0; ///< Expected time until its first token; 0: unknown.
+	double waitMs = 0.0; ///< Of it, what waits for the work of others.
+};
+
 /// @returns The confidence below which an answer is dropped and the next model asked; 0: take any.
-/// @param[in] _nextHeadMs Expected time until the next model's first token. Under load it comes too late:
-/// then the answer at hand is worth more, and the next model's work would delay others.
-double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, double _nextHeadMs, TimeUs _now);
+/// Under load the next model's answer comes too late and its work would delay others: then the answer at hand
+/// is worth more. A prompt that is only too long for the objective is asked again: late is better than poor.
+double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, const NextModel& _next, TimeUs _now);
 
 /// @returns The model that is asked after the one under way.
 size_t nextModel(const RequestPlan& _plan);
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -38,6 +38,13 @@
 	uint32_t samples = 0;
 };
 
+/// Work that routers have at an upstream.
+struct SharedLoad
+{
+	double prefillMs = 0.0; ///< Expected reading time of prompts that have no first token yet.
+	uint32_t inFlight = 0;
+};
+
 struct UpstreamEntry
 {
 	UpstreamRecord record;
@@ -46,6 +53,7 @@
 	bool mayReturn = false; ///< Its registration went during an outage of the store.
 	uint32_t inFlight = 0;
 	double prefillMs = 0.0; ///< Expected reading time of the prompts sent there that have no first token yet.
+	SharedLoad others;      ///< What the other routers have there, as far as they told.
 	UpstreamHealth health;
 };
 
@@ -71,6 +79,7 @@
 	std::map<std::string, ReadingPace> paceOf; ///< By service and model.
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	uint32_t nextIdx = 0;
+	bool hearsOthers = false;     ///< Other routers tell what they have at the upstreams.
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
 	/// An upstream that leaves gets no request this long after; from the settings.
 	TimeUs leaveBound = 2000 * kMsToUs;
@@ -128,6 +137,9 @@
 double expectedHeadMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 					  TimeUs _now);
 
+/// @returns Expected time that a new prompt waits at an upstream for those of others, in milliseconds.
+double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream);
+
 /// An attempt began. @returns What it adds to `prefillMs`, to be given back by `noteHead` or `noteEnded`.
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
 
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -19,6 +19,10 @@
 constexpr double kConfidence = 60.0;
 constexpr double kBudgetForDoubt = 0.9; ///< Above this use of the retry window only failures are retried.
 constexpr double kTimeForDoubt = 0.15;  ///< Of the objective, that must be left for a second model.
+/// Of the objective: with less waiting than this an engine is not so busy that a late second answer would
+/// delay more than it is worth. Measured beside 0.1.
+constexpr double kIdleShare = 0.5;
+constexpr double kLateShare = 0.5;      ///< Of the time left, that a late head may take.
 constexpr uint32_t kRetryAfterMs = 150; ///< Told to callers: rejections by full upstreams pass quickly.
 
 TimeUs shareOf(uint32_t _ms, double _share)
@@ -72,18 +76,20 @@
 	return _plan.models.empty() ? 0 : _plan.models.size() - 1; // The middle ones were worth less, measured.
 }
 
-double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, double _nextHeadMs, TimeUs _now)
+double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, const NextModel& _next, TimeUs _now)
 {
 	const bool last = _plan.model + 1 >= _plan.models.size();
-	const TimeUs left = _plan.arrivedAt + TimeUs(_plan.targetMs) * kMsToUs - _now;
-	const bool inTime =
-		left > TimeUs(_nextHeadMs * double(kMsToUs)) && left > shareOf(_plan.targetMs, kTimeForDoubt);
-	if (last || _plan.started || !_plan.repeatable || !inTime || _budgetUsed > kBudgetForDoubt ||
+	if (last || _plan.started || !_plan.repeatable || _budgetUsed > kBudgetForDoubt ||
 		_plan.runs + 1 >= _plan.maxAttempts)
 	{
 		return 0.0;
 	}
-	return kConfidence;
+	const TimeUs head = TimeUs(_next.headMs * double(kMsToUs));
+	const TimeUs left = _plan.arrivedAt + TimeUs(_plan.targetMs) * kMsToUs - _now;
+	const bool inTime = left > head && left > shareOf(_plan.targetMs, kTimeForDoubt);
+	const bool idle = _next.waitMs < kIdleShare * double(_plan.targetMs);
+	const bool fits = double(head) < kLateShare * double(_plan.deadline - _now);
+	return inTime || (idle && fits) ? kConfidence : 0.0;
 }
 
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now)
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -2,6 +2,7 @@
 #include "spanplank/upstream_table.h"
 
 #include <algorithm>
+#include <array>
 #include <vector>
 
 namespace spanplank
@@ -24,16 +25,23 @@
 constexpr double kOtherHall = 1.0;     ///< Requests in flight that another hall counts as.
 /// Waiting that another hall counts as: the way there, and its bytes are priced.
 constexpr double kOtherHallMs = 20.0;
-constexpr double kPeerLoad = 2.0; ///< Other routers send to the same homes: own waiting work stands for more.
-constexpr double kDecodeMs = 1.5; ///< What each running stream adds to the steps of the others, all in all.
+/// Other routers send to the same homes: while they don't tell what, own waiting work stands for more.
+constexpr double kPeerLoad = 2.0;
+/// What each running stream adds to the steps of the others until a first token: all streams, or this
+/// router's alone where the others' are not known.
+constexpr double kStreamMs = 0.3;
+constexpr double kDecodeMs = 1.5;
+/// A prompt's reading also delays those that come after it: it counts this many times in the choice.
+constexpr double kReadingWeight = 4.0;
 constexpr double kFirstTokenMs = 0.02;  ///< Reading time of a prompt token before any was measured.
 constexpr uint32_t kLeastTokens = 1000; ///< Shorter prompts say little of the time for a token.
 /// The time for a token follows the quicker answers: those that waited for others say little of it.
 constexpr double kTokenRise = 0.05;
 constexpr double kTokenFall = 0.15;
-/// Part of the shared tokens that the first upstream of the hash order likely keeps, though this router has
-/// not sent them there lately: all routers prefer it.
-constexpr double kUnseenHome = 0.85;
+/// Parts of the shared tokens that the first upstreams of the hash order likely keep, though this router has
+/// not sent them there lately: all routers prefer the first, and go to the second when that is loaded.
+constexpr size_t kPresumedHomes = 3;
+constexpr std::array<double, kPresumedHomes> kPresumedParts = {0.95, 0.8, 0.5};
 constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
 constexpr size_t kMostHomes = 32;    ///< Of one part; the first parts of prompts are kept nearly everywhere.
 constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
@@ -126,21 +134,45 @@
 	return stableHash(_entry.record.id, _affinity);
 }
 
-/// The first in the order of the affinity: routers that know nothing of each other agree on it.
-uint32_t firstOfOrder(const std::vector<Candidate>& _candidates, uint64_t _affinity)
+/// The first upstreams in the order of a prompt's shared parts: routers agree on it without a word.
+using HomeOrder = std::array<uint32_t, kPresumedHomes>;
+
+HomeOrder homeOrder(const std::vector<Candidate>& _candidates, const UpstreamQuery& _query)
 {
-	uint32_t best = kInvalidIdx;
-	uint64_t bestRank = 0;
+	HomeOrder order;
+	order.fill(kInvalidIdx);
+	if (_query.shared.empty())
+	{
+		return order;
+	}
+	std::array<uint64_t, kPresumedHomes> ranks = {};
 	for (const Candidate& candidate : _candidates)
 	{
-		const uint64_t rank = hashRank(*candidate.entry, _affinity);
-		if (best == kInvalidIdx || rank > bestRank)
+		uint32_t idx = candidate.idx;
+		uint64_t rank = hashRank(*candidate.entry, _query.shared.back().hash);
+		for (size_t place = 0; place < kPresumedHomes; ++place)
 		{
-			best = candidate.idx;
-			bestRank = rank;
+			if (order[place] == kInvalidIdx || rank > ranks[place])
+			{
+				std::swap(order[place], idx);
+				std::swap(ranks[place], rank);
+			}
 		}
 	}
-	return best;
+	return order;
+}
+
+/// @returns The part of shared tokens that an upstream is presumed to keep, by its place in the order.
+double presumedPart(const HomeOrder& _order, uint32_t _upstream)
+{
+	for (size_t place = 0; place < kPresumedHomes; ++place)
+	{
+		if (_order[place] == _upstream)
+		{
+			return kPresumedParts[place];
+		}
+	}
+	return 0.0;
 }
 
 /// Key of what is measured by service and model.
@@ -176,17 +208,17 @@
 	});
 }
 
-/// @returns Tokens of the prompt that an upstream likely keeps. @param[in] _first It is the first of the hash
-/// order.
-double keptTokens(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream, bool _first,
-				  TimeUs _now)
+/// @returns Tokens of the prompt that an upstream likely keeps. @param[in] _presumed Part of the shared
+/// tokens of which this router does not know better.
+double keptTokens(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream,
+				  double _presumed, TimeUs _now)
 {
 	double kept = 0.0;
 	bool seen = true; // An engine keeps a part only together with all parts before it.
 	for (const SharedPart& part : _query.shared)
 	{
 		seen = seen && wasReadAt(_table, part.hash, _upstream, _now);
-		kept += seen ? part.tokens : _first ? kUnseenHome * part.tokens : 0.0;
+		kept += seen ? part.tokens : _presumed * part.tokens;
 	}
 	return kept;
 }
@@ -201,16 +233,21 @@
 	return tokens;
 }
 
-double waitMs(const UpstreamEntry& _entry)
+double waitMs(const UpstreamTable& _table, const UpstreamEntry& _entry)
 {
-	return kPeerLoad * _entry.prefillMs + kDecodeMs * _entry.inFlight;
+	if (!_table.hearsOthers)
+	{
+		return kPeerLoad * _entry.prefillMs + kDecodeMs * _entry.inFlight;
+	}
+	const double streams = double(_entry.inFlight) + double(_entry.others.inFlight);
+	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
 }
 
 /// The upstream with the least expected time to the first token.
 uint32_t soonestFirstToken(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						   const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
-	const uint32_t first = firstOfOrder(_candidates, _query.shared.back().hash);
+	const HomeOrder order = homeOrder(_candidates, _query);
 	const double perToken = tokenMs(_table, _query);
 	const double tokens = promptTokens(_query);
 	uint32_t best = kInvalidIdx;
@@ -218,12 +255,13 @@
 	for (const Candidate& candidate : _candidates)
 	{
 		const UpstreamEntry& entry = *candidate.entry;
-		const double kept = keptTokens(_table, _query, candidate.idx, candidate.idx == first, _now);
+		const double kept =
+			keptTokens(_table, _query, candidate.idx, presumedPart(order, candidate.idx), _now);
 		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
 		const double health =
 			std::max(1.0, entry.health.slowness) * (1.0 + kFailureWeight * entry.health.failureRate);
-		const double ms =
-			(perToken * (tokens - kept) + waitMs(entry)) * health + hall + kJitterMs * nextUnit(_random);
+		const double ms = (kReadingWeight * perToken * (tokens - kept) + waitMs(_table, entry)) * health +
+						  hall + kJitterMs * nextUnit(_random);
 		if (best == kInvalidIdx || ms < bestMs)
 		{
 			best = candidate.idx;
@@ -384,8 +422,10 @@
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 				   TimeUs _now)
 {
+	const HomeOrder order = homeOrder(candidatesFor(_table, _query, _now), _query);
+	const double presumed = presumedPart(order, _upstream.idx);
 	return tokenMs(_table, _query) *
-		   (promptTokens(_query) - keptTokens(_table, _query, _upstream.idx, false, _now));
+		   (promptTokens(_query) - keptTokens(_table, _query, _upstream.idx, presumed, _now));
 }
 
 double expectedHeadMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
@@ -396,7 +436,13 @@
 	{
 		return 0.0;
 	}
-	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(found->second);
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
+}
+
+double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	return found == _table.entries.end() ? 0.0 : waitMs(_table, found->second);
 }
 
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now)
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -56,16 +56,18 @@
 	return pickDirectUpstream(router.upstreams, _query, _now, router.random);
 }
 
-double nextModelHeadMs(Serving& _serving)
+NextModel expectNextModel(Serving& _serving)
 {
 	if (_serving.plan.models.empty())
 	{
-		return 0.0;
+		return {};
 	}
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
 	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
 	const VersionChoice version = chooseVersion(router.trials, _serving.service, sessionHash(_serving), now);
-	return expectedHeadMs(router.upstreams, query, pickUpstreamFor(_serving, query, version, now), now);
+	const UpstreamId upstream = pickUpstreamFor(_serving, query, version, now);
+	return {expectedHeadMs(router.upstreams, query, upstream, now),
+			expectedWaitMs(router.upstreams, upstream)};
 }
 } // namespace spanplank
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -157,7 +157,7 @@
 	if (_serving.plan.stream && code == status::kOk && !answer.notRun)
 	{
 		const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
-		const double limit = confidenceLimit(_serving.plan, used, nextModelHeadMs(_serving), monotonicNow());
+		const double limit = confidenceLimit(_serving.plan, used, expectNextModel(_serving), monotonicNow());
 		if (answer.confidence && *answer.confidence < limit)
 		{
 			return AttemptEnd::Doubted;
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -74,9 +74,9 @@
 UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, const VersionChoice& _choice,
 						   TimeUs _now);
 
-/// @returns Expected time until the next model's first token at the upstream that would be asked, in
-/// milliseconds; 0: unknown, or the caller chose the model.
-double nextModelHeadMs(Serving& _serving);
+/// @returns What the next model would take at the upstream that would be asked; zeros if the caller chose the
+/// model.
+NextModel expectNextModel(Serving& _serving);
 
 // ---- Final answer -----------------------------------------------------------------------------------------
 
--- a/tests/core/request_plan_test.cpp
+++ b/tests/core/request_plan_test.cpp
@@ -79,10 +79,11 @@
 	RequestPlan plan = planRequest(routeOf(RouteKind::Stream, 3), 4000, kNow);
 	plan.models = {"small", "middle", "large"};
 	RetryWindow window = wideWindow();
-	EXPECT_GT(confidenceLimit(plan, 0.0, 10.0, kNow), 0.0);
+	EXPECT_GT(confidenceLimit(plan, 0.0, {10.0, 0.0}, kNow), 0.0);
 	EXPECT_EQ(afterAttempt(plan, AttemptEnd::Doubted, 0, window, kNow), NextMove::Again);
 	EXPECT_EQ(plan.model, 2u);
-	EXPECT_EQ(confidenceLimit(plan, 0.0, 10.0, kNow), 0.0) << "the largest model's answer is taken as it is";
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {10.0, 0.0}, kNow), 0.0)
+		<< "the largest model's answer is taken as it is";
 	EXPECT_TRUE(plan.tried.empty()) << "the upstream did nothing wrong";
 }
 
@@ -90,11 +91,21 @@
 {
 	RequestPlan plan = planRequest(routeOf(RouteKind::Stream, 3), 4000, kNow);
 	plan.models = {"small", "large"};
-	EXPECT_EQ(confidenceLimit(plan, 1.0, 10.0, kNow), 0.0);
-	EXPECT_EQ(confidenceLimit(plan, 0.0, 10.0, kNow + 900 * kMsToUs), 0.0);
-	EXPECT_EQ(confidenceLimit(plan, 0.0, 1200.0, kNow), 0.0) << "its first token would come too late";
+	EXPECT_EQ(confidenceLimit(plan, 1.0, {10.0, 0.0}, kNow), 0.0);
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {700.0, 600.0}, kNow + 900 * kMsToUs), 0.0);
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {1200.0, 800.0}, kNow), 0.0)
+		<< "its first token would come too late";
 	plan.runs = 2;
-	EXPECT_EQ(confidenceLimit(plan, 0.0, 10.0, kNow), 0.0);
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {10.0, 0.0}, kNow), 0.0);
+}
+
+TEST(RequestPlan, APromptThatIsOnlyTooLongForTheObjectiveIsAskedAgainIfTheAnswerIsPoorAndTheDeadlineFar)
+{
+	RequestPlan plan = planRequest(routeOf(RouteKind::Stream, 3), 4000, kNow);
+	plan.models = {"small", "large"};
+	EXPECT_GT(confidenceLimit(plan, 0.0, {1200.0, 20.0}, kNow), 0.0) << "late is better than poor";
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {1200.0, 600.0}, kNow), 0.0) << "the engine is busy with others";
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {2500.0, 20.0}, kNow), 0.0) << "the deadline is too near";
 }
 
 RC_GTEST_PROP(RetryWindow, ExtrasNeverExceedTheirShareOfAnyWindow, ())
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -135,6 +135,7 @@
 	}
 	UpstreamQuery shared = query();
 	shared.shared = {{42, 4000}};
+	shared.ownTokens = 2000; // Read anew each time.
 	const std::string home = pick(shared, 0);
 	for (int ii = 0; ii < 20; ++ii)
 	{
@@ -156,13 +157,52 @@
 	}
 	UpstreamQuery prompt = query();
 	prompt.shared = {{7, 2000}, {8, 2000}};
-	const UpstreamId home{table.idxOfId.at(pick(prompt, 0))};
-	const double first = noteSent(table, home, prompt, 0);
-	EXPECT_GT(first, prefillMsAt(table, prompt, home, 1)) << "both parts are kept now";
 	UpstreamQuery sibling = query();
 	sibling.shared = {{7, 2000}, {9, 2000}};
-	const double known = prefillMsAt(table, sibling, home, 1);
-	EXPECT_NEAR(known, first / 2, 1.0) << "the first part is kept, the second is not";
+	// An upstream that is the first of neither order, so that nothing is presumed of it.
+	UpstreamId home;
+	const double whole = prefillMsAt(table, prompt, UpstreamId{99}, 0);
+	for (uint32_t ii = 0; ii < 4; ++ii)
+	{
+		const bool plain = prefillMsAt(table, prompt, UpstreamId{ii}, 0) == whole &&
+						   prefillMsAt(table, sibling, UpstreamId{ii}, 0) == whole;
+		home = plain ? UpstreamId{ii} : home;
+	}
+	ASSERT_TRUE(isValid(home));
+	EXPECT_EQ(noteSent(table, home, prompt, 0), whole);
+	EXPECT_EQ(prefillMsAt(table, prompt, home, 1), 0.0) << "both parts are kept now";
+	EXPECT_NEAR(prefillMsAt(table, sibling, home, 1), whole / 2, 1.0)
+		<< "the first part is kept, the second is not";
+}
+
+TEST_F(TableTest, TheFirstOfTheOrderIsPresumedToKeepMostOfWhatOthersSentThere)
+{
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		registerUpstream(table, record(fmt::format("u{}", ii)));
+	}
+	UpstreamQuery prompt = query();
+	prompt.shared = {{7, 2000}, {8, 2000}};
+	prompt.ownTokens = 1000;
+	const UpstreamId home{table.idxOfId.at(pick(prompt, 0))};
+	const double whole = prefillMsAt(table, prompt, UpstreamId{99}, 0);
+	EXPECT_LT(prefillMsAt(table, prompt, home, 0), 0.4 * whole);
+	EXPECT_GT(prefillMsAt(table, prompt, home, 0), 0.2 * whole) << "its own part is read in any case";
+}
+
+TEST_F(TableTest, WhatOtherRoutersHaveWaitingCountsForPrompts)
+{
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		registerUpstream(table, record(fmt::format("u{}", ii)));
+	}
+	UpstreamQuery prompt = query();
+	prompt.shared = {{7, 2000}};
+	const std::string home = pick(prompt, 0);
+	table.hearsOthers = true;
+	table.entries.at(table.idxOfId.at(home)).others = {500.0, 4};
+	EXPECT_NE(pick(prompt, 0), home);
+	EXPECT_GT(expectedWaitMs(table, UpstreamId{table.idxOfId.at(home)}), 500.0);
 }
 
 TEST_F(TableTest, AVersionCanBeAskedForOrExcluded)
