Routers follow one another: one watches the store for all, and all share what they have waiting

Weighed: longer waits of the watches (a proof of freshness holds from when a call was sent: longer waits make keys refused sooner in an outage); cheap stale reads (prove nothing); a mirror in each watching router (memory, more state). Chosen: routers register under a lease, rank each other by a hash, and follow the first of their hall, which follows the first of all; that one alone watches. Links are the agent mode's (websocketpp, CBOR, mutual proof by a key that the first router puts into the store). A ping carries the subtree's load, its answer the others' and the age of the proof, counted from when the ping was sent; changes are pushed as they were read. A router that misses a change, gets no answer for 0.7 s or whose proof is older than 1.6 s asks the store itself, so a wrong view costs calls and nothing else. Writes of a roll-out are left to the parent for 1.5 s, but for halts.

A router now believes only its own failures. Registration backs off while the store refuses.

--- a/include/spanplank/messages.h
+++ b/include/spanplank/messages.h
@@ -9,46 +9,12 @@
 
 #include "spanplank/config_replica.h"
 #include "spanplank/errors.h"
+#include "spanplank/link_messages.h"
 #include "spanplank/run_once.h"
 #include "spanplank/types.h"
 
 namespace spanplank
 {
-enum class MessageType : uint8_t
-{
-	Heartbeat,
-	Config,
-	ConfigAsk,
-	Halts,
-	Submit,
-	CancelAttempt,
-	AnswerStart,
-	AnswerPart,
-	AnswerEnd,
-	AnswerRefused,
-	Report,
-	BillsFlushed,
-	Intent,
-	IntentReply,
-	Outcome,
-	RecordsAsk,
-	Records,
-	Table,
-	Count
-};
-
-/// Who is at the other end of a link.
-struct PeerInfo
-{
-	std::string role;        ///< `router` or `agent`.
-	std::string box;         ///< Name of the box, stable over restarts.
-	std::string incarnation; ///< New at each start.
-	std::string hall;
-	std::string pool;                  ///< Agents: the pool of upstreams it belongs to.
-	std::vector<std::string> versions; ///< Agents: versions that the upstream has loaded.
-	std::vector<std::string> services; ///< Agents: plain services of the upstream.
-};
-
 /// Sent by both ends every `kHeartbeatMs`. On the wire: an array of its fields.
 struct Heartbeat
 {
@@ -169,8 +135,6 @@
 	HomeTable table;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerInfo, role, box, incarnation, hall, pool, versions,
-												services)
 /// Heartbeats are what an idle system sends: an array, so that no names travel.
 inline void to_json(nlohmann::json& _json, const Heartbeat& _heartbeat)
 {
--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -67,6 +67,7 @@
 	RolloutState state = RolloutState::Running;
 	uint64_t statusRevision = 0;                  ///< Of the status in the store; 0: none.
 	bool decided = false;                         ///< This router wants `state` in the store.
+	TimeUs wantedAt = 0;                          ///< Since when it wants to write a status; 0: it does not.
 	std::map<std::string, TrialCounts> candidate; ///< By route.
 	std::map<std::string, TrialCounts> others;    ///< By route.
 	std::map<std::string, uint32_t> badBy; ///< Bad, silent and slow answers by upstream of the new version.
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -12,6 +12,7 @@
 
 #include "fiber_runtime_p.h"
 #include "log_p.h"
+#include "spanplank/config.h"
 
 namespace spanplank
 {
--- a/src/adapters/link_p.h
+++ b/src/adapters/link_p.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "http_p.h"
-#include "spanplank/messages.h"
+#include "spanplank/link_messages.h"
 #include "spanplank/types.h"
 
 namespace spanplank
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -45,6 +45,7 @@
 	Endpoint readiness; ///< Where the balancer asks whether this router takes callers.
 	Endpoint metrics;
 	Endpoint store;
+	Endpoint link;                  ///< Where other routers link this one; port 0: it shares nothing.
 	uint32_t graceMs = 8000;        ///< Between the signal to stop and the kill.
 	uint32_t revokeMs = 5000;       ///< A removed key stops working within this time.
 	uint32_t retryWindowMs = 10000; ///< Sliding window of the bound on retries.
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -100,9 +100,15 @@
 	return postCall("/kv/watch", {{"prefix", _prefix}, {"after", _after}, {"wait_ms", _waitMs}});
 }
 
-HttpCall encodeWrite(const std::string& _key, const std::string& _value, uint64_t _expected)
+HttpCall encodeWrite(const std::string& _key, const std::string& _value, uint64_t _expected, uint64_t _lease)
 {
-	return postCall("/kv/cas", {{"key", _key}, {"value", _value}, {"expected", _expected}});
+	return postCall("/kv/cas",
+					{{"key", _key}, {"value", _value}, {"expected", _expected}, {"lease", _lease}});
+}
+
+HttpCall encodeLease(uint64_t _lease, uint32_t _ttlMs)
+{
+	return postCall("/kv/lease", {{"lease", _lease}, {"ttl_ms", _ttlMs}});
 }
 
 StoreItem decodeRead(const HttpResponse& _response)
@@ -121,6 +127,12 @@
 	_revision = answer.value("revision", uint64_t(0));
 	return answer.value("ok", false) ? CasResult::Done : CasResult::Conflict;
 }
+
+uint64_t decodeLease(const HttpResponse& _response, uint64_t)
+{
+	const json answer = okBody(_response);
+	return answer.value("ok", false) ? answer.value("lease", uint64_t(0)) : 0;
+}
 } // namespace
 
 const char* name(CasResult _result)
@@ -139,8 +151,8 @@
 
 const StoreProtocol& standInStoreProtocol()
 {
-	static const StoreProtocol s_protocol = {encodeRead, encodeList, encodeWatch, encodeWrite,
-											 decodeRead, decodeList, decodeList,  decodeWrite};
+	static const StoreProtocol s_protocol = {encodeRead, encodeList, encodeWatch, encodeWrite, encodeLease,
+											 decodeRead, decodeList, decodeList,  decodeWrite, decodeLease};
 	return s_protocol;
 }
 
@@ -176,13 +188,14 @@
 }
 
 CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
-				   uint64_t _expected, uint64_t& _revision)
+				   uint64_t _expected, uint64_t& _revision, uint64_t _lease)
 {
 	++_client.stats.writes;
 	try
 	{
-		return callStore(_client, _client.http, _client.protocol->encodeWrite(_key, _value, _expected),
-						 kStoreTimeoutMs, [&](const HttpResponse& _response) {
+		return callStore(_client, _client.http,
+						 _client.protocol->encodeWrite(_key, _value, _expected, _lease), kStoreTimeoutMs,
+						 [&](const HttpResponse& _response) {
 							 return _client.protocol->decodeWrite(_response, _revision);
 						 });
 	}
@@ -195,4 +208,12 @@
 		throw;
 	}
 }
+
+uint64_t leaseStore(StoreClient& _client, uint64_t _lease, uint32_t _ttlMs)
+{
+	++_client.stats.writes;
+	return callStore(
+		_client, _client.http, _client.protocol->encodeLease(_lease, _ttlMs), kStoreTimeoutMs,
+		[&](const HttpResponse& _response) { return _client.protocol->decodeLease(_response, _lease); });
+}
 } // namespace spanplank
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -11,17 +11,10 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/store_item.h"
 
 namespace spanplank
 {
-struct StoreItem
-{
-	std::string key;
-	std::string value;
-	uint64_t revision = 0; ///< Store revision of its latest change; 0: absent.
-	bool deleted = false;
-};
-
 struct StoreList
 {
 	uint64_t revision = 0; ///< Of the store, when it was read.
@@ -47,12 +40,18 @@
 	/// @param[in] _afterKey The list starts after this key; empty: at its beginning.
 	HttpCall (*encodeList)(const std::string& _prefix, const std::string& _afterKey);
 	HttpCall (*encodeWatch)(const std::string& _prefix, uint64_t _after, uint32_t _waitMs);
-	HttpCall (*encodeWrite)(const std::string& _key, const std::string& _value, uint64_t _expected);
+	/// @param[in] _lease The item goes with this lease; 0: it stays.
+	HttpCall (*encodeWrite)(const std::string& _key, const std::string& _value, uint64_t _expected,
+							uint64_t _lease);
+	/// @param[in] _lease The lease to renew; 0: a new one.
+	HttpCall (*encodeLease)(uint64_t _lease, uint32_t _ttlMs);
 	StoreItem (*decodeRead)(const HttpResponse& _response);
 	StoreList (*decodeList)(const HttpResponse& _response);
 	/// @throws Failure(NotFound) if the store has forgotten what came after the revision.
 	StoreList (*decodeWatch)(const HttpResponse& _response);
 	CasResult (*decodeWrite)(const HttpResponse& _response, uint64_t& _revision);
+	/// @returns The lease; 0: the one to renew is over.
+	uint64_t (*decodeLease)(const HttpResponse& _response, uint64_t _lease);
 };
 
 /// The protocol of the stand-in `spanplank-fakes`.
@@ -87,8 +86,14 @@
 /// Writes if the key still has the expected revision (0: absent).
 /// @param[out] _revision The new revision when done.
 /// @throws Failure(StoreUnavailable) if the store certainly did not take it.
+/// @param[in] _lease The item goes with this lease; 0: it stays.
 CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
-				   uint64_t _expected, uint64_t& _revision);
+				   uint64_t _expected, uint64_t& _revision, uint64_t _lease = 0);
+
+/// Takes a lease or renews one. @param[in] _lease The lease to renew; 0: a new one.
+/// @returns The lease; 0: the one to renew is over.
+/// @throws Failure(StoreUnavailable)
+uint64_t leaseStore(StoreClient& _client, uint64_t _lease, uint32_t _ttlMs);
 } // namespace spanplank
 
 #endif // SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -43,6 +43,10 @@
 	addCounter(page, "upstream_connections_total", "Connections made to upstreams.",
 			   double(_router.pool.opened));
 	addGauge(page, "upstreams", "Upstreams known.", double(_router.upstreams.entries.size()));
+	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
+	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
+	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
+			 isFollowing(_router, monotonicNow()) ? 1.0 : 0.0);
 	addCounter(page, "log_lines_dropped_total", "Log lines dropped because nobody read them.",
 			   double(droppedLogLines()));
 	addStoreMetrics(page, _router.store.stats);
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "http_p.h"
+#include "peer_links_p.h"
 #include "settings_p.h"
 #include "spanplank/request_plan.h"
 #include "spanplank/retry_window.h"
@@ -43,6 +44,13 @@
 	uint64_t configs = 0;                     ///< Configurations taken.
 };
 
+/// How far this router has read the store.
+struct StoreView
+{
+	uint64_t revision = 0;
+	bool listed = false; ///< All items were read, and all changes since up to `revision`.
+};
+
 struct DirectRouter
 {
 	DirectRouter(const std::string& _settingsFile, const DirectSettings& _settings);
@@ -54,6 +62,8 @@
 	HttpServer callers;
 	HttpServer readiness;
 	HttpServer metrics;
+	StoreView view;
+	PeerLinks peers;
 	ConfigCache config;
 	UpstreamTable upstreams;
 	UpstreamPool pool;
@@ -75,6 +85,9 @@
 /// Starts the fibers that follow the store: configuration, upstreams, roll-outs.
 void followStore(DirectRouter& _router);
 
+/// Takes changes of the store that this router does not know yet, and passes them on to its followers.
+void takeStoreChanges(DirectRouter& _router, const StoreList& _changes);
+
 /// @returns The retry window of a service.
 RetryWindow& retryWindow(DirectRouter& _router, const std::string& _service);
 
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -16,6 +16,8 @@
 /// Longest pause: a router must learn of a return within the bounds.
 constexpr uint32_t kRetryMostMs = 400;
 constexpr uint32_t kMostDoublings = 4; ///< Of the first pause; the longest is reached before.
+constexpr uint32_t kFollowPollMs = 50; ///< Between looks whether the parent still keeps this router informed.
+constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
 
 /// Pause between calls that fail, with jitter so that routers do not come together.
 uint32_t backoff(DirectRouter& _router, uint32_t _failures)
@@ -132,6 +134,23 @@
 			 {{"count", std::to_string(records.size())}, {"revision", std::to_string(_list.revision)}});
 }
 
+/// Takes one item, listed or changed.
+void takeItem(DirectRouter& _router, const StoreItem& _item)
+{
+	if (hasPrefix(_item.key, platform::kUpstreamPrefix))
+	{
+		takeUpstreamItem(_router, _item, monotonicNow());
+	}
+	else if (hasPrefix(_item.key, kPeerPrefix) || _item.key == kLinkKeyItem)
+	{
+		takePeerItem(_router, _item);
+	}
+	else
+	{
+		takeOperatorItem(_router, _item, monotonicNow());
+	}
+}
+
 /// Takes a full list of what the operators, the upstreams and the routers keep in the store.
 void takeAll(DirectRouter& _router, const StoreList& _list)
 {
@@ -145,52 +164,42 @@
 		}
 		else
 		{
-			takeOperatorItem(_router, item, monotonicNow());
+			takeItem(_router, item);
 		}
 	}
 	takeUpstreamList(_router, upstreams, monotonicNow());
-}
-
-void takeChanges(DirectRouter& _router, const StoreList& _list)
-{
-	for (const StoreItem& item : _list.items)
-	{
-		if (hasPrefix(item.key, platform::kUpstreamPrefix))
-		{
-			takeUpstreamItem(_router, item, monotonicNow());
-		}
-		else
-		{
-			takeOperatorItem(_router, item, monotonicNow());
-		}
-	}
+	keepListedPeers(_router, _list);
 }
 
 /// The watch on the store: lists first, then waits for changes, and lists anew if the history is gone.
 struct StoreFollower
 {
-	StoreClient client; ///< A connection of its own, so that a waiting watch holds up nothing else.
-	uint64_t revision = 0;
-	bool listed = false;
+	StoreClient client;    ///< A connection of its own, so that a waiting watch holds up nothing else.
 	uint32_t failures = 0; ///< In a row.
 };
 
+/// A list that is older than what a followed router has told by now is dropped: the next call brings more.
+void takeStoreList(DirectRouter& _router, const StoreList& _list)
+{
+	if (_list.revision < _router.view.revision)
+	{
+		return;
+	}
+	takeAll(_router, _list);
+	_router.view = {_list.revision, true};
+}
+
 void followOnce(DirectRouter& _router, StoreFollower& _follower)
 {
 	const TimeUs sentAt = monotonicNow();
-	if (!_follower.listed)
+	if (!_router.view.listed)
 	{
-		const StoreList list = listStore(_follower.client, "");
-		takeAll(_router, list);
-		_follower.revision = list.revision;
-		_follower.listed = true;
+		takeStoreList(_router, listStore(_follower.client, ""));
 	}
 	else
 	{
-		const StoreList changes =
-			watchStore(_follower.client, "", _follower.revision, _router.settings.configWaitMs);
-		takeChanges(_router, changes);
-		_follower.revision = std::max(_follower.revision, changes.revision);
+		takeStoreChanges(
+			_router, watchStore(_follower.client, "", _router.view.revision, _router.settings.configWaitMs));
 	}
 	_router.config.provedAt = std::max(_router.config.provedAt, sentAt);
 }
@@ -202,9 +211,9 @@
 	{
 		logEvent("store_lost", {{"code", std::string(name(_refusal.code))},
 								{"error", _refusal.detail},
-								{"revision", std::to_string(_follower.revision)}});
+								{"revision", std::to_string(_router.view.revision)}});
 	}
-	_follower.listed = _follower.listed && _refusal.code != ErrorCode::NotFound;
+	_router.view.listed = _router.view.listed && _refusal.code != ErrorCode::NotFound;
 }
 
 void noteRegained(DirectRouter& _router, StoreFollower& _follower)
@@ -215,10 +224,23 @@
 	}
 	noteStoreTrouble(_router.upstreams, monotonicNow());
 	logEvent("store_regained", {{"failures", std::to_string(_follower.failures)},
-								{"revision", std::to_string(_follower.revision)}});
+								{"revision", std::to_string(_router.view.revision)}});
 	_follower.failures = 0;
 }
 
+/// A router that others follow asks more often: they learn of changes by it.
+void pauseAfterCall(DirectRouter& _router)
+{
+	const uint32_t longest = followers(_router) == 0 ? _router.settings.watchPauseMs
+													 : std::min(_router.settings.watchPauseMs, kRelayPauseMs);
+	const uint32_t pause = _router.config.config->version != 0 ? longest : 0;
+	const TimeUs until = monotonicNow() + TimeUs(pause) * kMsToUs;
+	while (monotonicNow() < until && !isFollowing(_router, monotonicNow()))
+	{
+		sleepFor(std::min(pause, kFollowPollMs));
+	}
+}
+
 void followChanges(DirectRouter& _router)
 {
 	StoreFollower follower;
@@ -227,13 +249,19 @@
 	follower.client.protocol = _router.store.protocol;
 	while (true)
 	{
+		if (isFollowing(_router, monotonicNow()))
+		{
+			sleepFor(kFollowPollMs);
+			continue;
+		}
 		follower.client.http.endpoint = _router.store.http.endpoint;
 		follower.client.watchHttp.endpoint = _router.store.http.endpoint;
 		try
 		{
 			followOnce(_router, follower);
 			noteRegained(_router, follower);
-			sleepFor(_router.config.config->version != 0 ? _router.settings.watchPauseMs : 0);
+			noteAskedStore(_router, monotonicNow());
+			pauseAfterCall(_router);
 		}
 		catch (const Failure& failure)
 		{
@@ -244,9 +272,27 @@
 }
 } // namespace
 
+void takeStoreChanges(DirectRouter& _router, const StoreList& _changes)
+{
+	const uint64_t known = _router.view.revision;
+	for (const StoreItem& item : _changes.items)
+	{
+		if (item.revision > known) // The others came by another way already.
+		{
+			takeItem(_router, item);
+		}
+	}
+	if (_changes.revision > known)
+	{
+		_router.view.revision = _changes.revision;
+		passChangesOn(_router, known, _changes);
+	}
+}
+
 void followStore(DirectRouter& _router)
 {
 	spawnFiber([&_router] { followChanges(_router); });
 	spawnFiber([&_router] { runRollouts(_router); });
+	startPeerLinks(_router);
 }
 } // namespace spanplank
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -60,15 +60,32 @@
 namespace
 {
 constexpr uint32_t kRolloutTickMs = 200;
+/// How long routers that follow another one leave the same write to that.
+constexpr TimeUs kFollowerPatience = 1500 * kMsToUs;
+constexpr double kFollowerJitter =
+	2.0; ///< Added to the jitter of the progress that they write, for the same.
+
+bool leavesToParent(const DirectRouter& _router)
+{
+	return isFollowing(_router, monotonicNow());
+}
 
 /// Writes what this router has decided; reads the status of a roll-out that it knows nothing of.
 void settleRollout(DirectRouter& _router, const std::string& _service, VersionTrial& _trial)
 {
 	RolloutStatus status;
-	if (!wantsStatus(_trial, monotonicNow(), status))
+	const TimeUs now = monotonicNow();
+	if (!wantsStatus(_trial, now, status))
 	{
+		_trial.wantedAt = 0;
 		return;
 	}
+	_trial.wantedAt = _trial.wantedAt == 0 ? now : _trial.wantedAt;
+	if (leavesToParent(_router) && status.state != RolloutState::RolledBack &&
+		now - _trial.wantedAt < kFollowerPatience)
+	{
+		return; // Most likely the others write the same: a halt alone can't wait.
+	}
 	const std::string key = std::string(platform::kStatusPrefix) + _service;
 	const StoreItem item = readStore(_router.store, key);
 	if (item.revision != 0)
@@ -100,7 +117,8 @@
 void saveProgress(DirectRouter& _router, const std::string& _service, VersionTrial& _trial)
 {
 	const TimeUs now = monotonicNow();
-	if (!wantsProgress(_trial, now, nextUnit(_router.random)))
+	const double patience = leavesToParent(_router) ? kFollowerJitter : 0.0;
+	if (!wantsProgress(_trial, now, nextUnit(_router.random) + patience))
 	{
 		return;
 	}
