Fleets of linked routers under test and in the soak; the announced address of links is a setting

The stand-in store learned leases. The soak puts a proxy before the links of each router and harms it without any excuse for the bounds. Settings: linkAnnounced.

--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -300,6 +300,7 @@
 	reader.address("metrics", settings.metrics);
 	reader.address("store", settings.store);
 	reader.address("link", settings.link, false);
+	reader.address("linkAnnounced", settings.linkAnnounced, false);
 	reader.seconds("graceSeconds", settings.graceMs, 0.1, 3600.0);
 	reader.number("revokeMs", settings.revokeMs, 100, kHourMs);
 	reader.seconds("retryWindowSeconds", settings.retryWindowMs, 0.1, 3600.0);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -45,9 +45,10 @@
 	Endpoint readiness; ///< Where the balancer asks whether this router takes callers.
 	Endpoint metrics;
 	Endpoint store;
-	Endpoint link;                  ///< Where other routers link this one; port 0: it shares nothing.
-	uint32_t graceMs = 8000;        ///< Between the signal to stop and the kill.
-	uint32_t revokeMs = 5000;       ///< A removed key stops working within this time.
+	Endpoint link;            ///< Where this router listens for links of others; port 0: it shares nothing.
+	Endpoint linkAnnounced;   ///< Where others reach that; port 0: at `link`.
+	uint32_t graceMs = 8000;  ///< Between the signal to stop and the kill.
+	uint32_t revokeMs = 5000; ///< A removed key stops working within this time.
 	uint32_t retryWindowMs = 10000; ///< Sliding window of the bound on retries.
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -445,8 +445,9 @@
 	{
 		return;
 	}
-	_router.peers.tree.self = {_router.settings.box, _router.settings.hall,
-							   addressText(_router.settings.link)};
+	const DirectSettings& settings = _router.settings;
+	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
+	_router.peers.tree.self = {settings.box, settings.hall, addressText(announced)};
 	spawnFiber([&_router] { runRegistration(_router); });
 	spawnFiber([&_router] { runPings(_router); });
 }
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -39,7 +39,50 @@
 			{"value", absl::Base64Escape(_item.value)},
 			{"revision", _item.revision},
 			{"created", _item.revision},
-			{"lease", 0}};
+			{"lease", _item.lease}};
+}
+
+/// Items go with their leases.
+void expireLeases(StandInStore& _store)
+{
+	for (auto at = _store.leases.begin(); at != _store.leases.end();)
+	{
+		const uint64_t lease = at->first;
+		if (at->second > monotonicNow())
+		{
+			++at;
+			continue;
+		}
+		at = _store.leases.erase(at);
+		std::vector<std::string> gone;
+		for (const auto& [key, item] : _store.items)
+		{
+			if (item.lease == lease)
+			{
+				gone.push_back(key);
+			}
+		}
+		for (const std::string& key : gone)
+		{
+			removeItem(_store, key);
+		}
+	}
+}
+
+/// Takes a lease, or renews the one named in the path.
+void answerLease(StandInStore& _store, HttpExchange& _exchange, const std::string& _lease)
+{
+	constexpr int64_t kRenewalMs = 60000;
+	const json request = json::parse(_exchange.request().body(), nullptr, false);
+	const uint64_t lease = _lease.empty() ? _store.nextLease++ : std::stoull(_lease);
+	if (!_lease.empty() && _store.leases.count(lease) == 0)
+	{
+		_exchange.respond(jsonResponse(404, json::object()));
+		return;
+	}
+	const int64_t ttlMs = request.is_object() ? request.value("ttl_ms", kRenewalMs) : kRenewalMs;
+	_store.leases[lease] = monotonicNow() + ttlMs * kMsToUs;
+	_exchange.respond(jsonResponse(200, {{"lease", lease}, {"ttl_ms", ttlMs}}));
 }
 
 void answerRead(StandInStore& _store, HttpExchange& _exchange, const std::string& _key)
@@ -126,6 +169,7 @@
 		std::string value;
 		absl::Base64Unescape(write["value"].get<std::string>(), &value);
 		setItem(_store, write["private_key"], value);
+		_store.items[write["private_key"]].lease = write["lease"].get<uint64_t>();
 	}
 	if (_store.loseWrites)
 	{
@@ -164,6 +208,7 @@
 void answerStoreCall(StandInStore& _store, HttpExchange& _exchange)
 {
 	++_store.calls;
+	expireLeases(_store);
 	if (answerFault(_store, _exchange))
 	{
 		return;
@@ -187,6 +232,10 @@
 		answerWatch(_store, _exchange, std::stoull(query("after_revision")),
 					uint32_t(std::stoul(query("wait_ms"))));
 	}
+	else if (call == "kv-lease" || call == "kv-keep")
+	{
+		answerLease(_store, _exchange, target.path.size() > 1 ? target.path[1] : "");
+	}
 	else if (call == "kv-txn")
 	{
 		answerWrite(_store, _exchange);
@@ -236,7 +285,7 @@
 
 void setItem(StandInStore& _store, const std::string& _key, const std::string& _value)
 {
-	_store.items[_key] = {_value, ++_store.revision};
+	_store.items[_key] = {_value, ++_store.revision, 0};
 	_store.history.push_back({_key, _store.revision, false});
 }
 
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/types.h"
 
 namespace spanplank
 {
@@ -30,6 +31,7 @@
 	{
 		std::string value;
 		uint64_t revision = 0;
+		uint64_t lease = 0; ///< 0: none.
 	};
 	struct Change
 	{
@@ -41,6 +43,8 @@
 	HttpServer http;
 	std::map<std::string, Item> items;
 	std::deque<Change> history;
+	std::map<uint64_t, TimeUs> leases; ///< Until when each holds.
+	uint64_t nextLease = 1;
 	uint64_t revision = 1;
 	uint64_t forgottenTo = 0; ///< Watches from before this revision get 410.
 	Fault fault = Fault::None;
--- /dev/null
+++ b/tests/direct/peer_links_test.cpp
@@ -0,0 +1,270 @@
+/// Several direct routers that follow each other: one watches the store, and what happens when that fails.
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <set>
+
+#include "direct_harness.h"
+#include "fault_proxy.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "ports.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr size_t kRouters = 3;
+constexpr uint32_t kRevokeMs = 3000;
+constexpr uint32_t kSettleSeconds = 10; ///< Until all have registered and chosen whom to follow.
+
+/// Three routers of one hall on one store, each with its own path to it.
+struct FleetTest : testing::Test
+{
+	StandInStore store;
+	std::string storeAddress;
+	json config = basicConfig("kept-key");
+	std::string dir;
+	FaultProxy toStore[kRouters];
+	std::vector<std::unique_ptr<RouterProcess>> routers;
+	StandInUpstream upstream;
+	uint64_t nextRequest = 1;
+
+	FleetTest()
+	{
+		testIo();
+		char pattern[] = "/tmp/spanplank-fleet-XXXXXX";
+		dir = ::mkdtemp(pattern);
+		store.http.handler = [this](HttpExchange& _exchange) {
+			answerStoreCall(store, _exchange);
+		};
+		storeAddress = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
+		config["tenants"][0]["api_keys"].push_back("other-key");
+		writeConfig();
+		startUpstream();
+		for (size_t ii = 0; ii < kRouters; ++ii)
+		{
+			startProxy(toStore[ii], storeAddress);
+			routers.push_back(std::make_unique<RouterProcess>(
+				dir, fmt::format("router-{}", ii), toStore[ii].address,
+				fmt::format("revokeMs: {}\nleaveMs: 2000\nlink: {}\n", kRevokeMs, loopback(freePort()))));
+			routers.back()->start();
+		}
+		settle();
+	}
+
+	~FleetTest() override
+	{
+		for (const auto& router : routers)
+		{
+			router->killHard();
+		}
+		stopListening(store.http);
+		stopListening(upstream.http);
+		for (FaultProxy& proxy : toStore)
+		{
+			stopProxy(proxy);
+		}
+		eventually([this] { return store.http.connections == 0 && upstream.http.connections == 0; }, 5);
+		std::filesystem::remove_all(dir);
+	}
+
+	void startUpstream()
+	{
+		upstream.id = "u-one";
+		upstream.service = "app";
+		upstream.http.handler = [this](HttpExchange& _exchange) {
+			answerWell(upstream, _exchange);
+		};
+		upstream.address = loopback(startHttpServer(testIo(), upstream.http, {"127.0.0.1", 0}));
+		setItem(store, "servers/u-one",
+				json{{"service", "app"},
+					 {"address", upstream.address},
+					 {"zone", "hall-a"},
+					 {"version", "v1"},
+					 {"slots", 8},
+					 {"state", "ready"}}
+					.dump());
+	}
+
+	void writeConfig()
+	{
+		config["version"] = config["version"].get<uint64_t>() + 1;
+		setItem(store, "op/config", config.dump());
+	}
+
+	bool isFollowing(size_t _router)
+	{
+		return routers[_router]->metric("spanplank_following") == "1";
+	}
+
+	size_t watchers()
+	{
+		size_t count = 0;
+		for (size_t ii = 0; ii < kRouters; ++ii)
+		{
+			count += isFollowing(ii) ? 0 : 1;
+		}
+		return count;
+	}
+
+	void settle()
+	{
+		EXPECT_TRUE(eventually([this] { return watchers() == 1; }, kSettleSeconds));
+	}
+
+	/// @returns The router that watches the store.
+	size_t watcher()
+	{
+		size_t found = 0;
+		for (size_t ii = 0; ii < kRouters; ++ii)
+		{
+			found = isFollowing(ii) ? found : ii;
+		}
+		return found;
+	}
+
+	int call(size_t _router, const std::string& _key)
+	{
+		HttpClient client;
+		client.io = &testIo();
+		client.endpoint = parseEndpoint(routers[_router]->listen());
+		HttpCall request;
+		request.method = "GET";
+		request.target = "/plain/x";
+		request.headers = {{"Host", "town.example"},
+						   {"Request-Id", fmt::format("request-{}", nextRequest++)},
+						   {"Deadline-Remaining", "2000"},
+						   {"Key", _key}};
+		try
+		{
+			return spanplank::call(client, request).status;
+		}
+		catch (const HttpFailure&)
+		{
+			return 0;
+		}
+	}
+
+	bool allAnswer(const std::string& _key, int _status)
+	{
+		bool all = true;
+		for (size_t ii = 0; ii < kRouters; ++ii)
+		{
+			all = all && call(ii, _key) == _status;
+		}
+		return all;
+	}
+
+	void removeKey()
+	{
+		config["tenants"][0]["api_keys"] = {"kept-key"};
+		writeConfig();
+	}
+};
+
+TEST_F(FleetTest, OneWatchesForAllAndAChangeReachesAll)
+{
+	EXPECT_TRUE(allAnswer("other-key", 200));
+	const uint64_t callsBefore = store.calls;
+	const TimeUs begin = monotonicNow();
+	sleepFor(3000);
+	const double each = double(store.calls - callsBefore) / (double(monotonicNow() - begin) / 1000000.0);
+	EXPECT_LT(each, 10.0) << "one router's watches of 0.2 s, not three routers'";
+	removeKey();
+	EXPECT_TRUE(eventually([this] { return allAnswer("other-key", 401); }, 2));
+	EXPECT_TRUE(allAnswer("kept-key", 200));
+}
+
+TEST_F(FleetTest, TheOthersGoOnWhenTheWatchingRouterIsKilled)
+{
+	const size_t killed = watcher();
+	routers[killed]->killHard();
+	removeKey();
+	for (size_t ii = 0; ii < kRouters; ++ii)
+	{
+		if (ii != killed)
+		{
+			EXPECT_TRUE(eventually([&] { return call(ii, "other-key") == 401; }, 3));
+			EXPECT_EQ(call(ii, "kept-key"), 200);
+		}
+	}
+	routers[killed]->start();
+	settle();
+	EXPECT_TRUE(eventually([this] { return allAnswer("other-key", 401) && allAnswer("kept-key", 200); }, 5));
+}
+
+TEST_F(FleetTest, AFrozenWatchingRouterHoldsNobodyUpAndTrustsNoKeyWhenItWakes)
+{
+	const size_t frozen = watcher();
+	routers[frozen]->signal(SIGSTOP);
+	removeKey();
+	const TimeUs removedAt = monotonicNow();
+	for (size_t ii = 0; ii < kRouters; ++ii)
+	{
+		if (ii != frozen)
+		{
+			EXPECT_TRUE(eventually([&] { return call(ii, "other-key") == 401; }, 3));
+		}
+	}
+	while (monotonicNow() - removedAt < TimeUs(kRevokeMs) * kMsToUs)
+	{
+		sleepFor(50);
+	}
+	routers[frozen]->signal(SIGCONT);
+	EXPECT_NE(call(frozen, "other-key"), 200);
+	settle();
+}
+
+TEST_F(FleetTest, AWatchingRouterThatAloneIsCutOffTheStoreIsLeftAndMisleadsNobody)
+{
+	const size_t cut = watcher();
+	toStore[cut].fault = ProxyFault::Refuse;
+	resetConnections(toStore[cut]);
+	sleepFor(1000);
+	// In the trouble of one router a registration that goes has gone for the others.
+	removeItem(store, "servers/u-one");
+	for (size_t ii = 0; ii < kRouters; ++ii)
+	{
+		if (ii != cut)
+		{
+			EXPECT_TRUE(eventually([&] { return call(ii, "kept-key") == 503; }, 2));
+			for (int again = 0; again < 20; ++again)
+			{
+				EXPECT_EQ(call(ii, "kept-key"), 503) << "an upstream that left is not lapsed";
+				sleepFor(20);
+			}
+		}
+	}
+	EXPECT_TRUE(eventually([&] { return watchers() <= 2; }, kSettleSeconds));
+	toStore[cut].fault = ProxyFault::None;
+	settle();
+}
+
+TEST_F(FleetTest, RoutersThatAreNotThereAnyMoreAreForgottenWithTheirLease)
+{
+	const size_t gone = watcher();
+	routers[gone]->killHard();
+	EXPECT_EQ(store.leases.size(), kRouters);
+	for (auto& [lease, until] : store.leases)
+	{
+		const auto item = store.items.find(fmt::format("spanplank/router/router-{}", gone));
+		if (item != store.items.end() && item->second.lease == lease)
+		{
+			until = monotonicNow();
+		}
+	}
+	for (size_t ii = 0; ii < kRouters; ++ii)
+	{
+		if (ii != gone)
+		{
+			EXPECT_TRUE(eventually([&] { return routers[ii]->metric("spanplank_peers") == "1"; }, 5));
+		}
+	}
+	EXPECT_EQ(store.items.count(fmt::format("spanplank/router/router-{}", gone)), 0u);
+}
+} // namespace
+} // namespace spanplank
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -76,6 +76,7 @@
 {
 	std::unique_ptr<RouterProcess> process;
 	FaultProxy toStore;
+	FaultProxy toLink;      ///< Before its links: the other routers come through it.
 	TimeUs disturbedAt = 0; ///< When it or its path to the store was last harmed.
 	bool paused = false;
 	bool stopping = false;
@@ -468,7 +469,7 @@
 
 void harmOnce(Soak& _soak)
 {
-	switch (below(_soak, 6))
+	switch (below(_soak, 7))
 	{
 	case 0:
 	case 1:
@@ -490,6 +491,13 @@
 	case 4:
 		harmStore(_soak);
 		break;
+	case 5:
+	{
+		// No excuse for any router: whoever follows one that is not reached must notice in time.
+		const uint32_t idx = below(_soak, uint32_t(_soak.routers.size()));
+		harmProxy(_soak, _soak.routers[idx]->toLink, fmt::format("links to router {}", idx));
+		break;
+	}
 	default:
 		happens(_soak, 0.4) ? replaceUpstream(_soak) : changeKeys(_soak);
 		break;
@@ -524,10 +532,12 @@
 		_soak.routers.push_back(std::make_unique<SoakRouter>());
 		SoakRouter& router = *_soak.routers.back();
 		startProxy(router.toStore, _soak.storeAddress);
-		router.process =
-			std::make_unique<RouterProcess>(_soak.dir, fmt::format("router-{}", ii), router.toStore.address,
-											fmt::format("graceSeconds: {}\nrevokeMs: {}\nleaveMs: {}\n",
-														double(kGraceMs) / 1000.0, kRevokeMs, kLeaveMs));
+		const std::string link = loopback(freePort());
+		startProxy(router.toLink, link);
+		router.process = std::make_unique<RouterProcess>(
+			_soak.dir, fmt::format("router-{}", ii), router.toStore.address,
+			fmt::format("graceSeconds: {}\nrevokeMs: {}\nleaveMs: {}\nlink: {}\nlinkAnnounced: {}\n",
+						double(kGraceMs) / 1000.0, kRevokeMs, kLeaveMs, link, router.toLink.address));
 		router.process->start();
 	}
 	for (const auto& router : _soak.routers)
