Followers ask a store that is away less often

A router whose parent answers hears of the return from that within some 100 ms.

Change: while the parent answers, the pause between failed calls grows to 1.6 s, and ends at once when the parent has a proof again. The first own call, when the parent's proof gets too old, is made as before.

--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -15,14 +15,17 @@
 constexpr uint32_t kRetryLeastMs = 50; ///< First pause after a call of the store failed.
 /// Longest pause: a router must learn of a return within the bounds.
 constexpr uint32_t kRetryMostMs = 400;
-constexpr uint32_t kMostDoublings = 4; ///< Of the first pause; the longest is reached before.
+/// As above, for a router whose parent answers: that one asks often and tells at once.
+constexpr uint32_t kFollowerRetryMostMs = 1600;
+constexpr uint32_t kMostDoublings = 5; ///< Of the first pause; the longest is reached by then.
 constexpr uint32_t kFollowPollMs = 50; ///< Between looks whether the parent still keeps this router informed.
 constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
 
 /// Pause between calls that fail, with jitter so that routers do not come together.
 uint32_t backoff(DirectRouter& _router, uint32_t _failures)
 {
-	const uint32_t most = std::min(kRetryMostMs, kRetryLeastMs << std::min(_failures, kMostDoublings));
+	const uint32_t longest = hasParent(_router, monotonicNow()) ? kFollowerRetryMostMs : kRetryMostMs;
+	const uint32_t most = std::min(longest, kRetryLeastMs << std::min(_failures, kMostDoublings));
 	const double half = double(most) / 2.0;
 	return uint32_t(half + nextUnit(_router.random) * half);
 }
@@ -228,17 +231,22 @@
 	_follower.failures = 0;
 }
 
+/// Waits, at most until another router keeps this one informed again.
+void pauseUnlessFollowing(DirectRouter& _router, uint32_t _ms)
+{
+	const TimeUs until = monotonicNow() + TimeUs(_ms) * kMsToUs;
+	while (monotonicNow() < until && !isFollowing(_router, monotonicNow()))
+	{
+		sleepFor(std::min(_ms, kFollowPollMs));
+	}
+}
+
 /// A router that others follow asks more often: they learn of changes by it.
 void pauseAfterCall(DirectRouter& _router)
 {
 	const uint32_t longest = followers(_router) == 0 ? _router.settings.watchPauseMs
 													 : std::min(_router.settings.watchPauseMs, kRelayPauseMs);
-	const uint32_t pause = _router.config.config->version != 0 ? longest : 0;
-	const TimeUs until = monotonicNow() + TimeUs(pause) * kMsToUs;
-	while (monotonicNow() < until && !isFollowing(_router, monotonicNow()))
-	{
-		sleepFor(std::min(pause, kFollowPollMs));
-	}
+	pauseUnlessFollowing(_router, _router.config.config->version != 0 ? longest : 0);
 }
 
 void followChanges(DirectRouter& _router)
@@ -266,7 +274,7 @@
 		catch (const Failure& failure)
 		{
 			noteLost(_router, follower, failure.refusal());
-			sleepFor(backoff(_router, follower.failures));
+			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
 		}
 	}
 }
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -190,7 +190,7 @@
 void reviewParent(DirectRouter& _router, TimeUs _now)
 {
 	PeerLinks& peers = _router.peers;
-	const bool answers = peers.pongAt != 0 && _now - peers.pongAt < kPongPatience;
+	const bool answers = hasParent(_router, _now);
 	const TimeUs since = std::max(peers.parentSince, peers.pongAt);
 	if (!peers.parent.empty() && !answers && _now - since > kLinkPatience)
 	{
@@ -353,11 +353,15 @@
 }
 } // namespace
 
-bool isFollowing(const DirectRouter& _router, TimeUs _now)
+bool hasParent(const DirectRouter& _router, TimeUs _now)
 {
 	const PeerLinks& peers = _router.peers;
-	return !peers.parent.empty() && !peers.behind && peers.pongAt != 0 &&
-		   _now - peers.pongAt < kPongPatience && _now - _router.config.provedAt < kOldestProof;
+	return !peers.parent.empty() && peers.pongAt != 0 && _now - peers.pongAt < kPongPatience;
+}
+
+bool isFollowing(const DirectRouter& _router, TimeUs _now)
+{
+	return hasParent(_router, _now) && !_router.peers.behind && _now - _router.config.provedAt < kOldestProof;
 }
 
 void takePeerItem(DirectRouter& _router, const StoreItem& _item)
@@ -426,8 +430,7 @@
 {
 	PeerLinks& peers = _router.peers;
 	peers.behind = false;
-	const bool answers = peers.pongAt != 0 && _now - peers.pongAt < kPongPatience;
-	if (answers && ++peers.asked >= kMostAsked)
+	if (hasParent(_router, _now) && ++peers.asked >= kMostAsked)
 	{
 		peers.asked = 0;
 		leaveParent(_router, "it does not reach the store", _now);
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -52,6 +52,9 @@
 /// @returns Whether the parent keeps this router informed, so that it need not ask the store.
 bool isFollowing(const DirectRouter& _router, TimeUs _now);
 
+/// @returns Whether the parent answers, whatever it knows of the store.
+bool hasParent(const DirectRouter& _router, TimeUs _now);
+
 /// Takes the shared key or the registration of a router from the store.
 void takePeerItem(DirectRouter& _router, const StoreItem& _item);
 
