The cheapest upstream that is in time; doubts that are kept are logged with why

Change: upstreams that are expected within 0.75 of the time left to the objective go first, by cost; without one the soonest is taken. An answer that the model doubts and that is passed on all the same has its log line.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -65,6 +65,14 @@
 /// @param[in] _expectedMs Until the head; 0: unknown.
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, double _expectedMs, TimeUs _now);
 
+/// The confidence below which a model doubts its answer. Measured on quiet days beside 50, 70 and 85: see
+/// docs/design/platform.md.
+constexpr double kConfidence = 60.0;
+
+/// @returns Expected time to the first token up to which an upstream is likely in time for the objective, in
+/// milliseconds; at least 1.
+double timelyWithinMs(const RequestPlan& _plan, TimeUs _now);
+
 /// What the next model would take.
 struct NextModel
 {
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -118,6 +118,7 @@
 	/// The prompt's parts that other requests have too, in order; empty: there is no prompt or no sharing.
 	std::vector<SharedPart> shared;
 	uint32_t ownTokens = 0; ///< The rest of the prompt.
+	double withinMs = 0.0;  ///< A first token within this counts as timely; 0: any does.
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Not these.
 };
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -15,14 +15,14 @@
 constexpr double kMostHeadShare = 0.75; ///< Of the objective, for a head that is expected late.
 constexpr double kPatience = 3.0;       ///< Times the expected time, before an upstream counts as silent.
 constexpr double kGapShare = 0.8;       ///< Of the longest timely pause, before another upstream goes on.
-/// Measured on quiet days beside 50, 70 and 85: see docs/design/platform.md.
-constexpr double kConfidence = 60.0;
 constexpr double kBudgetForDoubt = 0.9; ///< Above this use of the retry window only failures are retried.
 constexpr double kTimeForDoubt = 0.15;  ///< Of the objective, that must be left for a second model.
 /// Of the objective: with less waiting than this an engine is not so busy that a late second answer would
 /// delay more than it is worth. Measured beside 0.1.
 constexpr double kIdleShare = 0.5;
-constexpr double kLateShare = 0.5;      ///< Of the time left, that a late head may take.
+constexpr double kLateShare = 0.5; ///< Of the time left, that a late head may take.
+/// Of the time left to the objective: expectations are too short in a bad case. Measured beside 0.4.
+constexpr double kLikelyShare = 0.75;
 constexpr uint32_t kRetryAfterMs = 150; ///< Told to callers: rejections by full upstreams pass quickly.
 
 TimeUs shareOf(uint32_t _ms, double _share)
@@ -71,6 +71,12 @@
 	return times;
 }
 
+double timelyWithinMs(const RequestPlan& _plan, TimeUs _now)
+{
+	const TimeUs left = _plan.arrivedAt + TimeUs(_plan.targetMs) * kMsToUs - _now;
+	return std::max(1.0, double(left) / double(kMsToUs) * kLikelyShare);
+}
+
 size_t nextModel(const RequestPlan& _plan)
 {
 	return _plan.models.empty() ? 0 : _plan.models.size() - 1; // The middle ones were worth less, measured.
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -243,29 +243,50 @@
 	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
 }
 
-/// The upstream with the least expected time to the first token.
-uint32_t soonestFirstToken(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
-						   const UpstreamQuery& _query, TimeUs _now, Random& _random)
+/// What a request costs at an upstream.
+struct PromptCost
+{
+	double headMs = 0.0; ///< Expected time to the first token.
+	double cost = 0.0;   ///< With what its reading costs those that come after it.
+	bool timely = true;
+};
+
+bool isCheaper(const PromptCost& _one, const PromptCost& _other)
+{
+	if (_one.timely != _other.timely)
+	{
+		return _one.timely;
+	}
+	return _one.timely ? _one.cost < _other.cost : _one.headMs < _other.headMs;
+}
+
+/// The cheapest upstream of those that are expected to be in time; without one, the soonest.
+uint32_t cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+						const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
 	const HomeOrder order = homeOrder(_candidates, _query);
 	const double perToken = tokenMs(_table, _query);
 	const double tokens = promptTokens(_query);
 	uint32_t best = kInvalidIdx;
-	double bestMs = 0.0;
+	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
 	{
 		const UpstreamEntry& entry = *candidate.entry;
-		const double kept =
-			keptTokens(_table, _query, candidate.idx, presumedPart(order, candidate.idx), _now);
+		const double presumed = presumedPart(order, candidate.idx);
+		const double kept = keptTokens(_table, _query, candidate.idx, presumed, _now);
 		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
 		const double health =
 			std::max(1.0, entry.health.slowness) * (1.0 + kFailureWeight * entry.health.failureRate);
-		const double ms = (kReadingWeight * perToken * (tokens - kept) + waitMs(_table, entry)) * health +
-						  hall + kJitterMs * nextUnit(_random);
-		if (best == kInvalidIdx || ms < bestMs)
+		const double readMs = perToken * (tokens - kept);
+		const double jitter = kJitterMs * nextUnit(_random);
+		PromptCost cost;
+		cost.headMs = (readMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.cost = (kReadingWeight * readMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.timely = _query.withinMs == 0.0 || cost.headMs < _query.withinMs;
+		if (best == kInvalidIdx || isCheaper(cost, bestCost))
 		{
 			best = candidate.idx;
-			bestMs = ms;
+			bestCost = cost;
 		}
 	}
 	return best;
@@ -416,7 +437,7 @@
 	{
 		return UpstreamId{leastLoaded(candidates, _query.hall, _random)};
 	}
-	return UpstreamId{soonestFirstToken(_table, candidates, _query, _now, _random)};
+	return UpstreamId{cheapestInTime(_table, candidates, _query, _now, _random)};
 }
 
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -23,6 +23,7 @@
 	query.model = _model;
 	query.repeatable = _serving.plan.repeatable;
 	query.tried = &_serving.plan.tried;
+	query.withinMs = timelyWithinMs(_serving.plan, monotonicNow());
 	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
 	if (parts.empty())
 	{
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -1,8 +1,10 @@
 /// The answer to one attempt: event by event for a timely stream, whole otherwise, and what its end means.
 #include <algorithm>
+#include <fmt/format.h>
 
 #include "attempt_p.h"
 #include "fiber_runtime_p.h"
+#include "log_p.h"
 #include "platform/headers_p.h"
 #include "spanplank/event_stream.h"
 #include "spanplank/http_status.h"
@@ -134,6 +136,30 @@
 	_serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
 	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
 }
+/// @returns Whether an answer is dropped and the next model asked. A doubted answer that is kept is logged
+/// with why.
+bool isDropped(Serving& _serving, double _confidence)
+{
+	const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
+	const NextModel next = expectNextModel(_serving);
+	const TimeUs now = monotonicNow();
+	if (_confidence < confidenceLimit(_serving.plan, used, next, now))
+	{
+		return true;
+	}
+	const bool last = _serving.plan.model + 1 >= _serving.plan.models.size();
+	if (!last && _confidence < kConfidence)
+	{
+		logEvent("doubt_kept", {{"request", _serving.call.requestId},
+								{"confidence", fmt::format("{:.0f}", _confidence)},
+								{"runs", std::to_string(_serving.plan.runs)},
+								{"retries_used", fmt::format("{:.2f}", used)},
+								{"next_head_ms", fmt::format("{:.0f}", next.headMs)},
+								{"next_wait_ms", fmt::format("{:.0f}", next.waitMs)},
+								{"after_ms", millisText(now - _serving.plan.arrivedAt)}});
+	}
+	return false;
+}
 } // namespace
 
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
@@ -156,9 +182,7 @@
 	}
 	if (_serving.plan.stream && code == status::kOk && !answer.notRun)
 	{
-		const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
-		const double limit = confidenceLimit(_serving.plan, used, expectNextModel(_serving), monotonicNow());
-		if (answer.confidence && *answer.confidence < limit)
+		if (answer.confidence && isDropped(_serving, *answer.confidence))
 		{
 			return AttemptEnd::Doubted;
 		}
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -190,6 +190,26 @@
 	EXPECT_GT(prefillMsAt(table, prompt, home, 0), 0.2 * whole) << "its own part is read in any case";
 }
 
+TEST_F(TableTest, AHomeThatWouldBeLateIsLeftForOneThatIsInTime)
+{
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		registerUpstream(table, record(fmt::format("u{}", ii)));
+	}
+	UpstreamQuery prompt = query();
+	prompt.shared = {{7, 6000}};
+	prompt.ownTokens = 1000;
+	const std::string home = pick(prompt, 0);
+	table.hearsOthers = true;
+	// At 0.02 ms a token: 26 ms of reading and 61 of waiting there; 44 or more of reading elsewhere.
+	table.entries.at(table.idxOfId.at(home)).others = {60.0, 4};
+	EXPECT_EQ(pick(prompt, 0), home) << "reading it elsewhere costs more than this wait";
+	prompt.withinMs = 80.0;
+	EXPECT_NE(pick(prompt, 0), home);
+	prompt.withinMs = 1.0;
+	EXPECT_NE(pick(prompt, 0), home) << "none is in time: the soonest";
+}
+
 TEST_F(TableTest, WhatOtherRoutersHaveWaitingCountsForPrompts)
 {
 	for (int ii = 0; ii < 4; ++ii)
