--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -49,8 +49,8 @@
 			 isFollowing(_router, monotonicNow()) ? 1.0 : 0.0);
 	addCounter(page, "log_lines_dropped_total", "Log lines dropped because nobody read them.",
 			   double(droppedLogLines()));
-	addStoreMetrics(page, _router.store.stats);
-	addUsageMetrics(page);
+	addProcessMetrics(page, _router.peers.hub != nullptr ? _router.peers.hub->stats() : LinkStats{},
+					  _router.store.stats);
 	return serialize(page);
 }
 } // namespace spanplank
