--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -61,7 +61,8 @@
 	std::vector<ModelOffer> models;
 };
 
-struct ClientAccount
+/// A client account as the configuration of the direct mode lists it.
+struct AccountEntry
 {
 	std::string name;
 	uint32_t priority = 0; ///< Goes before the route's; lower goes first.
@@ -83,7 +84,7 @@
 	uint64_t version = 0; ///< Rises with each change; 0: none is known.
 	std::vector<Route> routes;
 	std::unordered_map<std::string, ServiceInfo> services;
-	std::vector<ClientAccount> accounts;
+	std::vector<AccountEntry> accounts;
 	std::unordered_map<std::string, size_t> accountOfKey; ///< Index in `accounts`.
 	CallerLimits limits;
 	std::unordered_map<std::string, std::vector<size_t>> routesOfHost; ///< Longest prefix first.
@@ -98,7 +99,7 @@
 const Route* findRoute(const ServiceConfig& _config, std::string_view _host, std::string_view _path);
 
 /// @returns The account of a key, or null.
-const ClientAccount* findAccount(const ServiceConfig& _config, const std::string& _key);
+const AccountEntry* findAccount(const ServiceConfig& _config, const std::string& _key);
 
 /// @returns The service for a request, by the weights of the route; the same for the same `_hash`.
 const std::string& pickService(const Route& _route, uint64_t _hash);
--- a/src/core/service_config.cpp
+++ b/src/core/service_config.cpp
@@ -58,7 +58,7 @@
 	return nullptr;
 }
 
-const ClientAccount* findAccount(const ServiceConfig& _config, const std::string& _key)
+const AccountEntry* findAccount(const ServiceConfig& _config, const std::string& _key)
 {
 	const auto found = _config.accountOfKey.find(_key);
 	return found == _config.accountOfKey.end() ? nullptr : &_config.accounts[found->second];
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -16,17 +16,17 @@
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
 
 /// @returns What a step that did not go well makes of the attempt.
-AttemptEnd endOf(const Serving& _serving, CallState _state)
+AttemptEnd endOf(const Serving& _serving, ExchangeState _state)
 {
-	if (_serving.callerGone || _state == CallState::Cancelled)
+	if (_serving.callerGone || _state == ExchangeState::Cancelled)
 	{
 		return AttemptEnd::CallerLeft;
 	}
-	if (_state == CallState::NotConnected)
+	if (_state == ExchangeState::NotConnected)
 	{
 		return AttemptEnd::NotSent;
 	}
-	if (_state == CallState::TimedOut)
+	if (_state == ExchangeState::TimedOut)
 	{
 		return monotonicNow() >= _serving.plan.deadline ? AttemptEnd::TimeUp : AttemptEnd::Silent;
 	}
@@ -58,7 +58,7 @@
 	while (!_call.done())
 	{
 		std::string_view piece;
-		const CallState state = _call.read(piece, by);
+		const ExchangeState state = _call.read(piece, by);
 		const std::string events = takeEvents(_serving.events, piece);
 		if (!events.empty())
 		{
@@ -68,7 +68,7 @@
 			}
 			by = std::min(_serving.plan.deadline, monotonicNow() + _times.gap);
 		}
-		if (state != CallState::Ok)
+		if (state != ExchangeState::Ok)
 		{
 			return endOf(_serving, state);
 		}
@@ -92,8 +92,8 @@
 	while (!_call.done())
 	{
 		std::string_view piece;
-		const CallState state = _call.read(piece, _times.headBy);
-		if (state != CallState::Ok)
+		const ExchangeState state = _call.read(piece, _times.headBy);
+		if (state != ExchangeState::Ok)
 		{
 			return endOf(_serving, state);
 		}
@@ -164,8 +164,8 @@
 
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
-	const CallState opened = _call.open(_times.connectBy, _times.headBy);
-	if (opened != CallState::Ok)
+	const ExchangeState opened = _call.open(_times.connectBy, _times.headBy);
+	if (opened != ExchangeState::Ok)
 	{
 		return endOf(_serving, opened);
 	}
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -31,7 +31,7 @@
 	platform::CallHeaders call;
 	ServiceConfigPtr config; ///< The request is judged by the configuration that it began with.
 	const Route* route = nullptr;
-	const ClientAccount* account = nullptr; ///< Null: the request came without a key on an anonymous route.
+	const AccountEntry* account = nullptr; ///< Null: the request came without a key on an anonymous route.
 	std::string service;
 	RequestPlan plan;
 	EventSplitter events;
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -83,21 +83,21 @@
 	m_timer.cancel();
 }
 
-CallState UpstreamCall::open(TimeUs _connectBy, TimeUs _headBy)
+ExchangeState UpstreamCall::open(TimeUs _connectBy, TimeUs _headBy)
 {
 	m_connection = takeIdle(m_pool, m_request, monotonicNow());
 	if (!m_connection)
 	{
-		const CallState connected = connect(_connectBy);
-		if (connected != CallState::Ok)
+		const ExchangeState connected = connect(_connectBy);
+		if (connected != ExchangeState::Ok)
 		{
-			return connected == CallState::Cancelled ? connected : CallState::NotConnected;
+			return connected == ExchangeState::Cancelled ? connected : ExchangeState::NotConnected;
 		}
 	}
 	return sendAndReadHead(_headBy);
 }
 
-CallState UpstreamCall::connect(TimeUs _by)
+ExchangeState UpstreamCall::connect(TimeUs _by)
 {
 	m_connection = std::make_unique<UpstreamConnection>(*m_pool.io);
 	boost::system::error_code error;
@@ -112,10 +112,10 @@
 		return result(connected.error);
 	}
 	m_connection->socket.set_option(tcp::no_delay(true), error);
-	return m_cancelled ? CallState::Cancelled : CallState::Ok;
+	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
 
-CallState UpstreamCall::sendAndReadHead(TimeUs _by)
+ExchangeState UpstreamCall::sendAndReadHead(TimeUs _by)
 {
 	static_cast<http::fields&>(m_message) = *m_request.head; // Holds the start line too: first.
 	m_message.method_string({m_request.methodText.data(), m_request.methodText.size()});
@@ -137,7 +137,7 @@
 	return readHead();
 }
 
-CallState UpstreamCall::readHead()
+ExchangeState UpstreamCall::readHead()
 {
 	for (int ii = 0; ii < kMostSkipped; ++ii)
 	{
@@ -156,42 +156,42 @@
 			m_parser->get()[boost::beast::string_view(m_request.idHeader.data(), m_request.idHeader.size())];
 		if (std::string_view(id.data(), id.size()) == m_request.requestId || id.empty())
 		{
-			return m_cancelled ? CallState::Cancelled : CallState::Ok;
+			return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 		}
-		const CallState skipped = skipAnswer();
-		if (skipped != CallState::Ok)
+		const ExchangeState skipped = skipAnswer();
+		if (skipped != ExchangeState::Ok)
 		{
 			return skipped;
 		}
 	}
-	return CallState::Broken;
+	return ExchangeState::Broken;
 }
 
-CallState UpstreamCall::skipAnswer()
+ExchangeState UpstreamCall::skipAnswer()
 {
 	if (m_parser->need_eof())
 	{
 		m_error = "an answer to another request, without a length";
-		return CallState::Broken; // Ours can't follow on this connection.
+		return ExchangeState::Broken; // Ours can't follow on this connection.
 	}
 	while (!m_parser->is_done())
 	{
 		std::string_view piece;
-		const CallState state = read(piece, m_expiry);
-		if (state != CallState::Ok)
+		const ExchangeState state = read(piece, m_expiry);
+		if (state != ExchangeState::Ok)
 		{
 			return state;
 		}
 	}
-	return CallState::Ok;
+	return ExchangeState::Ok;
 }
 
-CallState UpstreamCall::read(std::string_view& _piece, TimeUs _by)
+ExchangeState UpstreamCall::read(std::string_view& _piece, TimeUs _by)
 {
 	_piece = {};
 	if (m_parser->is_done())
 	{
-		return CallState::Ok;
+		return ExchangeState::Ok;
 	}
 	armTimer(_by);
 	auto& body = m_parser->get().body();
@@ -206,7 +206,7 @@
 	{
 		return result(read.error);
 	}
-	return m_cancelled ? CallState::Cancelled : CallState::Ok;
+	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
 
 bool UpstreamCall::done() const
@@ -248,14 +248,14 @@
 	return m_error;
 }
 
-CallState UpstreamCall::result(const boost::system::error_code& _error)
+ExchangeState UpstreamCall::result(const boost::system::error_code& _error)
 {
 	m_error = _error.message();
 	if (m_cancelled)
 	{
-		return CallState::Cancelled;
+		return ExchangeState::Cancelled;
 	}
-	return m_timedOut ? CallState::TimedOut : CallState::Broken;
+	return m_timedOut ? ExchangeState::TimedOut : ExchangeState::Broken;
 }
 
 void UpstreamCall::armTimer(TimeUs _by)
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -60,8 +60,8 @@
 	bool freshOnly = false; ///< Not on a connection that was idle for long: the request can't be repeated.
 };
 
-/// The state of an attempt's connection after a step.
-enum class CallState : uint8_t
+/// The state of an attempt's exchange with an upstream after a step.
+enum class ExchangeState : uint8_t
 {
 	Ok,
 	NotConnected, ///< No byte of the request left.
@@ -86,10 +86,10 @@
 
 	/// Connects if need be, sends the request and reads the head of its answer. An answer to another request
 	/// that comes first on a kept connection is skipped.
-	CallState open(TimeUs _connectBy, TimeUs _headBy);
+	ExchangeState open(TimeUs _connectBy, TimeUs _headBy);
 
 	/// Reads what has come of the body. @param[out] _piece Valid until the next call; empty at the end.
-	CallState read(std::string_view& _piece, TimeUs _by);
+	ExchangeState read(std::string_view& _piece, TimeUs _by);
 
 	/// @returns Whether the whole answer has been read.
 	bool done() const;
@@ -107,11 +107,11 @@
 	void release(std::optional<uint32_t> _keepAliveMs);
 
 private:
-	CallState connect(TimeUs _by);
-	CallState sendAndReadHead(TimeUs _by);
-	CallState readHead();
-	CallState skipAnswer();
-	CallState result(const boost::system::error_code& _error);
+	ExchangeState connect(TimeUs _by);
+	ExchangeState sendAndReadHead(TimeUs _by);
+	ExchangeState readHead();
+	ExchangeState skipAnswer();
+	ExchangeState result(const boost::system::error_code& _error);
 	void armTimer(TimeUs _by);
 	void closeConnection();
 	void awaitWrite();
