--- /dev/null
+++ b/src/core/prompt_choice.cpp
@@ -0,0 +1,258 @@
+/// The choice of an upstream by the parts of a prompt, with the measured constants behind it.
+#include "prompt_choice_p.h"
+
+#include <algorithm>
+#include <array>
+
+namespace spanplank
+{
+namespace
+{
+constexpr double kJitterMs = 0.1; ///< Between equal upstreams chance decides.
+/// Waiting that another hall counts as: the way there, and its bytes are priced.
+constexpr double kOtherHallMs = 20.0;
+/// Other routers send to the same homes: while they don't tell what, own waiting work stands for more.
+constexpr double kPeerLoad = 2.0;
+/// What each running stream adds to the steps of the others until a first token: all streams, or this
+/// router's alone where the others' are not known.
+constexpr double kStreamMs = 0.3;
+constexpr double kDecodeMs = 1.5;
+/// A prompt's reading also delays those that come after it: it counts this many times in the choice.
+constexpr double kReadingWeight = 4.0;
+constexpr double kFirstTokenMs = 0.02;  ///< Reading time of a prompt token before any was measured.
+constexpr uint32_t kLeastTokens = 1000; ///< Shorter prompts say little of the time for a token.
+/// The time for a token follows the quicker answers: those that waited for others say little of it.
+constexpr double kTokenRise = 0.05;
+constexpr double kTokenFall = 0.15;
+/// Parts of the shared tokens that the first upstreams of the hash order likely keep, though this router has
+/// not sent them there lately: all routers prefer the first, and go to the second when that is loaded.
+constexpr size_t kPresumedHomes = 3;
+constexpr std::array<double, kPresumedHomes> kPresumedParts = {0.95, 0.8, 0.5};
+constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
+constexpr size_t kMostHomes = 32;    ///< Of one part; the first parts of prompts are kept nearly everywhere.
+constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
+
+uint64_t hashRank(const UpstreamEntry& _entry, uint64_t _affinity)
+{
+	return stableHash(_entry.record.id, _affinity);
+}
+
+/// The first upstreams in the order of a prompt's shared parts: routers agree on it without a word.
+using HomeOrder = std::array<uint32_t, kPresumedHomes>;
+
+HomeOrder homeOrder(const std::vector<Candidate>& _candidates, const UpstreamQuery& _query)
+{
+	HomeOrder order;
+	order.fill(kInvalidIdx);
+	if (_query.shared.empty())
+	{
+		return order;
+	}
+	std::array<uint64_t, kPresumedHomes> ranks = {};
+	for (const Candidate& candidate : _candidates)
+	{
+		uint32_t idx = candidate.idx;
+		uint64_t rank = hashRank(*candidate.entry, _query.shared.back().hash);
+		for (size_t place = 0; place < kPresumedHomes; ++place)
+		{
+			if (order[place] == kInvalidIdx || rank > ranks[place])
+			{
+				std::swap(order[place], idx);
+				std::swap(ranks[place], rank);
+			}
+		}
+	}
+	return order;
+}
+
+/// @returns The part of shared tokens that an upstream is presumed to keep, by its place in the order.
+double presumedPart(const HomeOrder& _order, uint32_t _upstream)
+{
+	for (size_t place = 0; place < kPresumedHomes; ++place)
+	{
+		if (_order[place] == _upstream)
+		{
+			return kPresumedParts[place];
+		}
+	}
+	return 0.0;
+}
+
+/// @returns Reading time of a prompt token in milliseconds.
+double tokenMs(const UpstreamTable& _table, const UpstreamQuery& _query)
+{
+	const auto found = _table.paceOf.find(kindOf(_query));
+	return found == _table.paceOf.end() ? kFirstTokenMs : found->second.tokenMs;
+}
+
+/// The first samples count as a mean would count them, so that a router that has just started soon knows.
+void notePace(ReadingPace& _pace, double _sample)
+{
+	const double early = 1.0 / double(++_pace.samples);
+	const double step = _sample > _pace.tokenMs ? kTokenRise : kTokenFall;
+	_pace.tokenMs += (_sample - _pace.tokenMs) * std::max(step, early);
+}
+
+bool wasReadAt(const UpstreamTable& _table, uint64_t _affinity, uint32_t _upstream, TimeUs _now)
+{
+	const auto found = _table.homes.find(_affinity);
+	if (found == _table.homes.end())
+	{
+		return false;
+	}
+	return std::any_of(found->second.begin(), found->second.end(), [&](const PromptHome& _home) {
+		return _home.upstream == _upstream && _now - _home.at < kHomeLifetime;
+	});
+}
+
+/// @returns Tokens of the prompt that an upstream likely keeps. @param[in] _presumed Part of the shared
+/// tokens of which this router does not know better.
+double keptTokens(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream,
+				  double _presumed, TimeUs _now)
+{
+	double kept = 0.0;
+	bool seen = true; // An engine keeps a part only together with all parts before it.
+	for (const SharedPart& part : _query.shared)
+	{
+		seen = seen && wasReadAt(_table, part.hash, _upstream, _now);
+		kept += seen ? part.tokens : _presumed * part.tokens;
+	}
+	return kept;
+}
+
+double promptTokens(const UpstreamQuery& _query)
+{
+	double tokens = _query.ownTokens;
+	for (const SharedPart& part : _query.shared)
+	{
+		tokens += part.tokens;
+	}
+	return tokens;
+}
+
+double waitMs(const UpstreamTable& _table, const UpstreamEntry& _entry)
+{
+	if (!_table.hearsOthers)
+	{
+		return kPeerLoad * _entry.prefillMs + kDecodeMs * _entry.inFlight;
+	}
+	const double streams = double(_entry.inFlight) + double(_entry.others.inFlight);
+	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
+}
+
+/// What a request costs at an upstream.
+struct PromptCost
+{
+	double headMs = 0.0; ///< Expected time to the first token.
+	double cost = 0.0;   ///< With what its reading costs those that come after it.
+	bool timely = true;
+};
+
+bool isCheaper(const PromptCost& _one, const PromptCost& _other)
+{
+	if (_one.timely != _other.timely)
+	{
+		return _one.timely;
+	}
+	return _one.timely ? _one.cost < _other.cost : _one.headMs < _other.headMs;
+}
+
+/// Remembers that a shared part of a prompt is read at an upstream now.
+void noteHome(UpstreamTable& _table, uint64_t _part, uint32_t _upstream, TimeUs _now)
+{
+	if (_table.homes.size() >= kMostParts && _table.homes.count(_part) == 0)
+	{
+		return;
+	}
+	std::vector<PromptHome>& homes = _table.homes[_part];
+	homes.erase(std::remove_if(homes.begin(), homes.end(),
+							   [_upstream](const PromptHome& _home) { return _home.upstream == _upstream; }),
+				homes.end());
+	homes.insert(homes.begin(), {_upstream, _now});
+	homes.resize(std::min(homes.size(), kMostHomes));
+}
+} // namespace
+
+UpstreamId cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+						  const UpstreamQuery& _query, TimeUs _now, Random& _random)
+{
+	const HomeOrder order = homeOrder(_candidates, _query);
+	const double perToken = tokenMs(_table, _query);
+	const double tokens = promptTokens(_query);
+	uint32_t best = kInvalidIdx;
+	PromptCost bestCost;
+	for (const Candidate& candidate : _candidates)
+	{
+		const UpstreamEntry& entry = *candidate.entry;
+		const double presumed = presumedPart(order, candidate.idx);
+		const double kept = keptTokens(_table, _query, candidate.idx, presumed, _now);
+		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
+		const double health = healthFactor(entry.health);
+		const double readMs = perToken * (tokens - kept);
+		const double jitter = kJitterMs * nextUnit(_random);
+		PromptCost cost;
+		cost.headMs = (readMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.cost = (kReadingWeight * readMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.timely = _query.withinMs == 0.0 || cost.headMs < _query.withinMs;
+		if (best == kInvalidIdx || isCheaper(cost, bestCost))
+		{
+			best = candidate.idx;
+			bestCost = cost;
+		}
+	}
+	return UpstreamId{best};
+}
+
+void noteHomes(UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream, TimeUs _now)
+{
+	for (const SharedPart& part : _query.shared)
+	{
+		noteHome(_table, part.hash, _upstream.idx, _now);
+	}
+}
+
+void forgetHomes(UpstreamTable& _table, TimeUs _now)
+{
+	for (auto at = _table.homes.begin(); at != _table.homes.end();)
+	{
+		const bool old = at->second.empty() || _now - at->second.front().at > kHomeLifetime;
+		at = old ? _table.homes.erase(at) : std::next(at);
+	}
+}
+
+void noteReadingPace(UpstreamTable& _table, const UpstreamQuery& _query, double _prefillMs, TimeUs _latency)
+{
+	const double perToken = tokenMs(_table, _query);
+	const double tokens = perToken > 0.0 ? _prefillMs / perToken : 0.0;
+	if (tokens >= kLeastTokens)
+	{
+		notePace(_table.paceOf[kindOf(_query)], double(_latency) / double(kMsToUs) / tokens);
+	}
+}
+
+double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+				   TimeUs _now)
+{
+	const HomeOrder order = homeOrder(candidatesFor(_table, _query, _now), _query);
+	const double presumed = presumedPart(order, _upstream.idx);
+	return tokenMs(_table, _query) *
+		   (promptTokens(_query) - keptTokens(_table, _query, _upstream.idx, presumed, _now));
+}
+
+double expectedHeadMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	if (found == _table.entries.end() || _query.shared.empty())
+	{
+		return 0.0;
+	}
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
+}
+
+double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	return found == _table.entries.end() ? 0.0 : waitMs(_table, found->second);
+}
+} // namespace spanplank
