--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -1,21 +1,18 @@
-/// Registration in the store, links to parent and children, pings with loads, changes passed on.
+/// Links to parent and children, choice of the parent, pings with loads, changes passed on. The registration
+/// in the store is in `peer_registration.cpp`.
 #include "peer_links_p.h"
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <openssl/rand.h>
 
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
-#include "store_items_p.h"
 
 namespace spanplank
 {
 namespace
 {
-using nlohmann::json;
-
 /// Loads change as fast as prompts are read, which takes some 100 ms. Measured beside 30 and 200.
 constexpr uint32_t kPingMs = 60;
 constexpr uint32_t kTickMs = 500; ///< Between looks at the registration and the choice of the parent.
@@ -24,28 +21,10 @@
 /// Oldest proof that is good enough. A change must be in force within 2 s where bounds are tightest.
 constexpr TimeUs kOldestProof = 1600 * kMsToUs;
 constexpr TimeUs kLinkPatience = 1500 * kMsToUs; ///< For a new link to come up and answer.
-constexpr uint32_t kLeaseMs = 60000;             ///< A box that is gone is forgotten after this long.
-constexpr TimeUs kRenewEvery = 20000 * kMsToUs;
-constexpr TimeUs kRetryFirst =
-	1000 * kMsToUs; ///< After a call for the registration failed; doubled each time.
-constexpr uint32_t kMostDoublings = 3;
-constexpr size_t kKeyBytes = 32;
 /// Times in a row that this router reached the store while its parent answered and could not prove anything.
 /// After an outage the parent is back before that.
 constexpr uint32_t kMostAsked = 3;
 
-std::string newLinkKey()
-{
-	unsigned char bytes[kKeyBytes];
-	RAND_bytes(bytes, sizeof(bytes));
-	return sha256Hex({reinterpret_cast<const char*>(bytes), sizeof(bytes)});
-}
-
-std::string encodePeer(const PeerRecord& _record)
-{
-	return json{{"hall", _record.hall}, {"address", _record.address}}.dump();
-}
-
 std::string addressText(const Endpoint& _endpoint)
 {
 	return fmt::format("{}:{}", _endpoint.ip, _endpoint.port);
@@ -221,62 +200,7 @@
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
 
-// ---- Registration -----------------------------------------------------------------------------------------
-
-/// @returns Whether this router's registration in the store says what it should.
-bool isRegistered(const PeerLinks& _peers)
-{
-	return _peers.registration.revision != 0 && _peers.registration.value == encodePeer(_peers.tree.self);
-}
-
-void writeLinkKey(DirectRouter& _router)
-{
-	uint64_t revision = 0;
-	casStore(_router.store, std::string(kLinkKeyItem), newLinkKey(), 0, revision);
-	takePeerItem(_router, readStore(_router.store, std::string(kLinkKeyItem)));
-}
-
-void renewRegistration(DirectRouter& _router)
-{
-	PeerRegistration& registration = _router.peers.registration;
-	const TimeUs now = monotonicNow();
-	if (registration.lease != 0 && now - registration.renewedAt < kRenewEvery)
-	{
-		return;
-	}
-	registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
-	registration.renewedAt = now;
-}
-
-/// A registration under a lease of an earlier process stands until that lapses; then it is written anew.
-void keepRegistered(DirectRouter& _router)
-{
-	PeerLinks& peers = _router.peers;
-	if (monotonicNow() < peers.registration.retryAt)
-	{
-		return;
-	}
-	if (!isRegistered(peers))
-	{
-		renewRegistration(_router);
-		uint64_t revision = 0;
-		const std::string value = encodePeer(peers.tree.self);
-		const CasResult result =
-			casStore(_router.store, std::string(kPeerPrefix) + peers.tree.self.box, value,
-					 peers.registration.revision, revision, peers.registration.lease);
-		if (result == CasResult::Done)
-		{
-			peers.registration.revision = revision;
-			peers.registration.value = value;
-		}
-		logEvent("peer_registered", {{"result", name(result)}, {"revision", std::to_string(revision)}});
-		return;
-	}
-	if (peers.registration.lease != 0)
-	{
-		renewRegistration(_router);
-	}
-}
+// ---- Links ------------------------------------------------------------------------------------------------
 
 void openHub(DirectRouter& _router)
 {
@@ -307,7 +231,7 @@
 	{
 		return;
 	}
-	if (peers.key.empty() && monotonicNow() >= peers.registration.retryAt)
+	if (peers.key.empty())
 	{
 		writeLinkKey(_router);
 	}
@@ -323,21 +247,18 @@
 }
 
 /// While the store refuses, registration can wait: the links that are open go on.
-void runRegistration(DirectRouter& _router)
+void runLinks(DirectRouter& _router)
 {
-	PeerRegistration& registration = _router.peers.registration;
 	while (true)
 	{
 		try
 		{
 			keepLinked(_router);
-			registration.failures = 0;
+			_router.peers.registration.failures = 0;
 		}
 		catch (const Failure& failure)
 		{
-			const uint32_t doublings = std::min(registration.failures++, kMostDoublings);
-			registration.retryAt = monotonicNow() + (kRetryFirst << doublings);
-			logEvent("peer_not_registered", {{"error", failure.refusal().detail}});
+			noteNotRegistered(_router, failure);
 		}
 		sleepFor(kTickMs);
 	}
@@ -364,54 +285,6 @@
 	return hasParent(_router, _now) && !_router.peers.behind && _now - _router.config.provedAt < kOldestProof;
 }
 
-void takePeerItem(DirectRouter& _router, const StoreItem& _item)
-{
-	PeerLinks& peers = _router.peers;
-	if (_item.key == kLinkKeyItem)
-	{
-		peers.key = peers.key.empty() ? _item.value : peers.key;
-		return;
-	}
-	PeerRecord record;
-	record.box = afterPrefix(_item.key, kPeerPrefix);
-	const bool own = record.box == peers.tree.self.box;
-	if (own)
-	{
-		peers.registration.revision = _item.deleted ? 0 : _item.revision;
-		peers.registration.value = _item.value;
-		return;
-	}
-	if (_item.deleted)
-	{
-		unregisterPeer(peers.tree, record.box);
-		return;
-	}
-	const json value = json::parse(_item.value, nullptr, false);
-	if (!value.is_object())
-	{
-		logEvent("peer_rejected", {{"box", record.box}, {"error", "the record is not JSON"}});
-		return;
-	}
-	record.hall = value.value("hall", "");
-	record.address = value.value("address", "");
-	registerPeer(peers.tree, record);
-}
-
-void keepListedPeers(DirectRouter& _router, const StoreList& _list)
-{
-	std::set<std::string> boxes;
-	for (const StoreItem& item : _list.items)
-	{
-		if (hasPrefix(item.key, kPeerPrefix))
-		{
-			boxes.insert(afterPrefix(item.key, kPeerPrefix));
-		}
-	}
-	keepPeers(_router.peers.tree, boxes);
-	PeerRegistration& registration = _router.peers.registration;
-	registration.revision = boxes.count(_router.peers.tree.self.box) == 0 ? 0 : registration.revision;
-}
-
 void passChangesOn(DirectRouter& _router, uint64_t _from, const StoreList& _changes)
 {
 	const PeerLinks& peers = _router.peers;
@@ -451,7 +324,7 @@
 	const DirectSettings& settings = _router.settings;
 	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
 	_router.peers.tree.self = {settings.box, settings.hall, addressText(announced)};
-	spawnFiber([&_router] { runRegistration(_router); });
+	spawnFiber([&_router] { runLinks(_router); });
 	spawnFiber([&_router] { runPings(_router); });
 }
 } // namespace spanplank
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -1,14 +1,15 @@
 /// Links between direct routers: one follows another for changes of the store, proofs of freshness and loads.
-/// The choice of whom to follow is in `peer_tree.h`, the sums of loads in `load_share.h`.
+/// The choice of whom to follow is in `peer_tree.h`, the sums of loads in `load_share.h`, the registration in
+/// `peer_registration_p.h`.
 #ifndef SPANPLANK_PEER_LINKS_P_H_HEADER_GUARD
 #define SPANPLANK_PEER_LINKS_P_H_HEADER_GUARD
 
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "link_p.h"
+#include "peer_registration_p.h"
 #include "settings_p.h"
 #include "spanplank/load_share.h"
 #include "spanplank/peer_messages.h"
@@ -19,20 +20,6 @@
 {
 struct DirectRouter;
 
-constexpr std::string_view kPeerPrefix = "spanplank/router/";   ///< Registered routers, by box.
-constexpr std::string_view kLinkKeyItem = "spanplank/link-key"; ///< Shared key of the links.
-
-/// This router's own registration.
-struct PeerRegistration
-{
-	uint64_t revision = 0; ///< Of its item in the store; 0: there is none.
-	std::string value;     ///< Of that item.
-	uint64_t lease = 0;    ///< Taken by this process; 0: none.
-	TimeUs renewedAt = 0;
-	uint32_t failures = 0; ///< Of calls for it, in a row.
-	TimeUs retryAt = 0;    ///< No such call before.
-};
-
 struct PeerLinks
 {
 	PeerTree tree;
@@ -55,12 +42,6 @@
 /// @returns Whether the parent answers, whatever it knows of the store.
 bool hasParent(const DirectRouter& _router, TimeUs _now);
 
-/// Takes the shared key or the registration of a router from the store.
-void takePeerItem(DirectRouter& _router, const StoreItem& _item);
-
-/// All registrations were listed: drops the routers that are not among them.
-void keepListedPeers(DirectRouter& _router, const StoreList& _list);
-
 /// Passes changes of the store on to the routers that follow this one.
 void passChangesOn(DirectRouter& _router, uint64_t _from, const StoreList& _changes);
 
--- /dev/null
+++ b/src/direct/peer_registration.cpp
@@ -0,0 +1,158 @@
+/// The shared key of the links and this router's registration in the store, and what other routers
+/// registered.
+#include "peer_registration_p.h"
+
+#include <algorithm>
+#include <openssl/rand.h>
+
+#include "direct_router_p.h"
+#include "fiber_runtime_p.h"
+#include "log_p.h"
+#include "store_items_p.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr uint32_t kLeaseMs = 60000; ///< A box that is gone is forgotten after this long.
+constexpr TimeUs kRenewEvery = 20000 * kMsToUs;
+/// After a call for the registration failed; doubled each time.
+constexpr TimeUs kRetryFirst = 1000 * kMsToUs;
+constexpr uint32_t kMostDoublings = 3;
+constexpr size_t kKeyBytes = 32;
+
+std::string newLinkKey()
+{
+	unsigned char bytes[kKeyBytes];
+	RAND_bytes(bytes, sizeof(bytes));
+	return sha256Hex({reinterpret_cast<const char*>(bytes), sizeof(bytes)});
+}
+
+std::string encodePeer(const PeerRecord& _record)
+{
+	return json{{"hall", _record.hall}, {"address", _record.address}}.dump();
+}
+
+/// @returns Whether this router's registration in the store says what it should.
+bool isRegistered(const PeerLinks& _peers)
+{
+	return _peers.registration.revision != 0 && _peers.registration.value == encodePeer(_peers.tree.self);
+}
+
+void renewRegistration(DirectRouter& _router)
+{
+	PeerRegistration& registration = _router.peers.registration;
+	const TimeUs now = monotonicNow();
+	if (registration.lease != 0 && now - registration.renewedAt < kRenewEvery)
+	{
+		return;
+	}
+	registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	registration.renewedAt = now;
+}
+
+/// A registration under a lease of an earlier process stands until that lapses; then it is written anew.
+void writeRegistration(DirectRouter& _router)
+{
+	const PeerRecord& self = _router.peers.tree.self;
+	PeerRegistration& registration = _router.peers.registration;
+	renewRegistration(_router);
+	uint64_t revision = 0;
+	const std::string value = encodePeer(self);
+	const CasResult result = casStore(_router.store, std::string(kPeerPrefix) + self.box, value,
+									  registration.revision, revision, registration.lease);
+	if (result == CasResult::Done)
+	{
+		registration.revision = revision;
+		registration.value = value;
+	}
+	logEvent("peer_registered", {{"result", name(result)}, {"revision", std::to_string(revision)}});
+}
+} // namespace
+
+void writeLinkKey(DirectRouter& _router)
+{
+	if (monotonicNow() < _router.peers.registration.retryAt)
+	{
+		return;
+	}
+	uint64_t revision = 0;
+	casStore(_router.store, std::string(kLinkKeyItem), newLinkKey(), 0, revision);
+	takePeerItem(_router, readStore(_router.store, std::string(kLinkKeyItem)));
+}
+
+void keepRegistered(DirectRouter& _router)
+{
+	const PeerRegistration& registration = _router.peers.registration;
+	if (monotonicNow() < registration.retryAt)
+	{
+		return;
+	}
+	if (!isRegistered(_router.peers))
+	{
+		writeRegistration(_router);
+	}
+	else if (registration.lease != 0)
+	{
+		renewRegistration(_router);
+	}
+}
+
+void noteNotRegistered(DirectRouter& _router, const Failure& _failure)
+{
+	PeerRegistration& registration = _router.peers.registration;
+	const uint32_t doublings = std::min(registration.failures++, kMostDoublings);
+	registration.retryAt = monotonicNow() + (kRetryFirst << doublings);
+	logEvent("peer_not_registered", {{"error", _failure.refusal().detail}});
+}
+
+void takePeerItem(DirectRouter& _router, const StoreItem& _item)
+{
+	PeerLinks& peers = _router.peers;
+	if (_item.key == kLinkKeyItem)
+	{
+		peers.key = peers.key.empty() ? _item.value : peers.key;
+		return;
+	}
+	PeerRecord record;
+	record.box = afterPrefix(_item.key, kPeerPrefix);
+	const bool own = record.box == peers.tree.self.box;
+	if (own)
+	{
+		peers.registration.revision = _item.deleted ? 0 : _item.revision;
+		peers.registration.value = _item.value;
+		return;
+	}
+	if (_item.deleted)
+	{
+		unregisterPeer(peers.tree, record.box);
+		return;
+	}
+	const json value = json::parse(_item.value, nullptr, false);
+	if (!value.is_object())
+	{
+		logEvent("peer_rejected", {{"box", record.box}, {"error", "the record is not JSON"}});
+		return;
+	}
+	record.hall = value.value("hall", "");
+	record.address = value.value("address", "");
+	registerPeer(peers.tree, record);
+}
+
+void keepListedPeers(DirectRouter& _router, const StoreList& _list)
+{
+	std::set<std::string> boxes;
+	for (const StoreItem& item : _list.items)
+	{
+		if (hasPrefix(item.key, kPeerPrefix))
+		{
+			boxes.insert(afterPrefix(item.key, kPeerPrefix));
+		}
+	}
+	keepPeers(_router.peers.tree, boxes);
+	PeerRegistration& registration = _router.peers.registration;
+	registration.revision = boxes.count(_router.peers.tree.self.box) == 0 ? 0 : registration.revision;
+}
+} // namespace spanplank
--- /dev/null
+++ b/src/direct/peer_registration_p.h
@@ -0,0 +1,50 @@
+/// What routers keep in the store for each other: the shared key of their links and their registrations.
+#ifndef SPANPLANK_PEER_REGISTRATION_P_H_HEADER_GUARD
+#define SPANPLANK_PEER_REGISTRATION_P_H_HEADER_GUARD
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "spanplank/errors.h"
+#include "spanplank/types.h"
+#include "store_client_p.h"
+
+namespace spanplank
+{
+struct DirectRouter;
+
+constexpr std::string_view kPeerPrefix = "spanplank/router/";   ///< Registered routers, by box.
+constexpr std::string_view kLinkKeyItem = "spanplank/link-key"; ///< Shared key of the links.
+
+/// This router's own registration.
+struct PeerRegistration
+{
+	uint64_t revision = 0; ///< Of its item in the store; 0: there is none.
+	std::string value;     ///< Of that item.
+	uint64_t lease = 0;    ///< Taken by this process; 0: none.
+	TimeUs renewedAt = 0;
+	uint32_t failures = 0; ///< Of calls for it, in a row.
+	TimeUs retryAt = 0;    ///< No such call before.
+};
+
+/// Writes a new shared key unless there is one, and reads the one that stands.
+/// @throws Failure(StoreUnavailable)
+void writeLinkKey(DirectRouter& _router);
+
+/// Writes this router's registration unless it stands, and renews its lease in time.
+/// @throws Failure(StoreUnavailable)
+void keepRegistered(DirectRouter& _router);
+
+/// A call of `writeLinkKey` or `keepRegistered` failed: the next one waits.
+void noteNotRegistered(DirectRouter& _router, const Failure& _failure);
+
+/// Takes the shared key or the registration of a router from the store.
+void takePeerItem(DirectRouter& _router, const StoreItem& _item);
+
+/// All registrations were listed: drops the routers that are not among them.
+void keepListedPeers(DirectRouter& _router, const StoreList& _list);
+
+} // namespace spanplank
+
+#endif // SPANPLANK_PEER_REGISTRATION_P_H_HEADER_GUARD
