--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -41,11 +41,12 @@
 	return query;
 }
 
-UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, const VersionChoice& _choice, TimeUs _now)
+UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now)
 {
 	DirectRouter& router = _serving.router;
-	_query.version = _choice.only;
-	_query.notVersion = _choice.never;
+	const VersionChoice version = chooseVersion(router.trials, _serving.service, sessionHash(_serving), _now);
+	_query.version = version.only;
+	_query.notVersion = version.never;
 	const UpstreamId picked = pickDirectUpstream(router.upstreams, _query, _now, router.random);
 	if (isValid(picked))
 	{
@@ -66,8 +67,7 @@
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
 	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
-	const VersionChoice version = chooseVersion(router.trials, _serving.service, sessionHash(_serving), now);
-	const UpstreamId upstream = pickUpstreamFor(_serving, query, version, now);
+	const UpstreamId upstream = pickUpstreamFor(_serving, query, now);
 	return {expectedHeadMs(router.upstreams, query, upstream, now),
 			expectedWaitMs(router.upstreams, upstream)};
 }
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -18,13 +18,10 @@
 	NextMove move = NextMove::Again;
 	while (move == NextMove::Again)
 	{
-		const TimeUs now = monotonicNow();
-		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
-		const VersionChoice version =
-			chooseVersion(router.trials, _serving.service, sessionHash(_serving), now);
 		const std::string model = modelOf(_serving);
 		const UpstreamQuery query = queryOf(_serving, model);
-		const UpstreamId upstream = pickUpstreamFor(_serving, query, version, now);
+		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
+		const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
 		if (!isValid(upstream))
 		{
 			return;
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -68,11 +68,10 @@
 /// What the attempt needs of an upstream. The views in it last as long as the serving and the model's name.
 UpstreamQuery queryOf(const Serving& _serving, const std::string& _model);
 
-/// Picks an upstream within the versions allowed; without one among them, any but a version that was rolled
-/// back.
+/// Picks an upstream within the versions allowed now; without one among them, any but a version that was
+/// rolled back.
 /// @returns Invalid if none is left.
-UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, const VersionChoice& _choice,
-						   TimeUs _now);
+UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now);
 
 /// @returns What the next model would take at the upstream that would be asked; zeros if the caller chose the
 /// model.
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -62,8 +62,8 @@
 constexpr uint32_t kRolloutTickMs = 200;
 /// How long routers that follow another one leave the same write to that.
 constexpr TimeUs kFollowerPatience = 1500 * kMsToUs;
-constexpr double kFollowerJitter =
-	2.0; ///< Added to the jitter of the progress that they write, for the same.
+/// Added to the jitter of the progress that they write, for the same.
+constexpr double kFollowerJitter = 2.0;
 
 bool leavesToParent(const DirectRouter& _router)
 {
