--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -136,10 +136,28 @@
 	_serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
 	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
 }
+
+void logDoubtKept(const Serving& _serving, double _confidence, double _budgetUsed, const NextModel& _next,
+				  TimeUs _now)
+{
+	logEvent("doubt_kept", {{"request", _serving.call.requestId},
+							{"confidence", fmt::format("{:.0f}", _confidence)},
+							{"runs", std::to_string(_serving.plan.runs)},
+							{"retries_used", fmt::format("{:.2f}", _budgetUsed)},
+							{"next_head_ms", fmt::format("{:.0f}", _next.headMs)},
+							{"next_wait_ms", fmt::format("{:.0f}", _next.waitMs)},
+							{"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
+}
+
 /// @returns Whether an answer is dropped and the next model asked. A doubted answer that is kept is logged
 /// with why.
 bool isDropped(Serving& _serving, double _confidence)
 {
+	const bool last = _serving.plan.model + 1 >= _serving.plan.models.size();
+	if (_confidence >= (last ? 0.0 : kConfidence)) // No limit is above: the next model need not be looked at.
+	{
+		return false;
+	}
 	const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
 	const NextModel next = expectNextModel(_serving);
 	const TimeUs now = monotonicNow();
@@ -147,16 +165,9 @@
 	{
 		return true;
 	}
-	const bool last = _serving.plan.model + 1 >= _serving.plan.models.size();
 	if (!last && _confidence < kConfidence)
 	{
-		logEvent("doubt_kept", {{"request", _serving.call.requestId},
-								{"confidence", fmt::format("{:.0f}", _confidence)},
-								{"runs", std::to_string(_serving.plan.runs)},
-								{"retries_used", fmt::format("{:.2f}", used)},
-								{"next_head_ms", fmt::format("{:.0f}", next.headMs)},
-								{"next_wait_ms", fmt::format("{:.0f}", next.waitMs)},
-								{"after_ms", millisText(now - _serving.plan.arrivedAt)}});
+		logDoubtKept(_serving, _confidence, used, next, now);
 	}
 	return false;
 }
