--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -80,6 +80,9 @@
 	double waitMs = 0.0; ///< Of it, what waits for the work of others.
 };
 
+/// @returns Whether no larger model is left to ask; also if the caller chose the model.
+bool isLastModel(const RequestPlan& _plan);
+
 /// @returns The confidence below which an answer is dropped and the next model asked; 0: take any.
 /// Under load the next model's answer comes too late and its work would delay others: then the answer at hand
 /// is worth more. A prompt that is only too long for the objective is asked again: late is better than poor.
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -82,10 +82,14 @@
 	return _plan.models.empty() ? 0 : _plan.models.size() - 1; // The middle ones were worth less, measured.
 }
 
+bool isLastModel(const RequestPlan& _plan)
+{
+	return _plan.model + 1 >= _plan.models.size();
+}
+
 double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, const NextModel& _next, TimeUs _now)
 {
-	const bool last = _plan.model + 1 >= _plan.models.size();
-	if (last || _plan.started || !_plan.repeatable || _budgetUsed > kBudgetForDoubt ||
+	if (isLastModel(_plan) || _plan.started || !_plan.repeatable || _budgetUsed > kBudgetForDoubt ||
 		_plan.runs + 1 >= _plan.maxAttempts)
 	{
 		return 0.0;
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -153,7 +153,7 @@
 /// with why.
 bool isDropped(Serving& _serving, double _confidence)
 {
-	const bool last = _serving.plan.model + 1 >= _serving.plan.models.size();
+	const bool last = isLastModel(_serving.plan);
 	if (_confidence >= (last ? 0.0 : kConfidence)) // No limit is above: the next model need not be looked at.
 	{
 		return false;
