--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -16,17 +16,17 @@
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
 
 /// @returns What a step that did not go well makes of the attempt.
-AttemptEnd endOf(const Serving& _serving, CallState _state)
+AttemptEnd endOf(const Serving& _serving, ExchangeState _state)
 {
-	if (_serving.callerGone || _state == CallState::Cancelled)
+	if (_serving.callerGone || _state == ExchangeState::Cancelled)
 	{
 		return AttemptEnd::CallerLeft;
 	}
-	if (_state == CallState::NotConnected)
+	if (_state == ExchangeState::NotConnected)
 	{
 		return AttemptEnd::NotSent;
 	}
-	if (_state == CallState::TimedOut)
+	if (_state == ExchangeState::TimedOut)
 	{
 		return monotonicNow() >= _serving.plan.deadline ? AttemptEnd::TimeUp : AttemptEnd::Silent;
 	}
@@ -58,7 +58,7 @@
 	while (!_call.done())
 	{
 		std::string_view piece;
-		const CallState state = _call.read(piece, by);
+		const ExchangeState state = _call.read(piece, by);
 		const std::string events = takeEvents(_serving.events, piece);
 		if (!events.empty())
 		{
@@ -68,7 +68,7 @@
 			}
 			by = std::min(_serving.plan.deadline, monotonicNow() + _times.gap);
 		}
-		if (state != CallState::Ok)
+		if (state != ExchangeState::Ok)
 		{
 			return endOf(_serving, state);
 		}
@@ -92,8 +92,8 @@
 	while (!_call.done())
 	{
 		std::string_view piece;
-		const CallState state = _call.read(piece, _times.headBy);
-		if (state != CallState::Ok)
+		const ExchangeState state = _call.read(piece, _times.headBy);
+		if (state != ExchangeState::Ok)
 		{
 			return endOf(_serving, state);
 		}
@@ -136,10 +136,28 @@
 	_serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
 	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
 }
+
+void logDoubtKept(const Serving& _serving, double _confidence, double _budgetUsed, const NextModel& _next,
+				  TimeUs _now)
+{
+	logEvent("doubt_kept", {{"request", _serving.call.requestId},
+							{"confidence", fmt::format("{:.0f}", _confidence)},
+							{"runs", std::to_string(_serving.plan.runs)},
+							{"retries_used", fmt::format("{:.2f}", _budgetUsed)},
+							{"next_head_ms", fmt::format("{:.0f}", _next.headMs)},
+							{"next_wait_ms", fmt::format("{:.0f}", _next.waitMs)},
+							{"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
+}
+
 /// @returns Whether an answer is dropped and the next model asked. A doubted answer that is kept is logged
 /// with why.
 bool isDropped(Serving& _serving, double _confidence)
 {
+	const bool last = isLastModel(_serving.plan);
+	if (_confidence >= (last ? 0.0 : kConfidence)) // No limit is above: the next model need not be looked at.
+	{
+		return false;
+	}
 	const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
 	const NextModel next = expectNextModel(_serving);
 	const TimeUs now = monotonicNow();
@@ -147,16 +165,9 @@
 	{
 		return true;
 	}
-	const bool last = _serving.plan.model + 1 >= _serving.plan.models.size();
 	if (!last && _confidence < kConfidence)
 	{
-		logEvent("doubt_kept", {{"request", _serving.call.requestId},
-								{"confidence", fmt::format("{:.0f}", _confidence)},
-								{"runs", std::to_string(_serving.plan.runs)},
-								{"retries_used", fmt::format("{:.2f}", used)},
-								{"next_head_ms", fmt::format("{:.0f}", next.headMs)},
-								{"next_wait_ms", fmt::format("{:.0f}", next.waitMs)},
-								{"after_ms", millisText(now - _serving.plan.arrivedAt)}});
+		logDoubtKept(_serving, _confidence, used, next, now);
 	}
 	return false;
 }
@@ -164,8 +175,8 @@
 
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
-	const CallState opened = _call.open(_times.connectBy, _times.headBy);
-	if (opened != CallState::Ok)
+	const ExchangeState opened = _call.open(_times.connectBy, _times.headBy);
+	if (opened != ExchangeState::Ok)
 	{
 		return endOf(_serving, opened);
 	}
