A registration that fails waits longer each time, takes a new lease when its own is over, and unreadable ones are rejected

Cause, found in the last read: the count of failures was set to 0 on every tick that did nothing, so the pause stayed at a second; a write under a lease that had lapsed was answered 404 and tried again under the same one for up to 20 s; an address that can't be read threw on every tick, so that the router never registered itself.

The stand-in store refuses writes under unknown leases.

--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -7,8 +7,8 @@
 {
 namespace
 {
-/// Of the revocation bound. A request is checked after its caller sent it, and a proof holds from before the store
-/// answered: only the rates of clocks and the rounding of settings need a margin.
+/// Of the revocation bound. A request is checked after its caller sent it, and a proof holds from before the
+/// store answered: only the rates of clocks and the rounding of settings need a margin.
 constexpr double kFreshShare = 0.96;
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
 constexpr TimeUs kBlankWait = 400 * kMsToUs; ///< From the start; a store that answers does so in far less.
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -254,7 +254,6 @@
 		try
 		{
 			keepLinked(_router);
-			_router.peers.registration.failures = 0;
 		}
 		catch (const Failure& failure)
 		{
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -50,9 +50,17 @@
 		return;
 	}
 	registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	registration.failures = 0;
 	registration.renewedAt = now;
 }
 
+/// The pause grows with each failure in a row.
+void postponeRegistration(PeerRegistration& _registration)
+{
+	const uint32_t doublings = std::min(_registration.failures++, kMostDoublings);
+	_registration.retryAt = monotonicNow() + (kRetryFirst << doublings);
+}
+
 /// A registration under a lease of an earlier process stands until that lapses; then it is written anew.
 void writeRegistration(DirectRouter& _router)
 {
@@ -67,6 +75,12 @@
 	{
 		registration.revision = revision;
 		registration.value = value;
+		registration.failures = 0;
+	}
+	else
+	{
+		registration.lease = 0; // It may be over: the next try takes another.
+		postponeRegistration(registration);
 	}
 	logEvent("peer_registered", {{"result", name(result)}, {"revision", std::to_string(revision)}});
 }
@@ -102,9 +116,7 @@
 
 void noteNotRegistered(DirectRouter& _router, const Failure& _failure)
 {
-	PeerRegistration& registration = _router.peers.registration;
-	const uint32_t doublings = std::min(registration.failures++, kMostDoublings);
-	registration.retryAt = monotonicNow() + (kRetryFirst << doublings);
+	postponeRegistration(_router.peers.registration);
 	logEvent("peer_not_registered", {{"error", _failure.refusal().detail}});
 }
 
@@ -138,6 +150,15 @@
 	}
 	record.hall = value.value("hall", "");
 	record.address = value.value("address", "");
+	try
+	{
+		parseEndpoint(record.address);
+	}
+	catch (const Failure& failure)
+	{
+		logEvent("peer_rejected", {{"box", record.box}, {"error", failure.refusal().detail}});
+		return;
+	}
 	registerPeer(peers.tree, record);
 }
 
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -165,6 +165,15 @@
 		}
 	}
 	for (const json& write : request["set_keys"])
+	{
+		const auto lease = write["lease"].get<uint64_t>();
+		if (lease != 0 && _store.leases.count(lease) == 0)
+		{
+			_exchange.respond(jsonResponse(404, json::object()));
+			return;
+		}
+	}
+	for (const json& write : request["set_keys"])
 	{
 		std::string value;
 		absl::Base64Unescape(write["value"].get<std::string>(), &value);
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -244,6 +244,37 @@
 	settle();
 }
 
+TEST_F(FleetTest, ARegistrationWhoseLeaseLapsedIsWrittenAnewUnderAnother)
+{
+	const uint64_t firstNew = store.nextLease;
+	for (auto& [lease, until] : store.leases)
+	{
+		until = monotonicNow();
+	}
+	const auto registered = [this, firstNew] {
+		size_t count = 0;
+		for (size_t ii = 0; ii < kRouters; ++ii)
+		{
+			const auto item = store.items.find(fmt::format("spanplank/router/router-{}", ii));
+			count += item != store.items.end() && item->second.lease >= firstNew ? 1 : 0;
+		}
+		return count;
+	};
+	EXPECT_TRUE(eventually([&] { return registered() == kRouters; }, 8));
+	settle();
+}
+
+TEST_F(FleetTest, ARegistrationThatCanNotBeReadIsRejectedAndDisturbsNobody)
+{
+	setItem(store, "spanplank/router/aa", R"({"hall":"hall-a","address":"nowhere"})");
+	setItem(store, "spanplank/router/ab", "not JSON");
+	EXPECT_TRUE(eventually(
+		[this] { return routers[0]->log().find("event=peer_rejected box=\"ab\"") != std::string::npos; }, 5));
+	EXPECT_NE(routers[0]->log().find("event=peer_rejected box=\"aa\""), std::string::npos);
+	settle();
+	EXPECT_TRUE(allAnswer("kept-key", 200));
+}
+
 TEST_F(FleetTest, RoutersThatAreNotThereAnyMoreAreForgottenWithTheirLease)
 {
 	const size_t gone = watcher();
