Whether a roll-out's write is left to the parent is asked directly

Cause: leavesToParent only wrapped isFollowing and read the clock a second time in each of its two callers, which hold the time already.

Ruled out: behaviour that depends on the second reading: both lie within the same turn of the fiber, microseconds apart.

Change: the wrapper is gone, the callers ask isFollowing with their own time.

Conclusion: nothing but a name less.

--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -65,11 +65,6 @@
 /// Added to the jitter of the progress that they write, for the same.
 constexpr double kFollowerJitter = 2.0;
 
-bool leavesToParent(const DirectRouter& _router)
-{
-	return isFollowing(_router, monotonicNow());
-}
-
 /// Writes what this router has decided; reads the status of a roll-out that it knows nothing of.
 void settleRollout(DirectRouter& _router, const std::string& _service, VersionTrial& _trial)
 {
@@ -81,7 +76,7 @@
 		return;
 	}
 	_trial.wantedAt = _trial.wantedAt == 0 ? now : _trial.wantedAt;
-	if (leavesToParent(_router) && status.state != RolloutState::RolledBack &&
+	if (isFollowing(_router, now) && status.state != RolloutState::RolledBack &&
 		now - _trial.wantedAt < kFollowerPatience)
 	{
 		return; // Most likely the others write the same: a halt alone can't wait.
@@ -117,7 +112,7 @@
 void saveProgress(DirectRouter& _router, const std::string& _service, VersionTrial& _trial)
 {
 	const TimeUs now = monotonicNow();
-	const double patience = leavesToParent(_router) ? kFollowerJitter : 0.0;
+	const double patience = isFollowing(_router, now) ? kFollowerJitter : 0.0;
 	if (!wantsProgress(_trial, now, nextUnit(_router.random) + patience))
 	{
 		return;
