Routers tell each other which upstream read which parts of prompts

Change: pings and their answers carry the parts sent since the last one, passed on along the tree but not back; a part that is known somewhere is presumed nowhere else. At most 1,000 untold parts for each neighbour.

--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "spanplank/home_share.h"
 #include "spanplank/load_share.h"
 #include "spanplank/store_item.h"
 #include "spanplank/types.h"
@@ -18,6 +19,7 @@
 {
 	uint64_t seq = 0; ///< Rises with each ping of a link.
 	LoadMap loads;    ///< Of its subtree.
+	HomeMap homes;    ///< Learned since the last ping, but from the receiver.
 };
 
 /// The answer to a ping.
@@ -27,6 +29,7 @@
 	uint64_t revision = 0; ///< Of the store, up to which the sender knows everything.
 	TimeUs proofAge = 0;   ///< Since the moment for which the store proved that, when this was sent.
 	LoadMap loads;         ///< Of all routers outside the receiver's subtree.
+	HomeMap homes;         ///< Learned since the last answer, but from the receiver.
 };
 
 /// Changes of the store, passed on as they were read.
@@ -48,20 +51,31 @@
 	_json.at(1).get_to(_load.inFlight);
 }
 
+/// A router of an earlier version tells no homes.
+inline void readHomes(const nlohmann::json& _json, size_t _at, HomeMap& _homes)
+{
+	if (_json.size() > _at)
+	{
+		_json.at(_at).get_to(_homes);
+	}
+}
+
 inline void to_json(nlohmann::json& _json, const PeerPing& _ping)
 {
-	_json = {_ping.seq, nlohmann::json(_ping.loads)};
+	_json = {_ping.seq, nlohmann::json(_ping.loads), nlohmann::json(_ping.homes)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
 {
 	_json.at(0).get_to(_ping.seq);
 	_json.at(1).get_to(_ping.loads);
+	readHomes(_json, 2, _ping.homes);
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
 {
-	_json = {_pong.seq, _pong.revision, _pong.proofAge, nlohmann::json(_pong.loads)};
+	_json = {_pong.seq, _pong.revision, _pong.proofAge, nlohmann::json(_pong.loads),
+			 nlohmann::json(_pong.homes)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPong& _pong)
@@ -70,6 +84,7 @@
 	_json.at(1).get_to(_pong.revision);
 	_json.at(2).get_to(_pong.proofAge);
 	_json.at(3).get_to(_pong.loads);
+	readHomes(_json, 4, _pong.homes);
 }
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -64,6 +64,16 @@
 	TimeUs at = 0;
 };
 
+/// A part of a prompt that this router has sent to be read, for the other routers.
+struct NewHome
+{
+	uint64_t part = 0;
+	uint32_t upstream = kInvalidIdx;
+};
+
+/// Most new homes that wait to be told.
+constexpr size_t kMostNewHomes = 1000;
+
 /// How fast prompts are read, as answers show it.
 struct ReadingPace
 {
@@ -78,6 +88,7 @@
 	std::map<std::string, double> latencyOf;   ///< Decayed latency in microseconds, by service and model.
 	std::map<std::string, ReadingPace> paceOf; ///< By service and model.
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
+	std::vector<NewHome> newHomes; ///< Not told to the other routers yet; at most `kMostNewHomes`.
 	uint32_t nextIdx = 0;
 	bool hearsOthers = false;     ///< Other routers tell what they have at the upstreams.
 	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
@@ -147,6 +158,9 @@
 /// An attempt began. @returns What it adds to `prefillMs`, to be given back by `noteHead` or `noteEnded`.
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
 
+/// Another router has sent a part of a prompt to an upstream.
+void notePeerHome(UpstreamTable& _table, uint64_t _part, const std::string& _upstream, TimeUs _now);
+
 /// The first token came. @param[in] _latency Since the attempt began.
 void noteHead(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, double _prefillMs,
 			  TimeUs _latency);
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -105,6 +105,13 @@
 	});
 }
 
+bool wasReadLately(const UpstreamTable& _table, uint64_t _affinity, TimeUs _now)
+{
+	const auto found = _table.homes.find(_affinity);
+	return found != _table.homes.end() && !found->second.empty() &&
+		   _now - found->second.front().at < kHomeLifetime;
+}
+
 /// @returns Tokens of the prompt that an upstream likely keeps. @param[in] _presumed Part of the shared
 /// tokens of which this router does not know better.
 double keptTokens(const UpstreamTable& _table, const UpstreamQuery& _query, uint32_t _upstream,
@@ -115,7 +122,9 @@
 	for (const SharedPart& part : _query.shared)
 	{
 		seen = seen && wasReadAt(_table, part.hash, _upstream, _now);
-		kept += seen ? part.tokens : _presumed * part.tokens;
+		const bool known = _table.hearsOthers && wasReadLately(_table, part.hash, _now);
+		const double presumed = known ? 0.0 : _presumed;
+		kept += seen ? part.tokens : presumed * part.tokens;
 	}
 	return kept;
 }
@@ -208,6 +217,19 @@
 	for (const SharedPart& part : _query.shared)
 	{
 		noteHome(_table, part.hash, _upstream.idx, _now);
+		if (_table.hearsOthers && _table.newHomes.size() < kMostNewHomes)
+		{
+			_table.newHomes.push_back({part.hash, _upstream.idx});
+		}
+	}
+}
+
+void notePeerHome(UpstreamTable& _table, uint64_t _part, const std::string& _upstream, TimeUs _now)
+{
+	const auto found = _table.idxOfId.find(_upstream);
+	if (found != _table.idxOfId.end())
+	{
+		noteHome(_table, _part, found->second, _now);
 	}
 }
 
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -56,11 +56,14 @@
 	const TimeUs now = monotonicNow();
 	peers.loads.children[_link.idx] = {_ping.loads, now};
 	applyOthersLoad(peers.loads, _router.upstreams, now);
+	collectOwnHomes(peers.homes, _router.upstreams);
+	takeHomes(peers.homes, _router.upstreams, _link.idx, _ping.homes, now);
 	PeerPong pong;
 	pong.seq = _ping.seq;
 	pong.revision = _router.view.listed ? _router.view.revision : 0;
 	pong.proofAge = now - _router.config.provedAt;
 	pong.loads = loadForChild(peers.loads, ownLoad(_router.upstreams), _link.idx, now);
+	pong.homes = homesForChild(peers.homes, _link.idx);
 	peers.hub->send(_link, MessageType::PeerPong, pong);
 }
 
@@ -83,6 +86,7 @@
 	peers.pongAt = now;
 	peers.loads.parent = {_pong.loads, now};
 	applyOthersLoad(peers.loads, _router.upstreams, now);
+	takeHomes(peers.homes, _router.upstreams, kParentOfTree, _pong.homes, now);
 	if (!_router.view.listed || _router.view.revision < _pong.revision)
 	{
 		peers.behind = true;
@@ -196,6 +200,8 @@
 	PeerPing ping;
 	ping.seq = ++peers.pingSeq;
 	ping.loads = loadForParent(peers.loads, ownLoad(_router.upstreams), now);
+	collectOwnHomes(peers.homes, _router.upstreams);
+	ping.homes = homesForParent(peers.homes);
 	peers.pingSentAt = now;
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
@@ -218,6 +224,7 @@
 	};
 	init.handlers.onClose = [&_router](LinkId _link) {
 		_router.peers.loads.children.erase(_link.idx);
+		_router.peers.homes.children.erase(_link.idx);
 		applyOthersLoad(_router.peers.loads, _router.upstreams, monotonicNow());
 	};
 	peers.hub = std::make_unique<LinkHub>(_router.io, std::move(init));
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -24,6 +24,7 @@
 {
 	PeerTree tree;
 	LoadShare loads;
+	HomeShare homes;
 	PeerRegistration registration;
 	std::string key;              ///< Of the links; empty: not known yet.
 	std::unique_ptr<LinkHub> hub; ///< Null until the key is known.
--- /dev/null
+++ b/tests/core/home_share_test.cpp
@@ -0,0 +1,112 @@
+/// Where parts of prompts were read, told from router to router.
+#include "spanplank/home_share.h"
+
+#include <gtest/gtest.h>
+
+#include "spanplank/peer_messages.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr TimeUs kNow = 1000 * kMsToUs;
+constexpr uint64_t kPart = 7;
+
+struct Router
+{
+	HomeShare share;
+	UpstreamTable table;
+
+	Router()
+	{
+		table.hearsOthers = true;
+		for (const char* id : {"u-one", "u-two", "u-three"})
+		{
+			registerUpstream(table, {id, "chat", "10.0.0.1:1", "hall", "v1", 8, false});
+		}
+	}
+
+	UpstreamQuery query() const
+	{
+		UpstreamQuery query;
+		query.service = "chat";
+		query.shared = {{kPart, 10000}};
+		query.ownTokens = 100;
+		return query;
+	}
+
+	UpstreamId pick(Random& _random) const
+	{
+		return pickDirectUpstream(table, query(), kNow, _random);
+	}
+};
+
+/// Carries what two neighbours have to tell each other. @param[in] _link Of the child, at the parent.
+void exchange(Router& _child, Router& _parent, uint32_t _link)
+{
+	collectOwnHomes(_child.share, _child.table);
+	collectOwnHomes(_parent.share, _parent.table);
+	takeHomes(_parent.share, _parent.table, _link, homesForParent(_child.share), kNow);
+	takeHomes(_child.share, _child.table, kParentOfTree, homesForChild(_parent.share, _link), kNow);
+}
+
+TEST(HomeShare, AllRoutersSendAPartWhereOneOfThemHasSentIt)
+{
+	Router parent;
+	Router left;
+	Router right;
+	exchange(left, parent, 1);
+	exchange(right, parent, 2);
+	Random random;
+	const UpstreamId usual = parent.pick(random);
+	const UpstreamId other{(usual.idx + 1) % 3};
+	noteSent(left.table, other, left.query(), kNow);
+	noteEnded(left.table, other, 0.0, HealthSign::None, kNow);
+	EXPECT_EQ(parent.pick(random).idx, usual.idx) << "it has not heard yet, and goes by the hash order";
+	exchange(left, parent, 1);
+	exchange(right, parent, 2);
+	EXPECT_EQ(parent.pick(random).idx, other.idx);
+	EXPECT_EQ(right.pick(random).idx, other.idx);
+}
+
+TEST(HomeShare, WhatANeighbourToldDoesNotComeBackToIt)
+{
+	Router parent;
+	Router child;
+	exchange(child, parent, 1);
+	noteSent(child.table, UpstreamId{0}, child.query(), kNow);
+	collectOwnHomes(child.share, child.table);
+	const HomeMap told = homesForParent(child.share);
+	EXPECT_EQ(told, (HomeMap{{"u-one", {kPart}}}));
+	takeHomes(parent.share, parent.table, 1, told, kNow);
+	EXPECT_TRUE(homesForChild(parent.share, 1).empty());
+	EXPECT_TRUE(homesForParent(child.share).empty()) << "it is told once";
+}
+
+TEST(HomeShare, ANeighbourThatTakesNothingCostsBoundedMemoryAndUnknownUpstreamsAreIgnored)
+{
+	Router router;
+	homesForChild(router.share, 1);
+	for (uint64_t part = 0; part < 3 * kMostUntold; ++part)
+	{
+		takeHomes(router.share, router.table, kParentOfTree, {{"u-one", {part}}, {"u-gone", {part}}}, kNow);
+	}
+	size_t untold = 0;
+	for (const auto& [upstream, parts] : homesForChild(router.share, 1))
+	{
+		untold += parts.size();
+	}
+	EXPECT_EQ(untold, kMostUntold);
+}
+
+TEST(HomeShare, MessagesOfAnEarlierVersionTellNoHomes)
+{
+	const auto ping = nlohmann::json::parse(R"([3, {"u": [5, 1]}])").get<PeerPing>();
+	EXPECT_EQ(ping.seq, 3u);
+	EXPECT_TRUE(ping.homes.empty());
+	PeerPong pong;
+	pong.homes["u-one"] = {kPart};
+	EXPECT_EQ(nlohmann::json(pong).get<PeerPong>().homes, pong.homes);
+}
+} // namespace
+} // namespace spanplank
