Callers refused in a planned stop come back when a router is there

Ruled out: taking all until the end (a third of the streams lasts longer than the time left: they would be cut), taking streams by their expected end (p50 2.3 s, p90 6 s, 5 s left). Change: a caller on a connection that the balancer opened although it knows of the stop is told to come when this router has started again (spread over 0.6 s); one on an older connection goes to another router at once, as before.

--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "spanplank/errors.h"
+#include "spanplank/types.h"
 
 namespace spanplank
 {
@@ -48,9 +49,10 @@
 public:
 	using Fields = boost::beast::http::fields;
 
-	/// @param[in] _draining Looked at when the answer begins; null: never draining.
+	/// @param[in] _draining Looked at when the answer begins; null: never draining. @param[in] _connectedAt
+	/// When the connection was accepted.
 	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request,
-				 const bool* _draining = nullptr);
+				 const bool* _draining = nullptr, TimeUs _connectedAt = 0);
 	~HttpExchange();
 	HttpExchange(const HttpExchange&) = delete;
 	HttpExchange& operator=(const HttpExchange&) = delete;
@@ -60,6 +62,12 @@
 		return m_request;
 	}
 
+	/// @returns When the caller's connection was accepted.
+	TimeUs connectedAt() const
+	{
+		return m_connectedAt;
+	}
+
 	void respond(const HttpResponse& _response);
 	/// Passes on an answer whose fields are another server's.
 	void passOn(int _status, const Fields& _fields, std::string_view _body);
@@ -99,6 +107,7 @@
 	boost::beast::tcp_stream& m_stream;
 	const HttpRequest& m_request;
 	const bool* m_draining;
+	TimeUs m_connectedAt;
 	bool m_broken = false;
 	bool m_answered = false;
 	std::shared_ptr<std::function<void()>> m_onGone;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -124,6 +124,7 @@
 void serveConnection(HttpServer& _server, beast::tcp_stream& _stream)
 {
 	beast::flat_buffer buffer;
+	const TimeUs connectedAt = monotonicNow();
 	bool keepAlive = true;
 	while (keepAlive)
 	{
@@ -134,7 +135,7 @@
 			break;
 		}
 		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		HttpExchange exchange(_stream, request, &_server.draining);
+		HttpExchange exchange(_stream, request, &_server.draining, connectedAt);
 		try
 		{
 			_server.handler(exchange);
@@ -204,8 +205,9 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request, const bool* _draining)
-	: m_stream(_stream), m_request(_request), m_draining(_draining)
+HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request, const bool* _draining,
+						   TimeUs _connectedAt)
+	: m_stream(_stream), m_request(_request), m_draining(_draining), m_connectedAt(_connectedAt)
 {
 }
 
--- /dev/null
+++ b/src/core/planned_stop.cpp
@@ -0,0 +1,35 @@
+/// Admission in a planned stop and the time after which refused callers come back.
+#include "spanplank/planned_stop.h"
+
+#include <algorithm>
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint32_t kOtherRouterMs = 20; ///< Another router takes the request at once.
+/// From the end of a process until its successor has read the configuration and the balancer has seen it.
+constexpr uint32_t kRestartMs = 1200;
+constexpr uint32_t kReturnSpreadMs = 600; ///< Refused callers do not come back all at once.
+
+bool balancerKnows(const PlannedStop& _stop, TimeUs _at)
+{
+	return _stop.since != 0 && _at - _stop.since >= kBalancerMs * kMsToUs;
+}
+} // namespace
+
+bool takesRequest(const PlannedStop& _stop, TimeUs _deadline, TimeUs _now)
+{
+	return !balancerKnows(_stop, _now) || _deadline <= _stop.endsAt;
+}
+
+uint32_t retryAfterStopMs(const PlannedStop& _stop, TimeUs _connectedAt, TimeUs _now, double _jitter)
+{
+	if (!balancerKnows(_stop, _connectedAt))
+	{
+		return kOtherRouterMs;
+	}
+	const TimeUs left = std::max<TimeUs>(0, _stop.endsAt - _now);
+	return uint32_t(left / kMsToUs) + kRestartMs + uint32_t(_jitter * kReturnSpreadMs);
+}
+} // namespace spanplank
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -13,8 +13,6 @@
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
 constexpr TimeUs kBlankWait = 400 * kMsToUs; ///< From the start; a store that answers does so in far less.
 constexpr uint32_t kBlankPollMs = 3;
-constexpr TimeUs kLateStop = kBalancerMs * kMsToUs; ///< The balancer has seen the stop by then.
-constexpr uint32_t kStoppingRetryMs = 20;           ///< Another router takes the request at once.
 
 /// A router that has just started reads the store within a few milliseconds: that is sooner than any retry.
 void awaitFirstConfig(const DirectRouter& _router)
@@ -99,14 +97,15 @@
 
 bool admitByStop(Serving& _serving)
 {
-	const DirectRouter& router = _serving.router;
-	if (!router.stopping || monotonicNow() - router.stoppingSince < kLateStop ||
-		_serving.plan.deadline <= router.stopsAt)
+	DirectRouter& router = _serving.router;
+	const TimeUs now = monotonicNow();
+	if (takesRequest(router.stop, _serving.plan.deadline, now))
 	{
 		return true;
 	}
+	const TimeUs connectedAt = _serving.exchange.connectedAt();
 	refuse(_serving, status::kUnavailable, "stopping", "this router stops before the request could end",
-		   kStoppingRetryMs);
+		   retryAfterStopMs(router.stop, connectedAt, now, nextUnit(router.random)));
 	return false;
 }
 } // namespace spanplank
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -116,13 +116,12 @@
 {
 	const TimeUs begin = monotonicNow();
 	_router.stopping = true;
-	_router.stoppingSince = begin;
 	_router.callers.draining = true;
 	logEvent("stopping", {{"in_flight", std::to_string(_router.inFlight)},
 						  {"connections", std::to_string(_router.callers.connections)}});
 	const uint32_t grace = std::max(_router.settings.graceMs, kEndMarginMs + 1);
 	const TimeUs until = begin + TimeUs(grace - kEndMarginMs) * kMsToUs;
-	_router.stopsAt = until;
+	_router.stop = {begin, until};
 	const TimeUs earliest = std::min(until, begin + kBalancerMs * kMsToUs);
 	while (monotonicNow() < earliest || (_router.inFlight > 0 && monotonicNow() < until))
 	{
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -9,6 +9,7 @@
 #include "http_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
+#include "spanplank/planned_stop.h"
 #include "spanplank/request_plan.h"
 #include "spanplank/retry_window.h"
 #include "spanplank/service_config.h"
@@ -19,10 +20,6 @@
 
 namespace spanplank
 {
-/// Until the balancer has seen that a router stops: it polls each second and drops a router at the second
-/// miss.
-constexpr uint32_t kBalancerMs = 2600;
-
 /// Bounds of a latency histogram's buckets, in milliseconds.
 constexpr double kLatencyBuckets[] = {5, 10, 25, 50, 100, 150, 250, 500, 1000, 2000, 4000, 8000};
 constexpr size_t kLatencyBucketCount = sizeof(kLatencyBuckets) / sizeof(kLatencyBuckets[0]);
@@ -77,8 +74,7 @@
 	size_t inFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
 	bool stopping = false;
-	TimeUs stoppingSince = 0;
-	TimeUs stopsAt = 0; ///< What is in flight then is cut.
+	PlannedStop stop;
 };
 
 /// Serves one caller's request.
--- /dev/null
+++ b/tests/core/planned_stop_test.cpp
@@ -0,0 +1,43 @@
+/// Planned stops: what is still taken, and when refused callers come back.
+#include "spanplank/planned_stop.h"
+
+#include <gtest/gtest.h>
+
+namespace spanplank
+{
+namespace
+{
+constexpr TimeUs kSecond = 1000 * kMsToUs;
+constexpr TimeUs kSignal = 50 * kSecond;
+constexpr TimeUs kEnd = kSignal + 8 * kSecond;
+const PlannedStop kStop{kSignal, kEnd};
+
+TEST(PlannedStop, ARouterThatDoesNotStopTakesAll)
+{
+	EXPECT_TRUE(takesRequest({}, kEnd + 60 * kSecond, kSignal));
+}
+
+TEST(PlannedStop, AllAreTakenUntilTheBalancerKnowsThenThoseWhoseDeadlineIsWithinTheStop)
+{
+	EXPECT_TRUE(takesRequest(kStop, kEnd + kSecond, kSignal + 2 * kSecond));
+	EXPECT_FALSE(takesRequest(kStop, kEnd + kSecond, kSignal + 3 * kSecond));
+	EXPECT_TRUE(takesRequest(kStop, kEnd, kSignal + 3 * kSecond));
+}
+
+TEST(PlannedStop, OnAnOldConnectionTheCallerGoesToAnotherRouterAtOnce)
+{
+	EXPECT_LT(retryAfterStopMs(kStop, kSignal - kSecond, kSignal + 3 * kSecond, 1.0), 100u);
+	EXPECT_LT(retryAfterStopMs(kStop, kSignal + kSecond, kSignal + 3 * kSecond, 1.0), 100u);
+}
+
+TEST(PlannedStop, ACallerWhoWasSentHereThoughTheBalancerKnowsComesBackAfterTheRestart)
+{
+	const TimeUs now = kSignal + 4 * kSecond;
+	const TimeUs back = now + retryAfterStopMs(kStop, now, now, 0.0) * kMsToUs;
+	EXPECT_GE(back, kEnd + kSecond);
+	EXPECT_LT(back, kEnd + 3 * kSecond);
+	EXPECT_GT(retryAfterStopMs(kStop, now, now, 1.0), retryAfterStopMs(kStop, now, now, 0.0))
+		<< "not all at once";
+}
+} // namespace
+} // namespace spanplank
