--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "spanplank/http_status.h"
+#include "spanplank/policies.h"
 #include "spanplank/retry_window.h"
 #include "spanplank/service_config.h"
 #include "spanplank/types.h"
@@ -35,6 +36,7 @@
 
 struct RequestPlan
 {
+	Policies policies;
 	bool repeatable = false;
 	bool stream = false;
 	uint32_t maxAttempts = 1;
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "spanplank/policies.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -83,6 +84,7 @@
 
 struct UpstreamTable
 {
+	Policies policies;
 	std::map<uint32_t, UpstreamEntry> entries;
 	std::unordered_map<std::string, uint32_t> idxOfId;
 	std::map<std::string, double> latencyOf;   ///< Decayed latency in microseconds, by service and model.
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -148,6 +148,30 @@
 		}
 	}
 
+	/// A list of the policies that are off.
+	void policies(const char* _key, Policies& _value)
+	{
+		const YAML::Node node = take(_key, false);
+		if (!node)
+		{
+			return;
+		}
+		std::vector<std::string> names;
+		if (!YAML::convert<std::vector<std::string>>::decode(node, names))
+		{
+			note(node, _key, "must be a list of names");
+			return;
+		}
+		try
+		{
+			switchOff(_value, names);
+		}
+		catch (const Failure& failure)
+		{
+			note(node, _key, failure.refusal().detail);
+		}
+	}
+
 	void numbers(const char* _key, std::map<std::string, uint32_t>& _values, uint32_t _most)
 	{
 		const YAML::Node node = take(_key, false);
@@ -310,6 +334,7 @@
 	reader.number("leaveMs", settings.leaveMs, 100, kHourMs);
 	reader.number("watchPauseMs", settings.watchPauseMs, 0, 30000);
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
+	reader.policies("policiesOff", settings.policies);
 	reader.finish();
 	return settings;
 }
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/policies.h"
 
 namespace spanplank
 {
@@ -62,6 +63,7 @@
 	uint32_t watchPauseMs = 800;
 	/// Longest wait of one watch. Twice this and the pause: how old a proof of the configuration gets.
 	uint32_t configWaitMs = 200;
+	Policies policies;
 };
 
 struct AgentSettings
--- a/src/core/load_share.cpp
+++ b/src/core/load_share.cpp
@@ -67,8 +67,11 @@
 void applyOthersLoad(const LoadShare& _share, UpstreamTable& _table, TimeUs _now)
 {
 	LoadMap others;
-	addChildren(others, _share, kInvalidIdx, _now);
-	addFresh(others, _share.parent, _now);
+	if (_table.policies.loadSharing)
+	{
+		addChildren(others, _share, kInvalidIdx, _now);
+		addFresh(others, _share.parent, _now);
+	}
 	_table.hearsOthers = !_share.children.empty() || _share.parent.toldAt != 0;
 	for (auto& [idx, entry] : _table.entries)
 	{
--- /dev/null
+++ b/src/core/policies.cpp
@@ -0,0 +1,43 @@
+/// The names of the policies.
+#include "spanplank/policies.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "spanplank/errors.h"
+
+namespace spanplank
+{
+namespace
+{
+using Switch = std::pair<std::string_view, bool Policies::*>;
+
+constexpr std::array<Switch, 12> kSwitches = {{{"escalation", &Policies::escalation},
+											   {"pressureLimit", &Policies::pressureLimit},
+											   {"longPatience", &Policies::longPatience},
+											   {"coldPatience", &Policies::coldPatience},
+											   {"homeOrder", &Policies::homeOrder},
+											   {"homeSharing", &Policies::homeSharing},
+											   {"loadSharing", &Policies::loadSharing},
+											   {"hallPreference", &Policies::hallPreference},
+											   {"ejection", &Policies::ejection},
+											   {"resumption", &Policies::resumption},
+											   {"urgency", &Policies::urgency},
+											   {"stopReturn", &Policies::stopReturn}}};
+} // namespace
+
+void switchOff(Policies& _policies, const std::vector<std::string>& _names)
+{
+	for (const std::string& name : _names)
+	{
+		const auto found = std::find_if(kSwitches.begin(), kSwitches.end(),
+										[&name](const Switch& _switch) { return _switch.first == name; });
+		if (found == kSwitches.end())
+		{
+			throw Failure(ErrorCode::BadRequest, "there is no policy '" + name + "'");
+		}
+		_policies.*(found->second) = false;
+	}
+}
+} // namespace spanplank
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -42,11 +42,12 @@
 /// The first upstreams in the order of a prompt's shared parts: routers agree on it without a word.
 using HomeOrder = std::array<uint32_t, kPresumedHomes>;
 
-HomeOrder homeOrder(const std::vector<Candidate>& _candidates, const UpstreamQuery& _query)
+HomeOrder homeOrder(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+					const UpstreamQuery& _query)
 {
 	HomeOrder order;
 	order.fill(kInvalidIdx);
-	if (_query.shared.empty())
+	if (_query.shared.empty() || !_table.policies.homeOrder)
 	{
 		return order;
 	}
@@ -124,7 +125,8 @@
 	for (const SharedPart& part : _query.shared)
 	{
 		seen = seen && wasReadAt(_table, part.hash, _upstream, _now);
-		const bool known = _table.hearsOthers && wasReadLately(_table, part.hash, _now);
+		const bool hears = _table.hearsOthers && _table.policies.homeSharing;
+		const bool known = hears && wasReadLately(_table, part.hash, _now);
 		const double presumed = known ? 0.0 : _presumed;
 		kept += seen ? part.tokens : presumed * part.tokens;
 	}
@@ -187,7 +189,7 @@
 UpstreamId cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						  const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
-	const HomeOrder order = homeOrder(_candidates, _query);
+	const HomeOrder order = homeOrder(_table, _candidates, _query);
 	const double perToken = tokenMs(_table, _query);
 	const double tokens = promptTokens(_query);
 	uint32_t best = kInvalidIdx;
@@ -197,7 +199,8 @@
 		const UpstreamEntry& entry = *candidate.entry;
 		const double presumed = presumedPart(order, candidate.idx);
 		const double kept = keptTokens(_table, _query, candidate.idx, presumed, _now);
-		const double hall = entry.record.hall == _query.hall ? 0.0 : kOtherHallMs;
+		const bool near = entry.record.hall == _query.hall || !_table.policies.hallPreference;
+		const double hall = near ? 0.0 : kOtherHallMs;
 		const double health = healthFactor(entry.health);
 		const double readMs = perToken * (tokens - kept);
 		const double jitter = kJitterMs * nextUnit(_random);
@@ -219,7 +222,7 @@
 	for (const SharedPart& part : _query.shared)
 	{
 		noteHome(_table, part.hash, _upstream.idx, _now);
-		if (_table.hearsOthers && _table.newHomes.size() < kMostNewHomes)
+		if (_table.hearsOthers && _table.policies.homeSharing && _table.newHomes.size() < kMostNewHomes)
 		{
 			_table.newHomes.push_back({part.hash, _upstream.idx});
 		}
@@ -257,7 +260,7 @@
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 				   TimeUs _now)
 {
-	const HomeOrder order = homeOrder(candidatesFor(_table, _query, _now), _query);
+	const HomeOrder order = homeOrder(_table, candidatesFor(_table, _query, _now), _query);
 	const double presumed = presumedPart(order, _upstream.idx);
 	return tokenMs(_table, _query) *
 		   (promptTokens(_query) - keptTokens(_table, _query, _upstream.idx, presumed, _now));
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -16,7 +16,8 @@
 /// while others wait: at 0.75 the troubled days of a deployment with long prompts are worth 0.585, at 2.0
 /// 0.623 (mean of 20 plays).
 constexpr double kMostHeadShare = 2.0;
-constexpr double kPatience = 3.0; ///< Times the expected time, before an upstream counts as silent.
+constexpr double kPatience = 3.0;        ///< Times the expected time, before an upstream counts as silent.
+constexpr double kShortHeadShare = 0.75; ///< In its place with the policy switched off.
 /// Times the longest expected time: what an upstream is believed to keep of a prompt may be gone. Without it
 /// the troubled days of a deployment with long prompts are worth 0.623 instead of 0.639 (mean of 20 plays).
 constexpr double kColdPatience = 1.5;
@@ -75,9 +76,11 @@
 	{
 		const double share = _plan.stream ? kHeadShare : kPlainHeadShare;
 		const TimeUs least = shareOf(_plan.targetMs, share);
-		const double patientMs = std::max(_head.expectedMs * kPatience, _head.longestMs * kColdPatience);
+		const double coldMs = _plan.policies.coldPatience ? _head.longestMs * kColdPatience : 0.0;
+		const double patientMs = std::max(_head.expectedMs * kPatience, coldMs);
 		const TimeUs patient = TimeUs(patientMs * double(kMsToUs));
-		const TimeUs most = shareOf(_plan.targetMs, kMostHeadShare);
+		const double mostShare = _plan.policies.longPatience ? kMostHeadShare : kShortHeadShare;
+		const TimeUs most = shareOf(_plan.targetMs, mostShare);
 		times.headBy = std::min(_plan.deadline, _now + std::max(least, std::min(patient, most)));
 		times.gap = shareOf(_plan.eventGapMs, kGapShare);
 	}
@@ -109,8 +112,8 @@
 
 double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, const NextModel& _next, TimeUs _now)
 {
-	if (isLastModel(_plan) || _plan.started || !_plan.repeatable || _budgetUsed > kBudgetForDoubt ||
-		_plan.runs + 1 >= _plan.maxAttempts)
+	if (!_plan.policies.escalation || isLastModel(_plan) || _plan.started || !_plan.repeatable ||
+		_budgetUsed > kBudgetForDoubt || _plan.runs + 1 >= _plan.maxAttempts)
 	{
 		return 0.0;
 	}
@@ -119,7 +122,8 @@
 	const bool inTime = left > head && left > shareOf(_plan.targetMs, kTimeForDoubt);
 	const bool idle = _next.waitMs < kIdleShare * double(_plan.targetMs);
 	const bool fits = double(head) < kLateShare * double(_plan.deadline - _now);
-	const double limit = std::max(kLeastLimit, kConfidence - kPressureWeight * _next.pressure);
+	const double weight = _plan.policies.pressureLimit ? kPressureWeight : 0.0;
+	const double limit = std::max(kLeastLimit, kConfidence - weight * _next.pressure);
 	return inTime || (idle && fits) ? limit : 0.0;
 }
 
@@ -129,7 +133,8 @@
 	{
 		return false;
 	}
-	return _plan.runs == 0 || (_plan.repeatable && _plan.runs < _plan.maxAttempts);
+	const bool mayGoOn = !_plan.started || _plan.policies.resumption;
+	return _plan.runs == 0 || (_plan.repeatable && mayGoOn && _plan.runs < _plan.maxAttempts);
 }
 
 NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -296,7 +296,8 @@
 		health.ejectedUntil = 0;
 		return wasEjected ? HealthChange::Returned : HealthChange::None;
 	}
-	if (!isEjected(entry, _now) && (health.ejections > 0 || shouldEject(health, _sign)))
+	if (_table.policies.ejection && !isEjected(entry, _now) &&
+		(health.ejections > 0 || shouldEject(health, _sign)))
 	{
 		eject(health, _now);
 		return HealthChange::Ejected;
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -103,7 +103,7 @@
 	{
 		return true;
 	}
-	const TimeUs connectedAt = _serving.exchange.connectedAt();
+	const TimeUs connectedAt = router.settings.policies.stopReturn ? _serving.exchange.connectedAt() : 0;
 	refuse(_serving, status::kUnavailable, "stopping", "this router stops before the request could end",
 		   retryAfterStopMs(router.stop, connectedAt, now, nextUnit(router.random)));
 	return false;
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -85,6 +85,7 @@
 		_router.settings = settings;
 		_router.trials.exposureShare = settings.exposureShare;
 		_router.upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
+		_router.upstreams.policies = settings.policies;
 		_router.store.http.endpoint = store;
 		_router.store.watchHttp.endpoint = store;
 		logEvent("settings_reloaded", {{"file", _router.settingsFile}});
@@ -143,6 +144,7 @@
 	pool.io = &io;
 	trials.exposureShare = _settings.exposureShare;
 	upstreams.leaveBound = TimeUs(_settings.leaveMs) * kMsToUs;
+	upstreams.policies = _settings.policies;
 	startedAt = monotonicNow();
 	random.state = stableHash(_settings.box) ^ uint64_t(wallNow());
 	setLogProcess(_settings.box);
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -24,7 +24,7 @@
 	{
 		headers.lastEventId = _serving.events.lastId;
 	}
-	if (_serving.plan.stream)
+	if (_serving.plan.stream && _serving.plan.policies.urgency)
 	{
 		const uint32_t account = _serving.account != nullptr ? _serving.account->priority : 0;
 		const uint32_t route = std::min(_serving.route->priority, kAccountUrgency - 1);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -44,6 +44,7 @@
 		return;
 	}
 	serving.plan = planRequest(*serving.route, serving.call.deadlineMs, serving.plan.arrivedAt);
+	serving.plan.policies = _router.settings.policies;
 	serving.events.lastId = serving.call.lastEventId;
 	serving.service = pickService(*serving.route, stableHash(serving.call.requestId));
 	if (!admitByStop(serving))
