--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -154,8 +154,7 @@
 /// with why.
 bool isDropped(Serving& _serving, double _confidence)
 {
-	const bool last = isLastModel(_serving.plan);
-	if (_confidence >= (last ? 0.0 : kConfidence)) // No limit is above: the next model need not be looked at.
+	if (isLastModel(_serving.plan) || _confidence >= kConfidence) // No limit is above.
 	{
 		return false;
 	}
@@ -166,10 +165,7 @@
 	{
 		return true;
 	}
-	if (!last && _confidence < kConfidence)
-	{
-		logDoubtKept(_serving, _confidence, used, next, now);
-	}
+	logDoubtKept(_serving, _confidence, used, next, now);
 	return false;
 }
 } // namespace
--- a/tests/direct/codec_test.cpp
+++ b/tests/direct/codec_test.cpp
@@ -111,6 +111,18 @@
 	EXPECT_EQ(call.lastEventId, 12);
 }
 
+TEST(Codec, AConfidenceThatIsNoneSaysNothing)
+{
+	platform::Fields fields;
+	fields.set("Confidence", "37.5");
+	EXPECT_EQ(platform::readAnswerHeaders(fields, 200).confidence, 37.5);
+	for (const char* text : {"-1", "100.5", "nan", "inf", "1e300", "sure", ""})
+	{
+		fields.set("Confidence", text);
+		EXPECT_EQ(platform::readAnswerHeaders(fields, 200).confidence, std::nullopt) << text;
+	}
+}
+
 TEST(Codec, ARolloutStatusSurvivesTheWay)
 {
 	for (const RolloutState state :
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -442,6 +442,18 @@
 	ASSERT_EQ(all().size(), 2u);
 }
 
+TEST_F(StreamTest, AnAbsurdConfidenceOfTheLargestModelDropsNothing)
+{
+	bothAnswer([](Upstream& _upstream, Exchange& _exchange) {
+		const bool small = _exchange.request()["Model"] == "small";
+		answerEvents(_upstream, _exchange, 1, 1, false, small ? 0.0 : -50.0);
+	});
+	const DirectAnswer answer = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(idsOf(answer.body), (std::vector<int>{0, 1}));
+	EXPECT_EQ(all().size(), 2u);
+}
+
 TEST_F(StreamTest, ASureAnswerOfTheSmallestModelIsTaken)
 {
 	bothAnswer([](Upstream& _upstream, Exchange& _exchange) {
