--- a/include/spanplank/policies.h
+++ b/include/spanplank/policies.h
@@ -13,10 +13,9 @@
 {
 struct Policies
 {
-	bool escalation = true;    ///< A doubted answer is dropped and the largest model asked.
-	bool pressureLimit = true; ///< The doubt limit falls while first heads take long.
-	bool longPatience =
-		true; ///< A head that is expected late is waited for up to 2.0 of the objective; off: 0.75.
+	bool escalation = true;     ///< A doubted answer is dropped and the largest model asked.
+	bool pressureLimit = true;  ///< The doubt limit falls while first heads take long.
+	bool longPatience = true;   ///< A head that is expected late is waited for beyond the objective.
 	bool coldPatience = true;   ///< Patience counts that an upstream may keep nothing of the prompt.
 	bool homeOrder = true;      ///< Parts that nobody knows of are presumed at the first of the hash order.
 	bool homeSharing = true;    ///< Routers tell each other where parts were read.
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -146,6 +146,7 @@
 	peers.parent.clear();
 	peers.pongAt = 0;
 	peers.loads.parent = {};
+	peers.homes.parent = {}; // What waited for it would be news no more to the next one.
 }
 
 void follow(DirectRouter& _router, const std::string& _box, TimeUs _now)
