--- a/tests/core/home_share_test.cpp
+++ b/tests/core/home_share_test.cpp
@@ -87,7 +87,7 @@
 {
 	Router router;
 	homesForChild(router.share, 1);
-	for (uint64_t part = 0; part < 3 * kMostUntold; ++part)
+	for (uint64_t part = 0; part < 3 * uint64_t(kMostUntold); ++part)
 	{
 		takeHomes(router.share, router.table, kParentOfTree, {{"u-one", {part}}, {"u-gone", {part}}}, kNow);
 	}
