--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -329,7 +329,7 @@
 	EXPECT_TRUE(eventually([&] {
 		return system.log().find("event=request_answered") != std::string::npos &&
 			   system.log().find("config_age_ms=") != std::string::npos;
-	}));
+	})) << system.log();
 	system.store.fault = StandInStore::Fault::None;
 	system.key = "no such key";
 	EXPECT_TRUE(eventually([&] { return system.call("GET", "/plain/").status == 401; }));
