--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -69,8 +69,10 @@
 	}
 
 	void respond(const HttpResponse& _response);
-	/// Passes on an answer whose fields are another server's.
-	void passOn(int _status, const Fields& _fields, std::string_view _body);
+	/// Passes on an answer whose fields are another server's. @returns Whether it was written whole. A caller
+	/// that closes its side once it has the answer may be noticed before the write's own end: the write alone
+	/// tells, so that an answer that was delivered is not logged as one whose caller left.
+	bool passOn(int _status, const Fields& _fields, std::string_view _body);
 	/// Starts a stream whose fields are another server's. @returns false once the caller is gone.
 	bool passOnHead(int _status, const Fields& _fields);
 	/// Calls back at most once if the caller closes its side before the exchange ends.
@@ -78,6 +80,7 @@
 	/// @returns false once the caller is gone.
 	bool startStream(int _status, const std::vector<HttpHeader>& _headers, std::string_view _contentType);
 	bool write(std::string_view _part);
+	/// Ends a stream. @returns Whether its end was written, judged as in `passOn`.
 	bool finish();
 	/// Ends the connection without an end mark: the caller sees a cut, never a short whole answer.
 	void abort();
@@ -128,7 +131,8 @@
 {
 	std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
 	size_t connections = 0;
-	bool draining = false; ///< Answers carry `Connection: close` once set.
+	bool accepting = false; ///< Until it is false again after `stopListening`, the server must stay.
+	bool draining = false;  ///< Answers carry `Connection: close` once set.
 	HttpServerLimits limits;
 	HttpHandler handler;
 };
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -182,6 +182,7 @@
 			--_server.connections;
 		});
 	}
+	_server.accepting = false;
 }
 } // namespace
 
@@ -232,7 +233,7 @@
 								 });
 }
 
-void HttpExchange::passOn(int _status, const Fields& _fields, std::string_view _body)
+bool HttpExchange::passOn(int _status, const Fields& _fields, std::string_view _body)
 {
 	m_answered = true;
 	http::response<http::span_body<const char>> message;
@@ -245,6 +246,7 @@
 	m_stream.expires_after(kWriteLimit);
 	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
 	m_broken = m_broken || written.error;
+	return !written.error;
 }
 
 bool HttpExchange::passOnHead(int _status, const Fields& _fields)
@@ -316,7 +318,7 @@
 	const IoResult written =
 		awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
 	m_broken = m_broken || written.error;
-	return !m_broken;
+	return !written.error;
 }
 
 void HttpExchange::abort()
@@ -342,6 +344,7 @@
 	_server.acceptor->set_option(tcp::acceptor::reuse_address(true));
 	_server.acceptor->bind(address);
 	_server.acceptor->listen();
+	_server.accepting = true;
 	spawnFiber([&_io, &_server] { acceptLoop(_io, _server); });
 	return _server.acceptor->local_endpoint().port();
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -133,8 +133,8 @@
 		return AttemptEnd::Broken;
 	}
 	_serving.firstByteAt = monotonicNow();
-	_serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
-	return _serving.exchange.broken() ? AttemptEnd::CallerLeft : AttemptEnd::Whole;
+	const bool delivered = _serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
+	return delivered ? AttemptEnd::Whole : AttemptEnd::CallerLeft;
 }
 
 void logDoubtKept(const Serving& _serving, double _confidence, double _budgetUsed, const NextModel& _next,
