A stream that a version on trial has failed goes on at the settled version

Change: chooseVersion takes TrialUse::SettledOnly for a request that a version on trial has answered with a failure, and for the last attempt of a stream that its caller has a part of. Crashes and cuts do not count: sessions stay.

--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -97,9 +97,19 @@
 	std::string never;
 };
 
+/// What the attempts so far make of a further one.
+enum class TrialUse : uint8_t
+{
+	Open,        ///< The version on trial is as good as the other.
+	SettledOnly, ///< Not on an unproved version: it has failed this request, or this is the last attempt.
+};
+
 /// Chooses for a request. @param[in] _sessionHash The same for all requests of a session.
 VersionChoice chooseVersion(const TrialBook& _book, const std::string& _service, uint64_t _sessionHash,
-							TimeUs _now);
+							TimeUs _now, TrialUse _use = TrialUse::Open);
+
+/// @returns Whether a version is on trial: ordered, and neither completed nor rolled back.
+bool isOnTrial(const TrialBook& _book, const std::string& _service, const std::string& _version);
 
 /// @returns The version that was rolled back, which gets no more requests; empty: none.
 std::string haltedVersion(const TrialBook& _book, const std::string& _service);
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -197,7 +197,7 @@
 }
 
 VersionChoice chooseVersion(const TrialBook& _book, const std::string& _service, uint64_t _sessionHash,
-							TimeUs _now)
+							TimeUs _now, TrialUse _use)
 {
 	const auto found = _book.trials.find(_service);
 	if (found == _book.trials.end())
@@ -214,11 +214,22 @@
 	case RolloutState::Running:
 		break;
 	}
+	if (_use == TrialUse::SettledOnly)
+	{
+		return {"", trial.order.version};
+	}
 	const bool offered = double(stableHash(trial.order.version, _sessionHash)) <
 						 shareAt(trial, _book.exposureShare, _now) * kHashRange;
 	return offered ? VersionChoice{trial.order.version, ""} : VersionChoice{"", trial.order.version};
 }
 
+bool isOnTrial(const TrialBook& _book, const std::string& _service, const std::string& _version)
+{
+	const auto found = _book.trials.find(_service);
+	return found != _book.trials.end() && found->second.state == RolloutState::Running &&
+		   found->second.order.version == _version;
+}
+
 std::string haltedVersion(const TrialBook& _book, const std::string& _service)
 {
 	const auto found = _book.trials.find(_service);
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -41,10 +41,23 @@
 	return query;
 }
 
+namespace
+{
+/// A bad version fails half of its requests: a stream that it has failed, or that has one attempt left, would
+/// be cut by a second failure there with all its attempts used up.
+TrialUse trialUse(const Serving& _serving)
+{
+	const RequestPlan& plan = _serving.plan;
+	const bool lastOfStream = plan.started && plan.runs + 1 >= plan.maxAttempts;
+	return _serving.failedOnTrial || lastOfStream ? TrialUse::SettledOnly : TrialUse::Open;
+}
+} // namespace
+
 UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now)
 {
 	DirectRouter& router = _serving.router;
-	const VersionChoice version = chooseVersion(router.trials, _serving.service, sessionHash(_serving), _now);
+	const VersionChoice version =
+		chooseVersion(router.trials, _serving.service, sessionHash(_serving), _now, trialUse(_serving));
 	_query.version = version.only;
 	_query.notVersion = version.never;
 	const UpstreamId picked = pickDirectUpstream(router.upstreams, _query, _now, router.random);
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -49,6 +49,8 @@
 		break;
 	case AttemptEnd::Failed:
 		sign = TrialSign::Bad;
+		_serving.failedOnTrial =
+			_serving.failedOnTrial || isOnTrial(router.trials, _serving.service, upstream.version);
 		break;
 	case AttemptEnd::Silent:
 	case AttemptEnd::TimeUp:
--- a/tests/core/version_trial_test.cpp
+++ b/tests/core/version_trial_test.cpp
@@ -239,5 +239,19 @@
 	EXPECT_FALSE(takeStatus(book, kService, {"v2", RolloutState::RolledBack}, 15));
 	EXPECT_EQ(book.trials.at(kService).state, RolloutState::Running);
 }
+
+TEST(VersionTrial, ARequestThatMayNotFailAgainStaysOffTheVersionOnTrialUntilItIsSettled)
+{
+	TrialBook book;
+	takeOrder(book, {kService, "v2", uint32_t(kDuration / kMsToUs)}, 1, 0);
+	const TimeUs late = kDuration * 85 / 100; // Everything is offered to the new version.
+	ASSERT_EQ(chooseVersion(book, kService, 1, late).only, "v2");
+	EXPECT_TRUE(isOnTrial(book, kService, "v2"));
+	EXPECT_FALSE(isOnTrial(book, kService, "v1"));
+	EXPECT_EQ(chooseVersion(book, kService, 1, late, TrialUse::SettledOnly).never, "v2");
+	takeStatus(book, kService, {"v2", RolloutState::Completed}, 2);
+	EXPECT_FALSE(isOnTrial(book, kService, "v2"));
+	EXPECT_EQ(chooseVersion(book, kService, 1, late, TrialUse::SettledOnly).only, "v2");
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -474,5 +474,43 @@
 	const DirectAnswer answer = system.call("POST", "/chat/x", "prompt", headers);
 	EXPECT_EQ(idsOf(answer.body), (std::vector<int>{7, 8, 9}));
 }
+
+TEST(RolloutTest, AStreamThatTheVersionOnTrialHasFailedGoesToTheSettledOne)
+{
+	DirectSystem system;
+	Upstream& settled = system.addUpstream("e-settled", "engines");
+	settled.answer = [](Upstream& _upstream, Exchange& _exchange) {
+		answerEvents(_upstream, _exchange, 2, 1, false);
+	};
+	std::vector<Upstream*> onTrial;
+	for (const char* id : {"e-new-one", "e-new-two", "e-new-three"})
+	{
+		Upstream& upstream = system.addUpstream(id, "engines");
+		upstream.version = "v2";
+		upstream.answer = [](Upstream& _upstream, Exchange& _exchange) {
+			_exchange.respond({500,
+							   {{"Request-Id", std::string(_exchange.request()["Request-Id"])},
+								{"Server-Stamp", "stamp-" + _upstream.id}},
+							   "failed"});
+		};
+		system.registerUpstream(upstream);
+		onTrial.push_back(&upstream);
+	}
+	const nlohmann::json order = {{"service", "engines"}, {"target_version", "v2"}, {"duration_s", 20}};
+	setItem(system.store, "op/rollout/engines", order.dump());
+	setItem(system.store, "spanplank/rollout/engines",
+			"17000000"); // Microseconds: all go to the new version.
+	system.startReady(4);
+	const DirectAnswer answer = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_FALSE(answer.cut);
+	size_t failed = 0;
+	for (const Upstream* upstream : onTrial)
+	{
+		failed += upstream->requests.size();
+	}
+	EXPECT_EQ(failed, 1u);
+	EXPECT_EQ(settled.requests.size(), 1u);
+}
 } // namespace
 } // namespace spanplank
