--- a/include/spanplank/home_share.h
+++ b/include/spanplank/home_share.h
@@ -3,9 +3,9 @@
 #ifndef SPANPLANK_HOME_SHARE_H_HEADER_GUARD
 #define SPANPLANK_HOME_SHARE_H_HEADER_GUARD
 
+#include <absl/types/span.h>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 #include "spanplank/types.h"
@@ -13,16 +13,9 @@
 
 namespace spanplank
 {
-/// Hashes of prompt parts that were sent to be read, by the upstream's id.
-using HomeMap = std::map<std::string, std::vector<uint64_t>>;
-
-/// What is still to be told to a neighbour. A neighbour that takes nothing for long misses some: they are
-/// hints.
-struct HomeOutbox
-{
-	HomeMap homes;
-	uint32_t parts = 0; ///< In `homes`, at most `kMostUntold`.
-};
+/// What is still to be told to a neighbour, at most `kMostUntold`. A neighbour that takes nothing for long
+/// misses some: they are hints.
+using HomeOutbox = std::vector<NewHome>;
 
 struct HomeShare
 {
@@ -30,8 +23,8 @@
 	HomeOutbox parent;
 };
 
-/// Most parts that wait to be told to one neighbour; some 10 bytes each on the wire.
-constexpr uint32_t kMostUntold = 1000;
+/// Most parts that wait to be told to one neighbour; some 14 bytes each on the wire.
+constexpr size_t kMostUntold = 1000;
 
 /// Key of the parent beside the links of children.
 constexpr uint32_t kParentOfTree = kInvalidIdx;
@@ -40,13 +33,14 @@
 void collectOwnHomes(HomeShare& _share, UpstreamTable& _table);
 
 /// Takes what a neighbour told. @param[in] _from Link of the child, or `kParentOfTree`.
-void takeHomes(HomeShare& _share, UpstreamTable& _table, uint32_t _from, const HomeMap& _homes, TimeUs _now);
+void takeHomes(HomeShare& _share, UpstreamTable& _table, uint32_t _from, absl::Span<const NewHome> _homes,
+			   TimeUs _now);
 
 /// @returns What to tell the parent, which is then told.
-HomeMap homesForParent(HomeShare& _share);
+std::vector<NewHome> homesForParent(HomeShare& _share);
 
 /// @returns What to tell a child, which is then told. A child is known from its first call on.
-HomeMap homesForChild(HomeShare& _share, uint32_t _child);
+std::vector<NewHome> homesForChild(HomeShare& _share, uint32_t _child);
 } // namespace spanplank
 
 #endif // SPANPLANK_HOME_SHARE_H_HEADER_GUARD
--- a/include/spanplank/link_messages.h
+++ b/include/spanplank/link_messages.h
@@ -33,6 +33,8 @@
 	PeerPing,
 	PeerPong,
 	StoreChanges,
+	StoreAsk,
+	StoreSnapshot,
 	Count
 };
 
--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -7,8 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "spanplank/change_log.h"
 #include "spanplank/home_share.h"
 #include "spanplank/load_share.h"
+#include "spanplank/peer_follow.h"
 #include "spanplank/store_item.h"
 #include "spanplank/types.h"
 
@@ -17,74 +19,127 @@
 /// A router to the one that it follows.
 struct PeerPing
 {
-	uint64_t seq = 0; ///< Rises with each ping of a link.
-	LoadMap loads;    ///< Of its subtree.
-	HomeMap homes;    ///< Learned since the last ping, but from the receiver.
+	uint64_t seq = 0;              ///< Rises with each ping of a link.
+	std::vector<LoadChange> loads; ///< Of its subtree, changed since the last ping over this link.
+	std::vector<NewHome> homes;    ///< Learned since the last ping, but from the receiver.
 };
 
 /// The answer to a ping.
 struct PeerPong
 {
-	uint64_t seq = 0;      ///< Of the ping.
-	uint64_t revision = 0; ///< Of the store, up to which the sender knows everything.
-	TimeUs proofAge = 0;   ///< Since the moment for which the store proved that, when this was sent.
-	LoadMap loads;         ///< Of all routers outside the receiver's subtree.
-	HomeMap homes;         ///< Learned since the last answer, but from the receiver.
+	uint64_t seq = 0;              ///< Of the ping.
+	uint64_t revision = 0;         ///< Of the store, up to which the sender knows everything.
+	TimeUs proofAge = 0;           ///< Since the moment for which the store proved that, when this was sent.
+	std::vector<LoadChange> loads; ///< Of all routers outside the receiver's subtree, changed since the last.
+	std::vector<NewHome> homes;    ///< Learned since the last answer, but from the receiver.
+	bool stopping = false;         ///< The sender ends soon: another one is to be followed.
+	std::vector<PeerKey> chain;    ///< The sender, whom it follows, and so on; a ring shows in it.
 };
 
-/// Changes of the store, passed on as they were read.
-struct StoreChanges
+/// A follower that missed changes of the store asks the router that it follows for them.
+struct StoreAsk
 {
-	uint64_t from = 0; ///< Whoever knows everything up to this revision ...
-	uint64_t to = 0;   ///< ... knows everything up to this one afterwards.
+	uint64_t known = 0; ///< The revision up to which it knows everything.
+};
+
+/// The whole store, passed on by a router that had to list it anew.
+struct StoreSnapshot
+{
+	uint64_t revision = 0;
 	std::vector<StoreItem> items;
 };
 
-inline void to_json(nlohmann::json& _json, const SharedLoad& _load)
+/// Lists travel flat, as numbers alone: their elements are many and small.
+constexpr size_t kNumbersOfLoad = 3;
+constexpr size_t kNumbersOfHome = 2;
+
+inline nlohmann::json encodeLoads(const std::vector<LoadChange>& _loads)
 {
-	_json = {uint32_t(_load.prefillMs), _load.inFlight};
+	nlohmann::json::array_t numbers;
+	numbers.reserve(_loads.size() * kNumbersOfLoad);
+	for (const LoadChange& change : _loads)
+	{
+		numbers.emplace_back(change.upstream);
+		numbers.emplace_back(change.load.prefillMs);
+		numbers.emplace_back(change.load.inFlight);
+	}
+	return numbers;
 }
 
-inline void from_json(const nlohmann::json& _json, SharedLoad& _load)
+inline nlohmann::json encodeHomes(const std::vector<NewHome>& _homes)
 {
-	_load.prefillMs = _json.at(0).get<uint32_t>();
-	_json.at(1).get_to(_load.inFlight);
+	nlohmann::json::array_t numbers;
+	numbers.reserve(_homes.size() * kNumbersOfHome);
+	for (const NewHome& home : _homes)
+	{
+		numbers.emplace_back(home.upstream);
+		numbers.emplace_back(home.part);
+	}
+	return numbers;
 }
 
-/// A router of an earlier version tells no homes.
-inline void readHomes(const nlohmann::json& _json, size_t _at, HomeMap& _homes)
+/// A router of an earlier version tells no loads, or in a form of its own: then there are none.
+inline void decodeLoads(const nlohmann::json& _json, size_t _at, std::vector<LoadChange>& _loads)
 {
-	if (_json.size() > _at)
+	if (_json.size() <= _at || !_json.at(_at).is_array())
 	{
-		_json.at(_at).get_to(_homes);
+		return;
+	}
+	const nlohmann::json& numbers = _json.at(_at);
+	for (size_t ii = 0; ii + kNumbersOfLoad <= numbers.size(); ii += kNumbersOfLoad)
+	{
+		const LoadCount load{numbers.at(ii + 1).get<int32_t>(), numbers.at(ii + 2).get<int32_t>()};
+		_loads.push_back({numbers.at(ii).get<UpstreamKey>(), load});
+	}
+}
+
+/// As `decodeLoads`.
+inline void decodeHomes(const nlohmann::json& _json, size_t _at, std::vector<NewHome>& _homes)
+{
+	if (_json.size() <= _at || !_json.at(_at).is_array())
+	{
+		return;
+	}
+	const nlohmann::json& numbers = _json.at(_at);
+	for (size_t ii = 0; ii + kNumbersOfHome <= numbers.size(); ii += kNumbersOfHome)
+	{
+		_homes.push_back({numbers.at(ii + 1).get<uint64_t>(), numbers.at(ii).get<UpstreamKey>()});
 	}
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPing& _ping)
 {
-	_json = {_ping.seq, nlohmann::json(_ping.loads), nlohmann::json(_ping.homes)};
+	_json = {_ping.seq, encodeLoads(_ping.loads), encodeHomes(_ping.homes)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
 {
 	_json.at(0).get_to(_ping.seq);
-	_json.at(1).get_to(_ping.loads);
-	readHomes(_json, 2, _ping.homes);
+	decodeLoads(_json, 1, _ping.loads);
+	decodeHomes(_json, 2, _ping.homes);
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
 {
-	_json = {_pong.seq, _pong.revision, _pong.proofAge, nlohmann::json(_pong.loads),
-			 nlohmann::json(_pong.homes)};
+	_json = {
+		_pong.seq,      _pong.revision, _pong.proofAge, encodeLoads(_pong.loads), encodeHomes(_pong.homes),
+		_pong.stopping, _pong.chain};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPong& _pong)
 {
+	constexpr size_t kStoppingAt = 5;
+	constexpr size_t kChainAt = 6;
 	_json.at(0).get_to(_pong.seq);
 	_json.at(1).get_to(_pong.revision);
 	_json.at(2).get_to(_pong.proofAge);
-	_json.at(3).get_to(_pong.loads);
-	readHomes(_json, 4, _pong.homes);
+	decodeLoads(_json, 3, _pong.loads);
+	decodeHomes(_json, 4, _pong.homes);
+	_pong.stopping = _json.size() > kStoppingAt && _json.at(kStoppingAt).get<bool>();
+	if (_json.size() > kChainAt)
+	{
+		_json.at(kChainAt).get_to(_pong.chain);
+	}
 }
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
@@ -100,6 +155,27 @@
 	_json.at(3).get_to(_item.deleted);
 }
 
+inline void to_json(nlohmann::json& _json, const StoreAsk& _ask)
+{
+	_json = nlohmann::json::array({_ask.known});
+}
+
+inline void from_json(const nlohmann::json& _json, StoreAsk& _ask)
+{
+	_json.at(0).get_to(_ask.known);
+}
+
+inline void to_json(nlohmann::json& _json, const StoreSnapshot& _snapshot)
+{
+	_json = nlohmann::json::array({_snapshot.revision, nlohmann::json(_snapshot.items)});
+}
+
+inline void from_json(const nlohmann::json& _json, StoreSnapshot& _snapshot)
+{
+	_json.at(0).get_to(_snapshot.revision);
+	_json.at(1).get_to(_snapshot.items);
+}
+
 inline void to_json(nlohmann::json& _json, const StoreChanges& _changes)
 {
 	_json = {_changes.from, _changes.to, nlohmann::json(_changes.items)};
--- a/include/spanplank/peer_tree.h
+++ b/include/spanplank/peer_tree.h
@@ -1,8 +1,12 @@
 /// Routers that share what they learn: which one a router follows, so that few of them watch the store.
 ///
-/// Each router ranks all routers by a hash, the same everywhere. The first of a hall follows the first of
-/// all, the others follow the first of their hall; the first of all follows nobody and watches the store. A
-/// router that can't follow watches the store itself, so a wrong view costs calls, never correctness.
+/// Each router ranks all routers, the same everywhere: the larger boxes first, a hash of the name between
+/// equal ones. Within a hall the first takes as followers as many of the next ones as its box bears, the
+/// second those after them, and so on; the firsts of the halls follow each other in the same way; the first
+/// of all follows nobody and watches the store. A router follows only routers that rank before it, whatever
+/// it believes of the others, so that no two follow each other; but for those that are cut off the store,
+/// which rank themselves last. A router that can't follow watches the store itself: a wrong view costs calls,
+/// never correctness. When one leaves its parent is in `peer_follow.h`.
 #ifndef SPANPLANK_PEER_TREE_H_HEADER_GUARD
 #define SPANPLANK_PEER_TREE_H_HEADER_GUARD
 
@@ -16,12 +20,20 @@
 
 namespace spanplank
 {
+/// What a box gives its router.
+struct BoxCapacity
+{
+	double cores = 0.0;    ///< Processor time, as a share of a core; 0: unknown, the smallest.
+	double linkMbps = 0.0; ///< Rate of its network link; 0: unknown, the smallest.
+};
+
 /// What a router registers of itself for the others.
 struct PeerRecord
 {
 	std::string box; ///< Stable over restarts.
 	std::string hall;
 	std::string address; ///< ip:port where it listens for links.
+	BoxCapacity capacity;
 };
 
 struct PeerEntry
@@ -35,6 +47,7 @@
 {
 	PeerRecord self;
 	std::map<std::string, PeerEntry> peers; ///< By box, without this router.
+	bool selfLast = false; ///< This router ranks itself last: it looks for anyone that reaches the store.
 };
 
 /// A router registered, or changed its record. A record of this router itself is left out.
@@ -46,6 +59,9 @@
 /// Drops all routers but the listed ones, by box.
 void keepPeers(PeerTree& _tree, const std::set<std::string>& _boxes);
 
+/// @returns The most routers that may follow one on such a box.
+uint32_t mostFollowers(const BoxCapacity& _capacity);
+
 /// @returns The box to follow; empty: none, this router watches the store.
 std::string chooseParent(const PeerTree& _tree, TimeUs _now);
 
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -15,6 +15,10 @@
 
 namespace spanplank
 {
+/// Short name of an upstream between routers: a hash of its id. Two upstreams with the same key only spoil
+/// each other's hints.
+using UpstreamKey = uint32_t;
+
 /// What an upstream registers of itself.
 struct UpstreamRecord
 {
@@ -49,6 +53,7 @@
 struct UpstreamEntry
 {
 	UpstreamRecord record;
+	UpstreamKey key = 0;
 	bool registered = false;
 	TimeUs goneAt = 0;      ///< When its registration went; 0: it has one.
 	bool mayReturn = false; ///< Its registration went during an outage of the store.
@@ -65,11 +70,16 @@
 	TimeUs at = 0;
 };
 
-/// A part of a prompt that this router has sent to be read, for the other routers.
+/// A part of a prompt that a router has sent to be read, for the other routers.
 struct NewHome
 {
 	uint64_t part = 0;
-	uint32_t upstream = kInvalidIdx;
+	UpstreamKey upstream = 0;
+
+	bool operator==(const NewHome& _other) const
+	{
+		return part == _other.part && upstream == _other.upstream;
+	}
 };
 
 /// Most new homes that wait to be told.
@@ -87,6 +97,7 @@
 	Policies policies;
 	std::map<uint32_t, UpstreamEntry> entries;
 	std::unordered_map<std::string, uint32_t> idxOfId;
+	std::unordered_map<UpstreamKey, uint32_t> idxOfKey;
 	std::map<std::string, double> latencyOf;   ///< Decayed latency in microseconds, by service and model.
 	std::map<std::string, ReadingPace> paceOf; ///< By service and model.
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
@@ -98,6 +109,9 @@
 	TimeUs leaveBound = 2000 * kMsToUs;
 };
 
+/// @returns The key of an upstream's id.
+UpstreamKey keyOf(std::string_view _id);
+
 /// An upstream registered or changed its record. @returns Its id.
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record);
 
@@ -161,7 +175,8 @@
 double noteSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
 
 /// Another router has sent a part of a prompt to an upstream.
-void notePeerHome(UpstreamTable& _table, uint64_t _part, const std::string& _upstream, TimeUs _now);
+/// @returns Whether that is news: an upstream that this router knows, and not told a moment ago.
+bool notePeerHome(UpstreamTable& _table, const NewHome& _home, TimeUs _now);
 
 /// The first token came. @param[in] _latency Since the attempt began.
 void noteHead(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, double _prefillMs,
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/peer_tree.h"
 #include "spanplank/policies.h"
 
 namespace spanplank
@@ -63,6 +64,8 @@
 	uint32_t watchPauseMs = 800;
 	/// Longest wait of one watch. Twice this and the pause: how old a proof of the configuration gets.
 	uint32_t configWaitMs = 200;
+	/// What the box gives this router: how many others may follow it.
+	BoxCapacity capacity = {1.0, 1000.0};
 	Policies policies;
 };
 
--- a/src/core/home_share.cpp
+++ b/src/core/home_share.cpp
@@ -7,37 +7,29 @@
 {
 namespace
 {
-void add(HomeOutbox& _outbox, const std::string& _upstream, uint64_t _part)
+void add(HomeOutbox& _outbox, const NewHome& _home)
 {
-	if (_outbox.parts >= kMostUntold)
+	if (_outbox.size() < kMostUntold)
 	{
-		return;
+		_outbox.push_back(_home);
 	}
-	_outbox.homes[_upstream].push_back(_part);
-	++_outbox.parts;
 }
 
 /// @param[in] _but This neighbour knows already.
-void tellNeighbours(HomeShare& _share, uint32_t _but, const std::string& _upstream, uint64_t _part)
+void tellNeighbours(HomeShare& _share, uint32_t _but, const NewHome& _home)
 {
 	if (_but != kParentOfTree)
 	{
-		add(_share.parent, _upstream, _part);
+		add(_share.parent, _home);
 	}
 	for (auto& [link, outbox] : _share.children)
 	{
 		if (link != _but)
 		{
-			add(outbox, _upstream, _part);
+			add(outbox, _home);
 		}
 	}
 }
-
-HomeMap drain(HomeOutbox& _outbox)
-{
-	_outbox.parts = 0;
-	return std::exchange(_outbox.homes, {});
-}
 } // namespace
 
 void collectOwnHomes(HomeShare& _share, UpstreamTable& _table)
@@ -45,34 +37,30 @@
 	constexpr uint32_t kNobody = kParentOfTree - 1; // Neither the parent nor a link.
 	for (const NewHome& home : _table.newHomes)
 	{
-		const auto found = _table.entries.find(home.upstream);
-		if (found != _table.entries.end())
-		{
-			tellNeighbours(_share, kNobody, found->second.record.id, home.part);
-		}
+		tellNeighbours(_share, kNobody, home);
 	}
 	_table.newHomes.clear();
 }
 
-void takeHomes(HomeShare& _share, UpstreamTable& _table, uint32_t _from, const HomeMap& _homes, TimeUs _now)
+void takeHomes(HomeShare& _share, UpstreamTable& _table, uint32_t _from, absl::Span<const NewHome> _homes,
+			   TimeUs _now)
 {
-	for (const auto& [upstream, parts] : _homes)
+	for (const NewHome& home : _homes)
 	{
-		for (const uint64_t part : parts)
+		if (notePeerHome(_table, home, _now)) // Otherwise it would go round in a ring of routers for ever.
 		{
-			notePeerHome(_table, part, upstream, _now);
-			tellNeighbours(_share, _from, upstream, part);
+			tellNeighbours(_share, _from, home);
 		}
 	}
 }
 
-HomeMap homesForParent(HomeShare& _share)
+std::vector<NewHome> homesForParent(HomeShare& _share)
 {
-	return drain(_share.parent);
+	return std::exchange(_share.parent, {});
 }
 
-HomeMap homesForChild(HomeShare& _share, uint32_t _child)
+std::vector<NewHome> homesForChild(HomeShare& _share, uint32_t _child)
 {
-	return drain(_share.children[_child]);
+	return std::exchange(_share.children[_child], {});
 }
 } // namespace spanplank
--- a/src/core/load_share.cpp
+++ b/src/core/load_share.cpp
@@ -1,82 +1,194 @@
-/// Sums of loads along the tree of routers.
+/// Sums of loads along the tree of routers, kept up by their changes.
 #include "spanplank/load_share.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace spanplank
 {
 namespace
 {
-void add(LoadMap& _sum, const LoadMap& _loads)
+/// Sums with fewer upstreams are not searched for those that are gone.
+constexpr size_t kLeastForgotten = 64;
+
+void add(LoadCount& _sum, const LoadCount& _load, int32_t _sign)
+{
+	_sum.prefillMs += _sign * _load.prefillMs;
+	_sum.inFlight += _sign * _load.inFlight;
+}
+
+LoadCount valueOf(const LoadTable& _table, UpstreamKey _upstream)
+{
+	const auto found = _table.find(_upstream);
+	return found == _table.end() ? LoadCount{} : found->second;
+}
+
+/// Keeps no upstream without a load, so that tables stay as small as the work is.
+void setValue(LoadTable& _table, UpstreamKey _upstream, const LoadCount& _load)
+{
+	if (_load == LoadCount{})
+	{
+		_table.erase(_upstream);
+		return;
+	}
+	_table[_upstream] = _load;
+}
+
+void count(LoadShare& _share, NeighbourLoad& _neighbour, bool _counted)
+{
+	if (_neighbour.counted == _counted)
+	{
+		return;
+	}
+	_neighbour.counted = _counted;
+	for (const auto& [upstream, load] : _neighbour.loads)
+	{
+		add(_share.sum[upstream], load, _counted ? 1 : -1);
+	}
+}
+
+void setLoad(LoadShare& _share, NeighbourLoad& _neighbour, UpstreamKey _upstream, const LoadCount& _load)
 {
-	for (const auto& [upstream, load] : _loads)
+	const LoadCount before = valueOf(_neighbour.loads, _upstream);
+	if (before == _load)
 	{
-		SharedLoad& sum = _sum[upstream];
-		sum.prefillMs += load.prefillMs;
-		sum.inFlight += load.inFlight;
+		return;
 	}
+	LoadCount& sum = _share.sum[_upstream];
+	add(sum, before, -1);
+	add(sum, _load, 1);
+	setValue(_neighbour.loads, _upstream, _load);
 }
 
-void addFresh(LoadMap& _sum, const NeighbourLoad& _neighbour, TimeUs _now)
+bool isFresh(const NeighbourLoad& _neighbour, TimeUs _now)
 {
-	if (_neighbour.toldAt != 0 && _now - _neighbour.toldAt < kLoadLifetime)
+	return _neighbour.toldAt != 0 && _now - _neighbour.toldAt < kLoadLifetime;
+}
+
+void leaveOut(LoadCount& _sum, const NeighbourLoad& _neighbour, UpstreamKey _upstream)
+{
+	if (_neighbour.counted)
 	{
-		add(_sum, _neighbour.loads);
+		add(_sum, valueOf(_neighbour.loads, _upstream), -1);
 	}
 }
 
-/// @param[in] _but Not this child's; `kInvalidIdx`: all of them.
-void addChildren(LoadMap& _sum, const LoadShare& _share, uint32_t _but, TimeUs _now)
+/// The sum but for what the neighbour has itself.
+LoadCount othersLoad(const LoadShare& _share, const NeighbourLoad& _neighbour, UpstreamKey _upstream)
+{
+	LoadCount others = valueOf(_share.sum, _upstream);
+	leaveOut(others, _neighbour, _upstream);
+	return others;
+}
+
+/// What a neighbour is told.
+LoadCount toldLoad(const LoadShare& _share, const NeighbourLoad& _neighbour, UpstreamKey _upstream)
+{
+	if (_share.isolated && &_neighbour == &_share.parent)
+	{
+		return valueOf(_share.own.loads, _upstream);
+	}
+	LoadCount told = othersLoad(_share, _neighbour, _upstream);
+	if (_share.isolated)
+	{
+		leaveOut(told, _share.parent, _upstream);
+	}
+	return told;
+}
+
+/// An upstream without a load stays in the sum until all were told so.
+bool isToldToAll(const LoadShare& _share, UpstreamKey _upstream)
 {
 	for (const auto& [link, child] : _share.children)
 	{
-		if (link != _but)
+		if (child.told.count(_upstream) != 0)
 		{
-			addFresh(_sum, child, _now);
+			return false;
 		}
 	}
+	return _share.parent.told.count(_upstream) == 0;
+}
+
+void forgetIdle(LoadShare& _share, const UpstreamTable& _table)
+{
+	if (_share.sum.size() < kLeastForgotten + 2 * _table.entries.size())
+	{
+		return;
+	}
+	for (auto at = _share.sum.begin(); at != _share.sum.end();)
+	{
+		const bool idle = at->second == LoadCount{} && isToldToAll(_share, at->first);
+		at = idle ? _share.sum.erase(at) : std::next(at);
+	}
 }
 } // namespace
 
-LoadMap ownLoad(const UpstreamTable& _table)
+void takeOwnLoad(LoadShare& _share, const UpstreamTable& _table)
 {
-	LoadMap own;
+	_share.own.counted = true;
+	LoadTable gone = _share.own.loads; // What is left of it has no entry, or nothing in flight any more.
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (entry.inFlight > 0)
 		{
-			own[entry.record.id] = {entry.prefillMs, entry.inFlight};
+			const LoadCount load{int32_t(std::lround(entry.prefillMs)), int32_t(entry.inFlight)};
+			setLoad(_share, _share.own, entry.key, load);
+			gone.erase(entry.key);
 		}
 	}
-	return own;
+	for (const auto& [upstream, load] : gone)
+	{
+		setLoad(_share, _share.own, upstream, {});
+	}
+}
+
+void takeLoads(LoadShare& _share, NeighbourLoad& _neighbour, absl::Span<const LoadChange> _changes,
+			   TimeUs _now)
+{
+	_neighbour.toldAt = _now;
+	count(_share, _neighbour, true);
+	for (const LoadChange& change : _changes)
+	{
+		setLoad(_share, _neighbour, change.upstream, change.load);
+	}
 }
 
-LoadMap loadForParent(const LoadShare& _share, const LoadMap& _own, TimeUs _now)
+void dropLoads(LoadShare& _share, NeighbourLoad& _neighbour)
 {
-	LoadMap sum = _own;
-	addChildren(sum, _share, kInvalidIdx, _now);
-	return sum;
+	count(_share, _neighbour, false);
+	_neighbour = {};
 }
 
-LoadMap loadForChild(const LoadShare& _share, const LoadMap& _own, uint32_t _child, TimeUs _now)
+std::vector<LoadChange> changesFor(const LoadShare& _share, NeighbourLoad& _neighbour)
 {
-	LoadMap sum = _own;
-	addChildren(sum, _share, _child, _now);
-	addFresh(sum, _share.parent, _now);
-	return sum;
+	std::vector<LoadChange> changes;
+	for (const auto& [upstream, load] : _share.sum)
+	{
+		const LoadCount told = toldLoad(_share, _neighbour, upstream);
+		if (!(told == valueOf(_neighbour.told, upstream)))
+		{
+			setValue(_neighbour.told, upstream, told);
+			changes.push_back({upstream, told});
+		}
+	}
+	return changes;
 }
 
-void applyOthersLoad(const LoadShare& _share, UpstreamTable& _table, TimeUs _now)
+void applyOthersLoad(LoadShare& _share, UpstreamTable& _table, TimeUs _now)
 {
-	LoadMap others;
-	if (_table.policies.loadSharing)
+	for (auto& [link, child] : _share.children)
 	{
-		addChildren(others, _share, kInvalidIdx, _now);
-		addFresh(others, _share.parent, _now);
+		count(_share, child, isFresh(child, _now));
 	}
+	count(_share, _share.parent, isFresh(_share.parent, _now));
+	takeOwnLoad(_share, _table);
 	_table.hearsOthers = !_share.children.empty() || _share.parent.toldAt != 0;
 	for (auto& [idx, entry] : _table.entries)
 	{
-		const auto found = others.find(entry.record.id);
-		entry.others = found == others.end() ? SharedLoad{} : found->second;
+		const LoadCount others =
+			_table.policies.loadSharing ? othersLoad(_share, _share.own, entry.key) : LoadCount{};
+		entry.others = {double(others.prefillMs), uint32_t(std::max(0, others.inFlight))};
 	}
+	forgetIdle(_share, _table);
 }
 } // namespace spanplank
--- a/src/core/peer_tree.cpp
+++ b/src/core/peer_tree.cpp
@@ -2,25 +2,98 @@
 #include "spanplank/peer_tree.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace spanplank
 {
 namespace
 {
-/// The first of some routers by their hash; lower goes first.
-struct FirstOf
+/// Followers for a whole core. One costs some 0.001 of a core (pings of `bench/peer_pings.cpp`, 17 a second):
+/// 50 use a twentieth of the core. Without a bound, 20 followers took a box of 0.09 core whole, and
+/// everything on it waited for up to 2 s: callers' closes, configurations, answers to its followers.
+constexpr double kFollowersPerCore = 50.0;
+/// Followers for each Mbit/s of the link. One takes some 25 kB/s of loads and homes: a fifth of the link.
+constexpr double kFollowersPerMbps = 1.0;
+constexpr double kLeastFollowers = 2.0; ///< With fewer the levels are as many as the routers.
+constexpr double kMostFollowers = 64.0; ///< Links of one process.
+/// Of its followers, the part that the first of a hall keeps for the firsts of other halls.
+constexpr double kOtherHallsPart = 0.5;
+
+/// Routers by rank, the first first.
+using RankedPeers = std::vector<const PeerRecord*>;
+
+/// Larger boxes rank first: those that bear twice as many followers. Within a size chance decides, so that a
+/// fleet's tops are not all in one place.
+uint32_t sizeClass(const PeerRecord& _record)
+{
+	uint32_t followers = mostFollowers(_record.capacity);
+	uint32_t size = 0;
+	while (followers >>= 1)
+	{
+		++size;
+	}
+	return size;
+}
+
+bool ranksBefore(const PeerRecord* _one, const PeerRecord* _other)
+{
+	const uint32_t one = sizeClass(*_one);
+	const uint32_t other = sizeClass(*_other);
+	if (one != other)
+	{
+		return one > other;
+	}
+	const uint64_t oneHash = stableHash(_one->box);
+	const uint64_t otherHash = stableHash(_other->box);
+	return oneHash != otherHash ? oneHash < otherHash : _one->box < _other->box;
+}
+
+/// How many routers of its hall may follow one, by its place there.
+size_t followersInHall(const PeerRecord& _record, size_t _place)
+{
+	const uint32_t most = mostFollowers(_record.capacity);
+	return _place == 0 ? size_t(std::max(1.0, most * (1.0 - kOtherHallsPart))) : most;
+}
+
+size_t followersAcrossHalls(const PeerRecord& _record, size_t)
 {
-	const PeerRecord* record = nullptr;
-	uint64_t rank = 0;
-};
+	return size_t(std::max(1.0, mostFollowers(_record.capacity) * kOtherHallsPart));
+}
 
-void consider(FirstOf& _first, const PeerRecord& _record)
+/// @returns The router that takes the one at a place as its follower; null: the first follows none.
+template <typename MostFollowersAt>
+const PeerRecord* parentOf(const RankedPeers& _ranked, const PeerRecord* _self, MostFollowersAt _most)
 {
-	const uint64_t rank = stableHash(_record.box);
-	if (_first.record == nullptr || rank < _first.rank)
+	const size_t own = size_t(std::find(_ranked.begin(), _ranked.end(), _self) - _ranked.begin());
+	size_t taken = 0;
+	for (size_t place = 0; place < own; ++place)
 	{
-		_first = {&_record, rank};
+		taken += _most(*_ranked[place], place);
+		if (taken >= own)
+		{
+			return _ranked[place];
+		}
 	}
+	return nullptr;
+}
+
+/// @returns This router and those that may be followed, by rank.
+RankedPeers rankPeers(const PeerTree& _tree, TimeUs _now)
+{
+	RankedPeers ranked;
+	for (const auto& [box, entry] : _tree.peers)
+	{
+		if (entry.avoidUntil <= _now)
+		{
+			ranked.push_back(&entry.record);
+		}
+	}
+	std::sort(ranked.begin(), ranked.end(), ranksBefore);
+	const auto own = _tree.selfLast
+						 ? ranked.end()
+						 : std::lower_bound(ranked.begin(), ranked.end(), &_tree.self, ranksBefore);
+	ranked.insert(own, &_tree.self);
+	return ranked;
 }
 } // namespace
 
@@ -51,26 +124,33 @@
 	}
 }
 
+uint32_t mostFollowers(const BoxCapacity& _capacity)
+{
+	const double byCores = _capacity.cores * kFollowersPerCore;
+	const double byLink = _capacity.linkMbps * kFollowersPerMbps;
+	return uint32_t(std::clamp(std::min(byCores, byLink), kLeastFollowers, kMostFollowers));
+}
+
 std::string chooseParent(const PeerTree& _tree, TimeUs _now)
 {
-	FirstOf ofHall;
-	FirstOf ofAll;
-	consider(ofHall, _tree.self);
-	consider(ofAll, _tree.self);
-	for (const auto& [box, entry] : _tree.peers)
+	RankedPeers hall;
+	RankedPeers firsts;
+	std::set<std::string_view> halls;
+	for (const PeerRecord* record : rankPeers(_tree, _now))
 	{
-		if (entry.avoidUntil > _now)
+		if (record->hall == _tree.self.hall)
 		{
-			continue;
+			hall.push_back(record);
 		}
-		consider(ofAll, entry.record);
-		if (entry.record.hall == _tree.self.hall)
+		if (halls.insert(record->hall).second)
 		{
-			consider(ofHall, entry.record);
+			firsts.push_back(record);
 		}
 	}
-	const PeerRecord& parent = ofHall.record == &_tree.self ? *ofAll.record : *ofHall.record;
-	return &parent == &_tree.self ? "" : parent.box;
+	const bool isFirst = hall.front() == &_tree.self;
+	const PeerRecord* parent = isFirst ? parentOf(firsts, &_tree.self, followersAcrossHalls)
+									   : parentOf(hall, &_tree.self, followersInHall);
+	return parent == nullptr ? "" : parent->box;
 }
 
 void avoidPeer(PeerTree& _tree, const std::string& _box, TimeUs _now)
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -31,6 +31,8 @@
 constexpr size_t kPresumedHomes = 3;
 constexpr std::array<double, kPresumedHomes> kPresumedParts = {0.95, 0.8, 0.5};
 constexpr TimeUs kHomeLifetime = 15000 * kMsToUs; ///< After this pause a part has likely given way to others.
+/// The others remember a part's home for `kHomeLifetime`: telling it again sooner than this is no news.
+constexpr TimeUs kRetellAfter = 3000 * kMsToUs;
 constexpr size_t kMostHomes = 32;    ///< Of one part; the first parts of prompts are kept nearly everywhere.
 constexpr size_t kMostParts = 20000; ///< Remembered; about 100 bytes each.
 
@@ -170,19 +172,32 @@
 	return _one.timely ? _one.cost < _other.cost : _one.headMs < _other.headMs;
 }
 
+/// @param[in] _before When a part was last read at an upstream, as far as this router knows; 0: never.
+bool isNews(TimeUs _before, TimeUs _now)
+{
+	return _before == 0 || _now - _before > kRetellAfter;
+}
+
 /// Remembers that a shared part of a prompt is read at an upstream now.
-void noteHome(UpstreamTable& _table, uint64_t _part, uint32_t _upstream, TimeUs _now)
+/// @returns When it was last read there, as far as this router knows; 0: never.
+TimeUs noteHome(UpstreamTable& _table, uint64_t _part, uint32_t _upstream, TimeUs _now)
 {
 	if (_table.homes.size() >= kMostParts && _table.homes.count(_part) == 0)
 	{
-		return;
+		return 0;
 	}
 	std::vector<PromptHome>& homes = _table.homes[_part];
-	homes.erase(std::remove_if(homes.begin(), homes.end(),
-							   [_upstream](const PromptHome& _home) { return _home.upstream == _upstream; }),
-				homes.end());
+	const auto known = std::find_if(homes.begin(), homes.end(), [_upstream](const PromptHome& _home) {
+		return _home.upstream == _upstream;
+	});
+	const TimeUs before = known == homes.end() ? 0 : known->at;
+	if (known != homes.end())
+	{
+		homes.erase(known);
+	}
 	homes.insert(homes.begin(), {_upstream, _now});
 	homes.resize(std::min(homes.size(), kMostHomes));
+	return before;
 }
 } // namespace
 
@@ -219,23 +234,26 @@
 
 void noteHomes(UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream, TimeUs _now)
 {
+	const UpstreamKey key = _table.entries.at(_upstream.idx).key;
 	for (const SharedPart& part : _query.shared)
 	{
-		noteHome(_table, part.hash, _upstream.idx, _now);
-		if (_table.hearsOthers && _table.policies.homeSharing && _table.newHomes.size() < kMostNewHomes)
+		const TimeUs before = noteHome(_table, part.hash, _upstream.idx, _now);
+		const bool shares = _table.hearsOthers && _table.policies.homeSharing;
+		if (shares && isNews(before, _now) && _table.newHomes.size() < kMostNewHomes)
 		{
-			_table.newHomes.push_back({part.hash, _upstream.idx});
+			_table.newHomes.push_back({part.hash, key});
 		}
 	}
 }
 
-void notePeerHome(UpstreamTable& _table, uint64_t _part, const std::string& _upstream, TimeUs _now)
+bool notePeerHome(UpstreamTable& _table, const NewHome& _home, TimeUs _now)
 {
-	const auto found = _table.idxOfId.find(_upstream);
-	if (found != _table.idxOfId.end())
+	const auto found = _table.idxOfKey.find(_home.upstream);
+	if (found == _table.idxOfKey.end())
 	{
-		noteHome(_table, _part, found->second, _now);
+		return false;
 	}
+	return isNews(noteHome(_table, _home.part, found->second, _now), _now);
 }
 
 void forgetHomes(UpstreamTable& _table, TimeUs _now)
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -143,6 +143,11 @@
 	return healthy.empty() ? ejected : healthy; // With all of them ejected, any is better than none.
 }
 
+UpstreamKey keyOf(std::string_view _id)
+{
+	return UpstreamKey(stableHash(_id));
+}
+
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record)
 {
 	const auto [known, fresh] = _table.idxOfId.try_emplace(_record.id, _table.nextIdx);
@@ -153,6 +158,8 @@
 	UpstreamEntry& entry = _table.entries[known->second];
 	const bool leaving = entry.record.leaving; // An upstream that leaves does not come back under its id.
 	entry.record = _record;
+	entry.key = keyOf(_record.id);
+	_table.idxOfKey[entry.key] = known->second;
 	entry.record.leaving = _record.leaving || leaving;
 	entry.registered = true;
 	entry.goneAt = 0;
@@ -209,6 +216,7 @@
 		if (gone)
 		{
 			_table.idxOfId.erase(entry.record.id);
+			_table.idxOfKey.erase(entry.key);
 		}
 		at = gone ? _table.entries.erase(at) : std::next(at);
 	}
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -86,6 +86,9 @@
 /// Takes changes of the store that this router does not know yet, and passes them on to its followers.
 void takeStoreChanges(DirectRouter& _router, const StoreList& _changes);
 
+/// Takes a full list of the store, unless this router knows more by now, and passes it on to its followers.
+void takeStoreList(DirectRouter& _router, const StoreList& _list);
+
 /// @returns The retry window of a service.
 RetryWindow& retryWindow(DirectRouter& _router, const std::string& _service);
 
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -181,17 +181,6 @@
 	uint32_t failures = 0; ///< In a row.
 };
 
-/// A list that is older than what a followed router has told by now is dropped: the next call brings more.
-void takeStoreList(DirectRouter& _router, const StoreList& _list)
-{
-	if (_list.revision < _router.view.revision)
-	{
-		return;
-	}
-	takeAll(_router, _list);
-	_router.view = {_list.revision, true};
-}
-
 void followOnce(DirectRouter& _router, StoreFollower& _follower)
 {
 	const TimeUs sentAt = monotonicNow();
@@ -268,12 +257,13 @@
 		{
 			followOnce(_router, follower);
 			noteRegained(_router, follower);
-			noteAskedStore(_router, monotonicNow());
+			noteAskedStore(_router);
 			pauseAfterCall(_router);
 		}
 		catch (const Failure& failure)
 		{
 			noteLost(_router, follower, failure.refusal());
+			noteStoreFailed(_router.peers.follow);
 			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
 		}
 	}
@@ -297,6 +287,21 @@
 	}
 }
 
+void takeStoreList(DirectRouter& _router, const StoreList& _list)
+{
+	const uint64_t known = _router.view.revision;
+	if (_list.revision < known || (_list.revision == known && _router.view.listed))
+	{
+		return; // Nothing new: the next call of the store, or the router that is followed, brings more.
+	}
+	takeAll(_router, _list);
+	_router.view = {_list.revision, true};
+	if (_list.revision > known)
+	{
+		passListOn(_router, _list);
+	}
+}
+
 void followStore(DirectRouter& _router)
 {
 	spawnFiber([&_router] { followChanges(_router); });
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -1,13 +1,13 @@
-/// Links to parent and children, choice of the parent, pings with loads, changes passed on. The registration
-/// in the store is in `peer_registration.cpp`.
+/// Links between routers: messages, answers to followers, changes passed on to them. The parent is in
+/// `peer_parent.cpp`, the registration in the store in `peer_registration.cpp`.
 #include "peer_links_p.h"
 
-#include <algorithm>
 #include <fmt/format.h>
 
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
+#include "peer_parent_p.h"
 
 namespace spanplank
 {
@@ -15,99 +15,46 @@
 {
 /// Loads change as fast as prompts are read, which takes some 100 ms. Measured beside 30 and 200.
 constexpr uint32_t kPingMs = 60;
-constexpr uint32_t kTickMs = 500; ///< Between looks at the registration and the choice of the parent.
+constexpr uint32_t kTickMs = 500;    ///< Between looks at the registration.
+constexpr uint32_t kReviewPings = 8; ///< Between looks at the choice of the parent.
 /// Without an answer for this long the parent is not relied on; a slow box may pause for some 100 ms.
 constexpr TimeUs kPongPatience = 700 * kMsToUs;
-/// Oldest proof that is good enough. A change must be in force within 2 s where bounds are tightest.
-constexpr TimeUs kOldestProof = 1600 * kMsToUs;
-constexpr TimeUs kLinkPatience = 1500 * kMsToUs; ///< For a new link to come up and answer.
-/// Times in a row that this router reached the store while its parent answered and could not prove anything.
-/// After an outage the parent is back before that.
-constexpr uint32_t kMostAsked = 3;
+/// Oldest proof of a router that is between two parents. A new link takes some 0.1 s: without this each
+/// change of parent cost a call of the store (3,600 calls of a fleet of 103 on a quiet day of 48 s).
+constexpr TimeUs kOldestUnledProof = 900 * kMsToUs;
 
 std::string addressText(const Endpoint& _endpoint)
 {
 	return fmt::format("{}:{}", _endpoint.ip, _endpoint.port);
 }
 
-/// @returns The open link to the parent; invalid: none.
-LinkId parentLink(const PeerLinks& _peers)
-{
-	if (_peers.hub == nullptr || _peers.parent.empty())
-	{
-		return LinkId{};
-	}
-	for (const LinkId link : _peers.hub->openLinks())
-	{
-		const PeerInfo* peer = _peers.hub->peer(link);
-		if (peer != nullptr && peer->box == _peers.parent)
-		{
-			return link;
-		}
-	}
-	return LinkId{};
-}
-
 // ---- Messages ---------------------------------------------------------------------------------------------
 
 void answerPing(DirectRouter& _router, LinkId _link, const PeerPing& _ping)
 {
 	PeerLinks& peers = _router.peers;
 	const TimeUs now = monotonicNow();
-	peers.loads.children[_link.idx] = {_ping.loads, now};
-	applyOthersLoad(peers.loads, _router.upstreams, now);
+	NeighbourLoad& child = peers.loads.children[_link.idx];
+	takeLoads(peers.loads, child, _ping.loads, now);
+	takeOwnLoad(peers.loads, _router.upstreams);
 	collectOwnHomes(peers.homes, _router.upstreams);
 	takeHomes(peers.homes, _router.upstreams, _link.idx, _ping.homes, now);
 	PeerPong pong;
 	pong.seq = _ping.seq;
 	pong.revision = _router.view.listed ? _router.view.revision : 0;
 	pong.proofAge = now - _router.config.provedAt;
-	pong.loads = loadForChild(peers.loads, ownLoad(_router.upstreams), _link.idx, now);
+	pong.loads = changesFor(peers.loads, child);
 	pong.homes = homesForChild(peers.homes, _link.idx);
+	pong.stopping = _router.stopping;
+	pong.chain = peers.follow.chain;
+	pong.chain.insert(pong.chain.begin(), peerKeyOf(_router.settings.box));
 	peers.hub->send(_link, MessageType::PeerPong, pong);
 }
 
-/// The proof holds from when the ping was sent, less the age that the parent told: the answer was made later.
-void takePong(DirectRouter& _router, const PeerPong& _pong)
-{
-	PeerLinks& peers = _router.peers;
-	if (_pong.seq != peers.pingSeq)
-	{
-		return; // Of an earlier parent, or overtaken by the next ping.
-	}
-	const TimeUs now = monotonicNow();
-	if (peers.pongAt == 0)
-	{
-		noteFollowed(peers.tree, peers.parent);
-		logEvent("peer_followed", {{"box", peers.parent},
-								   {"revision", std::to_string(_pong.revision)},
-								   {"proof_age_ms", std::to_string(_pong.proofAge / kMsToUs)}});
-	}
-	peers.pongAt = now;
-	peers.loads.parent = {_pong.loads, now};
-	applyOthersLoad(peers.loads, _router.upstreams, now);
-	takeHomes(peers.homes, _router.upstreams, kParentOfTree, _pong.homes, now);
-	if (!_router.view.listed || _router.view.revision < _pong.revision)
-	{
-		peers.behind = true;
-		return;
-	}
-	if (_pong.revision == 0)
-	{
-		return; // The parent knows nothing yet.
-	}
-	_router.config.provedAt = std::max(_router.config.provedAt, peers.pingSentAt - _pong.proofAge);
-	peers.asked = isFollowing(_router, now) ? 0 : peers.asked;
-}
-
-void takeChangesOfParent(DirectRouter& _router, const StoreChanges& _changes)
+void answerAsk(DirectRouter& _router, LinkId _link, const StoreAsk& _ask)
 {
-	if (!_router.view.listed || _router.view.revision < _changes.from)
-	{
-		_router.peers.behind = true;
-		return;
-	}
-	takeStoreChanges(_router, {_changes.to, _changes.items, false});
+	const StoreChanges since = changesSince(_router.peers.changes, _ask.known, _router.view.revision);
+	_router.peers.hub->send(_link, MessageType::StoreChanges, since);
 }
 
 void takeMessage(DirectRouter& _router, LinkId _link, const LinkMessage& _message)
@@ -118,97 +65,40 @@
 		answerPing(_router, _link, _message.body.get<PeerPing>());
 		break;
 	case MessageType::PeerPong:
-		takePong(_router, _message.body.get<PeerPong>());
+		takePong(_router, _link, _message.body.get<PeerPong>());
 		break;
 	case MessageType::StoreChanges:
 		takeChangesOfParent(_router, _message.body.get<StoreChanges>());
 		break;
+	case MessageType::StoreAsk:
+		answerAsk(_router, _link, _message.body.get<StoreAsk>());
+		break;
+	case MessageType::StoreSnapshot:
+		takeSnapshotOfParent(_router, _message.body.get<StoreSnapshot>());
+		break;
 	default:
 		break; // Of the agent mode.
 	}
 }
 
-// ---- Parent -----------------------------------------------------------------------------------------------
-
-void dropParent(DirectRouter& _router)
-{
-	PeerLinks& peers = _router.peers;
-	const auto found = peers.tree.peers.find(peers.parent);
-	if (found != peers.tree.peers.end())
-	{
-		peers.hub->disconnect(parseEndpoint(found->second.record.address));
-	}
-	const LinkId link = parentLink(peers);
-	if (isValid(link) && peers.loads.children.count(link.idx) == 0)
-	{
-		peers.hub->close(link);
-	}
-	peers.parent.clear();
-	peers.pongAt = 0;
-	peers.loads.parent = {};
-	peers.homes.parent = {}; // What waited for it would be news no more to the next one.
-}
-
-void follow(DirectRouter& _router, const std::string& _box, TimeUs _now)
-{
-	PeerLinks& peers = _router.peers;
-	dropParent(_router);
-	peers.parentSince = _now;
-	logEvent("peer_chosen", {{"box", _box}, {"peers", std::to_string(peers.tree.peers.size())}});
-	if (_box.empty())
-	{
-		return;
-	}
-	peers.parent = _box;
-	peers.hub->connect(parseEndpoint(peers.tree.peers.at(_box).record.address));
-}
-
-void leaveParent(DirectRouter& _router, const char* _why, TimeUs _now)
-{
-	PeerLinks& peers = _router.peers;
-	logEvent("peer_lost", {{"box", peers.parent}, {"why", _why}});
-	avoidPeer(peers.tree, peers.parent, _now);
-	follow(_router, chooseParent(peers.tree, _now), _now);
-}
+// ---- Links ------------------------------------------------------------------------------------------------
 
-void reviewParent(DirectRouter& _router, TimeUs _now)
+void takeClose(DirectRouter& _router, LinkId _link)
 {
 	PeerLinks& peers = _router.peers;
-	const bool answers = hasParent(_router, _now);
-	const TimeUs since = std::max(peers.parentSince, peers.pongAt);
-	if (!peers.parent.empty() && !answers && _now - since > kLinkPatience)
+	const auto child = peers.loads.children.find(_link.idx);
+	if (child != peers.loads.children.end())
 	{
-		leaveParent(_router, "no answer", _now);
-		return;
+		dropLoads(peers.loads, child->second);
+		peers.loads.children.erase(child);
 	}
-	const std::string best = chooseParent(peers.tree, _now);
-	const bool known = peers.parent.empty() || peers.tree.peers.count(peers.parent) != 0;
-	if (best != peers.parent && (known || !answers))
+	peers.homes.children.erase(_link.idx);
+	if (_link.idx == peers.parentLink.idx && !_router.stopping)
 	{
-		follow(_router, best, _now);
+		leaveParent(_router, "its link closed", monotonicNow());
 	}
 }
 
-void pingParent(DirectRouter& _router)
-{
-	PeerLinks& peers = _router.peers;
-	const LinkId link = parentLink(peers);
-	if (!isValid(link))
-	{
-		return;
-	}
-	const TimeUs now = monotonicNow();
-	PeerPing ping;
-	ping.seq = ++peers.pingSeq;
-	ping.loads = loadForParent(peers.loads, ownLoad(_router.upstreams), now);
-	collectOwnHomes(peers.homes, _router.upstreams);
-	ping.homes = homesForParent(peers.homes);
-	peers.pingSentAt = now;
-	peers.hub->send(link, MessageType::PeerPing, ping);
-}
-
-// ---- Links ------------------------------------------------------------------------------------------------
-
 void openHub(DirectRouter& _router)
 {
 	PeerLinks& peers = _router.peers;
@@ -224,9 +114,7 @@
 		takeMessage(_router, _link, _message);
 	};
 	init.handlers.onClose = [&_router](LinkId _link) {
-		_router.peers.loads.children.erase(_link.idx);
-		_router.peers.homes.children.erase(_link.idx);
-		applyOthersLoad(_router.peers.loads, _router.upstreams, monotonicNow());
+		takeClose(_router, _link);
 	};
 	peers.hub = std::make_unique<LinkHub>(_router.io, std::move(init));
 	peers.hub->listen(_router.settings.link);
@@ -249,7 +137,6 @@
 	}
 	if (peers.hub != nullptr)
 	{
-		reviewParent(_router, monotonicNow());
 		keepRegistered(_router);
 	}
 }
@@ -271,10 +158,16 @@
 	}
 }
 
+/// Never waits for the store: a router that is cut off it has to find another parent.
 void runPings(DirectRouter& _router)
 {
-	while (true)
+	for (uint32_t ping = 0;; ++ping)
 	{
+		if (ping % kReviewPings == 0)
+		{
+			reviewParent(_router, monotonicNow());
+		}
+		applyOthersLoad(_router.peers.loads, _router.upstreams, monotonicNow());
 		pingParent(_router);
 		sleepFor(kPingMs);
 	}
@@ -284,39 +177,46 @@
 bool hasParent(const DirectRouter& _router, TimeUs _now)
 {
 	const PeerLinks& peers = _router.peers;
-	return !peers.parent.empty() && peers.pongAt != 0 && _now - peers.pongAt < kPongPatience;
+	const TimeUs answeredAt = peers.follow.answeredAt;
+	return !peers.parent.empty() && answeredAt != 0 && _now - answeredAt < kPongPatience;
 }
 
 bool isFollowing(const DirectRouter& _router, TimeUs _now)
 {
-	return hasParent(_router, _now) && !_router.peers.behind && _now - _router.config.provedAt < kOldestProof;
+	const PeerLinks& peers = _router.peers;
+	const TimeUs oldest = hasParent(_router, _now) ? kOldestProof : kOldestUnledProof;
+	const bool listed = _router.view.listed && !peers.behind;
+	return listed && !peers.parent.empty() && _now - _router.config.provedAt < oldest;
 }
 
 void passChangesOn(DirectRouter& _router, uint64_t _from, const StoreList& _changes)
 {
-	const PeerLinks& peers = _router.peers;
-	if (peers.loads.children.empty())
-	{
-		return;
-	}
+	PeerLinks& peers = _router.peers;
 	const StoreChanges changes{_from, _changes.revision, _changes.items};
+	noteChanges(peers.changes, changes);
 	for (const auto& [link, child] : peers.loads.children)
 	{
 		peers.hub->send(LinkId{link}, MessageType::StoreChanges, changes);
 	}
 }
 
-void noteAskedStore(DirectRouter& _router, TimeUs _now)
+void passListOn(DirectRouter& _router, const StoreList& _list)
 {
 	PeerLinks& peers = _router.peers;
-	peers.behind = false;
-	if (hasParent(_router, _now) && ++peers.asked >= kMostAsked)
+	clearChanges(peers.changes);
+	const StoreSnapshot snapshot{_list.revision, _list.items};
+	for (const auto& [link, child] : peers.loads.children)
 	{
-		peers.asked = 0;
-		leaveParent(_router, "it does not reach the store", _now);
+		peers.hub->send(LinkId{link}, MessageType::StoreSnapshot, snapshot);
 	}
 }
 
+void noteAskedStore(DirectRouter& _router)
+{
+	_router.peers.behind = false;
+	noteStoreReached(_router.peers.follow);
+}
+
 size_t followers(const DirectRouter& _router)
 {
 	return _router.peers.loads.children.size();
@@ -330,7 +230,7 @@
 	}
 	const DirectSettings& settings = _router.settings;
 	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
-	_router.peers.tree.self = {settings.box, settings.hall, addressText(announced)};
+	_router.peers.tree.self = {settings.box, settings.hall, addressText(announced), settings.capacity};
 	spawnFiber([&_router] { runLinks(_router); });
 	spawnFiber([&_router] { runPings(_router); });
 }
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -11,8 +11,10 @@
 #include "link_p.h"
 #include "peer_registration_p.h"
 #include "settings_p.h"
+#include "spanplank/change_log.h"
+#include "spanplank/home_share.h"
 #include "spanplank/load_share.h"
-#include "spanplank/peer_messages.h"
+#include "spanplank/peer_follow.h"
 #include "spanplank/peer_tree.h"
 #include "store_client_p.h"
 
@@ -29,15 +31,17 @@
 	std::string key;              ///< Of the links; empty: not known yet.
 	std::unique_ptr<LinkHub> hub; ///< Null until the key is known.
 	std::string parent;           ///< Box that this router follows or tries to; empty: none.
-	TimeUs parentSince = 0;       ///< When it was chosen.
+	FollowState follow;           ///< Of the parent, and when another is to be chosen.
+	LinkId parentLink;            ///< Over which it was pinged last; invalid: it was not.
 	uint64_t pingSeq = 0;
-	TimeUs pingSentAt = 0; ///< Of the last ping.
-	TimeUs pongAt = 0;     ///< When the parent answered last; 0: it has not.
-	bool behind = false;   ///< A change was missed: the store is to be asked.
-	uint32_t asked = 0;    ///< Times in a row that the store was asked while the parent answered.
+	TimeUs pingSentAt = 0;  ///< Of the last ping.
+	ChangeLog changes;      ///< Newest changes of the store, for followers that missed some.
+	uint64_t askedFrom = 0; ///< Revision from which the parent was asked for changes; 0: it was not.
+	bool behind = false;    ///< Changes were missed that the parent can't tell: the store is to be asked.
 };
 
-/// @returns Whether the parent keeps this router informed, so that it need not ask the store.
+/// @returns Whether this router need not ask the store: its parent keeps it informed, or it is between two
+/// parents and its newest proof is young.
 bool isFollowing(const DirectRouter& _router, TimeUs _now);
 
 /// @returns Whether the parent answers, whatever it knows of the store.
@@ -46,9 +50,12 @@
 /// Passes changes of the store on to the routers that follow this one.
 void passChangesOn(DirectRouter& _router, uint64_t _from, const StoreList& _changes);
 
-/// This router had to ask the store itself and reached it: a parent that could not tell is left out for a
-/// while.
-void noteAskedStore(DirectRouter& _router, TimeUs _now);
+/// Passes a full list of the store on. Without it each follower would list the store by itself once the
+/// history is gone.
+void passListOn(DirectRouter& _router, const StoreList& _list);
+
+/// This router had to ask the store itself and reached it.
+void noteAskedStore(DirectRouter& _router);
 
 /// Starts registration, links and pings.
 void startPeerLinks(DirectRouter& _router);
--- /dev/null
+++ b/src/direct/peer_parent.cpp
@@ -0,0 +1,237 @@
+/// Choice of the parent, the link to it, its proofs, changes and loads.
+#include "peer_parent_p.h"
+
+#include <algorithm>
+
+#include "direct_router_p.h"
+#include "fiber_runtime_p.h"
+#include "log_p.h"
+
+namespace spanplank
+{
+namespace
+{
+/// @returns The open link to the parent; invalid: none.
+LinkId openParentLink(const PeerLinks& _peers)
+{
+	if (_peers.hub == nullptr || _peers.parent.empty())
+	{
+		return LinkId{};
+	}
+	for (const LinkId link : _peers.hub->openLinks())
+	{
+		const PeerInfo* peer = _peers.hub->peer(link);
+		if (peer != nullptr && peer->box == _peers.parent)
+		{
+			return link;
+		}
+	}
+	return LinkId{};
+}
+
+/// What was told over a link counts for that link alone.
+void forgetParentLink(PeerLinks& _peers)
+{
+	_peers.parentLink = {};
+	_peers.askedFrom = 0;
+	dropLoads(_peers.loads, _peers.loads.parent);
+	_peers.homes.parent = {}; // What waited for it would be news no more to the next one.
+}
+
+void dropParent(DirectRouter& _router)
+{
+	PeerLinks& peers = _router.peers;
+	const auto found = peers.tree.peers.find(peers.parent);
+	if (found != peers.tree.peers.end())
+	{
+		peers.hub->disconnect(parseEndpoint(found->second.record.address));
+	}
+	const LinkId link = openParentLink(peers);
+	peers.parent.clear();
+	forgetParentLink(peers); // Before the link closes: its end is no loss of the next parent.
+	if (isValid(link) && peers.loads.children.count(link.idx) == 0)
+	{
+		peers.hub->close(link);
+	}
+}
+
+void followParent(DirectRouter& _router, const std::string& _box, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	dropParent(_router);
+	noteParent(peers.follow, !_box.empty(), _now);
+	logEvent("peer_chosen", {{"box", _box},
+							 {"peers", std::to_string(peers.tree.peers.size())},
+							 {"detached", peers.tree.selfLast ? "yes" : "no"}});
+	if (_box.empty())
+	{
+		return;
+	}
+	peers.parent = _box;
+	peers.hub->connect(parseEndpoint(peers.tree.peers.at(_box).record.address));
+}
+
+/// A router that ranks itself last may come to follow one that follows it.
+void rankSelfLast(PeerLinks& _peers, bool _last)
+{
+	_peers.tree.selfLast = _last;
+	_peers.loads.isolated = _last;
+}
+
+/// While this router is cut off the store it may follow any other one.
+void searchParent(DirectRouter& _router, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	noteSearch(peers.follow, _now);
+	rankSelfLast(peers, true);
+	if (peers.parent.empty())
+	{
+		followParent(_router, chooseParent(peers.tree, _now), _now);
+		return;
+	}
+	leaveParent(_router, name(FollowMove::Search), _now);
+}
+
+/// The parent is asked once for what this router does not know, the store after that.
+void askForChanges(DirectRouter& _router)
+{
+	PeerLinks& peers = _router.peers;
+	const uint64_t known = _router.view.revision;
+	if (!_router.view.listed || peers.askedFrom == known)
+	{
+		return;
+	}
+	peers.askedFrom = known;
+	peers.hub->send(peers.parentLink, MessageType::StoreAsk, StoreAsk{known});
+}
+
+/// Whatever its proof is worth by now, what the parent tells of loads and homes it tells once.
+void takeSharesOfParent(DirectRouter& _router, const PeerPong& _pong, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	takeHomes(peers.homes, _router.upstreams, kParentOfTree, _pong.homes, _now);
+	takeLoads(peers.loads, peers.loads.parent, _pong.loads, _now);
+}
+
+/// @returns Whether the parent's answer is one that this router can use.
+bool takeParentAnswer(DirectRouter& _router, const PeerPong& _pong, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	const bool first = peers.follow.answeredAt == 0;
+	const TimeUs proofAge = _now - peers.pingSentAt + _pong.proofAge;
+	noteParentAnswer(peers.follow, proofAge, _pong.chain, peerKeyOf(_router.settings.box), _now);
+	if (first)
+	{
+		noteFollowed(peers.tree, peers.parent);
+		logEvent("peer_followed", {{"box", peers.parent},
+								   {"revision", std::to_string(_pong.revision)},
+								   {"proof_age_ms", std::to_string(_pong.proofAge / kMsToUs)}});
+	}
+	return _pong.revision != 0 && !peers.follow.ring;
+}
+} // namespace
+
+void leaveParent(DirectRouter& _router, const char* _why, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	logEvent("peer_lost", {{"box", peers.parent}, {"why", _why}});
+	avoidPeer(peers.tree, peers.parent, _now);
+	followParent(_router, chooseParent(peers.tree, _now), _now);
+}
+
+void reviewParent(DirectRouter& _router, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	if (peers.hub == nullptr || _router.stopping)
+	{
+		return;
+	}
+	const FollowMove move = nextFollowMove(peers.follow, _now);
+	rankSelfLast(peers, peers.follow.detachedUntil > _now);
+	if (move == FollowMove::Search)
+	{
+		searchParent(_router, _now);
+		return;
+	}
+	if (move != FollowMove::Keep)
+	{
+		leaveParent(_router, name(move), _now);
+		return;
+	}
+	const std::string best = chooseParent(peers.tree, _now);
+	const bool known = peers.parent.empty() || peers.tree.peers.count(peers.parent) != 0;
+	if (best != peers.parent && (known || !hasParent(_router, _now)))
+	{
+		followParent(_router, best, _now);
+	}
+}
+
+void pingParent(DirectRouter& _router)
+{
+	PeerLinks& peers = _router.peers;
+	const LinkId link = openParentLink(peers);
+	if (!isValid(link))
+	{
+		return;
+	}
+	if (link.idx != peers.parentLink.idx)
+	{
+		forgetParentLink(peers);
+		peers.parentLink = link;
+	}
+	PeerPing ping;
+	ping.seq = ++peers.pingSeq;
+	ping.loads = changesFor(peers.loads, peers.loads.parent);
+	collectOwnHomes(peers.homes, _router.upstreams);
+	ping.homes = homesForParent(peers.homes);
+	peers.pingSentAt = monotonicNow();
+	peers.hub->send(link, MessageType::PeerPing, ping);
+}
+
+/// The proof holds from when the ping was sent, less the age that the parent told: the answer was made later.
+void takePong(DirectRouter& _router, LinkId _link, const PeerPong& _pong)
+{
+	PeerLinks& peers = _router.peers;
+	if (_link.idx != peers.parentLink.idx)
+	{
+		return; // Of an earlier parent.
+	}
+	const TimeUs now = monotonicNow();
+	takeSharesOfParent(_router, _pong, now);
+	if (_pong.stopping && !_router.stopping)
+	{
+		leaveParent(_router, "it stops", now);
+		return;
+	}
+	if (_pong.seq != peers.pingSeq || !takeParentAnswer(_router, _pong, now))
+	{
+		return; // Overtaken by the next ping, or of no use.
+	}
+	if (!_router.view.listed || _router.view.revision < _pong.revision)
+	{
+		askForChanges(_router);
+		return;
+	}
+	peers.behind = false;
+	_router.config.provedAt = std::max(_router.config.provedAt, peers.pingSentAt - _pong.proofAge);
+}
+
+void takeChangesOfParent(DirectRouter& _router, const StoreChanges& _changes)
+{
+	if (!_router.view.listed || _router.view.revision < _changes.from)
+	{
+		_router.peers.behind = true;
+		return;
+	}
+	takeStoreChanges(_router, {_changes.to, _changes.items, false});
+}
+
+void takeSnapshotOfParent(DirectRouter& _router, const StoreSnapshot& _snapshot)
+{
+	logEvent("snapshot_taken", {{"box", _router.peers.parent},
+								{"revision", std::to_string(_snapshot.revision)},
+								{"known", std::to_string(_router.view.revision)},
+								{"items", std::to_string(_snapshot.items.size())}});
+	takeStoreList(_router, {_snapshot.revision, _snapshot.items, false});
+}
+} // namespace spanplank
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -32,7 +32,22 @@
 
 std::string encodePeer(const PeerRecord& _record)
 {
-	return json{{"hall", _record.hall}, {"address", _record.address}}.dump();
+	return json{{"hall", _record.hall},
+				{"address", _record.address},
+				{"cores", _record.capacity.cores},
+				{"linkMbps", _record.capacity.linkMbps}}
+		.dump();
+}
+
+/// @throws Failure, json::exception
+void decodePeer(const std::string& _value, PeerRecord& _record)
+{
+	const json value = json::parse(_value);
+	_record.hall = value.at("hall").get<std::string>();
+	_record.address = value.at("address").get<std::string>();
+	_record.capacity.cores = value.value("cores", 0.0); // One of an earlier version tells none.
+	_record.capacity.linkMbps = value.value("linkMbps", 0.0);
+	parseEndpoint(_record.address);
 }
 
 /// @returns Whether this router's registration in the store says what it should.
@@ -142,21 +157,13 @@
 		unregisterPeer(peers.tree, record.box);
 		return;
 	}
-	const json value = json::parse(_item.value, nullptr, false);
-	if (!value.is_object())
-	{
-		logEvent("peer_rejected", {{"box", record.box}, {"error", "the record is not JSON"}});
-		return;
-	}
-	record.hall = value.value("hall", "");
-	record.address = value.value("address", "");
 	try
 	{
-		parseEndpoint(record.address);
+		decodePeer(_item.value, record);
 	}
-	catch (const Failure& failure)
+	catch (const std::exception& failure)
 	{
-		logEvent("peer_rejected", {{"box", record.box}, {"error", failure.refusal().detail}});
+		logEvent("peer_rejected", {{"box", record.box}, {"error", failure.what()}});
 		return;
 	}
 	registerPeer(peers.tree, record);
--- a/tests/core/home_share_test.cpp
+++ b/tests/core/home_share_test.cpp
@@ -76,8 +76,8 @@
 	exchange(child, parent, 1);
 	noteSent(child.table, UpstreamId{0}, child.query(), kNow);
 	collectOwnHomes(child.share, child.table);
-	const HomeMap told = homesForParent(child.share);
-	EXPECT_EQ(told, (HomeMap{{"u-one", {kPart}}}));
+	const std::vector<NewHome> told = homesForParent(child.share);
+	EXPECT_EQ(told, (std::vector<NewHome>{{kPart, keyOf("u-one")}}));
 	takeHomes(parent.share, parent.table, 1, told, kNow);
 	EXPECT_TRUE(homesForChild(parent.share, 1).empty());
 	EXPECT_TRUE(homesForParent(child.share).empty()) << "it is told once";
@@ -89,23 +89,35 @@
 	homesForChild(router.share, 1);
 	for (uint64_t part = 0; part < 3 * uint64_t(kMostUntold); ++part)
 	{
-		takeHomes(router.share, router.table, kParentOfTree, {{"u-one", {part}}, {"u-gone", {part}}}, kNow);
+		const std::vector<NewHome> homes{{part, keyOf("u-one")}, {part, keyOf("u-gone")}};
+		takeHomes(router.share, router.table, kParentOfTree, homes, kNow);
 	}
-	size_t untold = 0;
-	for (const auto& [upstream, parts] : homesForChild(router.share, 1))
-	{
-		untold += parts.size();
-	}
-	EXPECT_EQ(untold, kMostUntold);
+	EXPECT_EQ(homesForChild(router.share, 1).size(), kMostUntold);
+}
+
+TEST(HomeShare, APartThatIsSentToTheSameUpstreamAgainSoonIsNoNews)
+{
+	Router router;
+	noteSent(router.table, UpstreamId{0}, router.query(), kNow);
+	noteSent(router.table, UpstreamId{0}, router.query(), kNow + 1000 * kMsToUs);
+	EXPECT_EQ(router.table.newHomes.size(), 1u);
+	noteSent(router.table, UpstreamId{0}, router.query(), kNow + 6000 * kMsToUs);
+	EXPECT_EQ(router.table.newHomes.size(), 2u) << "the others would forget it otherwise";
 }
 
-TEST(HomeShare, MessagesOfAnEarlierVersionTellNoHomes)
+TEST(HomeShare, MessagesOfEarlierVersionsTellNoLoadsAndNoHomes)
 {
 	const auto ping = nlohmann::json::parse(R"([3, {"u": [5, 1]}])").get<PeerPing>();
 	EXPECT_EQ(ping.seq, 3u);
+	EXPECT_TRUE(ping.loads.empty());
 	EXPECT_TRUE(ping.homes.empty());
+	const auto earlier = nlohmann::json::parse(R"([3, 7, 1000, {"u": [5, 1]}, {"u": [9]}])").get<PeerPong>();
+	EXPECT_EQ(earlier.revision, 7u);
+	EXPECT_TRUE(earlier.loads.empty());
+	EXPECT_TRUE(earlier.homes.empty());
+	EXPECT_FALSE(earlier.stopping);
 	PeerPong pong;
-	pong.homes["u-one"] = {kPart};
+	pong.homes = {{kPart, keyOf("u-one")}};
 	EXPECT_EQ(nlohmann::json(pong).get<PeerPong>().homes, pong.homes);
 }
 } // namespace
--- /dev/null
+++ b/tests/core/load_share_test.cpp
@@ -0,0 +1,186 @@
+/// Sums of loads along the tree of routers, told as changes.
+#include "spanplank/load_share.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace spanplank
+{
+namespace
+{
+constexpr TimeUs kNow = 5000 * kMsToUs;
+constexpr uint32_t kUpstreams = 3;
+
+std::string upstreamName(uint32_t _idx)
+{
+	return "u" + std::to_string(_idx);
+}
+
+/// One router: its table and what it shares.
+struct Router
+{
+	UpstreamTable table;
+	LoadShare share;
+
+	Router()
+	{
+		for (uint32_t idx = 0; idx < kUpstreams; ++idx)
+		{
+			registerUpstream(table, {upstreamName(idx), "llm", "10.0.0.1:80", "a", "v1", 1, false});
+		}
+	}
+
+	void has(uint32_t _upstream, uint32_t _inFlight, double _prefillMs)
+	{
+		table.entries.at(_upstream).inFlight = _inFlight;
+		table.entries.at(_upstream).prefillMs = _prefillMs;
+	}
+};
+
+/// One ping and its answer. @param[in] _link Of the child, at the parent. @returns Changes told both ways.
+size_t exchange(Router& _child, Router& _parent, uint32_t _link, TimeUs _now)
+{
+	applyOthersLoad(_child.share, _child.table, _now);
+	applyOthersLoad(_parent.share, _parent.table, _now);
+	const std::vector<LoadChange> up = changesFor(_child.share, _child.share.parent);
+	NeighbourLoad& child = _parent.share.children[_link];
+	takeLoads(_parent.share, child, up, _now);
+	const std::vector<LoadChange> down = changesFor(_parent.share, child);
+	takeLoads(_child.share, _child.share.parent, down, _now);
+	applyOthersLoad(_child.share, _child.table, _now);
+	applyOthersLoad(_parent.share, _parent.table, _now);
+	return up.size() + down.size();
+}
+
+/// A chain of three with two leaves at its middle.
+struct Chain
+{
+	Router top;
+	Router middle;
+	Router left;
+	Router right;
+
+	/// So often that all has reached all. @returns Changes told in the last round.
+	size_t settle(TimeUs _now)
+	{
+		size_t told = 0;
+		for (int round = 0; round < 4; ++round)
+		{
+			told = exchange(left, middle, 1, _now) + exchange(right, middle, 2, _now) +
+				   exchange(middle, top, 7, _now);
+		}
+		return told;
+	}
+
+	std::vector<Router*> all()
+	{
+		return {&top, &middle, &left, &right};
+	}
+};
+
+RC_GTEST_PROP(LoadShare, AfterAnyChangesEachRouterHearsTheSumOfAllOthersAndThenNothingMore, ())
+{
+	Chain chain;
+	for (int step = 0; step < 5; ++step)
+	{
+		for (Router* router : chain.all())
+		{
+			router->has(*rc::gen::inRange<uint32_t>(0, kUpstreams), *rc::gen::inRange<uint32_t>(0, 3),
+						double(*rc::gen::inRange(0, 500)));
+		}
+		RC_ASSERT(chain.settle(kNow + step) == 0u);
+	}
+	for (uint32_t idx = 0; idx < kUpstreams; ++idx)
+	{
+		double all = 0.0;
+		for (Router* router : chain.all())
+		{
+			const UpstreamEntry& entry = router->table.entries.at(idx);
+			all += entry.inFlight > 0 ? entry.prefillMs : 0.0;
+		}
+		for (Router* router : chain.all())
+		{
+			const UpstreamEntry& entry = router->table.entries.at(idx);
+			const double own = entry.inFlight > 0 ? entry.prefillMs : 0.0;
+			RC_ASSERT(entry.others.prefillMs == all - own);
+		}
+	}
+}
+
+TEST(LoadShare, OnlyWhatChangedIsTold)
+{
+	Router child;
+	Router parent;
+	child.has(0, 1, 100.0);
+	child.has(1, 1, 100.0);
+	EXPECT_EQ(exchange(child, parent, 1, kNow), 2u);
+	EXPECT_EQ(exchange(child, parent, 1, kNow), 0u);
+	child.has(1, 2, 150.0);
+	EXPECT_EQ(exchange(child, parent, 1, kNow), 1u);
+	EXPECT_EQ(parent.table.entries.at(1).others.prefillMs, 150.0);
+	child.has(0, 0, 0.0);
+	EXPECT_EQ(exchange(child, parent, 1, kNow), 1u) << "an end is a change too";
+	EXPECT_EQ(parent.table.entries.at(0).others.inFlight, 0u);
+}
+
+TEST(LoadShare, WhatWasToldLongAgoCountsNoMoreUntilTheNeighbourTellsAgain)
+{
+	Router child;
+	Router parent;
+	child.has(0, 2, 50.0);
+	exchange(child, parent, 1, kNow);
+	applyOthersLoad(parent.share, parent.table, kNow + kLoadLifetime);
+	EXPECT_EQ(parent.table.entries.at(0).others.inFlight, 0u);
+	exchange(child, parent, 1, kNow + 2 * kLoadLifetime);
+	EXPECT_EQ(parent.table.entries.at(0).others.inFlight, 2u) << "nothing changed, and it counts again";
+}
+
+TEST(LoadShare, ANeighbourThatIsGoneLeavesNothingAndANewLinkBeginsAnew)
+{
+	Router child;
+	Router parent;
+	child.has(0, 2, 50.0);
+	exchange(child, parent, 1, kNow);
+	dropLoads(parent.share, parent.share.children[1]);
+	parent.share.children.erase(1);
+	dropLoads(child.share, child.share.parent);
+	applyOthersLoad(parent.share, parent.table, kNow);
+	EXPECT_EQ(parent.table.entries.at(0).others.inFlight, 0u);
+	exchange(child, parent, 2, kNow);
+	EXPECT_EQ(parent.table.entries.at(0).others.inFlight, 2u);
+}
+
+TEST(LoadShare, UpstreamsThatAreGoneDoNotStayInTheSums)
+{
+	Router child;
+	Router parent;
+	for (uint32_t idx = 0; idx < 1000; ++idx)
+	{
+		const std::vector<LoadChange> came{{keyOf(upstreamName(idx)), {10, 1}}};
+		const std::vector<LoadChange> went{{keyOf(upstreamName(idx)), {0, 0}}};
+		takeLoads(parent.share, parent.share.children[1], came, kNow);
+		applyOthersLoad(parent.share, parent.table, kNow);
+		takeLoads(parent.share, parent.share.children[1], went, kNow);
+		applyOthersLoad(parent.share, parent.table, kNow);
+	}
+	EXPECT_LT(parent.share.sum.size(), 200u);
+	EXPECT_TRUE(parent.share.children[1].loads.empty());
+}
+
+TEST(LoadShare, InARingWithAnIsolatedRouterNothingAddsUpRoundByRound)
+{
+	Router cutOff;
+	Router other;
+	cutOff.share.isolated = true;
+	cutOff.has(0, 1, 100.0);
+	other.has(0, 1, 40.0);
+	for (int round = 0; round < 50; ++round)
+	{
+		exchange(cutOff, other, 1, kNow); // Each follows the other.
+		exchange(other, cutOff, 1, kNow);
+	}
+	EXPECT_LE(cutOff.table.entries.at(0).others.prefillMs, 280.0) << "each twice at most";
+	EXPECT_LE(other.table.entries.at(0).others.prefillMs, 280.0);
+}
+} // namespace
+} // namespace spanplank
--- a/tests/core/peer_tree_test.cpp
+++ b/tests/core/peer_tree_test.cpp
@@ -1,25 +1,40 @@
-/// The tree in which routers follow each other: whom each follows, what it does when that fails, sums of
-/// loads.
+/// The tree in which routers follow each other: whom each follows, what it does when that fails; and their
+/// messages.
 #include "spanplank/peer_tree.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "spanplank/load_share.h"
 #include "spanplank/peer_messages.h"
 
 namespace spanplank
 {
 namespace
 {
-std::vector<PeerRecord> fleet(size_t _halls, size_t _routers)
+constexpr BoxCapacity kLarge{0.5, 200.0};
+constexpr BoxCapacity kSmall{0.09, 20.0};
+
+std::vector<PeerRecord> fleet(size_t _halls, size_t _routers, const BoxCapacity& _capacity = kLarge)
 {
 	std::vector<PeerRecord> records;
 	for (size_t ii = 0; ii < _routers; ++ii)
 	{
 		records.push_back({fmt::format("box-{}", ii), fmt::format("hall-{}", ii % _halls),
-						   fmt::format("10.0.0.{}:7000", ii)});
+						   fmt::format("10.0.0.{}:7000", ii), _capacity});
+	}
+	return records;
+}
+
+/// A fleet of small boxes with a few large ones in each hall.
+std::vector<PeerRecord> mixedFleet(size_t _halls, size_t _small, size_t _large)
+{
+	std::vector<PeerRecord> records = fleet(_halls, _small, kSmall);
+	for (size_t ii = 0; ii < _large; ++ii)
+	{
+		records.push_back({fmt::format("large-{}", ii), fmt::format("hall-{}", ii % _halls),
+						   fmt::format("10.0.1.{}:7000", ii), kLarge});
 	}
 	return records;
 }
@@ -61,6 +76,101 @@
 	EXPECT_EQ(acrossHalls, 3u);
 }
 
+/// Whom each router follows.
+std::map<std::string, std::string> parentsOf(const std::vector<PeerRecord>& _all)
+{
+	std::map<std::string, std::string> parents;
+	for (const PeerRecord& self : _all)
+	{
+		parents[self.box] = chooseParent(treeOf(self, _all), 0);
+	}
+	return parents;
+}
+
+std::map<std::string, uint32_t> followersOf(const std::map<std::string, std::string>& _parents)
+{
+	std::map<std::string, uint32_t> followers;
+	for (const auto& [box, parent] : _parents)
+	{
+		followers[parent] += parent.empty() ? 0 : 1;
+	}
+	return followers;
+}
+
+size_t mostHops(const std::map<std::string, std::string>& _parents)
+{
+	size_t most = 0;
+	for (const auto& [box, parent] : _parents)
+	{
+		size_t hops = 0;
+		for (std::string at = parent; !at.empty(); at = _parents.at(at))
+		{
+			++hops;
+			if (hops > _parents.size())
+			{
+				ADD_FAILURE() << "routers follow each other in a ring";
+				return hops;
+			}
+		}
+		most = std::max(most, hops);
+	}
+	return most;
+}
+
+TEST(PeerTree, InAFleetWithAFewLargeBoxesTheLargeOnesCarryTheOthers)
+{
+	const std::vector<PeerRecord> all = mixedFleet(5, 88, 15);
+	const std::map<std::string, std::string> parents = parentsOf(all);
+	for (const auto& [parent, count] : followersOf(parents))
+	{
+		EXPECT_TRUE(parent.empty() || parent.find("large") == 0) << parent << " has " << count;
+		EXPECT_LE(count, mostFollowers(kLarge)) << parent;
+	}
+	EXPECT_LE(mostHops(parents), 4u);
+}
+
+TEST(PeerTree, InAFleetOfSmallBoxesAloneEachBearsAFewFollowersOverMoreLevels)
+{
+	const std::map<std::string, std::string> parents = parentsOf(fleet(5, 103, kSmall));
+	for (const auto& [parent, count] : followersOf(parents))
+	{
+		EXPECT_LE(count, mostFollowers(kSmall)) << parent;
+	}
+	EXPECT_LE(mostHops(parents), 6u);
+	EXPECT_EQ(std::count_if(parents.begin(), parents.end(),
+							[](const auto& _entry) { return _entry.second.empty(); }),
+			  1);
+}
+
+RC_GTEST_PROP(PeerTree, WhateverEachRouterBelievesOfTheOthersNoneFollowEachOtherInARing, ())
+{
+	const size_t halls = *rc::gen::inRange<size_t>(1, 6);
+	const std::vector<PeerRecord> all =
+		mixedFleet(halls, *rc::gen::inRange<size_t>(1, 40), *rc::gen::inRange<size_t>(0, 6));
+	std::map<std::string, std::string> parents;
+	for (const PeerRecord& self : all)
+	{
+		PeerTree tree = treeOf(self, all);
+		for (const PeerRecord& other : all)
+		{
+			if (*rc::gen::inRange(0, 4) == 0)
+			{
+				avoidPeer(tree, other.box, 0);
+			}
+		}
+		parents[self.box] = chooseParent(tree, 0);
+	}
+	RC_ASSERT(mostHops(parents) <= all.size());
+}
+
+TEST(PeerTree, ABoxThatTellsNoCapacityRanksLastAndBearsTheFewest)
+{
+	std::vector<PeerRecord> all = fleet(1, 4, kSmall);
+	all[0].capacity = {};
+	EXPECT_EQ(mostFollowers(all[0].capacity), 2u);
+	EXPECT_EQ(followersOf(parentsOf(all)).count(all[0].box), 0u);
+}
+
 TEST(PeerTree, ARouterThatCanNotBeFollowedIsLeftOutForALongerWhileEachTime)
 {
 	const std::vector<PeerRecord> all = fleet(1, 5);
@@ -92,53 +202,22 @@
 	EXPECT_TRUE(tree.peers.empty()) << "it is no peer of itself";
 }
 
-RC_GTEST_PROP(LoadShare, EachRouterHearsTheSumOfAllOthersAndNothingTwice, ())
-{
-	// A chain of three with two leaves at its middle; what each has is drawn.
-	const auto drawn = [] {
-		return LoadMap{{"u", {double(*rc::gen::inRange(0, 100)), 1}}};
-	};
-	const LoadMap top = drawn();
-	const LoadMap middle = drawn();
-	const LoadMap left = drawn();
-	const LoadMap right = drawn();
-	LoadShare middles;
-	middles.children[1] = {left, 1};
-	middles.children[2] = {right, 1};
-	LoadShare tops;
-	tops.children[7] = {loadForParent(middles, middle, 2), 2};
-	middles.parent = {loadForChild(tops, top, 7, 3), 3};
-	const double all =
-		top.at("u").prefillMs + middle.at("u").prefillMs + left.at("u").prefillMs + right.at("u").prefillMs;
-	const LoadMap heardByLeft = loadForChild(middles, middle, 1, 4);
-	RC_ASSERT(heardByLeft.at("u").prefillMs == all - left.at("u").prefillMs);
-	RC_ASSERT(heardByLeft.at("u").inFlight == 3u);
-	UpstreamTable table;
-	registerUpstream(table, {"u", "llm", "10.0.0.1:80", "a", "v1", 1, false});
-	applyOthersLoad(tops, table, 4);
-	RC_ASSERT(table.entries.at(0).others.prefillMs == all - top.at("u").prefillMs);
-}
-
-TEST(LoadShare, LoadsThatWereToldLongAgoCountNoMore)
-{
-	LoadShare share;
-	share.children[1] = {{{"u", {50.0, 2}}}, 1};
-	EXPECT_EQ(loadForParent(share, {}, kLoadLifetime).size(), 1u);
-	EXPECT_TRUE(loadForParent(share, {}, kLoadLifetime + 1).empty());
-}
-
 TEST(PeerMessages, ComeBackAsTheyWereSent)
 {
 	PeerPong pong;
 	pong.seq = 3;
 	pong.revision = 99;
 	pong.proofAge = 1234567;
-	pong.loads = {{"u", {12.0, 3}}};
+	pong.loads = {{keyOf("u"), {12, 3}}};
+	pong.stopping = true;
 	const auto pongBack =
 		nlohmann::json::from_cbor(nlohmann::json::to_cbor(nlohmann::json(pong))).get<PeerPong>();
 	EXPECT_EQ(pongBack.revision, 99u);
 	EXPECT_EQ(pongBack.proofAge, 1234567);
-	EXPECT_EQ(pongBack.loads.at("u").inFlight, 3u);
+	ASSERT_EQ(pongBack.loads.size(), 1u);
+	EXPECT_EQ(pongBack.loads[0].upstream, keyOf("u"));
+	EXPECT_EQ(pongBack.loads[0].load, (LoadCount{12, 3}));
+	EXPECT_TRUE(pongBack.stopping);
 	const StoreChanges changes{4, 6, {{"k", "value", 5, false}, {"gone", "", 6, true}}};
 	const auto back =
 		nlohmann::json::from_cbor(nlohmann::json::to_cbor(nlohmann::json(changes))).get<StoreChanges>();
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -217,7 +217,7 @@
 	const UpstreamId near{table.idxOfId.at("near")};
 	const UpstreamId far{table.idxOfId.at("far")};
 	table.hearsOthers = true;
-	notePeerHome(table, 7, "far", 0);
+	notePeerHome(table, {7, keyOf("far")}, 0);
 	UpstreamQuery prompt = query();
 	prompt.shared = {{7, 3000}}; // 60 ms of reading at the pace before any was measured.
 	prompt.withinMs = 1000.0;
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -1,4 +1,5 @@
 /// Several direct routers that follow each other: one watches the store, and what happens when that fails.
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
@@ -297,5 +298,82 @@
 	}
 	EXPECT_EQ(store.items.count(fmt::format("spanplank/router/router-{}", gone)), 0u);
 }
+
+/// By rank, as all boxes are of one size.
+std::vector<size_t> rankedRouters()
+{
+	std::vector<size_t> ranked{0, 1, 2};
+	std::sort(ranked.begin(), ranked.end(), [](size_t _one, size_t _other) {
+		return stableHash(fmt::format("router-{}", _one)) < stableHash(fmt::format("router-{}", _other));
+	});
+	return ranked;
+}
+
+TEST_F(FleetTest, AFollowerThatIsCutOffTheStoreGoesOnByTheNextRouterThatItFollows)
+{
+	const std::vector<size_t> ranked = rankedRouters();
+	ASSERT_EQ(watcher(), ranked[0]);
+	const size_t cut = ranked[2];
+	toStore[cut].fault = ProxyFault::Refuse;
+	resetConnections(toStore[cut]);
+	routers[ranked[0]]->killHard();
+	const TimeUs cutAt = monotonicNow();
+	removeKey(); // It has to hear from its next parent what it misses between the two.
+	EXPECT_TRUE(eventually([&] { return call(cut, "other-key") == 401; }, 3));
+	while (monotonicNow() - cutAt < 2 * TimeUs(kRevokeMs) * kMsToUs)
+	{
+		EXPECT_EQ(call(cut, "kept-key"), 200) << "its next parent proves that the key holds";
+		writeConfig();
+		sleepFor(200);
+	}
+	toStore[cut].fault = ProxyFault::None;
+	routers[ranked[0]]->start();
+	settle();
+}
+
+TEST_F(FleetTest, OneRouterListsTheStoreForAllAfterItHasForgottenItsHistory)
+{
+	removeKey();
+	forgetHistory(store);
+	writeConfig();
+	forgetHistory(store);
+	EXPECT_TRUE(eventually([this] { return allAnswer("other-key", 401) && allAnswer("kept-key", 200); }, 5));
+	settle();
+	const auto snapshots = [this] {
+		size_t count = 0;
+		for (const auto& router : routers)
+		{
+			count += router->log().find("event=snapshot_taken") != std::string::npos ? 1 : 0;
+		}
+		return count;
+	};
+	EXPECT_TRUE(eventually([&] { return snapshots() == kRouters - 1; }, 5)) << "log lines come a little late";
+}
+
+TEST_F(FleetTest, WhileOneRouterReachesTheStoreTheOthersGoOnByItThoughTheyRankBefore)
+{
+	const std::vector<size_t> ranked = rankedRouters();
+	for (const size_t cut : {ranked[0], ranked[1]})
+	{
+		toStore[cut].fault = ProxyFault::Refuse;
+		resetConnections(toStore[cut]);
+	}
+	const TimeUs cutAt = monotonicNow();
+	removeKey();
+	EXPECT_TRUE(eventually([&] { return allAnswer("other-key", 401); }, 10));
+	EXPECT_TRUE(eventually([&] { return allAnswer("kept-key", 200); }, 10));
+	const TimeUs settledAt = monotonicNow();
+	EXPECT_LT(settledAt - cutAt, 3 * TimeUs(kRevokeMs) * kMsToUs);
+	while (monotonicNow() - settledAt < TimeUs(kRevokeMs) * kMsToUs)
+	{
+		EXPECT_TRUE(allAnswer("kept-key", 200)) << "they keep hearing proofs";
+		sleepFor(100);
+	}
+	for (const size_t cut : {ranked[0], ranked[1]})
+	{
+		toStore[cut].fault = ProxyFault::None;
+	}
+	settle();
+}
 } // namespace
 } // namespace spanplank
