Fewer calls of the store: levels ask one after the other, links open at once, outages are waited out longer

When the first of all fell silent or was cut off, all 103 routers' proofs grew old at the same moment and all asked; a router that had just started took up to 1.2 s until it was linked and watched meanwhile; in an outage of the store each follower called every 0.8 to 1.6 s though the router that it follows does so for all. A detached router stays with a parent that proves and probes the store every 3 s. Links are dialled at once, the hub opens within 50 ms. Followers pause 0.4 to 3.2 s in an outage, and less as soon as their parent falls silent. FleetTest.WhileOneRouterReaches... failed without the rule that a detached router keeps a parent that proves.

--- a/include/spanplank/peer_follow.h
+++ b/include/spanplank/peer_follow.h
@@ -30,7 +30,9 @@
 	bool ring = false;          ///< It follows this router, by whatever way.
 	uint32_t asked = 0;         ///< Own calls that reached the store in a row, while it proved nothing.
 	uint32_t storeFailures = 0; ///< Own calls that failed in a row.
-	TimeUs detachedUntil = 0;   ///< This router ranks itself last until then.
+	TimeUs storeFailedAt = 0;   ///< When one failed last; 0: none has.
+	bool detached = false;      ///< Cut off the store: this router ranks itself last.
+	TimeUs probeAt = 0;         ///< When a detached router calls the store though its parent proves.
 	TimeUs searchAt = 0;        ///< No search for another parent before.
 	uint32_t searches = 0;      ///< In a row; each doubles the pause before the next.
 	std::vector<PeerKey> chain; ///< The parent, whom that follows, and so on.
@@ -61,13 +63,21 @@
 
 /// An own call of the store ended.
 void noteStoreReached(FollowState& _state);
-void noteStoreFailed(FollowState& _state);
+void noteStoreFailed(FollowState& _state, TimeUs _now);
 
-/// A search begins: this router ranks itself last for a while.
+/// @returns Whether a router that ranks itself last is to learn whether it reaches the store again.
+bool wantsProbe(const FollowState& _state, TimeUs _now);
+
+/// A search begins: this router ranks itself last until it reaches the store.
 void noteSearch(FollowState& _state, TimeUs _now);
 
-/// Oldest proof that is good enough. A change must be in force within 2 s where bounds are tightest.
-constexpr TimeUs kOldestProof = 1600 * kMsToUs;
+/// @returns The oldest proof that is good enough, before this router asks the store itself.
+TimeUs oldestProof(const FollowState& _state);
+
+/// Oldest proof next to the first of all, and further down: a change must be in force within 2 s where bounds
+/// are tightest, and those next to it ask for all while the others still wait.
+constexpr TimeUs kOldestProof = 1200 * kMsToUs;
+constexpr TimeUs kOldestProofBelow = 1700 * kMsToUs;
 /// Longest chain that is told; a ring is seen long before.
 constexpr size_t kMostChain = 16;
 } // namespace spanplank
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -465,7 +465,13 @@
 
 void LinkHub::connect(const Endpoint& _endpoint)
 {
-	m_impl->wanted[Impl::endpointText(_endpoint)] = _endpoint;
+	const std::string text = Impl::endpointText(_endpoint);
+	m_impl->wanted[text] = _endpoint;
+	if (m_impl->dialing.count(text) == 0)
+	{
+		m_impl->dial(
+			_endpoint); // At once: until it is linked, a router that has just started places work blindly.
+	}
 }
 
 void LinkHub::disconnect(const Endpoint& _endpoint)
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -15,8 +15,10 @@
 constexpr uint32_t kRetryLeastMs = 50; ///< First pause after a call of the store failed.
 /// Longest pause: a router must learn of a return within the bounds.
 constexpr uint32_t kRetryMostMs = 400;
-/// As above, for a router whose parent answers: that one asks often and tells at once.
-constexpr uint32_t kFollowerRetryMostMs = 1600;
+/// The same for a router whose parent answers: that one asks often and tells at once. Each call is priced,
+/// and the fleet's calls in an outage are nearly all of followers.
+constexpr uint32_t kFollowerRetryLeastMs = 400;
+constexpr uint32_t kFollowerRetryMostMs = 3200;
 constexpr uint32_t kMostDoublings = 5; ///< Of the first pause; the longest is reached by then.
 constexpr uint32_t kFollowPollMs = 50; ///< Between looks whether the parent still keeps this router informed.
 constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
@@ -24,8 +26,10 @@
 /// Pause between calls that fail, with jitter so that routers do not come together.
 uint32_t backoff(DirectRouter& _router, uint32_t _failures)
 {
-	const uint32_t longest = hasParent(_router, monotonicNow()) ? kFollowerRetryMostMs : kRetryMostMs;
-	const uint32_t most = std::min(longest, kRetryLeastMs << std::min(_failures, kMostDoublings));
+	const bool follows = hasParent(_router, monotonicNow()) && !_router.peers.follow.detached;
+	const uint32_t least = follows ? kFollowerRetryLeastMs : kRetryLeastMs;
+	const uint32_t longest = follows ? kFollowerRetryMostMs : kRetryMostMs;
+	const uint32_t most = std::min(longest, least << std::min(_failures, kMostDoublings));
 	const double half = double(most) / 2.0;
 	return uint32_t(half + nextUnit(_router.random) * half);
 }
@@ -220,11 +224,14 @@
 	_follower.failures = 0;
 }
 
-/// Waits, at most until another router keeps this one informed again.
+/// Waits, at most until another router keeps this one informed again, or until the parent falls silent, on
+/// which the length of the pause relied.
 void pauseUnlessFollowing(DirectRouter& _router, uint32_t _ms)
 {
 	const TimeUs until = monotonicNow() + TimeUs(_ms) * kMsToUs;
-	while (monotonicNow() < until && !isFollowing(_router, monotonicNow()))
+	const bool relied = hasParent(_router, monotonicNow());
+	while (monotonicNow() < until && !isFollowing(_router, monotonicNow()) &&
+		   relied == hasParent(_router, monotonicNow()))
 	{
 		sleepFor(std::min(_ms, kFollowPollMs));
 	}
@@ -246,7 +253,8 @@
 	follower.client.protocol = _router.store.protocol;
 	while (true)
 	{
-		if (isFollowing(_router, monotonicNow()))
+		const TimeUs now = monotonicNow();
+		if (isFollowing(_router, now) && !wantsProbe(_router.peers.follow, now))
 		{
 			sleepFor(kFollowPollMs);
 			continue;
@@ -263,7 +271,7 @@
 		catch (const Failure& failure)
 		{
 			noteLost(_router, follower, failure.refusal());
-			noteStoreFailed(_router.peers.follow);
+			noteStoreFailed(_router.peers.follow, monotonicNow());
 			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
 		}
 	}
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -15,8 +15,9 @@
 {
 /// Loads change as fast as prompts are read, which takes some 100 ms. Measured beside 30 and 200.
 constexpr uint32_t kPingMs = 60;
-constexpr uint32_t kTickMs = 500;    ///< Between looks at the registration.
-constexpr uint32_t kReviewPings = 8; ///< Between looks at the choice of the parent.
+constexpr uint32_t kTickMs = 500;     ///< Between looks at the registration.
+constexpr uint32_t kFirstTickMs = 50; ///< The same until links are open.
+constexpr uint32_t kReviewPings = 4;  ///< Between looks at the choice of the parent.
 /// Without an answer for this long the parent is not relied on; a slow box may pause for some 100 ms.
 constexpr TimeUs kPongPatience = 700 * kMsToUs;
 /// Oldest proof of a router that is between two parents. A new link takes some 0.1 s: without this each
@@ -134,6 +135,7 @@
 	if (peers.hub == nullptr && !peers.key.empty())
 	{
 		openHub(_router);
+		reviewParent(_router, monotonicNow());
 	}
 	if (peers.hub != nullptr)
 	{
@@ -154,7 +156,7 @@
 		{
 			noteNotRegistered(_router, failure);
 		}
-		sleepFor(kTickMs);
+		sleepFor(_router.peers.hub != nullptr ? kTickMs : kFirstTickMs);
 	}
 }
 
@@ -184,7 +186,7 @@
 bool isFollowing(const DirectRouter& _router, TimeUs _now)
 {
 	const PeerLinks& peers = _router.peers;
-	const TimeUs oldest = hasParent(_router, _now) ? kOldestProof : kOldestUnledProof;
+	const TimeUs oldest = hasParent(_router, _now) ? oldestProof(peers.follow) : kOldestUnledProof;
 	const bool listed = _router.view.listed && !peers.behind;
 	return listed && !peers.parent.empty() && _now - _router.config.provedAt < oldest;
 }
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -147,7 +147,7 @@
 		return;
 	}
 	const FollowMove move = nextFollowMove(peers.follow, _now);
-	rankSelfLast(peers, peers.follow.detachedUntil > _now);
+	rankSelfLast(peers, peers.follow.detached);
 	if (move == FollowMove::Search)
 	{
 		searchParent(_router, _now);
@@ -158,6 +158,11 @@
 		leaveParent(_router, name(move), _now);
 		return;
 	}
+	if (peers.follow.detached && !peers.parent.empty())
+	{
+		return; // By rank it might come to one that is cut off too; `Search` moves it on if this one proves
+				// nothing.
+	}
 	const std::string best = chooseParent(peers.tree, _now);
 	const bool known = peers.parent.empty() || peers.tree.peers.count(peers.parent) != 0;
 	if (best != peers.parent && (known || !hasParent(_router, _now)))
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -62,6 +62,10 @@
 		for (const auto& router : routers)
 		{
 			router->killHard();
+			if (HasFailure())
+			{
+				fmt::print("{}", router->log());
+			}
 		}
 		stopListening(store.http);
 		stopListening(upstream.http);
