Halts of a version travel along the links, so that none completes it when the store is back

Change: pings and answers carry halts that are not in the store yet; whoever hears one obeys it, tells it on, and leaves the write to the others for 1.5 s. Writes that fail come after 0.2 s, doubled to 1.6 s (they came 5 times a second from each router that had halted). FleetTest.AHaltReachesTheOtherRouters... has no way to pass without the messages.

--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -13,6 +13,7 @@
 #include "spanplank/peer_follow.h"
 #include "spanplank/store_item.h"
 #include "spanplank/types.h"
+#include "spanplank/version_trial.h"
 
 namespace spanplank
 {
@@ -22,6 +23,7 @@
 	uint64_t seq = 0;              ///< Rises with each ping of a link.
 	std::vector<LoadChange> loads; ///< Of its subtree, changed since the last ping over this link.
 	std::vector<NewHome> homes;    ///< Learned since the last ping, but from the receiver.
+	std::vector<TrialHalt> halts;  ///< Not in the store yet.
 };
 
 /// The answer to a ping.
@@ -33,6 +35,7 @@
 	std::vector<LoadChange> loads; ///< Of all routers outside the receiver's subtree, changed since the last.
 	std::vector<NewHome> homes;    ///< Learned since the last answer, but from the receiver.
 	bool stopping = false;         ///< The sender ends soon: another one is to be followed.
+	std::vector<TrialHalt> halts;  ///< Not in the store yet.
 	std::vector<PeerKey> chain;    ///< The sender, whom it follows, and so on; a ring shows in it.
 };
 
@@ -107,9 +110,29 @@
 	}
 }
 
+inline void to_json(nlohmann::json& _json, const TrialHalt& _halt)
+{
+	_json = nlohmann::json::array({_halt.service, _halt.orderRevision});
+}
+
+inline void from_json(const nlohmann::json& _json, TrialHalt& _halt)
+{
+	_json.at(0).get_to(_halt.service);
+	_json.at(1).get_to(_halt.orderRevision);
+}
+
+/// As `decodeLoads`.
+inline void decodeHalts(const nlohmann::json& _json, size_t _at, std::vector<TrialHalt>& _halts)
+{
+	if (_json.size() > _at)
+	{
+		_json.at(_at).get_to(_halts);
+	}
+}
+
 inline void to_json(nlohmann::json& _json, const PeerPing& _ping)
 {
-	_json = {_ping.seq, encodeLoads(_ping.loads), encodeHomes(_ping.homes)};
+	_json = {_ping.seq, encodeLoads(_ping.loads), encodeHomes(_ping.homes), nlohmann::json(_ping.halts)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
@@ -117,13 +140,19 @@
 	_json.at(0).get_to(_ping.seq);
 	decodeLoads(_json, 1, _ping.loads);
 	decodeHomes(_json, 2, _ping.homes);
+	decodeHalts(_json, 3, _ping.halts);
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
 {
-	_json = {
-		_pong.seq,      _pong.revision, _pong.proofAge, encodeLoads(_pong.loads), encodeHomes(_pong.homes),
-		_pong.stopping, _pong.chain};
+	_json = {_pong.seq,
+			 _pong.revision,
+			 _pong.proofAge,
+			 encodeLoads(_pong.loads),
+			 encodeHomes(_pong.homes),
+			 _pong.stopping,
+			 _pong.chain,
+			 nlohmann::json(_pong.halts)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPong& _pong)
@@ -140,6 +169,7 @@
 	{
 		_json.at(kChainAt).get_to(_pong.chain);
 	}
+	decodeHalts(_json, kChainAt + 1, _pong.halts);
 }
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "spanplank/types.h"
 
@@ -68,6 +69,9 @@
 	uint64_t statusRevision = 0;                  ///< Of the status in the store; 0: none.
 	bool decided = false;                         ///< This router wants `state` in the store.
 	TimeUs wantedAt = 0;                          ///< Since when it wants to write a status; 0: it does not.
+	bool heard = false;                           ///< Another router halted it and told this one.
+	TimeUs writeAfter = 0;                        ///< No call to write the status before; a call failed.
+	uint32_t writesLost = 0;                      ///< Such calls that failed in a row.
 	std::map<std::string, TrialCounts> candidate; ///< By route.
 	std::map<std::string, TrialCounts> others;    ///< By route.
 	std::map<std::string, uint32_t> badBy; ///< Bad, silent and slow answers by upstream of the new version.
@@ -111,6 +115,22 @@
 /// @returns Whether a version is on trial: ordered, and neither completed nor rolled back.
 bool isOnTrial(const TrialBook& _book, const std::string& _service, const std::string& _version);
 
+/// A halt that one router tells the others, who may not have seen enough of the version.
+struct TrialHalt
+{
+	std::string service;
+	uint64_t orderRevision = 0; ///< Of the order that is halted.
+};
+
+/// @returns The halts that are not in the store yet.
+std::vector<TrialHalt> unwrittenHalts(const TrialBook& _book);
+
+/// Another router has halted a version. @returns Whether this one halts it by that.
+bool takeHalt(TrialBook& _book, const TrialHalt& _halt);
+
+/// A call to write a status failed: the next waits. @param[in] _jitter 0 to 1.
+void noteWriteLost(VersionTrial& _trial, TimeUs _now, double _jitter);
+
 /// @returns The version that was rolled back, which gets no more requests; empty: none.
 std::string haltedVersion(const TrialBook& _book, const std::string& _service);
 
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -24,6 +24,10 @@
 constexpr double kWidenPart = 0.55;
 constexpr TimeUs kProgressEvery = 2000 * kMsToUs; ///< What a blank router may be wrong by.
 constexpr TimeUs kProgressJitter = 1000 * kMsToUs;
+/// After a call to write a status failed, doubled each time: while the store is away, some 30 routers that
+/// had halted a version called it 5 times a second each.
+constexpr TimeUs kWriteRetry = 200 * kMsToUs;
+constexpr uint32_t kMostWriteDoublings = 3;
 constexpr uint32_t kLeastGood = 6; ///< Good answers of the new version before its share may grow.
 constexpr uint32_t kLeastBad = 5;  ///< Bad answers before a version is halted.
 constexpr double kBadRate = 0.2; ///< Halted above this share of bad answers, if the old version has less ...
@@ -230,6 +234,40 @@
 		   found->second.order.version == _version;
 }
 
+std::vector<TrialHalt> unwrittenHalts(const TrialBook& _book)
+{
+	std::vector<TrialHalt> halts;
+	for (const auto& [service, trial] : _book.trials)
+	{
+		if (trial.state == RolloutState::RolledBack && trial.decided)
+		{
+			halts.push_back({service, trial.orderRevision});
+		}
+	}
+	return halts;
+}
+
+bool takeHalt(TrialBook& _book, const TrialHalt& _halt)
+{
+	const auto found = _book.trials.find(_halt.service);
+	if (found == _book.trials.end() || found->second.orderRevision != _halt.orderRevision ||
+		found->second.state != RolloutState::Running)
+	{
+		return false; // Of another order, or settled.
+	}
+	found->second.state = RolloutState::RolledBack;
+	found->second.decided = true;
+	found->second.heard = true;
+	return true;
+}
+
+void noteWriteLost(VersionTrial& _trial, TimeUs _now, double _jitter)
+{
+	const TimeUs pause = kWriteRetry << std::min(_trial.writesLost, kMostWriteDoublings);
+	_trial.writeAfter = _now + pause / 2 + TimeUs(_jitter * double(pause) / 2.0);
+	++_trial.writesLost;
+}
+
 std::string haltedVersion(const TrialBook& _book, const std::string& _service)
 {
 	const auto found = _book.trials.find(_service);
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -8,6 +8,7 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "peer_parent_p.h"
+#include "store_items_p.h"
 
 namespace spanplank
 {
@@ -40,8 +41,10 @@
 	takeOwnLoad(peers.loads, _router.upstreams);
 	collectOwnHomes(peers.homes, _router.upstreams);
 	takeHomes(peers.homes, _router.upstreams, _link.idx, _ping.homes, now);
+	takePeerHalts(_router, _ping.halts);
 	PeerPong pong;
 	pong.seq = _ping.seq;
+	pong.halts = unwrittenHalts(_router.trials);
 	pong.revision = _router.view.listed ? _router.view.revision : 0;
 	pong.proofAge = now - _router.config.provedAt;
 	pong.loads = changesFor(peers.loads, child);
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -6,6 +6,7 @@
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
+#include "store_items_p.h"
 
 namespace spanplank
 {
@@ -189,6 +190,7 @@
 	ping.loads = changesFor(peers.loads, peers.loads.parent);
 	collectOwnHomes(peers.homes, _router.upstreams);
 	ping.homes = homesForParent(peers.homes);
+	ping.halts = unwrittenHalts(_router.trials);
 	peers.pingSentAt = monotonicNow();
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
@@ -203,6 +205,7 @@
 	}
 	const TimeUs now = monotonicNow();
 	takeSharesOfParent(_router, _pong, now);
+	takePeerHalts(_router, _pong.halts);
 	if (_pong.stopping && !_router.stopping)
 	{
 		leaveParent(_router, "it stops", now);
--- a/src/direct/store_items_p.h
+++ b/src/direct/store_items_p.h
@@ -31,6 +31,11 @@
 /// The routers' own record: how long ago a roll-out was ordered.
 void takeProgressItem(DirectRouter& _router, const StoreItem& _item, TimeUs _now);
 
+/// Takes halts that another router told. While the store is away they go no other way: routers that had seen
+/// too little of a bad version completed it once the store was back, before those that had halted it could
+/// write.
+void takePeerHalts(DirectRouter& _router, const std::vector<TrialHalt>& _halts);
+
 /// Writes verdicts and progress of the roll-outs to the store. Does not return.
 void runRollouts(DirectRouter& _router);
 } // namespace spanplank
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -76,10 +76,14 @@
 		return;
 	}
 	_trial.wantedAt = _trial.wantedAt == 0 ? now : _trial.wantedAt;
-	if (isFollowing(_router, now) && status.state != RolloutState::RolledBack &&
-		now - _trial.wantedAt < kFollowerPatience)
+	const bool othersWrite = status.state != RolloutState::RolledBack || _trial.heard;
+	if (isFollowing(_router, now) && othersWrite && now - _trial.wantedAt < kFollowerPatience)
 	{
-		return; // Most likely the others write the same: a halt alone can't wait.
+		return; // Most likely the others write the same: a halt of this router's own alone can't wait.
+	}
+	if (now < _trial.writeAfter)
+	{
+		return;
 	}
 	const std::string key = std::string(platform::kStatusPrefix) + _service;
 	const StoreItem item = readStore(_router.store, key);
@@ -105,6 +109,7 @@
 	{
 		_trial.statusRevision = revision;
 		_trial.decided = false;
+		_trial.writesLost = 0;
 	}
 }
 
@@ -128,6 +133,18 @@
 }
 } // namespace
 
+void takePeerHalts(DirectRouter& _router, const std::vector<TrialHalt>& _halts)
+{
+	for (const TrialHalt& halt : _halts)
+	{
+		if (takeHalt(_router.trials, halt))
+		{
+			logEvent("rollout_halt_heard",
+					 {{"service", halt.service}, {"order", std::to_string(halt.orderRevision)}});
+		}
+	}
+}
+
 void runRollouts(DirectRouter& _router)
 {
 	while (true)
@@ -142,6 +159,7 @@
 			}
 			catch (const Failure& failure)
 			{
+				noteWriteLost(trial, monotonicNow(), nextUnit(_router.random));
 				logEvent("rollout_not_written", {{"service", service}, {"error", failure.refusal().detail}});
 			}
 		}
--- a/tests/core/version_trial_test.cpp
+++ b/tests/core/version_trial_test.cpp
@@ -253,5 +253,45 @@
 	EXPECT_FALSE(isOnTrial(book, kService, "v2"));
 	EXPECT_EQ(chooseVersion(book, kService, 1, late, TrialUse::SettledOnly).only, "v2");
 }
+
+TEST(VersionTrial, AHaltThatAnotherRouterTellsIsObeyedPassedOnAndForgottenOnceItIsInTheStore)
+{
+	TrialBook book;
+	takeOrder(book, {kService, "v2", kDurationMs}, 7, 0);
+	EXPECT_FALSE(takeHalt(book, {kService, 6})) << "of an earlier order";
+	EXPECT_FALSE(takeHalt(book, {"other", 7}));
+	EXPECT_TRUE(unwrittenHalts(book).empty());
+	EXPECT_TRUE(takeHalt(book, {kService, 7}));
+	EXPECT_FALSE(takeHalt(book, {kService, 7})) << "known";
+	EXPECT_EQ(chooseVersion(book, kService, 1, kDuration).never, "v2");
+	ASSERT_EQ(unwrittenHalts(book).size(), 1u);
+	EXPECT_EQ(unwrittenHalts(book)[0].orderRevision, 7u);
+	takeStatus(book, kService, {"v2", RolloutState::RolledBack}, 8);
+	EXPECT_TRUE(unwrittenHalts(book).empty());
+}
+
+TEST(VersionTrial, ACompletionInTheStoreIsNotHaltedByWhatAnotherRouterTells)
+{
+	TrialBook book;
+	takeOrder(book, {kService, "v2", kDurationMs}, 7, 0);
+	takeStatus(book, kService, {"v2", RolloutState::Completed}, 8);
+	EXPECT_FALSE(takeHalt(book, {kService, 7})) << "the old version's upstreams have stopped";
+}
+
+TEST(VersionTrial, WritesThatFailComeEverMoreSeldom)
+{
+	VersionTrial trial;
+	TimeUs now = 0;
+	TimeUs last = 0;
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		noteWriteLost(trial, now, 1.0);
+		EXPECT_GT(trial.writeAfter - now, last);
+		last = trial.writeAfter - now;
+		now = trial.writeAfter;
+	}
+	noteWriteLost(trial, now, 1.0);
+	EXPECT_EQ(trial.writeAfter - now, last) << "a halt is written soon after the store is back";
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -379,5 +379,58 @@
 	}
 	settle();
 }
+
+TEST_F(FleetTest, AHaltReachesTheOtherRoutersWhileTheStoreIsAwayAndNoneCompletesTheVersion)
+{
+	std::vector<std::unique_ptr<StandInUpstream>> bad;
+	for (const char* id : {"u-bad-one", "u-bad-two"})
+	{
+		bad.push_back(std::make_unique<StandInUpstream>());
+		StandInUpstream& failing = *bad.back();
+		failing.id = id;
+		failing.http.handler = [&failing](HttpExchange& _exchange) {
+			_exchange.respond({500,
+							   {{"Request-Id", std::string(_exchange.request()["Request-Id"])},
+								{"Server-Stamp", "stamp-" + failing.id}},
+							   "failed"});
+		};
+		failing.address = loopback(startHttpServer(testIo(), failing.http, {"127.0.0.1", 0}));
+		const json record{{"service", "app"}, {"address", failing.address},
+						  {"zone", "hall-a"}, {"version", "v2"},
+						  {"slots", 8},       {"state", "ready"}};
+		setItem(store, "servers/" + failing.id, record.dump());
+	}
+	const json order{{"service", "app"}, {"target_version", "v2"}, {"duration_s", 20}};
+	setItem(store, "op/rollout/app", order.dump());
+	setItem(store, "spanplank/rollout/app", "15000000"); // Microseconds: the new version has its first share.
+	const auto allLogged = [this](const std::string& _text, size_t _least) {
+		size_t count = 0;
+		for (const auto& router : routers)
+		{
+			count += router->log().find(_text) != std::string::npos ? 1 : 0;
+		}
+		return count >= _least;
+	};
+	ASSERT_TRUE(eventually([&] { return allLogged("event=rollout_ordered", kRouters); }, 5));
+	store.fault = StandInStore::Fault::Reset;
+	const auto halts = [&] {
+		call(0, "kept-key");
+		return routers[0]->log().find("event=rollout_halted") != std::string::npos;
+	};
+	ASSERT_TRUE(eventually(halts, 20)) << "it alone sees the version";
+	EXPECT_TRUE(eventually([&] { return allLogged("event=rollout_halt_heard", kRouters - 1); }, 5));
+	store.fault = StandInStore::Fault::None;
+	EXPECT_TRUE(eventually(
+		[this] {
+			const auto item = store.items.find("status/rollout/app");
+			return item != store.items.end() && item->second.value.find("rolled_back") != std::string::npos;
+		},
+		10));
+	for (const auto& failing : bad)
+	{
+		stopListening(failing->http);
+		eventually([&] { return failing->http.connections == 0 && !failing->http.accepting; }, 5);
+	}
+}
 } // namespace
 } // namespace spanplank
