--- a/src/core/peer_follow.cpp
+++ b/src/core/peer_follow.cpp
@@ -23,6 +23,12 @@
 constexpr TimeUs kSearchPause = 1000 * kMsToUs;
 constexpr uint32_t kMostSearchDoublings = 3;
 constexpr TimeUs kProbeEvery = 3000 * kMsToUs; ///< Calls of a detached router whose parent proves.
+
+/// @returns Routers between this one and the store, as far as they are known; at least 1.
+uint32_t levelsAbove(const FollowState& _state)
+{
+	return uint32_t(std::max<size_t>(1, _state.chain.size()));
+}
 } // namespace
 
 PeerKey peerKeyOf(std::string_view _box)
@@ -48,15 +54,6 @@
 	return "neither it nor this router reaches the store";
 }
 
-namespace
-{
-/// @returns Routers between this one and the store, as far as they are known; at least 1.
-uint32_t levelsAbove(const FollowState& _state)
-{
-	return uint32_t(std::max<size_t>(1, _state.chain.size()));
-}
-} // namespace
-
 FollowMove nextFollowMove(const FollowState& _state, TimeUs _now)
 {
 	const bool reaches = _state.storeFailures < kLeastFailures;
--- a/src/core/peer_tree.cpp
+++ b/src/core/peer_tree.cpp
@@ -8,11 +8,13 @@
 {
 namespace
 {
-/// Followers for a whole core. One costs some 0.001 of a core (pings of `bench/peer_pings.cpp`, 17 a second):
-/// 50 use a twentieth of the core. Without a bound, 20 followers took a box of 0.09 core whole, and
-/// everything on it waited for up to 2 s: callers' closes, configurations, answers to its followers.
+/// Followers for a whole core. One costs some 0.0005 of a core without sockets (`bench/peer_pings.cpp`), at
+/// most twice that with them: a twentieth of the core. Without a bound, and with full tables of loads in each
+/// ping, a quiet day of 103 routers on boxes of 0.09 to 0.5 core was worth 0.730, with both 0.785 (one play
+/// each).
 constexpr double kFollowersPerCore = 50.0;
-/// Followers for each Mbit/s of the link. One takes some 25 kB/s of loads and homes: a fifth of the link.
+/// Followers for each Mbit/s of the link. One takes 25 kB/s of loads and homes (`bench/peer_pings.cpp`): a
+/// fifth.
 constexpr double kFollowersPerMbps = 1.0;
 constexpr double kLeastFollowers = 2.0; ///< With fewer the levels are as many as the routers.
 constexpr double kMostFollowers = 64.0; ///< Links of one process.
