--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -512,5 +512,25 @@
 	EXPECT_EQ(failed, 1u);
 	EXPECT_EQ(settled.requests.size(), 1u);
 }
+
+TEST(RetryBound, ABegunStreamThatPausesIsNotCutWhileNoFurtherAttemptIsAllowed)
+{
+	DirectSystem system("retryRatio: 0\n");
+	Upstream& engine = system.addUpstream("e", "engines");
+	constexpr uint32_t kPauseMs = 450; // Longer than 0.8 of the route's gap, shorter than the gap.
+	engine.answer = [](Upstream&, Exchange& _exchange) {
+		const std::string id(_exchange.request()["Request-Id"]);
+		_exchange.startStream(200, {{"Request-Id", id}, {"Server-Stamp", "stamp-e"}, {"Confidence", "100"}},
+							  "text/event-stream");
+		_exchange.write("id: 0\ndata: first\n\n");
+		sleepFor(kPauseMs);
+		_exchange.write("id: 1\ndata: second\n\n");
+		_exchange.finish();
+	};
+	system.startReady(1);
+	const DirectAnswer answer = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_FALSE(answer.cut) << "waiting on is all that is left";
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -54,6 +54,7 @@
 				fmt::format("revokeMs: {}\nleaveMs: 2000\nlink: {}\n", kRevokeMs, loopback(freePort()))));
 			routers.back()->start();
 		}
+		awaitRegistered();
 		settle();
 	}
 
@@ -116,6 +117,15 @@
 		return count;
 	}
 
+	/// One may follow another before both know of the third.
+	void awaitRegistered()
+	{
+		for (const auto& router : routers)
+		{
+			EXPECT_TRUE(eventually([&] { return router->metric("spanplank_peers") == "2"; }, kSettleSeconds));
+		}
+	}
+
 	void settle()
 	{
 		EXPECT_TRUE(eventually([this] { return watchers() == 1; }, kSettleSeconds));
