Size and hash of a router are found once for a ranking, not at each comparison

Cause: the choice of a parent runs four times a second on each router; its comparison worked out the size class and the hash of both routers each time, some 1,400 hashes for 103 routers by arithmetic (not timed). Change: PeerRank holds them while the list is sorted; the order is the same.

--- a/src/core/peer_tree.cpp
+++ b/src/core/peer_tree.cpp
@@ -37,17 +37,26 @@
 	return size;
 }
 
-bool ranksBefore(const PeerRecord* _one, const PeerRecord* _other)
+/// A router with what it is ranked by, found once for all comparisons.
+struct PeerRank
 {
-	const uint32_t one = sizeClass(*_one);
-	const uint32_t other = sizeClass(*_other);
-	if (one != other)
+	const PeerRecord* record = nullptr;
+	uint32_t size = 0;
+	uint64_t hash = 0;
+};
+
+PeerRank rankOf(const PeerRecord& _record)
+{
+	return {&_record, sizeClass(_record), stableHash(_record.box)};
+}
+
+bool ranksBefore(const PeerRank& _one, const PeerRank& _other)
+{
+	if (_one.size != _other.size)
 	{
-		return one > other;
+		return _one.size > _other.size;
 	}
-	const uint64_t oneHash = stableHash(_one->box);
-	const uint64_t otherHash = stableHash(_other->box);
-	return oneHash != otherHash ? oneHash < otherHash : _one->box < _other->box;
+	return _one.hash != _other.hash ? _one.hash < _other.hash : _one.record->box < _other.record->box;
 }
 
 /// How many routers of its hall may follow one, by its place there.
@@ -82,19 +91,24 @@
 /// @returns This router and those that may be followed, by rank.
 RankedPeers rankPeers(const PeerTree& _tree, TimeUs _now)
 {
-	RankedPeers ranked;
+	std::vector<PeerRank> ranks;
 	for (const auto& [box, entry] : _tree.peers)
 	{
 		if (entry.avoidUntil <= _now)
 		{
-			ranked.push_back(&entry.record);
+			ranks.push_back(rankOf(entry.record));
 		}
 	}
-	std::sort(ranked.begin(), ranked.end(), ranksBefore);
-	const auto own = _tree.selfLast
-						 ? ranked.end()
-						 : std::lower_bound(ranked.begin(), ranked.end(), &_tree.self, ranksBefore);
-	ranked.insert(own, &_tree.self);
+	std::sort(ranks.begin(), ranks.end(), ranksBefore);
+	const PeerRank self = rankOf(_tree.self);
+	const auto own =
+		_tree.selfLast ? ranks.end() : std::lower_bound(ranks.begin(), ranks.end(), self, ranksBefore);
+	ranks.insert(own, self);
+	RankedPeers ranked;
+	for (const PeerRank& rank : ranks)
+	{
+		ranked.push_back(rank.record);
+	}
 	return ranked;
 }
 } // namespace
