Known red: a reload or a second SIGTERM ends a stopping router at once, with the requests that it has

Cause: the set of signal handlers is local to the wait for SIGTERM; when that ends, the kernel's default for SIGHUP and SIGTERM is back. Ruled out: the grace (the process ends with the signal's number, not by the kill at the end of the grace).

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -589,6 +589,11 @@
 	m_router->signal(SIGHUP);
 }
 
+void DirectSystem::signal(int _signal)
+{
+	m_router->signal(_signal);
+}
+
 void DirectSystem::killHard()
 {
 	m_router->killHard();
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -155,6 +155,7 @@
 	void terminate();
 	/// SIGHUP.
 	void reload();
+	void signal(int _signal);
 	void killHard();
 	/// @returns The exit code of a router that ends by itself, or -1.
 	int awaitEnd();
