Signals have handlers as long as the process lives: a reload or a second SIGTERM no longer ends a stopping router

Cause: the set of handlers was local to the wait for SIGTERM. After it the kernel's default was back, and a SIGHUP or a further SIGTERM in the 8 s of a planned stop ended the process with every request that it had. The same class in the agent mode: SIGHUP had no handler at all. Change: the set belongs to the router and is taken over before the settings are read; signals in a stop are logged (signal_ignored) and change nothing. Both modes wait through one function; the agent mode's processes log a SIGHUP and go on. Ruled out: the stop's own grace (the process ended by the signal's number).

--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -142,4 +142,11 @@
 {
 	boost::this_fiber::sleep_for(std::chrono::milliseconds(_ms));
 }
+
+int awaitSignal(boost::asio::signal_set& _signals)
+{
+	WaitSlot<int> slot;
+	_signals.async_wait([&slot](boost::system::error_code, int _signal) { slot.set(_signal); });
+	return slot.wait();
+}
 } // namespace spanplank
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -3,6 +3,7 @@
 #define SPANPLANK_FIBER_RUNTIME_P_H_HEADER_GUARD
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/all.hpp>
 #include <chrono>
@@ -130,6 +131,9 @@
 	boost::fibers::mutex m_mutex;
 	boost::fibers::condition_variable m_ready;
 };
+/// Waits for the next signal of the set. The set must live as long as the process: with it go the handlers,
+/// and the kernel's default for a signal ends the process at once.
+int awaitSignal(boost::asio::signal_set& _signals);
 } // namespace spanplank
 
 #endif // SPANPLANK_FIBER_RUNTIME_P_H_HEADER_GUARD
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -96,11 +96,14 @@
 {
 	std::signal(SIGPIPE, SIG_IGN);
 	installFiberScheduler(_node.io);
-	boost::asio::signal_set signals(_node.io, SIGTERM, SIGINT);
+	// These processes have nothing to reload; without a handler SIGHUP would end them with all their
+	// requests.
+	boost::asio::signal_set signals(_node.io, SIGTERM, SIGINT, SIGHUP);
 	_start();
-	awaitIo([&signals](auto _done) {
-		signals.async_wait([_done](boost::system::error_code _error, int) mutable { _done(_error); });
-	});
+	while (awaitSignal(signals) == SIGHUP)
+	{
+		noteEvent(_node, "signal_ignored", _node.settings.box, "SIGHUP");
+	}
 	noteEvent(_node, "stopping", _node.settings.box, "signal");
 	_node.stopping = true;
 	_stop();
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -1,7 +1,6 @@
 /// The process of a direct router: listening, housekeeping, signals, the planned stop.
 #include "direct_router_p.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
 #include <unistd.h>
@@ -96,19 +95,22 @@
 	}
 }
 
-void awaitSignals(DirectRouter& _router)
+/// Reloads the settings at each SIGHUP, until the process is asked to stop.
+void awaitStopSignal(DirectRouter& _router)
 {
-	boost::asio::signal_set signals(_router.io, SIGTERM, SIGINT, SIGHUP);
-	int signal = SIGHUP;
-	while (signal == SIGHUP)
+	while (awaitSignal(_router.signals) == SIGHUP)
 	{
-		WaitSlot<int> slot;
-		signals.async_wait([&slot](boost::system::error_code, int _signal) { slot.set(_signal); });
-		signal = slot.wait();
-		if (signal == SIGHUP)
-		{
-			reload(_router);
-		}
+		reload(_router);
+	}
+}
+
+/// A stop that has begun goes on by the settings that it began with.
+void ignoreSignals(DirectRouter& _router)
+{
+	while (true)
+	{
+		logEvent("signal_ignored",
+				 {{"signal", std::to_string(awaitSignal(_router.signals))}, {"why", "stopping"}});
 	}
 }
 
@@ -135,19 +137,20 @@
 }
 } // namespace
 
-DirectRouter::DirectRouter(const std::string& _settingsFile, const DirectSettings& _settings)
-	: settingsFile(_settingsFile), settings(_settings)
+DirectRouter::DirectRouter(const std::string& _settingsFile)
+	: settingsFile(_settingsFile), signals(io, SIGTERM, SIGINT, SIGHUP),
+	  settings(loadDirectSettings(_settingsFile))
 {
-	store.http = clientFor(io, _settings.store);
-	store.watchHttp = clientFor(io, _settings.store);
+	store.http = clientFor(io, settings.store);
+	store.watchHttp = clientFor(io, settings.store);
 	store.protocol = &platform::storeProtocol();
 	pool.io = &io;
-	trials.exposureShare = _settings.exposureShare;
-	upstreams.leaveBound = TimeUs(_settings.leaveMs) * kMsToUs;
-	upstreams.policies = _settings.policies;
+	trials.exposureShare = settings.exposureShare;
+	upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
+	upstreams.policies = settings.policies;
 	startedAt = monotonicNow();
-	random.state = stableHash(_settings.box) ^ uint64_t(wallNow());
-	setLogProcess(_settings.box);
+	random.state = stableHash(settings.box) ^ uint64_t(wallNow());
+	setLogProcess(settings.box);
 }
 
 bool isReady(const DirectRouter& _router)
@@ -168,7 +171,7 @@
 int runDirectRouter(const std::string& _settingsFile)
 {
 	static DirectRouter* s_router = nullptr; // Lives as long as the process: fibers refer to it to the end.
-	s_router = new DirectRouter(_settingsFile, loadDirectSettings(_settingsFile));
+	s_router = new DirectRouter(_settingsFile);
 	std::signal(SIGPIPE, SIG_IGN);
 	installFiberScheduler(s_router->io);
 	startLogFlush();
@@ -176,7 +179,8 @@
 	followStore(*s_router);
 	spawnFiber([] { keepHouse(*s_router); });
 	logEvent("started", {{"hall", s_router->settings.hall}, {"pid", std::to_string(::getpid())}});
-	awaitSignals(*s_router);
+	awaitStopSignal(*s_router);
+	spawnFiber([] { ignoreSignals(*s_router); });
 	stop(*s_router);
 	::_exit(0); // Detached fibers still hold references: nothing is left to tidy that the kernel does not.
 }
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -3,6 +3,7 @@
 #define SPANPLANK_DIRECT_ROUTER_P_H_HEADER_GUARD
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <map>
 #include <string>
 
@@ -51,11 +52,16 @@
 
 struct DirectRouter
 {
-	DirectRouter(const std::string& _settingsFile, const DirectSettings& _settings);
+	/// Takes over the process's signals, then reads the settings.
+	/// @throws SettingsFailure if the settings don't hold.
+	explicit DirectRouter(const std::string& _settingsFile);
 
 	std::string settingsFile;
-	DirectSettings settings;
 	boost::asio::io_context io;
+	/// Lives as long as the process: with it would go the handlers, and the next SIGHUP or SIGTERM would end
+	/// the process at once with all its requests.
+	boost::asio::signal_set signals;
+	DirectSettings settings;
 	StoreClient store; ///< Reads and writes.
 	HttpServer callers;
 	HttpServer readiness;
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -280,6 +280,11 @@
 	::kill(m_processes.at(_process).pid, SIGSTOP);
 }
 
+void System::hangUp(const std::string& _process)
+{
+	::kill(m_processes.at(_process).pid, SIGHUP);
+}
+
 void System::wake(const std::string& _process)
 {
 	::kill(m_processes.at(_process).pid, SIGCONT);
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -95,6 +95,8 @@
 	void killHard(const std::string& _process);
 	void freeze(const std::string& _process);
 	void wake(const std::string& _process);
+	/// SIGHUP.
+	void hangUp(const std::string& _process);
 	void start(const std::string& _process);
 	/// SIGTERM; waits for the end. @returns The exit code.
 	int stopPlanned(const std::string& _process);
--- a/tests/system/operations_test.cpp
+++ b/tests/system/operations_test.cpp
@@ -223,6 +223,25 @@
 	EXPECT_EQ(system.engineCounts(1)["runs_by_version"].value("small@1", uint64_t(0)), before);
 }
 
+// A process of the agent mode had no handler for SIGHUP, so that a reload sent to all processes of a box
+// ended it at once: it went by the signal (exit code -1 here instead of 0) with everything that it had under
+// way.
+TEST(PlannedStop, AHangUpEndsNoProcess)
+{
+	System system{SystemShape{}};
+	system.declareBasics();
+	for (const char* process : {"router-0", "engine-0"})
+	{
+		EXPECT_TRUE(eventually([&] { return !system.log(process).empty(); }))
+			<< "handlers stand before the first line";
+		system.hangUp(process);
+		EXPECT_TRUE(eventually([&] {
+			return system.log(process).find("signal_ignored") != std::string::npos;
+		})) << process;
+		EXPECT_EQ(system.stopPlanned(process), 0) << process;
+	}
+}
+
 TEST(PlannedStop, RollingRestartUnderLoadCutsNothing)
 {
 	System system{SystemShape{}};
