Connections of callers that end without a whole answer are logged and counted by reason

Cause: a connection that ended with a request begun and no answer left no line and no count; a limit, a caller that closed, a failed write and the router's own cut could not be told apart. Change: ServedConnection holds socket, buffer and notes of one connection; caller_connection_ended and caller_connections_ended_total{reason}. Refusals of the server itself carry Connection: close, which is what follows them. The limits and the order of reading are as before.

--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -43,16 +43,17 @@
 	std::string body;
 };
 
+enum class ConnectionEnd : uint8_t;
+struct ServedConnection;
+
 /// The answering side of one request. Call `respond`, or `startStream`, `write` … `finish`.
 class HttpExchange
 {
 public:
 	using Fields = boost::beast::http::fields;
 
-	/// @param[in] _draining Looked at when the answer begins; null: never draining. @param[in] _connectedAt
-	/// When the connection was accepted.
-	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request,
-				 const bool* _draining = nullptr, TimeUs _connectedAt = 0);
+	/// @param[in] _draining Looked at when the answer begins; null: never draining.
+	HttpExchange(ServedConnection& _connection, const HttpRequest& _request, const bool* _draining = nullptr);
 	~HttpExchange();
 	HttpExchange(const HttpExchange&) = delete;
 	HttpExchange& operator=(const HttpExchange&) = delete;
@@ -63,10 +64,7 @@
 	}
 
 	/// @returns When the caller's connection was accepted.
-	TimeUs connectedAt() const
-	{
-		return m_connectedAt;
-	}
+	TimeUs connectedAt() const;
 
 	void respond(const HttpResponse& _response);
 	/// Passes on an answer whose fields are another server's. @returns Whether it was written whole. A caller
@@ -107,10 +105,16 @@
 private:
 	bool sendHead(boost::beast::http::response<boost::beast::http::empty_body>& _head);
 
+	/// Takes note of a write's end. @returns Whether it went well.
+	bool noteWritten(const boost::beast::error_code& _error);
+	/// As `noteWritten`, for the last write of an answer.
+	bool noteWhole(const boost::beast::error_code& _error);
+	void breakOff(ConnectionEnd _end, std::string _error);
+
+	ServedConnection& m_connection;
 	boost::beast::tcp_stream& m_stream;
 	const HttpRequest& m_request;
 	const bool* m_draining;
-	TimeUs m_connectedAt;
 	bool m_broken = false;
 	bool m_answered = false;
 	std::shared_ptr<std::function<void()>> m_onGone;
@@ -135,6 +139,8 @@
 	bool draining = false;  ///< Answers carry `Connection: close` once set.
 	HttpServerLimits limits;
 	HttpHandler handler;
+	/// Connections that ended without a whole answer to what was read of them, by `ConnectionEnd`.
+	std::map<std::string, uint64_t> ended;
 };
 
 /// Listens and serves; port 0 takes a free one. The server must outlive its connections.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,13 +1,13 @@
 /// Serves HTTP/1.1: reading requests within limits, answers, streams.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <fmt/format.h>
 
 #include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "log_p.h"
 #include "node_p.h"
+#include "served_connection_p.h"
 
 namespace spanplank
 {
@@ -57,128 +57,179 @@
 }
 
 /// Waits for a request on a connection that may stay idle.
-bool awaitFirstByte(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer)
+bool awaitFirstByte(HttpServer& _server, ServedConnection& _connection)
 {
-	if (_buffer.size() != 0)
+	beast::flat_buffer& buffer = _connection.buffer;
+	if (buffer.size() == 0)
 	{
-		return true; // The caller sent it along with the request before.
+		constexpr size_t kReadBytes = 4096;
+		_connection.armedMs = _server.limits.idleMs;
+		_connection.stream.expires_after(std::chrono::milliseconds(_connection.armedMs));
+		const IoResult read = awaitIo(
+			[&](auto _done) { _connection.stream.async_read_some(buffer.prepare(kReadBytes), _done); });
+		buffer.commit(read.bytes);
+		if (read.error)
+		{
+			return false;
+		}
 	}
-	constexpr size_t kReadBytes = 4096;
-	_stream.expires_after(std::chrono::milliseconds(_server.limits.idleMs));
-	const IoResult read =
-		awaitIo([&](auto _done) { _stream.async_read_some(_buffer.prepare(kReadBytes), _done); });
-	_buffer.commit(read.bytes);
-	return !read.error;
+	_connection.requestAt = monotonicNow();
+	_connection.requestBytes = buffer.size();
+	return true;
+}
+
+/// Answers in place of the handler.
+void refuseItself(ServedConnection& _connection, HttpRequest& _request, const HttpResponse& _refusal)
+{
+	_connection.status = _refusal.status;
+	_request.keep_alive(false);
+	HttpExchange exchange(_connection, _request);
+	exchange.respond(_refusal);
 }
 
 /// A request of HTTP/1.1 has one Host field (RFC 9112, 3.2).
-bool hasOneHost(beast::tcp_stream& _stream, HttpRequest& _request)
+bool hasOneHost(ServedConnection& _connection, HttpRequest& _request)
 {
 	if (_request.version() < kHttpVersion || _request.count(http::field::host) == 1)
 	{
 		return true;
 	}
-	_request.keep_alive(false);
-	HttpExchange exchange(_stream, _request);
-	exchange.respond(serverRefusal(ErrorCode::BadRequest, "a request needs one Host field"));
+	_connection.end = ConnectionEnd::Malformed;
+	refuseItself(_connection, _request,
+				 serverRefusal(ErrorCode::BadRequest, "a request needs one Host field"));
 	return false;
 }
 
-bool readRequest(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer,
-				 http::request_parser<http::string_body>& _parser, HttpRequest& _request)
+/// @returns What a failed read makes of the connection.
+ConnectionEnd endOfRead(const beast::error_code& _error, bool _inBody)
 {
-	_parser.body_limit(_server.limits.bodyBytes);
-	_parser.header_limit(uint32_t(_server.limits.headerBytes));
-	if (!awaitFirstByte(_server, _stream, _buffer))
+	if (_error == http::error::body_limit || _error == http::error::header_limit)
 	{
-		return false;
+		return ConnectionEnd::TooLarge;
 	}
-	_stream.expires_after(std::chrono::milliseconds(_server.limits.headerMs));
-	IoResult read = awaitIo([&](auto _done) { http::async_read_header(_stream, _buffer, _parser, _done); });
-	if (!read.error && !_parser.is_done())
+	if (_error == beast::error::timeout)
 	{
-		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		read = awaitIo([&](auto _done) { http::async_read(_stream, _buffer, _parser, _done); });
+		return _inBody ? ConnectionEnd::BodyLate : ConnectionEnd::HeadLate;
 	}
-	if (!read.error)
+	if (_error == http::error::end_of_stream || _error == http::error::partial_message)
 	{
-		_request = _parser.release();
-		return hasOneHost(_stream, _request);
+		return ConnectionEnd::CallerClosed;
 	}
-	HttpExchange exchange(_stream, _request);
-	if (read.error == http::error::body_limit || read.error == http::error::header_limit)
+	const bool parsed = _error.category() == make_error_code(http::error::bad_method).category();
+	return parsed ? ConnectionEnd::Malformed : ConnectionEnd::ReadFailed;
+}
+
+/// Answers a request that could not be read, if its caller is there to read the answer.
+void refuseUnread(ServedConnection& _connection, HttpRequest& _request, const beast::error_code& _error)
+{
+	if (_connection.end == ConnectionEnd::TooLarge)
 	{
 		HttpResponse refusal = serverRefusal(ErrorCode::Oversize, "the request is larger than allowed");
-		refusal.status = read.error == http::error::header_limit ? kHeadTooLarge : refusal.status;
-		exchange.respond(refusal);
-		drain(_stream);
+		refusal.status = _error == http::error::header_limit ? kHeadTooLarge : refusal.status;
+		refuseItself(_connection, _request, refusal);
+		drain(_connection.stream);
+	}
+	else if (_connection.end == ConnectionEnd::Malformed)
+	{
+		refuseItself(_connection, _request, serverRefusal(ErrorCode::BadRequest, "malformed HTTP request"));
+	}
+}
+
+bool readRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
+{
+	http::request_parser<http::string_body> parser;
+	parser.body_limit(_server.limits.bodyBytes);
+	parser.header_limit(uint32_t(_server.limits.headerBytes));
+	if (!awaitFirstByte(_server, _connection))
+	{
+		return false;
+	}
+	beast::tcp_stream& stream = _connection.stream;
+	_connection.armedMs = _server.limits.headerMs;
+	stream.expires_after(std::chrono::milliseconds(_connection.armedMs));
+	IoResult read =
+		awaitIo([&](auto _done) { http::async_read_header(stream, _connection.buffer, parser, _done); });
+	const bool inBody = !read.error && !parser.is_done();
+	_connection.requestBytes = std::max(_connection.requestBytes, read.bytes);
+	if (inBody)
+	{
+		_connection.armedMs = _server.limits.slowMs;
+		stream.expires_after(std::chrono::milliseconds(_connection.armedMs));
+		read = awaitIo([&](auto _done) { http::async_read(stream, _connection.buffer, parser, _done); });
+		_connection.requestBytes += read.bytes;
 	}
-	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
-			 read.error != http::error::end_of_stream && read.error != http::error::partial_message)
+	if (!read.error)
 	{
-		exchange.respond(serverRefusal(ErrorCode::BadRequest, "malformed HTTP request"));
+		_request = parser.release();
+		return hasOneHost(_connection, _request);
 	}
+	_connection.end = endOfRead(read.error, inBody);
+	_connection.error = read.error.message();
+	refuseUnread(_connection, _request, read.error);
 	return false;
 }
 
-void serveConnection(HttpServer& _server, beast::tcp_stream& _stream)
+/// Has the handler answer one request.
+/// @returns Whether the connection takes another one.
+bool answerRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
 {
-	beast::flat_buffer buffer;
-	const TimeUs connectedAt = monotonicNow();
-	bool keepAlive = true;
-	while (keepAlive)
+	_connection.stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
+	HttpExchange exchange(_connection, _request, &_server.draining);
+	try
 	{
-		http::request_parser<http::string_body> parser;
-		HttpRequest request;
-		if (!readRequest(_server, _stream, buffer, parser, request))
-		{
-			break;
-		}
-		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		HttpExchange exchange(_stream, request, &_server.draining, connectedAt);
-		try
-		{
-			_server.handler(exchange);
-		}
-		catch (const Failure& failure)
+		_server.handler(exchange);
+	}
+	catch (const Failure& failure)
+	{
+		if (!exchange.answered())
 		{
-			if (!exchange.answered())
-			{
-				exchange.respond(refusalResponse(failure.refusal(), ""));
-			}
+			exchange.respond(refusalResponse(failure.refusal(), ""));
 		}
-		catch (const std::exception& failure)
+	}
+	catch (const std::exception& failure)
+	{
+		logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", failure.what()}});
+		_request.keep_alive(false);
+		if (!exchange.answered())
 		{
-			logEvent("handler_failed",
-					 {{"target", std::string(request.target())}, {"error", failure.what()}});
-			request.keep_alive(false);
-			if (!exchange.answered())
-			{
-				exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
-			}
+			exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
 		}
-		keepAlive = exchange.keepAlive() && !exchange.broken();
 	}
+	return exchange.keepAlive() && !exchange.broken();
+}
+
+void serveConnection(HttpServer& _server, ServedConnection& _connection)
+{
+	_connection.acceptedAt = monotonicNow();
+	bool keepAlive = true;
+	while (keepAlive)
+	{
+		_connection.idleSince = monotonicNow();
+		HttpRequest request;
+		keepAlive =
+			readRequest(_server, _connection, request) && answerRequest(_server, _connection, request);
+	}
+	noteConnectionEnd(_server, _connection);
 	beast::error_code ignored;
-	_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+	_connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
 void acceptLoop(boost::asio::io_context& _io, HttpServer& _server)
 {
 	while (_server.acceptor->is_open())
 	{
-		auto stream = std::make_shared<beast::tcp_stream>(_io);
-		const IoResult accepted =
-			awaitIo([&](auto _done) { _server.acceptor->async_accept(stream->socket(), _done); });
+		auto connection = std::make_shared<ServedConnection>(_io);
+		tcp::socket& socket = connection->stream.socket();
+		const IoResult accepted = awaitIo([&](auto _done) { _server.acceptor->async_accept(socket, _done); });
 		if (accepted.error)
 		{
 			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
 			continue;
 		}
-		stream->socket().set_option(tcp::no_delay(true));
+		socket.set_option(tcp::no_delay(true));
 		++_server.connections;
-		spawnFiber([&_server, stream] {
-			serveConnection(_server, *stream);
+		spawnFiber([&_server, connection] {
+			serveConnection(_server, *connection);
 			--_server.connections;
 		});
 	}
@@ -206,9 +257,8 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request, const bool* _draining,
-						   TimeUs _connectedAt)
-	: m_stream(_stream), m_request(_request), m_draining(_draining), m_connectedAt(_connectedAt)
+HttpExchange::HttpExchange(ServedConnection& _connection, const HttpRequest& _request, const bool* _draining)
+	: m_connection(_connection), m_stream(_connection.stream), m_request(_request), m_draining(_draining)
 {
 }
 
@@ -227,12 +277,45 @@
 								 [this, callback = m_onGone](beast::error_code _error) {
 									 if (*callback && !_error && callerGone())
 									 {
-										 m_broken = true;
+										 breakOff(ConnectionEnd::CallerLeft, "");
 										 (*callback)();
 									 }
 								 });
 }
 
+TimeUs HttpExchange::connectedAt() const
+{
+	return m_connection.acceptedAt;
+}
+
+void HttpExchange::breakOff(ConnectionEnd _end, std::string _error)
+{
+	m_broken = true;
+	if (m_connection.end == ConnectionEnd::None) // The first cause is the one that counts.
+	{
+		m_connection.end = _end;
+		m_connection.error = std::move(_error);
+	}
+}
+
+bool HttpExchange::noteWhole(const beast::error_code& _error)
+{
+	if (!_error && m_connection.end == ConnectionEnd::CallerLeft)
+	{
+		m_connection.end = ConnectionEnd::None; // It closed its side and read on: nothing of it was lost.
+	}
+	return noteWritten(_error);
+}
+
+bool HttpExchange::noteWritten(const beast::error_code& _error)
+{
+	if (_error)
+	{
+		breakOff(ConnectionEnd::WriteFailed, _error.message());
+	}
+	return !_error;
+}
+
 bool HttpExchange::passOn(int _status, const Fields& _fields, std::string_view _body)
 {
 	m_answered = true;
@@ -245,8 +328,7 @@
 	message.prepare_payload();
 	m_stream.expires_after(kWriteLimit);
 	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	m_broken = m_broken || written.error;
-	return !written.error;
+	return noteWhole(written.error);
 }
 
 bool HttpExchange::passOnHead(int _status, const Fields& _fields)
@@ -267,8 +349,7 @@
 	m_stream.expires_after(kWriteLimit);
 	const IoResult written =
 		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
-	m_broken = m_broken || written.error;
-	return !m_broken;
+	return noteWritten(written.error) && !m_broken;
 }
 
 void HttpExchange::respond(const HttpResponse& _response)
@@ -280,7 +361,7 @@
 	message.body() = _response.body;
 	message.prepare_payload();
 	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	m_broken = m_broken || written.error;
+	noteWhole(written.error);
 }
 
 bool HttpExchange::startStream(int _status, const std::vector<HttpHeader>& _headers,
@@ -305,8 +386,7 @@
 		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
 								 _done);
 	});
-	m_broken = m_broken || written.error;
-	return !m_broken;
+	return noteWritten(written.error) && !m_broken;
 }
 
 bool HttpExchange::finish()
@@ -317,13 +397,12 @@
 	}
 	const IoResult written =
 		awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
-	m_broken = m_broken || written.error;
-	return !written.error;
+	return noteWhole(written.error);
 }
 
 void HttpExchange::abort()
 {
-	m_broken = true;
+	breakOff(ConnectionEnd::BrokenOff, "");
 	beast::error_code ignored;
 	m_stream.socket().close(ignored);
 }
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -42,6 +42,9 @@
 			 double(monotonicNow() - _router.config.provedAt) / double(kMsToUs));
 	addGauge(page, "in_flight", "Requests in flight.", double(_router.inFlight));
 	addGauge(page, "caller_connections", "Connections of callers.", double(_router.callers.connections));
+	addCounters(page, "caller_connections_ended_total",
+				"Connections of callers that ended without a whole answer to what was read, by reason.",
+				"reason", _router.callers.ended);
 	addCounter(page, "upstream_connections_total", "Connections made to upstreams.",
 			   double(_router.pool.opened));
 	addGauge(page, "upstreams", "Upstreams known.", double(_router.upstreams.entries.size()));
