A test that fails: an idle limit that was raised does not hold for connections that already wait

Cause: awaitFirstByte arms the limit once; callers go by the one in force, and a connection is closed under them. Ruled out: a caller past the limit in force: it sends after 0.8 s, 60 s are in force.

--- a/tests/direct/caller_connection_test.cpp
+++ b/tests/direct/caller_connection_test.cpp
@@ -14,7 +14,10 @@
 using boost::asio::ip::tcp;
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-constexpr uint32_t kSettleMs = 50; ///< For the server to begin its next wait.
+constexpr uint32_t kShortMs = 400;    ///< A limit that the tests let pass.
+constexpr uint32_t kLongMs = 60000;   ///< A limit that doesn't pass in a test.
+constexpr uint32_t kSettleMs = 50;    ///< For the server to begin its next wait.
+constexpr int kMostArrangements = 20; ///< Of a state that a busy machine may miss.
 
 /// A server in the test's process and one caller's connection to it.
 struct CallerConnection : testing::Test
@@ -101,5 +104,29 @@
 	ASSERT_TRUE(eventually([this] { return server.connections == 0; }));
 	EXPECT_EQ(server.ended["malformed"], 1u);
 }
+
+// A caller kept a connection for less than the idle limit in force and got no answer. The limit had been
+// raised while the connection waited, and the wait went on by the limit that it had begun with: the server
+// closed after 400 ms with 60 s in force. Only the caller sees such an end: it reads the end of the
+// connection in place of an answer, and the server counts nothing.
+TEST_F(CallerConnection, WaitsByTheIdleLimitInForceNotByTheOneItBeganToWaitWith)
+{
+	for (int ii = 0; ii < kMostArrangements; ++ii)
+	{
+		server.limits.idleMs = kShortMs;
+		connect();
+		ask();
+		sleepFor(kSettleMs);
+		if (server.connections == 1)
+		{
+			break; // Else the short limit was over before it could be raised.
+		}
+	}
+	ASSERT_EQ(server.connections, 1u);
+	server.limits.idleMs = kLongMs;
+	sleepFor(2 * kShortMs);
+	EXPECT_NE(ask().find("200 OK"), std::string::npos) << "the connection was closed by a limit not in force";
+}
+
 } // namespace
 } // namespace spanplank
