A test that fails: an answer written late in a request's time is cut

Cause: respond and finish set no limit of their own, so that the write goes by the one that was set for the request. Ruled out: a caller that reads too slowly: it reads at once, the server gives up 0.4 s before it begins to write.

--- a/tests/direct/caller_connection_test.cpp
+++ b/tests/direct/caller_connection_test.cpp
@@ -16,10 +16,11 @@
 using boost::asio::ip::tcp;
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-constexpr uint32_t kShortMs = 400;    ///< A limit that the tests let pass.
-constexpr uint32_t kLongMs = 60000;   ///< A limit that doesn't pass in a test.
-constexpr uint32_t kSettleMs = 50;    ///< For the server to begin its next wait.
-constexpr int kMostArrangements = 20; ///< Of a state that a busy machine may miss.
+constexpr uint32_t kShortMs = 400;          ///< A limit that the tests let pass.
+constexpr uint32_t kLongMs = 60000;         ///< A limit that doesn't pass in a test.
+constexpr uint32_t kSettleMs = 50;          ///< For the server to begin its next wait.
+constexpr std::chrono::seconds kGiveUp(30); ///< For an answer that never comes.
+constexpr int kMostArrangements = 20;       ///< Of a state that a busy machine may miss.
 
 /// A server in the test's process and one caller's connection to it.
 struct CallerConnection : testing::Test
@@ -68,10 +69,18 @@
 		boost::asio::write(caller, boost::asio::buffer(_bytes), ignored);
 	}
 
-	/// @returns What came up to the mark, or to the connection's end.
+	/// @returns What came up to the mark, or to the connection's end. Gives up on a connection that says
+	/// nothing.
 	std::string readTo(const std::string& _mark)
 	{
 		std::string got;
+		boost::asio::steady_timer givingUp(testIo(), kGiveUp);
+		givingUp.async_wait([this](boost::system::error_code _error) {
+			if (!_error)
+			{
+				hangUp();
+			}
+		});
 		awaitIo([&](auto _done) {
 			boost::asio::async_read_until(caller, boost::asio::dynamic_buffer(got), _mark, _done);
 		});
@@ -223,6 +232,22 @@
 	EXPECT_NE(readTo("done").find("200 OK"), std::string::npos);
 }
 
+// A refusal went by the time that was left of the request's own limit: one written later than that met a
+// timer already over, and what did not fit into the socket at once was cut.
+TEST_F(CallerConnection, AnAnswerHasItsOwnTimeHoweverLongTheRequestTook)
+{
+	const std::string body = std::string(8u << 20, 'x') + "done"; // More than the sockets hold.
+	server.limits.slowMs = kShortMs;
+	server.handler = [&](HttpExchange& _exchange) {
+		sleepFor(2 * kShortMs);
+		_exchange.respond({200, {}, body});
+	};
+	connect();
+	send(kRequest);
+	EXPECT_GT(readTo("done").size(), body.size());
+	EXPECT_TRUE(server.ended.empty());
+}
+
 // Connections that ended with a request begun and no whole answer left no trace, so that the reports of lost
 // requests could not be told apart.
 TEST_F(CallerConnection, ItsEndIsCountedByReasonIfSomethingOfItWasNotAnswered)
