Each write has its own time; what a handler left open is cut or refused; an early next request hides no leaving caller

Cause: respond and finish wrote by what was left of the request's limit. A handler that threw after a part of its answer, or returned without one, left the connection open; what it had asked to be told of its caller outlived it. The one wait for the caller's end was used up by bytes of a next request. A stop closed connections whose answer had told that they stay. Ruled out: a reader that is too slow (it reads at once); a wrong order of pipelined answers (passed before and after). Change: kWriteLimit for each write; closeExchange after each handler, which first forgets its callback; early bytes are read into the connection's buffer, up to 64 KiB, and the wait goes on; what the answer told decides whether the connection stays; the count of requests in flight is given back on exceptions. The exchange has a file of its own.

--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -73,7 +73,8 @@
 	bool passOn(int _status, const Fields& _fields, std::string_view _body);
 	/// Starts a stream whose fields are another server's. @returns false once the caller is gone.
 	bool passOnHead(int _status, const Fields& _fields);
-	/// Calls back at most once if the caller closes its side before the exchange ends.
+	/// Calls back at most once if the caller closes its side before the handler returns. A caller that closes
+	/// only its sending side counts as one that left: the two can't be told apart.
 	void onCallerGone(std::function<void()> _gone);
 	/// @returns false once the caller is gone.
 	bool startStream(int _status, const std::vector<HttpHeader>& _headers, std::string_view _contentType);
@@ -83,10 +84,10 @@
 	/// Ends the connection without an end mark: the caller sees a cut, never a short whole answer.
 	void abort();
 
-	/// @returns Whether the connection takes another request after this one's answer.
+	/// @returns Whether the answer told that the connection takes another request after it.
 	bool keepAlive() const
 	{
-		return m_request.keep_alive() && (m_draining == nullptr || !*m_draining);
+		return m_keepAlive;
 	}
 
 	bool broken() const
@@ -99,10 +100,21 @@
 		return m_answered;
 	}
 
+	/// @returns Whether an answer was written to its end.
+	bool whole() const
+	{
+		return m_whole;
+	}
+
+	/// Drops what `onCallerGone` was given. It refers to what its handler knew.
+	void forgetCaller();
+
 	/// @returns Whether the caller has closed its side while the answer is being made.
 	bool callerGone();
 
 private:
+	void beginAnswer();
+	void watchCaller();
 	bool sendHead(boost::beast::http::response<boost::beast::http::empty_body>& _head);
 
 	/// Takes note of a write's end. @returns Whether it went well.
@@ -117,6 +129,8 @@
 	const bool* m_draining;
 	bool m_broken = false;
 	bool m_answered = false;
+	bool m_whole = false;
+	bool m_keepAlive = false;
 	std::shared_ptr<std::function<void()>> m_onGone;
 };
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,7 +1,8 @@
-/// Serves HTTP/1.1: reading requests within limits, answers, streams.
+/// Serves HTTP/1.1: connections of callers, reading requests within limits, handlers. Answers are written in
+/// `http_exchange.cpp`.
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <optional>
 
 #include "fiber_runtime_p.h"
 #include "http_p.h"
@@ -17,17 +18,8 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr int kHeadTooLarge = 431;              ///< RFC 6585
-constexpr std::chrono::seconds kWriteLimit(30); ///< For one write to a caller that reads slowly.
-constexpr unsigned kHttpVersion = 11;           ///< HTTP/1.1, as Beast counts.
-
-void setHeaders(http::fields& _fields, const std::vector<HttpHeader>& _headers)
-{
-	for (const HttpHeader& header : _headers)
-	{
-		_fields.set(header.name, header.value);
-	}
-}
+constexpr int kHeadTooLarge = 431;    ///< RFC 6585
+constexpr unsigned kHttpVersion = 11; ///< HTTP/1.1, as Beast counts.
 
 /// A refusal by the server itself, in the body that all refusals have.
 HttpResponse serverRefusal(ErrorCode _code, const char* _detail, RunState _run = RunState::No)
@@ -189,32 +181,48 @@
 	return hasOneHost(_connection, _request);
 }
 
+/// Ends an exchange whose handler has returned: what it left open must not look answered.
+void closeExchange(ServedConnection& _connection, HttpRequest& _request, HttpExchange& _exchange)
+{
+	if (_exchange.whole() || _exchange.broken())
+	{
+		return;
+	}
+	_connection.end = ConnectionEnd::HandlerFailed;
+	if (_exchange.answered())
+	{
+		_exchange.abort();
+		return;
+	}
+	_request.keep_alive(false);
+	_connection.status = httpStatus(ErrorCode::Internal);
+	_exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
+}
+
 /// Has the handler answer one request.
 /// @returns Whether the connection takes another one.
 bool answerRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
 {
-	_connection.stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
 	HttpExchange exchange(_connection, _request, &_server.draining);
+	std::optional<Refusal> refusal;
 	try
 	{
 		_server.handler(exchange);
 	}
 	catch (const Failure& failure)
 	{
-		if (!exchange.answered())
-		{
-			exchange.respond(refusalResponse(failure.refusal(), ""));
-		}
+		refusal = failure.refusal();
 	}
 	catch (const std::exception& failure)
 	{
 		logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", failure.what()}});
-		_request.keep_alive(false);
-		if (!exchange.answered())
-		{
-			exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
-		}
 	}
+	exchange.forgetCaller();
+	if (refusal && !exchange.answered())
+	{
+		exchange.respond(refusalResponse(*refusal, ""));
+	}
+	closeExchange(_connection, _request, exchange);
 	return exchange.keepAlive() && !exchange.broken();
 }
 
@@ -246,7 +254,8 @@
 			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
 			continue;
 		}
-		socket.set_option(tcp::no_delay(true));
+		boost::system::error_code ignored; // A connection that failed already shows in its first read.
+		socket.set_option(tcp::no_delay(true), ignored);
 		++_server.connections;
 		spawnFiber([&_server, connection] {
 			serveConnection(_server, *connection);
@@ -277,164 +286,6 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
-HttpExchange::HttpExchange(ServedConnection& _connection, const HttpRequest& _request, const bool* _draining)
-	: m_connection(_connection), m_stream(_connection.stream), m_request(_request), m_draining(_draining)
-{
-}
-
-HttpExchange::~HttpExchange()
-{
-	if (m_onGone)
-	{
-		*m_onGone = nullptr;
-	}
-}
-
-void HttpExchange::onCallerGone(std::function<void()> _gone)
-{
-	m_onGone = std::make_shared<std::function<void()>>(std::move(_gone));
-	m_stream.socket().async_wait(tcp::socket::wait_read,
-								 [this, callback = m_onGone](beast::error_code _error) {
-									 if (*callback && !_error && callerGone())
-									 {
-										 breakOff(ConnectionEnd::CallerLeft, "");
-										 (*callback)();
-									 }
-								 });
-}
-
-TimeUs HttpExchange::connectedAt() const
-{
-	return m_connection.acceptedAt;
-}
-
-void HttpExchange::breakOff(ConnectionEnd _end, std::string _error)
-{
-	m_broken = true;
-	if (m_connection.end == ConnectionEnd::None) // The first cause is the one that counts.
-	{
-		m_connection.end = _end;
-		m_connection.error = std::move(_error);
-	}
-}
-
-bool HttpExchange::noteWhole(const beast::error_code& _error)
-{
-	if (!_error && m_connection.end == ConnectionEnd::CallerLeft)
-	{
-		m_connection.end = ConnectionEnd::None; // It closed its side and read on: nothing of it was lost.
-	}
-	return noteWritten(_error);
-}
-
-bool HttpExchange::noteWritten(const beast::error_code& _error)
-{
-	if (_error)
-	{
-		breakOff(ConnectionEnd::WriteFailed, _error.message());
-	}
-	return !_error;
-}
-
-bool HttpExchange::passOn(int _status, const Fields& _fields, std::string_view _body)
-{
-	m_answered = true;
-	http::response<http::span_body<const char>> message;
-	static_cast<http::fields&>(message) = _fields;
-	message.result(unsigned(_status));
-	message.version(m_request.version());
-	message.keep_alive(keepAlive());
-	message.body() = beast::span<const char>(_body.data(), _body.size());
-	message.prepare_payload();
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	return noteWhole(written.error);
-}
-
-bool HttpExchange::passOnHead(int _status, const Fields& _fields)
-{
-	m_answered = true;
-	http::response<http::empty_body> head;
-	static_cast<http::fields&>(head) = _fields;
-	head.result(unsigned(_status));
-	head.version(m_request.version());
-	return sendHead(head);
-}
-
-bool HttpExchange::sendHead(http::response<http::empty_body>& _head)
-{
-	_head.keep_alive(keepAlive());
-	_head.chunked(true);
-	http::response_serializer<http::empty_body> serializer(_head);
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written =
-		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
-	return noteWritten(written.error) && !m_broken;
-}
-
-void HttpExchange::respond(const HttpResponse& _response)
-{
-	m_answered = true;
-	http::response<http::string_body> message(http::status(_response.status), m_request.version());
-	setHeaders(message, _response.headers);
-	message.keep_alive(keepAlive());
-	message.body() = _response.body;
-	message.prepare_payload();
-	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	noteWhole(written.error);
-}
-
-bool HttpExchange::startStream(int _status, const std::vector<HttpHeader>& _headers,
-							   std::string_view _contentType)
-{
-	m_answered = true;
-	http::response<http::empty_body> head(http::status(_status), m_request.version());
-	setHeaders(head, _headers);
-	head.set(http::field::content_type, _contentType);
-	head.set(http::field::cache_control, "no-store");
-	return sendHead(head);
-}
-
-bool HttpExchange::write(std::string_view _part)
-{
-	if (m_broken || _part.empty())
-	{
-		return !m_broken;
-	}
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written = awaitIo([&](auto _done) {
-		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
-								 _done);
-	});
-	return noteWritten(written.error) && !m_broken;
-}
-
-bool HttpExchange::finish()
-{
-	if (m_broken)
-	{
-		return false;
-	}
-	const IoResult written =
-		awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
-	return noteWhole(written.error);
-}
-
-void HttpExchange::abort()
-{
-	breakOff(ConnectionEnd::BrokenOff, "");
-	beast::error_code ignored;
-	m_stream.socket().close(ignored);
-}
-
-bool HttpExchange::callerGone()
-{
-	char byte = 0;
-	const ssize_t peeked =
-		::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
-	return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint)
 {
 	const tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
--- a/src/adapters/served_connection.cpp
+++ b/src/adapters/served_connection.cpp
@@ -23,6 +23,8 @@
 	4096; ///< At once, while little is known to come: idle connections hold as much.
 constexpr size_t kBodyReadBytes = 65536; ///< At once, once more than `kReadBytes` came.
 
+constexpr size_t kMostEarlyBytes = 65536; ///< Of requests sent before the answer to the one under way.
+
 /// What one look into a socket found, without waiting.
 enum class Look : uint8_t
 {
@@ -111,6 +113,24 @@
 	}
 }
 
+bool holdsMostEarlyBytes(const ServedConnection& _connection)
+{
+	return _connection.buffer.size() >= kMostEarlyBytes;
+}
+
+bool hasLeft(ServedConnection& _connection)
+{
+	while (!holdsMostEarlyBytes(_connection))
+	{
+		const Look seen = look(_connection);
+		if (seen != Look::Bytes)
+		{
+			return seen != Look::Nothing;
+		}
+	}
+	return false;
+}
+
 const char* name(ConnectionEnd _end)
 {
 	switch (_end)
--- a/src/adapters/served_connection_p.h
+++ b/src/adapters/served_connection_p.h
@@ -77,6 +77,13 @@
 /// Reads what has come into the connection's buffer, or waits for it.
 ReadEnd awaitBytes(ServedConnection& _connection, const ReadLimit& _limit);
 
+/// Looks whether the caller has closed its side. Bytes of a next request that it has sent early are kept, up
+/// to a bound: beyond that its end is not seen.
+bool hasLeft(ServedConnection& _connection);
+
+/// @returns Whether no more is read of a caller that sends requests before the answer to the first.
+bool holdsMostEarlyBytes(const ServedConnection& _connection);
+
 /// Counts and logs a connection that ends without a whole answer to what was read of it; says nothing of the
 /// others.
 void noteConnectionEnd(HttpServer& _server, const ServedConnection& _connection);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -9,6 +9,28 @@
 {
 namespace
 {
+/// Counts a request for as long as its attempts run, also if they end by an exception: a count that is never
+/// given back would keep a stop waiting until its grace is over.
+class InFlightMark
+{
+public:
+	explicit InFlightMark(DirectRouter& _router) : m_router(_router)
+	{
+		++m_router.inFlight;
+	}
+
+	~InFlightMark()
+	{
+		--m_router.inFlight;
+	}
+
+	InFlightMark(const InFlightMark&) = delete;
+	InFlightMark& operator=(const InFlightMark&) = delete;
+
+private:
+	DirectRouter& m_router;
+};
+
 /// Asks one upstream after another until one brings an answer, or nothing more is to be tried.
 void runAttempts(Serving& _serving)
 {
@@ -58,9 +80,10 @@
 			serving.running->cancel();
 		}
 	});
-	++_router.inFlight;
-	runAttempts(serving);
-	--_router.inFlight;
+	{
+		const InFlightMark inFlight(_router);
+		runAttempts(serving);
+	}
 	finishRequest(serving);
 }
 } // namespace spanplank
--- a/tests/direct/caller_connection_test.cpp
+++ b/tests/direct/caller_connection_test.cpp
@@ -268,5 +268,119 @@
 	ASSERT_TRUE(eventually([this] { return server.connections == 0; }));
 	EXPECT_EQ(server.ended["malformed"], 1u);
 }
+
+// A handler that failed after a part of its answer had been sent left the connection open: nothing told the
+// caller that no more would come, and it waited until its own deadline. The next request of a caller that
+// went on would have been answered inside the first answer.
+TEST_F(CallerConnection, AnAnswerThatItsHandlerLeftUnfinishedIsCut)
+{
+	for (const bool throws : {true, false})
+	{
+		server.handler = [throws](HttpExchange& _exchange) {
+			_exchange.startStream(200, {}, "text/plain");
+			_exchange.write("a part");
+			if (throws)
+			{
+				throw std::runtime_error("a fault of the handler's");
+			}
+		};
+		connect();
+		send(kRequest);
+		const std::string answer = readTo("no such text");
+		EXPECT_NE(answer.find("a part"), std::string::npos) << answer;
+		EXPECT_EQ(answer.find("\r\n0\r\n"), std::string::npos)
+			<< "a cut answer must not look whole: " << answer;
+	}
+	EXPECT_TRUE(eventually([this] { return server.ended["handler_failed"] == 2; }));
+}
+
+TEST_F(CallerConnection, ARequestThatItsHandlerLeftUnansweredIsRefused)
+{
+	server.handler = [](HttpExchange&) {
+	};
+	connect();
+	send(kRequest);
+	EXPECT_EQ(readTo("no such text").substr(0, 12), "HTTP/1.1 500");
+}
+
+// What a handler had asked to be told of its caller was called while the server wrote the refusal in its
+// place, when all that the handler knew was gone.
+TEST_F(CallerConnection, ItsLeavingIsNotToldToAHandlerThatHasFailed)
+{
+	bool over = false;
+	bool toldLate = false;
+	server.handler = [&](HttpExchange& _exchange) {
+		_exchange.onCallerGone([&] { toldLate = over; });
+		over = true;
+		throw Failure(ErrorCode::Overloaded, std::string(8u << 20, 'x'));
+	};
+	connect();
+	send(kRequest);
+	ASSERT_TRUE(eventually([&] { return over; }));
+	hangUp();
+	EXPECT_TRUE(eventually([this] { return server.connections == 0; }));
+	EXPECT_FALSE(toldLate);
+}
+
+// A caller that had sent a next request early was never seen to leave: its bytes ended the only watch on its
+// connection, and the upstream worked on for nobody.
+TEST_F(CallerConnection, ItsLeavingIsSeenThoughItHasSentANextRequestEarly)
+{
+	bool left = false;
+	bool over = false;
+	server.handler = [&](HttpExchange& _exchange) {
+		_exchange.onCallerGone([&] { left = true; });
+		over = !eventually([&] { return left; });
+		_exchange.abort();
+	};
+	connect();
+	send(kRequest);
+	sleepFor(kSettleMs);
+	send(kRequest);
+	sleepFor(kSettleMs);
+	hangUp();
+	EXPECT_TRUE(eventually([this] { return server.connections == 0; }));
+	EXPECT_TRUE(left);
+	EXPECT_FALSE(over);
+}
+
+TEST_F(CallerConnection, ANextRequestThatWasSentEarlyIsAnsweredInItsTurn)
+{
+	bool mayAnswer = false;
+	server.handler = [&](HttpExchange& _exchange) {
+		++handled;
+		_exchange.onCallerGone([] {});
+		eventually([&] { return mayAnswer; });
+		_exchange.respond({200, {}, "done"});
+	};
+	connect();
+	send(kRequest);
+	ASSERT_TRUE(eventually([this] { return handled == 1; }));
+	send(kRequest.substr(0, 7));
+	sleepFor(kSettleMs);
+	send(kRequest.substr(7));
+	sleepFor(kSettleMs);
+	mayAnswer = true;
+	EXPECT_NE(readTo("done").find("200 OK"), std::string::npos);
+	EXPECT_NE(readTo("done").find("200 OK"), std::string::npos);
+	EXPECT_EQ(handled, 2u);
+}
+
+// A stop that began while an answer was under way closed its connection, though the head of that answer had
+// told that it stays: the caller's next request crossed the close.
+TEST_F(CallerConnection, StaysAsTheAnswerToldThoughAStopHasBegunSince)
+{
+	server.handler = [this](HttpExchange& _exchange) {
+		_exchange.startStream(200, {}, "text/plain");
+		server.draining = true;
+		_exchange.write("done");
+		_exchange.finish();
+	};
+	connect();
+	send(kRequest);
+	EXPECT_EQ(readTo("\r\n0\r\n\r\n").find("Connection: close"), std::string::npos);
+	sleepFor(kSettleMs);
+	EXPECT_NE(ask().find("Connection: close"), std::string::npos) << "the next answer tells it";
+}
 } // namespace
 } // namespace spanplank
