--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -43,16 +43,17 @@
 	std::string body;
 };
 
+enum class ConnectionEnd : uint8_t;
+struct ServedConnection;
+
 /// The answering side of one request. Call `respond`, or `startStream`, `write` … `finish`.
 class HttpExchange
 {
 public:
 	using Fields = boost::beast::http::fields;
 
-	/// @param[in] _draining Looked at when the answer begins; null: never draining. @param[in] _connectedAt
-	/// When the connection was accepted.
-	HttpExchange(boost::beast::tcp_stream& _stream, const HttpRequest& _request,
-				 const bool* _draining = nullptr, TimeUs _connectedAt = 0);
+	/// @param[in] _draining Looked at when the answer begins; null: never draining.
+	HttpExchange(ServedConnection& _connection, const HttpRequest& _request, const bool* _draining = nullptr);
 	~HttpExchange();
 	HttpExchange(const HttpExchange&) = delete;
 	HttpExchange& operator=(const HttpExchange&) = delete;
@@ -63,10 +64,7 @@
 	}
 
 	/// @returns When the caller's connection was accepted.
-	TimeUs connectedAt() const
-	{
-		return m_connectedAt;
-	}
+	TimeUs connectedAt() const;
 
 	void respond(const HttpResponse& _response);
 	/// Passes on an answer whose fields are another server's. @returns Whether it was written whole. A caller
@@ -75,7 +73,8 @@
 	bool passOn(int _status, const Fields& _fields, std::string_view _body);
 	/// Starts a stream whose fields are another server's. @returns false once the caller is gone.
 	bool passOnHead(int _status, const Fields& _fields);
-	/// Calls back at most once if the caller closes its side before the exchange ends.
+	/// Calls back at most once if the caller closes its side before the handler returns. A caller that closes
+	/// only its sending side counts as one that left: the two can't be told apart.
 	void onCallerGone(std::function<void()> _gone);
 	/// @returns false once the caller is gone.
 	bool startStream(int _status, const std::vector<HttpHeader>& _headers, std::string_view _contentType);
@@ -85,10 +84,10 @@
 	/// Ends the connection without an end mark: the caller sees a cut, never a short whole answer.
 	void abort();
 
-	/// @returns Whether the connection takes another request after this one's answer.
+	/// @returns Whether the answer told that the connection takes another request after it.
 	bool keepAlive() const
 	{
-		return m_request.keep_alive() && (m_draining == nullptr || !*m_draining);
+		return m_keepAlive;
 	}
 
 	bool broken() const
@@ -101,18 +100,37 @@
 		return m_answered;
 	}
 
+	/// @returns Whether an answer was written to its end.
+	bool whole() const
+	{
+		return m_whole;
+	}
+
+	/// Drops what `onCallerGone` was given. It refers to what its handler knew.
+	void forgetCaller();
+
 	/// @returns Whether the caller has closed its side while the answer is being made.
 	bool callerGone();
 
 private:
+	void beginAnswer();
+	void watchCaller();
 	bool sendHead(boost::beast::http::response<boost::beast::http::empty_body>& _head);
 
+	/// Takes note of a write's end. @returns Whether it went well.
+	bool noteWritten(const boost::beast::error_code& _error);
+	/// As `noteWritten`, for the last write of an answer.
+	bool noteWhole(const boost::beast::error_code& _error);
+	void breakOff(ConnectionEnd _end, std::string _error);
+
+	ServedConnection& m_connection;
 	boost::beast::tcp_stream& m_stream;
 	const HttpRequest& m_request;
 	const bool* m_draining;
-	TimeUs m_connectedAt;
 	bool m_broken = false;
 	bool m_answered = false;
+	bool m_whole = false;
+	bool m_keepAlive = false;
 	std::shared_ptr<std::function<void()>> m_onGone;
 };
 
@@ -135,6 +153,8 @@
 	bool draining = false;  ///< Answers carry `Connection: close` once set.
 	HttpServerLimits limits;
 	HttpHandler handler;
+	/// Connections that ended without a whole answer to what was read of them, by `ConnectionEnd`.
+	std::map<std::string, uint64_t> ended;
 };
 
 /// Listens and serves; port 0 takes a free one. The server must outlive its connections.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,13 +1,14 @@
-/// Serves HTTP/1.1: reading requests within limits, answers, streams.
+/// Serves HTTP/1.1: connections of callers, reading requests within limits, handlers. Answers are written in
+/// `http_exchange.cpp`.
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <fmt/format.h>
+#include <optional>
 
 #include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "log_p.h"
 #include "node_p.h"
+#include "served_connection_p.h"
 
 namespace spanplank
 {
@@ -17,17 +18,8 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr int kHeadTooLarge = 431;              ///< RFC 6585
-constexpr std::chrono::seconds kWriteLimit(30); ///< For one write to a caller that reads slowly.
-constexpr unsigned kHttpVersion = 11;           ///< HTTP/1.1, as Beast counts.
-
-void setHeaders(http::fields& _fields, const std::vector<HttpHeader>& _headers)
-{
-	for (const HttpHeader& header : _headers)
-	{
-		_fields.set(header.name, header.value);
-	}
-}
+constexpr int kHeadTooLarge = 431;    ///< RFC 6585
+constexpr unsigned kHttpVersion = 11; ///< HTTP/1.1, as Beast counts.
 
 /// A refusal by the server itself, in the body that all refusals have.
 HttpResponse serverRefusal(ErrorCode _code, const char* _detail, RunState _run = RunState::No)
@@ -57,128 +49,216 @@
 }
 
 /// Waits for a request on a connection that may stay idle.
-bool awaitFirstByte(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer)
+bool awaitFirstByte(HttpServer& _server, ServedConnection& _connection)
 {
-	if (_buffer.size() != 0)
+	_connection.requestBytes = 0;
+	if (_connection.buffer.size() == 0 && // Else the caller sent it along with the request before.
+		awaitBytes(_connection, {_connection.idleSince, _server.limits.idleMs}) != ReadEnd::Bytes)
 	{
-		return true; // The caller sent it along with the request before.
+		return false;
 	}
-	constexpr size_t kReadBytes = 4096;
-	_stream.expires_after(std::chrono::milliseconds(_server.limits.idleMs));
-	const IoResult read =
-		awaitIo([&](auto _done) { _stream.async_read_some(_buffer.prepare(kReadBytes), _done); });
-	_buffer.commit(read.bytes);
-	return !read.error;
+	_connection.requestAt = monotonicNow();
+	_connection.requestBytes = _connection.buffer.size();
+	return true;
+}
+
+/// Answers in place of the handler.
+void refuseItself(ServedConnection& _connection, HttpRequest& _request, const HttpResponse& _refusal)
+{
+	_connection.status = _refusal.status;
+	_request.keep_alive(false);
+	HttpExchange exchange(_connection, _request);
+	exchange.respond(_refusal);
 }
 
 /// A request of HTTP/1.1 has one Host field (RFC 9112, 3.2).
-bool hasOneHost(beast::tcp_stream& _stream, HttpRequest& _request)
+bool hasOneHost(ServedConnection& _connection, HttpRequest& _request)
 {
 	if (_request.version() < kHttpVersion || _request.count(http::field::host) == 1)
 	{
 		return true;
 	}
-	_request.keep_alive(false);
-	HttpExchange exchange(_stream, _request);
-	exchange.respond(serverRefusal(ErrorCode::BadRequest, "a request needs one Host field"));
+	_connection.end = ConnectionEnd::Malformed;
+	refuseItself(_connection, _request,
+				 serverRefusal(ErrorCode::BadRequest, "a request needs one Host field"));
+	return false;
+}
+
+/// Answers a request that could not be read, if its caller is there to read the answer.
+void refuseUnread(ServedConnection& _connection, HttpRequest& _request, const beast::error_code& _error)
+{
+	HttpResponse refusal;
+	switch (_connection.end)
+	{
+	case ConnectionEnd::TooLarge:
+		refusal = serverRefusal(ErrorCode::Oversize, "the request is larger than allowed");
+		refusal.status = _error == http::error::header_limit ? kHeadTooLarge : refusal.status;
+		break;
+	case ConnectionEnd::Malformed:
+		refusal = serverRefusal(ErrorCode::BadRequest, "malformed HTTP request");
+		break;
+	case ConnectionEnd::HeadLate:
+	case ConnectionEnd::BodyLate:
+		refusal = serverRefusal(ErrorCode::DeadlinePassed, "the request took too long to come");
+		break;
+	default:
+		return;
+	}
+	refuseItself(_connection, _request, refusal);
+	drain(_connection.stream);
+}
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Hands what was read to the parser.
+/// @returns Whether the connection may go on; otherwise its end is noted.
+bool parse(ServedConnection& _connection, RequestParser& _parser, beast::error_code& _error)
+{
+	while (_connection.buffer.size() > 0 && !_parser.is_done() && !_error)
+	{
+		_connection.buffer.consume(_parser.put(_connection.buffer.data(), _error));
+	}
+	if (!_error || _error == http::error::need_more)
+	{
+		_error = {};
+		return true;
+	}
+	const bool large = _error == http::error::body_limit || _error == http::error::header_limit;
+	_connection.end = large ? ConnectionEnd::TooLarge : ConnectionEnd::Malformed;
+	_connection.error = _error.message();
 	return false;
 }
 
-bool readRequest(HttpServer& _server, beast::tcp_stream& _stream, beast::flat_buffer& _buffer,
-				 http::request_parser<http::string_body>& _parser, HttpRequest& _request)
+/// Waits for more of a request.
+/// @returns Whether some came; otherwise the connection's end is noted.
+bool readMore(HttpServer& _server, ServedConnection& _connection, bool _inBody, TimeUs _since)
 {
-	_parser.body_limit(_server.limits.bodyBytes);
-	_parser.header_limit(uint32_t(_server.limits.headerBytes));
-	if (!awaitFirstByte(_server, _stream, _buffer))
+	const uint32_t& limitMs = _inBody ? _server.limits.slowMs : _server.limits.headerMs;
+	const size_t before = _connection.buffer.size();
+	switch (awaitBytes(_connection, {_since, limitMs}))
 	{
+	case ReadEnd::Bytes:
+		_connection.requestBytes += _connection.buffer.size() - before;
+		return true;
+	case ReadEnd::Late:
+		_connection.end = _inBody ? ConnectionEnd::BodyLate : ConnectionEnd::HeadLate;
+		return false;
+	case ReadEnd::Ended:
+		_connection.end = ConnectionEnd::CallerClosed;
+		return false;
+	default:
+		_connection.end = ConnectionEnd::ReadFailed;
 		return false;
 	}
-	_stream.expires_after(std::chrono::milliseconds(_server.limits.headerMs));
-	IoResult read = awaitIo([&](auto _done) { http::async_read_header(_stream, _buffer, _parser, _done); });
-	if (!read.error && !_parser.is_done())
+}
+
+/// Reads the request whose first bytes have come.
+bool readRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
+{
+	RequestParser parser;
+	parser.eager(true);
+	parser.body_limit(_server.limits.bodyBytes);
+	parser.header_limit(uint32_t(_server.limits.headerBytes));
+	beast::error_code error;
+	TimeUs since = _connection.requestAt;
+	bool inBody = false;
+	bool sound = parse(_connection, parser, error);
+	while (sound && !parser.is_done())
 	{
-		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		read = awaitIo([&](auto _done) { http::async_read(_stream, _buffer, _parser, _done); });
+		if (!inBody && parser.is_header_done())
+		{
+			inBody = true;
+			since = monotonicNow();
+		}
+		sound = readMore(_server, _connection, inBody, since) && parse(_connection, parser, error);
 	}
-	if (!read.error)
+	if (!sound)
 	{
-		_request = _parser.release();
-		return hasOneHost(_stream, _request);
+		refuseUnread(_connection, _request, error);
+		return false;
 	}
-	HttpExchange exchange(_stream, _request);
-	if (read.error == http::error::body_limit || read.error == http::error::header_limit)
+	_request = parser.release();
+	return hasOneHost(_connection, _request);
+}
+
+/// Ends an exchange whose handler has returned: what it left open must not look answered.
+void closeExchange(ServedConnection& _connection, HttpRequest& _request, HttpExchange& _exchange)
+{
+	if (_exchange.whole() || _exchange.broken())
 	{
-		HttpResponse refusal = serverRefusal(ErrorCode::Oversize, "the request is larger than allowed");
-		refusal.status = read.error == http::error::header_limit ? kHeadTooLarge : refusal.status;
-		exchange.respond(refusal);
-		drain(_stream);
+		return;
 	}
-	else if (read.error.category() == make_error_code(http::error::bad_method).category() &&
-			 read.error != http::error::end_of_stream && read.error != http::error::partial_message)
+	_connection.end = ConnectionEnd::HandlerFailed;
+	if (_exchange.answered())
 	{
-		exchange.respond(serverRefusal(ErrorCode::BadRequest, "malformed HTTP request"));
+		_exchange.abort();
+		return;
 	}
-	return false;
+	_request.keep_alive(false);
+	_connection.status = httpStatus(ErrorCode::Internal);
+	_exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
 }
 
-void serveConnection(HttpServer& _server, beast::tcp_stream& _stream)
+/// Has the handler answer one request.
+/// @returns Whether the connection takes another one.
+bool answerRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
 {
-	beast::flat_buffer buffer;
-	const TimeUs connectedAt = monotonicNow();
+	HttpExchange exchange(_connection, _request, &_server.draining);
+	std::optional<Refusal> refusal;
+	try
+	{
+		_server.handler(exchange);
+	}
+	catch (const Failure& failure)
+	{
+		refusal = failure.refusal();
+	}
+	catch (const std::exception& failure)
+	{
+		logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", failure.what()}});
+	}
+	exchange.forgetCaller();
+	if (refusal && !exchange.answered())
+	{
+		exchange.respond(refusalResponse(*refusal, ""));
+	}
+	closeExchange(_connection, _request, exchange);
+	return exchange.keepAlive() && !exchange.broken();
+}
+
+void serveConnection(HttpServer& _server, ServedConnection& _connection)
+{
+	_connection.acceptedAt = monotonicNow();
 	bool keepAlive = true;
 	while (keepAlive)
 	{
-		http::request_parser<http::string_body> parser;
+		_connection.idleSince = monotonicNow();
 		HttpRequest request;
-		if (!readRequest(_server, _stream, buffer, parser, request))
-		{
-			break;
-		}
-		_stream.expires_after(std::chrono::milliseconds(_server.limits.slowMs));
-		HttpExchange exchange(_stream, request, &_server.draining, connectedAt);
-		try
-		{
-			_server.handler(exchange);
-		}
-		catch (const Failure& failure)
-		{
-			if (!exchange.answered())
-			{
-				exchange.respond(refusalResponse(failure.refusal(), ""));
-			}
-		}
-		catch (const std::exception& failure)
-		{
-			logEvent("handler_failed",
-					 {{"target", std::string(request.target())}, {"error", failure.what()}});
-			request.keep_alive(false);
-			if (!exchange.answered())
-			{
-				exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
-			}
-		}
-		keepAlive = exchange.keepAlive() && !exchange.broken();
+		keepAlive = awaitFirstByte(_server, _connection) && readRequest(_server, _connection, request) &&
+					answerRequest(_server, _connection, request);
 	}
+	noteConnectionEnd(_server, _connection);
 	beast::error_code ignored;
-	_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+	_connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
 void acceptLoop(boost::asio::io_context& _io, HttpServer& _server)
 {
 	while (_server.acceptor->is_open())
 	{
-		auto stream = std::make_shared<beast::tcp_stream>(_io);
-		const IoResult accepted =
-			awaitIo([&](auto _done) { _server.acceptor->async_accept(stream->socket(), _done); });
+		auto connection = std::make_shared<ServedConnection>(_io);
+		tcp::socket& socket = connection->stream.socket();
+		const IoResult accepted = awaitIo([&](auto _done) { _server.acceptor->async_accept(socket, _done); });
 		if (accepted.error)
 		{
 			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
 			continue;
 		}
-		stream->socket().set_option(tcp::no_delay(true));
+		boost::system::error_code ignored; // A connection that failed already shows in its first read.
+		socket.set_option(tcp::no_delay(true), ignored);
 		++_server.connections;
-		spawnFiber([&_server, stream] {
-			serveConnection(_server, *stream);
+		spawnFiber([&_server, connection] {
+			serveConnection(_server, *connection);
 			--_server.connections;
 		});
 	}
@@ -206,136 +286,6 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream& _stream, const HttpRequest& _request, const bool* _draining,
-						   TimeUs _connectedAt)
-	: m_stream(_stream), m_request(_request), m_draining(_draining), m_connectedAt(_connectedAt)
-{
-}
-
-HttpExchange::~HttpExchange()
-{
-	if (m_onGone)
-	{
-		*m_onGone = nullptr;
-	}
-}
-
-void HttpExchange::onCallerGone(std::function<void()> _gone)
-{
-	m_onGone = std::make_shared<std::function<void()>>(std::move(_gone));
-	m_stream.socket().async_wait(tcp::socket::wait_read,
-								 [this, callback = m_onGone](beast::error_code _error) {
-									 if (*callback && !_error && callerGone())
-									 {
-										 m_broken = true;
-										 (*callback)();
-									 }
-								 });
-}
-
-bool HttpExchange::passOn(int _status, const Fields& _fields, std::string_view _body)
-{
-	m_answered = true;
-	http::response<http::span_body<const char>> message;
-	static_cast<http::fields&>(message) = _fields;
-	message.result(unsigned(_status));
-	message.version(m_request.version());
-	message.keep_alive(keepAlive());
-	message.body() = beast::span<const char>(_body.data(), _body.size());
-	message.prepare_payload();
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	m_broken = m_broken || written.error;
-	return !written.error;
-}
-
-bool HttpExchange::passOnHead(int _status, const Fields& _fields)
-{
-	m_answered = true;
-	http::response<http::empty_body> head;
-	static_cast<http::fields&>(head) = _fields;
-	head.result(unsigned(_status));
-	head.version(m_request.version());
-	return sendHead(head);
-}
-
-bool HttpExchange::sendHead(http::response<http::empty_body>& _head)
-{
-	_head.keep_alive(keepAlive());
-	_head.chunked(true);
-	http::response_serializer<http::empty_body> serializer(_head);
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written =
-		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
-	m_broken = m_broken || written.error;
-	return !m_broken;
-}
-
-void HttpExchange::respond(const HttpResponse& _response)
-{
-	m_answered = true;
-	http::response<http::string_body> message(http::status(_response.status), m_request.version());
-	setHeaders(message, _response.headers);
-	message.keep_alive(keepAlive());
-	message.body() = _response.body;
-	message.prepare_payload();
-	const IoResult written = awaitIo([&](auto _done) { http::async_write(m_stream, message, _done); });
-	m_broken = m_broken || written.error;
-}
-
-bool HttpExchange::startStream(int _status, const std::vector<HttpHeader>& _headers,
-							   std::string_view _contentType)
-{
-	m_answered = true;
-	http::response<http::empty_body> head(http::status(_status), m_request.version());
-	setHeaders(head, _headers);
-	head.set(http::field::content_type, _contentType);
-	head.set(http::field::cache_control, "no-store");
-	return sendHead(head);
-}
-
-bool HttpExchange::write(std::string_view _part)
-{
-	if (m_broken || _part.empty())
-	{
-		return !m_broken;
-	}
-	m_stream.expires_after(kWriteLimit);
-	const IoResult written = awaitIo([&](auto _done) {
-		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
-								 _done);
-	});
-	m_broken = m_broken || written.error;
-	return !m_broken;
-}
-
-bool HttpExchange::finish()
-{
-	if (m_broken)
-	{
-		return false;
-	}
-	const IoResult written =
-		awaitIo([&](auto _done) { boost::asio::async_write(m_stream, http::make_chunk_last(), _done); });
-	m_broken = m_broken || written.error;
-	return !written.error;
-}
-
-void HttpExchange::abort()
-{
-	m_broken = true;
-	beast::error_code ignored;
-	m_stream.socket().close(ignored);
-}
-
-bool HttpExchange::callerGone()
-{
-	char byte = 0;
-	const ssize_t peeked =
-		::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
-	return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint)
 {
 	const tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
