Only an outage in which heartbeats were missed gives an upstream that went time to return

Cause: each failed call of the store (an answer 410, one reset, a 429, a time-out after this process was not run) counted as an outage for a second. A registration that went then was used on like any other for 0.8 of the bound and as a last resort for 2.3 s, more than a bound of 2 s, counted from when this router learned of it. Ruled out: the removal unseen or late: way="list" and way="watch" with proofs 121 ms old, lapsed="yes". Change: StoreContact judges by proofs, of whatever way, and by the time in which this process ran: no proof for two heartbeats (heartbeatMs; 2.4 s at least) or the second after such a gap. The time to return counts from the first proof after the outage and ends with 0.8 of the bound, 0.9 if there is none else. Counted from the last proof before, nothing would be left and all live upstreams be refused for up to 2 s; a store that is away acknowledges no leaving.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "spanplank/policies.h"
+#include "spanplank/store_contact.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -55,8 +56,8 @@
 	UpstreamRecord record;
 	UpstreamKey key = 0;
 	bool registered = false;
-	TimeUs goneAt = 0;      ///< When its registration went; 0: it has one.
-	bool mayReturn = false; ///< Its registration went during an outage of the store.
+	TimeUs goneAt = 0;    ///< When its registration went; 0: it has one.
+	LapseJudgement lapse; ///< What it told when its registration went.
 	uint32_t inFlight = 0;
 	double prefillMs = 0.0; ///< Expected reading time of the prompts sent there that have no first token yet.
 	SharedLoad others;      ///< What the other routers have there, as far as they told.
@@ -103,8 +104,8 @@
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	std::vector<NewHome> newHomes; ///< Not told to the other routers yet; at most `kMostNewHomes`.
 	uint32_t nextIdx = 0;
-	bool hearsOthers = false;     ///< Other routers tell what they have at the upstreams.
-	TimeUs storeTroubleUntil = 0; ///< Registrations that go before this may come back.
+	bool hearsOthers = false; ///< Other routers tell what they have at the upstreams.
+	StoreContact contact;     ///< Tells registrations that lapsed from upstreams that left.
 	/// An upstream that leaves gets no request this long after; from the settings.
 	TimeUs leaveBound = 2000 * kMsToUs;
 };
@@ -115,12 +116,9 @@
 /// An upstream registered or changed its record. @returns Its id.
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record);
 
-/// A registration went. During trouble of the store the upstream stays usable for a while.
+/// A registration went. If it may have lapsed in an outage, the upstream stays usable for a while.
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now);
 
-/// The store could not be reached, or has just come back. @param[in] _now Time of the sign.
-void noteStoreTrouble(UpstreamTable& _table, TimeUs _now);
-
 /// Replaces all registrations by a list that was read in full. @returns The upstreams whose registration
 /// went.
 std::vector<uint32_t> replaceRegistrations(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
@@ -206,14 +204,12 @@
 HealthChange noteEnded(UpstreamTable& _table, UpstreamId _id, double _prefillMs, HealthSign _sign,
 					   TimeUs _now);
 
-/// How long an upstream may return after its registration went while the store was in trouble: upstreams that
-/// live are back about 2 s after an outage. It is used like any other for the first 0.8 of the bound on
-/// leaving ones, as it may have left; after that only if there is none else.
+/// How long an upstream may return after its registration lapsed in an outage: those that live are back about
+/// 2 s after its end. It may as well have left, so it gets nothing later than the bound on leaving ones: it
+/// is used like any other for the first share of the bound, up to the second only if there is none else.
 constexpr TimeUs kReturnGrace = 2300 * kMsToUs;
 constexpr double kGraceShare = 0.8;
-
-/// Registrations that lapsed during an outage may still be reported gone this long after its end.
-constexpr TimeUs kTroubleTail = 1000 * kMsToUs;
+constexpr double kLastGraceShare = 0.9; ///< The rest is for the request's way.
 } // namespace spanplank
 
 #endif // SPANPLANK_UPSTREAM_TABLE_H_HEADER_GUARD
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -332,6 +332,7 @@
 	reader.decimal("retryRatio", settings.retryRatio, 0.0, 100.0);
 	reader.decimal("exposureShare", settings.exposureShare, 0.0, 1.0);
 	reader.number("leaveMs", settings.leaveMs, 100, kHourMs);
+	reader.number("heartbeatMs", settings.heartbeatMs, 10, kHourMs);
 	reader.number("watchPauseMs", settings.watchPauseMs, 0, 30000);
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
 	reader.decimal("processorShare", settings.capacity.cores, 0.001, 1024.0);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -58,6 +58,8 @@
 	double retryRatio = 0.9;        ///< Attempts beyond the first in such a window, for each request.
 	double exposureShare = 0.15;    ///< Part of the requests that a new version may get before it is proved.
 	uint32_t leaveMs = 2000;        ///< An upstream that leaves gets no request this long after.
+	/// Between an upstream's signs of life at the store: after three without, its registration lapses.
+	uint32_t heartbeatMs = 1200;
 	/// Pause between two watches of the store. Each change ends a watch, and each call is priced and limited:
 	/// changes that come close together are learned of together. A change is learned of after at most this
 	/// long.
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -35,6 +35,13 @@
 	return _entry.record.service == _query.service && versionFits && fresh;
 }
 
+/// @returns Whether an upstream whose registration lapsed may still return, within a share of the bound.
+bool mayReturn(const UpstreamTable& _table, const UpstreamEntry& _entry, double _share, TimeUs _now)
+{
+	const TimeUs grace = std::min(kReturnGrace, TimeUs(double(_table.leaveBound) * _share));
+	return _entry.lapse.cause != LapseCause::Calm && _now - _entry.lapse.since < grace;
+}
+
 bool isEjected(const UpstreamEntry& _entry, TimeUs _now)
 {
 	return _entry.health.ejectedUntil > _now;
@@ -125,9 +132,7 @@
 		}
 		if (!isUsable(_table, entry, _now))
 		{
-			const bool mayLive =
-				!entry.record.leaving && entry.mayReturn && _now - entry.goneAt < kReturnGrace;
-			if (mayLive)
+			if (!entry.record.leaving && mayReturn(_table, entry, kLastGraceShare, _now))
 			{
 				lapsed.push_back({idx, &entry});
 			}
@@ -163,7 +168,7 @@
 	entry.record.leaving = _record.leaving || leaving;
 	entry.registered = true;
 	entry.goneAt = 0;
-	entry.mayReturn = false;
+	entry.lapse = {};
 	return UpstreamId{known->second};
 }
 
@@ -181,12 +186,7 @@
 	}
 	entry.registered = false;
 	entry.goneAt = _now;
-	entry.mayReturn = _now < _table.storeTroubleUntil;
-}
-
-void noteStoreTrouble(UpstreamTable& _table, TimeUs _now)
-{
-	_table.storeTroubleUntil = std::max(_table.storeTroubleUntil, _now + kTroubleTail);
+	entry.lapse = judgeLapse(_table.contact, _now);
 }
 
 std::vector<uint32_t> replaceRegistrations(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
@@ -232,8 +232,7 @@
 	{
 		return false;
 	}
-	const TimeUs grace = std::min(kReturnGrace, TimeUs(double(_table.leaveBound) * kGraceShare));
-	return _entry.registered || (_entry.mayReturn && _now - _entry.goneAt < grace);
+	return _entry.registered || mayReturn(_table, _entry, kGraceShare, _now);
 }
 
 UpstreamId pickDirectUpstream(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -85,6 +85,7 @@
 		_router.settings = settings;
 		_router.trials.exposureShare = settings.exposureShare;
 		_router.upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
+		_router.upstreams.contact.heartbeat = TimeUs(settings.heartbeatMs) * kMsToUs;
 		_router.upstreams.policies = settings.policies;
 		_router.store.http.endpoint = store;
 		_router.store.watchHttp.endpoint = store;
@@ -144,6 +145,7 @@
 	pool.io = &io;
 	trials.exposureShare = _settings.exposureShare;
 	upstreams.leaveBound = TimeUs(_settings.leaveMs) * kMsToUs;
+	upstreams.contact.heartbeat = TimeUs(_settings.heartbeatMs) * kMsToUs;
 	upstreams.policies = _settings.policies;
 	startedAt = monotonicNow();
 	random.state = stableHash(_settings.box) ^ uint64_t(wallNow());
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -101,6 +101,9 @@
 /// Takes a full list of the store, unless this router knows more by now, and passes it on to its followers.
 void takeStoreList(DirectRouter& _router, const StoreList& _list, StoreWay _way);
 
+/// The store, or a router that reaches it, proved that it was there at a moment.
+void noteStorePresent(DirectRouter& _router, TimeUs _provedAt);
+
 /// @returns The retry window of a service.
 RetryWindow& retryWindow(DirectRouter& _router, const std::string& _service);
 
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -134,20 +134,22 @@
 	const TimeUs sentAt = monotonicNow();
 	if (!_router.view.listed)
 	{
-		takeStoreList(_router, listStore(_follower.client, ""), StoreWay::List);
+		const StoreList list = listStore(_follower.client, "");
+		noteStorePresent(_router, sentAt); // First: what went is judged by it.
+		takeStoreList(_router, list, StoreWay::List);
 	}
 	else
 	{
-		takeStoreChanges(
-			_router, watchStore(_follower.client, "", _router.view.revision, _router.settings.configWaitMs),
-			StoreWay::Watch);
+		const StoreList changes =
+			watchStore(_follower.client, "", _router.view.revision, _router.settings.configWaitMs);
+		noteStorePresent(_router, sentAt);
+		takeStoreChanges(_router, changes, StoreWay::Watch);
 	}
 	_router.config.provedAt = std::max(_router.config.provedAt, sentAt);
 }
 
 void noteLost(DirectRouter& _router, StoreFollower& _follower, const Refusal& _refusal)
 {
-	noteStoreTrouble(_router.upstreams, monotonicNow());
 	if (_follower.failures++ == 0)
 	{
 		logEvent("store_lost", {{"code", std::string(name(_refusal.code))},
@@ -163,7 +165,6 @@
 	{
 		return;
 	}
-	noteStoreTrouble(_router.upstreams, monotonicNow());
 	logEvent("store_regained", {{"failures", std::to_string(_follower.failures)},
 								{"revision", std::to_string(_router.view.revision)}});
 	_follower.failures = 0;
@@ -261,8 +262,25 @@
 	}
 }
 
+void noteStorePresent(DirectRouter& _router, TimeUs _provedAt)
+{
+	StoreContact& contact = _router.upstreams.contact;
+	const TimeUs before = contact.provedAt;
+	if (noteStoreProof(contact, _provedAt, monotonicNow()))
+	{
+		logEvent("store_outage_ended", {{"unproved_ms", std::to_string((_provedAt - before) / kMsToUs)}});
+	}
+}
+
 void followStore(DirectRouter& _router)
 {
+	spawnFiber([&_router] {
+		while (true)
+		{
+			noteRunning(_router.upstreams.contact, monotonicNow());
+			sleepFor(kContactStepMs);
+		}
+	});
 	spawnFiber([&_router] { followChanges(_router); });
 	spawnFiber([&_router] { runRollouts(_router); });
 	startPeerLinks(_router);
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -221,7 +221,9 @@
 		return;
 	}
 	peers.behind = false;
-	_router.config.provedAt = std::max(_router.config.provedAt, peers.pingSentAt - _pong.proofAge);
+	const TimeUs provedAt = peers.pingSentAt - _pong.proofAge;
+	noteStorePresent(_router, provedAt);
+	_router.config.provedAt = std::max(_router.config.provedAt, provedAt);
 }
 
 void takeChangesOfParent(DirectRouter& _router, const StoreChanges& _changes)
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -40,7 +40,9 @@
 			  {"way", name(_source.way)},
 			  {"revision", std::to_string(_source.revision)},
 			  {"proof_age_ms", std::to_string((monotonicNow() - _router.config.provedAt) / kMsToUs)},
-			  {"lapsed", _entry.mayReturn ? "yes" : "no"}});
+			  {"lapsed", _entry.lapse.cause == LapseCause::Calm ? "no" : "yes"},
+			  {"why", name(_entry.lapse.cause)},
+			  {"silence_ms", std::to_string(_entry.lapse.silence / kMsToUs)}});
 }
 
 UpstreamRecord decodeUpstreamItem(const StoreItem& _item)
--- /dev/null
+++ b/tests/core/store_contact_test.cpp
@@ -0,0 +1,143 @@
+/// Outages of the store, judged by its proofs and by the times in which this process ran.
+#include "spanplank/store_contact.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace spanplank
+{
+namespace
+{
+constexpr TimeUs kSecond = 1000 * kMsToUs;
+constexpr TimeUs kBegin = 100 * kSecond;
+
+struct StoreContactTest : testing::Test
+{
+	StoreContact contact;
+	TimeUs now = kBegin;
+
+	StoreContactTest()
+	{
+		noteStoreProof(contact, now, now);
+	}
+
+	void run(TimeUs _for)
+	{
+		for (const TimeUs until = now + _for; now < until;)
+		{
+			now = std::min(until, now + TimeUs(kContactStepMs) * kMsToUs);
+			noteRunning(contact, now);
+		}
+	}
+
+	void freeze(TimeUs _for)
+	{
+		now += _for;
+	}
+
+	LapseCause cause() const
+	{
+		return judgeLapse(contact, now).cause;
+	}
+};
+
+TEST_F(StoreContactTest, ProofsThatAreMissingForTwoHeartbeatsAreAnOutage)
+{
+	run(2300 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+	run(100 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::Away);
+	EXPECT_TRUE(noteStoreProof(contact, now, now));
+	EXPECT_EQ(cause(), LapseCause::JustBack);
+	run(900 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::JustBack);
+	EXPECT_EQ(judgeLapse(contact, now).since, now - 900 * kMsToUs);
+	run(100 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+}
+
+TEST_F(StoreContactTest, LongerHeartbeatsTakeLongerToLapse)
+{
+	contact.heartbeat = 5 * kSecond;
+	run(9 * kSecond);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+	run(1 * kSecond);
+	EXPECT_EQ(cause(), LapseCause::Away);
+}
+
+TEST_F(StoreContactTest, ShortHeartbeatsMakeNoOutageOfTheGapsBetweenProofsOfAStoreThatIsThere)
+{
+	contact.heartbeat = 200 * kMsToUs;
+	run(2300 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+}
+
+// A process that is not run for seconds hears no proof either. Its calls time out when it wakes, and what
+// went meanwhile has left: the store was there.
+TEST_F(StoreContactTest, ATimeInWhichThisProcessWasNotRunIsNoOutage)
+{
+	run(500 * kMsToUs);
+	freeze(20 * kSecond);
+	EXPECT_EQ(cause(), LapseCause::Calm) << "before any step was noted";
+	run(500 * kMsToUs);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+	EXPECT_FALSE(noteStoreProof(contact, now, now));
+	EXPECT_EQ(cause(), LapseCause::Calm);
+}
+
+TEST_F(StoreContactTest, ACallThatWasUnderWayWhenTheProcessStoppedMakesNoOutageEither)
+{
+	run(500 * kMsToUs);
+	const TimeUs sentAt = now;
+	freeze(20 * kSecond);
+	EXPECT_FALSE(noteStoreProof(contact, sentAt, now));
+	EXPECT_EQ(cause(), LapseCause::Calm);
+	run(kSecond);
+	EXPECT_EQ(cause(), LapseCause::Calm);
+}
+
+TEST_F(StoreContactTest, BeforeTheFirstProofThereIsNoOutage)
+{
+	StoreContact blank;
+	noteRunning(blank, kBegin);
+	noteRunning(blank, kBegin + 300 * kMsToUs);
+	EXPECT_EQ(judgeLapse(blank, kBegin + 300 * kMsToUs).cause, LapseCause::Calm);
+	EXPECT_FALSE(noteStoreProof(blank, kBegin + 300 * kMsToUs, kBegin + 300 * kMsToUs));
+}
+
+/// Proofs of a store that is there, by an answer that took a while, with pauses of the process at any place.
+RC_GTEST_FIXTURE_PROP(StoreContactTest, AStoreThatIsThereNeverCountsAsAway, ())
+{
+	const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1900));
+	for (const int step : steps)
+	{
+		const TimeUs sentAt = now;
+		if (*rc::gen::inRange(0, 3) == 0)
+		{
+			freeze(*rc::gen::inRange<TimeUs>(0, 30) * kSecond);
+		}
+		run(TimeUs(step) * kMsToUs / 2);
+		RC_ASSERT(!noteStoreProof(contact, sentAt, now));
+		RC_ASSERT(cause() == LapseCause::Calm);
+		run(TimeUs(step) * kMsToUs / 2);
+		RC_ASSERT(cause() == LapseCause::Calm);
+	}
+}
+
+/// Whatever came before, an outage that this process lived through is seen, and for a while after its end.
+RC_GTEST_FIXTURE_PROP(StoreContactTest, AnOutageIsSeenWhateverCameBefore, ())
+{
+	const auto before = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10000));
+	for (const int step : before)
+	{
+		*rc::gen::arbitrary<bool>() ? run(TimeUs(step) * kMsToUs) : freeze(TimeUs(step) * kMsToUs);
+		noteStoreProof(contact, now, now);
+	}
+	run(*rc::gen::inRange<TimeUs>(2400, 30000) * kMsToUs);
+	RC_ASSERT(cause() == LapseCause::Away);
+	RC_ASSERT(noteStoreProof(contact, now, now));
+	RC_ASSERT(judgeLapse(contact, now).since == now);
+	RC_ASSERT(cause() == LapseCause::JustBack);
+}
+} // namespace
+} // namespace spanplank
