--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -84,6 +84,7 @@
 		_router.settings = settings;
 		_router.trials.exposureShare = settings.exposureShare;
 		_router.upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
+		_router.upstreams.contact.heartbeat = TimeUs(settings.heartbeatMs) * kMsToUs;
 		_router.upstreams.policies = settings.policies;
 		_router.store.http.endpoint = store;
 		_router.store.watchHttp.endpoint = store;
@@ -147,6 +148,7 @@
 	pool.io = &io;
 	trials.exposureShare = settings.exposureShare;
 	upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
+	upstreams.contact.heartbeat = TimeUs(settings.heartbeatMs) * kMsToUs;
 	upstreams.policies = settings.policies;
 	startedAt = monotonicNow();
 	random.state = stableHash(settings.box) ^ uint64_t(wallNow());
