The choice of an upstream is looked at again before the first byte leaves

Cause: an upstream was chosen, its connection waited for (300 ms at most, longer while the process is not run), and the request sent whatever the table said by then; the same for resumed streams, second models and doubted answers, which all go through runAttempt. Change: maySendTo is asked once the connection is there. An attempt at an upstream that left ends as "withdrawn": no run, no extra attempt of the retry window, no sign of health, not among those tried; another is chosen. Two tests are added, failing before: a resumed stream, and all upstreams leaving (503, not run).

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -157,6 +157,9 @@
 /// @returns Whether work may be sent to an upstream.
 bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now);
 
+/// @returns Whether a request for which an upstream was chosen may still be sent there.
+bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now);
+
 /// @returns Expected time to read a prompt at an upstream, with what it likely keeps of it, in milliseconds.
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 				   TimeUs _now);
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -235,6 +235,16 @@
 	return _entry.registered || mayReturn(_table, _entry, kGraceShare, _now);
 }
 
+bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now)
+{
+	const auto found = _table.entries.find(_id.idx);
+	if (found == _table.entries.end() || found->second.record.leaving)
+	{
+		return false;
+	}
+	return found->second.registered || mayReturn(_table, found->second, kLastGraceShare, _now);
+}
+
 UpstreamId pickDirectUpstream(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
 							  Random& _random)
 {
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -2,6 +2,7 @@
 #ifndef SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
 #define SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
 
+#include <optional>
 #include <string>
 
 #include "serving_p.h"
@@ -22,16 +23,22 @@
 	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
+	bool withdrawn = false;     ///< The upstream left before anything was sent.
 	double confidence = -1.0;   ///< The model's own; -1: it told none.
 };
 
 /// Runs one attempt at an upstream and takes note of how it went.
-AttemptEnd runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query);
+/// @returns How it ended; nothing if the upstream left before anything was sent: another is to be chosen, and
+/// the attempt counts neither as a run nor as an extra attempt.
+std::optional<AttemptEnd> runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query);
 
 /// Sends the request, and passes its answer on or keeps it.
 /// @returns How the attempt ended.
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes);
 
+/// Takes note of an attempt that ended before anything was sent, as its upstream left.
+void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes);
+
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
 void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
 } // namespace spanplank
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -89,14 +89,16 @@
 	noteHeadTime(_serving.router.pressure[_serving.service], _serving.plan, after);
 }
 
-void logAttempt(const Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end, TimeUs _now)
+constexpr const char* kWithdrawn = "withdrawn"; ///< In logs and counters, beside the names of `AttemptEnd`.
+
+void logAttempt(const Serving& _serving, const AttemptNotes& _notes, const char* _end, TimeUs _now)
 {
 	const auto entry = _serving.router.upstreams.entries.find(_notes.upstream.idx);
 	const bool known = entry != _serving.router.upstreams.entries.end();
 	logEvent(
 		"attempt_ended",
 		{{"request", _serving.call.requestId},
-		 {"end", name(_end)},
+		 {"end", _end},
 		 {"upstream", _notes.record.id},
 		 {"version", _notes.record.version},
 		 {"route", _serving.route->name},
@@ -135,6 +137,16 @@
 }
 } // namespace
 
+void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes)
+{
+	DirectRouter& router = _serving.router;
+	const TimeUs now = monotonicNow();
+	noteEnded(router.upstreams, _notes.upstream, _notes.prefillMs, HealthSign::None, now);
+	noteTrialEnded(router.trials, _serving.service, _notes.record.version);
+	++router.stats.attempts[kWithdrawn];
+	logAttempt(_serving, _notes, kWithdrawn, now);
+}
+
 void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end)
 {
 	DirectRouter& router = _serving.router;
@@ -145,6 +157,6 @@
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
 	++router.stats.attempts[name(_end)];
-	logAttempt(_serving, _notes, _end, now);
+	logAttempt(_serving, _notes, name(_end), now);
 }
 } // namespace spanplank
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -173,6 +173,14 @@
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
 	ExchangeState state = _call.connect(_times.connectBy);
+	// The upstream may have left since it was chosen: a process that is hardly run waits long for a
+	// connection.
+	_notes.withdrawn =
+		state == ExchangeState::Ok && !maySendTo(_serving.router.upstreams, _notes.upstream, monotonicNow());
+	if (_notes.withdrawn)
+	{
+		return AttemptEnd::NotSent;
+	}
 	if (state == ExchangeState::Ok)
 	{
 		_notes.sentAfter = std::max<TimeUs>(1, monotonicNow() - _notes.begin);
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -52,7 +52,7 @@
 }
 } // namespace
 
-AttemptEnd runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
+std::optional<AttemptEnd> runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
 {
 	DirectRouter& router = _serving.router;
 	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
@@ -76,6 +76,11 @@
 		_serving.running = nullptr;
 		notes.error = call.error();
 	}
+	if (notes.withdrawn)
+	{
+		noteWithdrawn(_serving, notes);
+		return std::nullopt;
+	}
 	noteAttemptEnd(_serving, notes, end);
 	return end;
 }
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -26,7 +26,12 @@
 		{
 			return;
 		}
-		_serving.last = runAttempt(_serving, upstream, query);
+		const std::optional<AttemptEnd> end = runAttempt(_serving, upstream, query);
+		if (!end)
+		{
+			continue;
+		}
+		_serving.last = *end;
 		move = afterAttempt(_serving.plan, _serving.last, upstream.idx, window, monotonicNow());
 		router.stats.escalated += _serving.last == AttemptEnd::Doubted ? 1 : 0;
 		router.stats.resumed += move == NextMove::Again && _serving.plan.started ? 1 : 0;
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -130,6 +130,23 @@
 	EXPECT_EQ(pick(query(), 10 * kSecond), "");
 }
 
+TEST_F(TableTest, WhatWasChosenMayBeSentWhileTheUpstreamIsThereOrMayReturn)
+{
+	const UpstreamId one = registerUpstream(table, record("one"));
+	const UpstreamId two = registerUpstream(table, record("two"));
+	EXPECT_TRUE(maySendTo(table, one, 0));
+	EXPECT_FALSE(maySendTo(table, UpstreamId{99}, 0));
+	unregisterUpstream(table, "one", kSecond);
+	EXPECT_FALSE(maySendTo(table, one, kSecond));
+	beAway(5 * kSecond, 10 * kSecond);
+	unregisterUpstream(table, "two", 10 * kSecond);
+	EXPECT_TRUE(maySendTo(table, two, 10 * kSecond + 1700 * kMsToUs)) << "chosen as there was none else";
+	EXPECT_FALSE(maySendTo(table, two, 10 * kSecond + 1800 * kMsToUs));
+	UpstreamRecord leaving = record("three");
+	leaving.leaving = true;
+	EXPECT_FALSE(maySendTo(table, registerUpstream(table, leaving), 0));
+}
+
 TEST_F(TableTest, AnUnreachableUpstreamIsAvoidedAndTriedAgainByOneRepeatableRequest)
 {
 	const UpstreamId bad = registerUpstream(table, record("bad"));
--- a/tests/direct/chosen_upstream_test.cpp
+++ b/tests/direct/chosen_upstream_test.cpp
@@ -50,14 +50,19 @@
 
 	~ChosenUpstream() override
 	{
-		stopListening(router.callers);
 		router.pool.idle.clear();
+		end(router.callers);
 		for (Upstream& upstream : upstreams)
 		{
-			stopListening(upstream.http);
-			eventually([&] { return upstream.http.connections == 0; });
+			end(upstream.http);
 		}
-		eventually([this] { return router.callers.connections == 0; });
+	}
+
+	/// Their fibers refer to the fixture.
+	static void end(HttpServer& _server)
+	{
+		stopListening(_server);
+		EXPECT_TRUE(eventually([&] { return _server.connections == 0 && !_server.accepting; }));
 	}
 
 	void startUpstreams(const std::string& _service)
@@ -181,5 +186,47 @@
 	EXPECT_EQ(arrivals(), 1u);
 	EXPECT_EQ(extras("app"), 0u);
 }
+
+// The same as a begun stream goes on elsewhere: that attempt was paid for when the first one broke, and what
+// was not sent costs no second one.
+TEST_F(ChosenUpstream, ThatLeavesBeforeAStreamGoesOnThereCostsNoFurtherAttempt)
+{
+	startUpstreams("engines");
+	for (Upstream& upstream : upstreams)
+	{
+		upstream.answer = [this](Upstream& _upstream, HttpExchange& _exchange) {
+			const bool cut = arrivals() == 1;
+			answerEvents(_upstream, _exchange, cut ? 2 : 5, 1, cut);
+		};
+	}
+	call("POST", "/chat/x");
+	Upstream* first = awaitChosen();
+	ASSERT_NE(first, nullptr);
+	Upstream* second = awaitChosen(first);
+	ASSERT_NE(second, nullptr);
+	leave(*second);
+	ASSERT_TRUE(eventually([this] { return answered; }));
+	EXPECT_EQ(second->requests.size(), 0u);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_FALSE(answer.cut);
+	EXPECT_NE(answer.body.find("id: 5\n"), std::string::npos);
+	EXPECT_EQ(arrivals(), 2u);
+	EXPECT_EQ(extras("engines"), 1u);
+}
+
+TEST_F(ChosenUpstream, WhereAllLeaveTheRequestIsTruthfullyToldNotRun)
+{
+	startUpstreams("app");
+	call("POST", "/once/x");
+	ASSERT_NE(awaitChosen(), nullptr);
+	for (const Upstream& upstream : upstreams)
+	{
+		leave(upstream);
+	}
+	ASSERT_TRUE(eventually([this] { return answered; }));
+	EXPECT_EQ(answer.status, 503);
+	EXPECT_EQ(arrivals(), 0u);
+	EXPECT_EQ(router.upstreams.entries.begin()->second.inFlight, 0u);
+}
 } // namespace
 } // namespace spanplank
