--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -513,6 +513,10 @@
 	EXPECT_EQ(settled.requests.size(), 1u);
 }
 
+// A stream paused for 450 ms of the 500 ms that its route allows, and was cut after 400 ms to let another
+// upstream go on, though the retry window keeps no more than its burst and no other upstream is left. Its own
+// was at work and would have gone on. The log of such a stream said "attempt_ended end=silent" after 400.4 ms
+// and then "answer_broken last=silent last_event=0 runs=1".
 TEST(RetryBound, ABegunStreamThatPausesIsNotCutWhileNoFurtherAttemptIsAllowed)
 {
 	DirectSystem system("retryRatio: 0\n");
--- /dev/null
+++ b/tests/direct/paused_stream_test.cpp
@@ -0,0 +1,109 @@
+/// Answers that come late or pause for long: an upstream at work is left only for another one that may and
+/// can take the request.
+#include <gtest/gtest.h>
+
+#include "direct_harness.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+
+namespace spanplank
+{
+namespace
+{
+using Exchange = HttpExchange;
+using Upstream = StandInUpstream;
+
+const std::vector<HttpHeader> kPrompt = {
+	{"Model", "*"}, {"Token-Counts", "500,20"}, {"Prompt-Prefix", "aa:300,bb:100,cc:100"}};
+
+constexpr uint32_t kPauseMs = 450; ///< Over 0.8 of the route's gap of 500 ms, after which another may go on.
+
+void startEvents(const Upstream& _upstream, Exchange& _exchange)
+{
+	const std::string id(_exchange.request()["Request-Id"]);
+	_exchange.startStream(
+		200, {{"Request-Id", id}, {"Server-Stamp", "stamp-" + _upstream.id}, {"Confidence", "100"}},
+		"text/event-stream");
+}
+
+/// @returns The router's log with the end of an attempt; it is written some time after.
+std::string logOf(const DirectSystem& _system)
+{
+	eventually([&] { return _system.log().find("attempt_ended") != std::string::npos; });
+	return _system.log();
+}
+
+/// Two events with a pause between them.
+void pauseOnce(Upstream& _upstream, Exchange& _exchange)
+{
+	startEvents(_upstream, _exchange);
+	_exchange.write("id: 0\ndata: first\n\n");
+	sleepFor(kPauseMs);
+	_exchange.write("id: 1\ndata: second\n\n");
+	_exchange.finish();
+}
+
+// A stream paused for longer than 0.8 of its route's gap and was cut, though the retry window was open and
+// its upstream at work: there was no other upstream to go on with. The limit was armed by the route's
+// attempts alone, and whether another upstream is left was asked after the connection had been closed. The
+// log said "attempt_ended end=silent" and in the same millisecond "answer_broken last=silent runs=1".
+TEST(PausedStream, IsNotCutWhileThereIsNoOtherUpstream)
+{
+	DirectSystem system;
+	Upstream& engine = system.addUpstream("e", "engines");
+	engine.answer = pauseOnce;
+	system.startReady(1);
+	const DirectAnswer answer = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_FALSE(answer.cut) << logOf(system);
+	EXPECT_EQ(answer.body, "id: 0\ndata: first\n\nid: 1\ndata: second\n\n");
+	EXPECT_EQ(engine.requests.size(), 1u);
+}
+
+TEST(PausedStream, IsLeftForAnotherUpstreamThatGoesOnAtTheLastEvent)
+{
+	DirectSystem system;
+	size_t arrivals = 0;
+	std::string resumedAfter;
+	const auto answer = [&](Upstream& _upstream, Exchange& _exchange) {
+		if (++arrivals > 1)
+		{
+			resumedAfter = std::string(_exchange.request()["Last-Event-Id"]);
+			answerEvents(_upstream, _exchange, 1, 0, false);
+			return;
+		}
+		startEvents(_upstream, _exchange);
+		_exchange.write("id: 0\ndata: begun\n\n");
+		eventually([&_exchange] { return _exchange.callerGone(); });
+	};
+	system.addUpstream("e-one", "engines").answer = answer;
+	system.addUpstream("e-two", "engines").answer = answer;
+	system.startReady(2);
+	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_FALSE(got.cut) << logOf(system);
+	EXPECT_EQ(resumedAfter, "0");
+	EXPECT_EQ(arrivals, 2u);
+}
+
+TEST(PausedStream, EndsAtItsUpstreamWhenItsCallerLeavesWhileItIsWaitedOn)
+{
+	DirectSystem system;
+	Upstream& engine = system.addUpstream("e", "engines");
+	bool ended = false;
+	engine.answer = [&ended](Upstream& _upstream, Exchange& _exchange) {
+		startEvents(_upstream, _exchange);
+		_exchange.write("id: 0\ndata: first\n\n");
+		ended = eventually([&_exchange] { return _exchange.callerGone(); });
+	};
+	system.startReady(1);
+	HttpCancel cancel;
+	together({[&] { system.call("POST", "/chat/x", "prompt", kPrompt, &cancel); },
+			  [&] {
+				  eventually([&] { return engine.open == 1; });
+				  sleepFor(2 * kPauseMs);
+				  spanplank::cancel(cancel);
+			  }});
+	EXPECT_TRUE(eventually([&ended] { return ended; }));
+}
+} // namespace
+} // namespace spanplank
