A limit of an upstream call ends only the step that waits, and only if nothing has arrived by then

Cause: the timer closed the connection whenever it fired, also in the same turn of the event loop as the read that had just completed, and while an event was being written to the caller. Ruled out: a lost byte; the event that came in time was read, the next read met the closed socket ("Bad file descriptor"). Change: steps have a mark; a limit between two steps ends nothing and is armed again by the next; at a limit the socket is looked at once more before it is closed.

--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -15,13 +15,15 @@
 constexpr TimeUs kIdleMargin = 600 * kMsToUs; ///< Before the upstream's limit: its clock runs ahead of ours.
 constexpr TimeUs kFreshIdle = 1500 * kMsToUs; ///< Longest pause before a request that can't be repeated.
 constexpr size_t kMostIdle = 16;              ///< Of one upstream.
+/// For bytes that arrived before a limit on a box that was not run: the loop's next turns read them.
+constexpr TimeUs kLookAgain = 10 * kMsToUs;
 constexpr int kMostSkipped = 3;       ///< Answers to other requests on one connection before it is given up.
 constexpr unsigned kHttpVersion = 11; ///< HTTP/1.1, as Beast counts.
 constexpr size_t kHeadLimit = 32u << 10; ///< Bytes of an answer's head.
 /// Streams have no limit; Beast 1.74 rejects lengths when none is set.
 constexpr uint64_t kBodyLimit = 1ull << 40;
 
-/// An idle connection that has bytes or an end to read must not be used.
+/// @returns Whether a connection has neither bytes nor an end to read. Idle ones that have must not be used.
 bool isQuiet(tcp::socket& _socket)
 {
 	char byte = 0;
@@ -83,6 +85,20 @@
 	m_timer.cancel();
 }
 
+template <typename Start>
+IoResult UpstreamCall::awaitStep(Step _step, Start&& _start)
+{
+	m_step = _step;
+	m_looked = false;
+	armTimer(m_expiry); // It may have fired between two steps.
+	return awaitIo([&](auto _done) {
+		_start([this, _done](boost::system::error_code _error, auto... _rest) mutable {
+			m_step = Step::None; // Before the fiber runs: a limit in the same turn of the loop is too late.
+			_done(_error, _rest...);
+		});
+	});
+}
+
 ExchangeState UpstreamCall::open(TimeUs _connectBy, TimeUs _headBy)
 {
 	m_connection = takeIdle(m_pool, m_request, monotonicNow());
@@ -105,7 +121,7 @@
 								m_request.address.port);
 	armTimer(_by);
 	const IoResult connected =
-		awaitIo([&](auto _done) { m_connection->socket.async_connect(address, _done); });
+		awaitStep(Step::Connect, [&](auto _done) { m_connection->socket.async_connect(address, _done); });
 	++m_pool.opened;
 	if (connected.error)
 	{
@@ -145,7 +161,7 @@
 		m_parser->body_limit(kBodyLimit);
 		m_parser->header_limit(kHeadLimit);
 		m_parser->skip(m_request.method == http::verb::head);
-		const IoResult read = awaitIo([&](auto _done) {
+		const IoResult read = awaitStep(Step::Read, [&](auto _done) {
 			http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser, _done);
 		});
 		if (read.error)
@@ -198,7 +214,7 @@
 	body.data = m_piece;
 	body.size = sizeof(m_piece);
 	body.more = true;
-	const IoResult read = awaitIo([&](auto _done) {
+	const IoResult read = awaitStep(Step::Read, [&](auto _done) {
 		http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser, _done);
 	});
 	_piece = {m_piece, sizeof(m_piece) - body.size};
@@ -280,11 +296,26 @@
 			armTimer(m_expiry);
 			return;
 		}
-		m_timedOut = true;
-		closeConnection();
+		limitPassed();
 	});
 }
 
+void UpstreamCall::limitPassed()
+{
+	if (m_step == Step::None || m_cancelled)
+	{
+		return;
+	}
+	if (m_step == Step::Read && !m_looked && !isQuiet(m_connection->socket))
+	{
+		m_looked = true;
+		armTimer(monotonicNow() + kLookAgain);
+		return;
+	}
+	m_timedOut = true;
+	closeConnection();
+}
+
 void UpstreamCall::closeConnection()
 {
 	if (m_connection)
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -107,12 +107,24 @@
 	void release(std::optional<uint32_t> _keepAliveMs);
 
 private:
+	/// What the fiber waits for. A limit that passes between two steps ends nothing.
+	enum class Step : uint8_t
+	{
+		None,
+		Connect,
+		Read,
+	};
+
+	template <typename Start>
+	IoResult awaitStep(Step _step, Start&& _start);
+
 	ExchangeState connect(TimeUs _by);
 	ExchangeState sendAndReadHead(TimeUs _by);
 	ExchangeState readHead();
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
 	void armTimer(TimeUs _by);
+	void limitPassed();
 	void closeConnection();
 	void awaitWrite();
 
@@ -124,6 +136,8 @@
 	TimeUs m_expiry = 0;   ///< Limit of the step under way.
 	TimeUs m_armedFor = 0; ///< When the timer fires.
 	bool m_timerRuns = false;
+	Step m_step = Step::None;
+	bool m_looked = false; ///< The limit has passed, and what had arrived by then has been given time.
 	bool m_timedOut = false;
 	bool m_cancelled = false;
 	bool m_writing = false;
--- a/tests/direct/upstream_call_test.cpp
+++ b/tests/direct/upstream_call_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <gtest/gtest.h>
+#include <optional>
 #include <thread>
 
 #include "fiber_runtime_p.h"
@@ -88,6 +89,39 @@
 	EXPECT_EQ(piece, "second");
 }
 
+// The same while the event is passed on: writing to a slow caller takes the rest of the limit, which was
+// meant for the upstream alone.
+TEST_F(OneCall, ALimitThatPassesBetweenTwoReadsEndsNothing)
+{
+	openStream();
+	send("5\r\nfirst\r\n");
+	std::string piece;
+	ASSERT_EQ(next(piece, monotonicNow() + kLimit), ExchangeState::Ok);
+	sleepFor(uint32_t(kStall.count()));
+	send("6\r\nsecond\r\n0\r\n\r\n");
+	EXPECT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok) << call->error();
+	EXPECT_EQ(piece, "second");
+}
+
+// A limit that passes while no step waits ends nothing, but the next step still has it: here an answer to
+// another request and the limit are due in the same turn, and nothing follows.
+TEST_F(OneCall, TimesOutAfterAnAnswerToAnotherRequestThatCameAtTheLimit)
+{
+	spawnFiber([this] {
+		awaitIo([this](auto _done) { acceptor.async_accept(upstream, _done); });
+		sleepFor(1); // The request is on its way and its answer awaited.
+		send("HTTP/1.1 200 OK\r\nRequest-Id: another\r\nContent-Length: 0\r\n\r\n");
+		std::this_thread::sleep_for(kStall);
+	});
+	std::optional<ExchangeState> state;
+	together({[&] { state = call->open(monotonicNow() + kFar, monotonicNow() + kLimit); },
+			  [&] {
+				  eventually([&state] { return state.has_value(); });
+				  call->cancel();
+			  }});
+	EXPECT_EQ(state, ExchangeState::TimedOut) << call->error();
+}
+
 TEST_F(OneCall, TimesOutWhenNothingCame)
 {
 	openStream();
