Known red: a stream that this router has left is cut when the only other upstream is full

Cause: after the router ends a paused attempt by itself, both upstreams count as tried, and a rejection by the second one leaves none to ask. Ruled out: the retry window (open, 1 of 2.9 extra attempts used) and the route's attempts (1 run of 3).

--- a/tests/direct/paused_stream_test.cpp
+++ b/tests/direct/paused_stream_test.cpp
@@ -60,6 +60,42 @@
 	EXPECT_EQ(engine.requests.size(), 1u);
 }
 
+// A paused stream was left for the only other upstream, which was full and said that it had not run the
+// request. Both were then ruled out and the stream was cut, though both upstreams were sound: the router had
+// ended by itself an answer that was under way. The log said "attempt_ended end=silent", "attempt_ended
+// end=not_run" and "answer_broken last=not_run runs=1".
+TEST(PausedStream, ThatWasLeftGoesOnThoughTheOtherUpstreamIsFullAtFirst)
+{
+	DirectSystem system;
+	size_t arrivals = 0;
+	const auto answer = [&arrivals](Upstream& _upstream, Exchange& _exchange) {
+		++arrivals;
+		if (arrivals == 2)
+		{
+			answerNotRun(_exchange);
+			return;
+		}
+		if (arrivals > 2)
+		{
+			answerEvents(_upstream, _exchange, 2, 0, false);
+			return;
+		}
+		startEvents(_upstream, _exchange);
+		_exchange.write("id: 0\ndata: begun\n\n");
+		eventually([&_exchange] { return _exchange.callerGone(); });
+	};
+	system.addUpstream("e-one", "engines").answer = answer;
+	system.addUpstream("e-two", "engines").answer = answer;
+	system.startReady(2);
+	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(got.status, 200);
+	EXPECT_FALSE(got.cut) << logOf(system);
+	EXPECT_EQ(got.body.substr(0, 19), "id: 0\ndata: begun\n\n");
+	EXPECT_NE(got.body.find("id: 1\n"), std::string::npos);
+	EXPECT_NE(got.body.find("id: 2\n"), std::string::npos);
+	EXPECT_EQ(arrivals, 3u);
+}
+
 TEST(PausedStream, IsLeftForAnotherUpstreamThatGoesOnAtTheLastEvent)
 {
 	DirectSystem system;
