An upstream at work is left only for another attempt that is taken beforehand

Cause: the limits of an attempt were armed by the route's number of attempts alone, the connection was closed when one passed, and only then the retry window and the upstreams that are left were asked; if either said no, a begun stream was cut and another request got 504. A doubted answer was dropped the same way. Change: `waitOnUntil` decides when a limit has passed: it takes the next attempt from the window, or the wait goes on to be asked each 100 ms until the deadline. An attempt that was taken and not sent is kept for the next upstream or given back. The last 0.05 of the window is for begun streams without an upstream. A begun stream that was left by us is asked for again, at pauses of 200 ms, until the deadline.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -51,6 +51,12 @@
 	bool mayHaveRun = false;         ///< Not to be told "not run".
 	bool started = false;            ///< The caller has a part of the answer.
 	std::set<uint32_t> tried;        ///< Upstreams that failed or rejected it.
+	/// When the next attempt was counted in the retry window; 0: it wasn't. Stays until the attempt is sent.
+	TimeUs extraAt = 0;
+	TimeUs nextExtraAt = 0; ///< The same for the attempt after the one under way, which is given up.
+	/// A begun answer was given up with which its upstream might have gone on, and no other has since.
+	bool leftByUs = false;
+	bool askedAll = false; ///< For such an answer all upstreams were asked: now one is at each pause.
 };
 
 RequestPlan planRequest(const Route& _route, std::optional<uint32_t> _deadlineMs, TimeUs _now);
@@ -70,6 +76,9 @@
 	double longestMs = 0.0; ///< If the upstream keeps nothing of the prompt.
 };
 
+/// @returns Whether the rules allow a further attempt after the one that begins or is under way.
+bool mayBeFollowed(const RequestPlan& _plan);
+
 /// @param[in] _another Whether a further attempt may follow: without one, waiting on is all that is left.
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, const HeadTimes& _head, TimeUs _now);
 
@@ -97,6 +106,7 @@
 	double headMs = 0.0;   ///< Expected time until its first token; 0: unknown.
 	double waitMs = 0.0;   ///< Of it, what waits for the work of others.
 	double pressure = 0.0; ///< `HeadPressure::share` of the service.
+	bool exists = true;    ///< An upstream can be asked for it.
 };
 
 /// @returns Whether no larger model is left to ask; also if the caller chose the model.
@@ -110,10 +120,22 @@
 /// @returns The model that is asked after the one under way.
 size_t nextModel(const RequestPlan& _plan);
 
+/// Decides when a limit of the attempt under way has passed: an upstream at work is left only for another
+/// attempt that is sure to be allowed. Giving up takes that attempt from the window, so that nothing refuses
+/// it afterwards.
+/// @param[in] _another Whether another upstream can take the request now.
+/// @returns Until when the wait goes on, then to be asked again; nothing: the attempt is given up.
+std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now);
+
+/// Takes the next model's attempt from the window.
+/// @returns Whether the answer at hand may be dropped for it.
+bool takeNextModel(RequestPlan& _plan, RetryWindow& _window, TimeUs _now);
+
 /// What follows an attempt.
 enum class NextMove : uint8_t
 {
 	Again,  ///< Another upstream, or the next model.
+	Later,  ///< After a pause `moveOn` is to be asked: nothing goes on now with an answer that has to.
 	Finish, ///< The final answer.
 };
 
@@ -121,6 +143,15 @@
 NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
 					  TimeUs _now);
 
+/// Decides on a further attempt while none is under way. An extra attempt is taken from the window.
+NextMove moveOn(RequestPlan& _plan, RetryWindow& _window, TimeUs _now);
+
+/// No upstream is left to ask. An answer that has to go on may ask those again that were asked before.
+NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now);
+
+/// The request ends: gives an attempt back to the window that was taken and not sent.
+void giveBackUnsent(RequestPlan& _plan, RetryWindow& _window);
+
 /// @returns Whether the rules allow another attempt that may run.
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now);
 
--- a/include/spanplank/retry_window.h
+++ b/include/spanplank/retry_window.h
@@ -25,7 +25,11 @@
 void noteRequest(RetryWindow& _window, TimeUs _now);
 
 /// @returns Whether another attempt may be sent; if so it is counted.
-bool takeExtra(RetryWindow& _window, TimeUs _now);
+/// @param[in] _share Of the window's extra attempts, that may be used with this one.
+bool takeExtra(RetryWindow& _window, TimeUs _now, double _share = 1.0);
+
+/// An extra attempt that was counted at a time has not been sent and won't be.
+void giveBackExtra(RetryWindow& _window, TimeUs _takenAt);
 
 /// @returns The share of the window's extra attempts that is used, 0 to 1 and above.
 double usedShare(RetryWindow& _window, TimeUs _now);
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -2,6 +2,7 @@
 #include "spanplank/request_plan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace spanplank
 {
@@ -23,7 +24,12 @@
 constexpr double kColdPatience = 1.5;
 constexpr double kGapShare = 0.8;       ///< Of the longest timely pause, before another upstream goes on.
 constexpr double kBudgetForDoubt = 0.9; ///< Above this use of the retry window only failures are retried.
-constexpr double kTimeForDoubt = 0.15;  ///< Of the objective, that must be left for a second model.
+/// Above this use of the retry window only begun streams without an upstream go on: a caller can repeat
+/// another request by itself, but has lost a stream that is cut.
+constexpr double kBudgetForChoice = 0.95;
+/// Until a late upstream's attempt is looked at again: windows and upstreams change within seconds.
+constexpr TimeUs kAskAgain = 100 * kMsToUs;
+constexpr double kTimeForDoubt = 0.15; ///< Of the objective, that must be left for a second model.
 /// Of the objective: with less waiting than this an engine is not so busy that a late second answer would
 /// delay more than it is worth. Measured beside 0.1.
 constexpr double kIdleShare = 0.5;
@@ -66,6 +72,12 @@
 	return plan;
 }
 
+bool mayBeFollowed(const RequestPlan& _plan)
+{
+	const bool mayGoOn = !_plan.started || _plan.policies.resumption;
+	return _plan.repeatable && mayGoOn && _plan.runs + 1 < _plan.maxAttempts;
+}
+
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, const HeadTimes& _head, TimeUs _now)
 {
 	AttemptTimes times;
@@ -112,8 +124,8 @@
 
 double confidenceLimit(const RequestPlan& _plan, double _budgetUsed, const NextModel& _next, TimeUs _now)
 {
-	if (!_plan.policies.escalation || isLastModel(_plan) || _plan.started || !_plan.repeatable ||
-		_budgetUsed > kBudgetForDoubt || _plan.runs + 1 >= _plan.maxAttempts)
+	if (!_plan.policies.escalation || isLastModel(_plan) || !_next.exists || _plan.started ||
+		!_plan.repeatable || _budgetUsed > kBudgetForDoubt || _plan.runs + 1 >= _plan.maxAttempts)
 	{
 		return 0.0;
 	}
@@ -137,6 +149,69 @@
 	return _plan.runs == 0 || (_plan.repeatable && mayGoOn && _plan.runs < _plan.maxAttempts);
 }
 
+std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now)
+{
+	if (_now >= _plan.deadline)
+	{
+		return std::nullopt;
+	}
+	// The last part of the window stays for those whose next upstream then rejects them.
+	if (_another && mayBeFollowed(_plan) && takeExtra(_window, _now, kBudgetForChoice))
+	{
+		_plan.nextExtraAt = _now;
+		return std::nullopt;
+	}
+	return std::min(_plan.deadline, _now + kAskAgain);
+}
+
+bool takeNextModel(RequestPlan& _plan, RetryWindow& _window, TimeUs _now)
+{
+	const bool taken = takeExtra(_window, _now, kBudgetForChoice);
+	_plan.nextExtraAt = taken ? _now : _plan.nextExtraAt;
+	return taken;
+}
+
+NextMove moveOn(RequestPlan& _plan, RetryWindow& _window, TimeUs _now)
+{
+	if (!mayRunAgain(_plan, _now))
+	{
+		return NextMove::Finish;
+	}
+	if (_plan.sends == 0 || _plan.extraAt != 0)
+	{
+		return NextMove::Again;
+	}
+	if (takeExtra(_window, _now, _plan.started ? 1.0 : kBudgetForChoice))
+	{
+		_plan.extraAt = _now;
+		return NextMove::Again;
+	}
+	return _plan.leftByUs ? NextMove::Later : NextMove::Finish;
+}
+
+NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now)
+{
+	if (!_plan.leftByUs || !mayRunAgain(_plan, _now))
+	{
+		return NextMove::Finish;
+	}
+	_plan.tried.clear();
+	_plan.askedAll = true;
+	return NextMove::Later;
+}
+
+void giveBackUnsent(RequestPlan& _plan, RetryWindow& _window)
+{
+	for (TimeUs* taken : {&_plan.extraAt, &_plan.nextExtraAt})
+	{
+		if (*taken != 0)
+		{
+			giveBackExtra(_window, *taken);
+			*taken = 0;
+		}
+	}
+}
+
 NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
 					  TimeUs _now)
 {
@@ -145,6 +220,11 @@
 	_plan.sends += sent ? 1 : 0;
 	_plan.runs += ran ? 1 : 0;
 	_plan.mayHaveRun = _plan.mayHaveRun || ran;
+	if (sent) // Else its extra attempt, if it was one, is still there for the next.
+	{
+		_plan.extraAt = std::exchange(_plan.nextExtraAt, 0);
+	}
+	_plan.leftByUs = _plan.leftByUs || (_plan.started && _end == AttemptEnd::Silent);
 	if (_end == AttemptEnd::Whole || _end == AttemptEnd::CallerLeft || _end == AttemptEnd::TimeUp)
 	{
 		return NextMove::Finish;
@@ -157,12 +237,9 @@
 	{
 		_plan.tried.insert(_upstream);
 	}
-	if (!mayRunAgain(_plan, _now))
-	{
-		return NextMove::Finish;
-	}
-	const bool first = _plan.sends == 0;
-	return first || takeExtra(_window, _now) ? NextMove::Again : NextMove::Finish;
+	// All being full, a round at once would use up the window.
+	const bool paced = _plan.leftByUs && _plan.askedAll && mayRunAgain(_plan, _now);
+	return paced ? NextMove::Later : moveOn(_plan, _window, _now);
 }
 
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, TimeUs _now)
--- a/src/core/retry_window.cpp
+++ b/src/core/retry_window.cpp
@@ -1,6 +1,8 @@
 /// Counting of requests and extra attempts within the window.
 #include "spanplank/retry_window.h"
 
+#include <algorithm>
+
 namespace spanplank
 {
 namespace
@@ -27,9 +29,9 @@
 	_window.requests.push_back(_now);
 }
 
-bool takeExtra(RetryWindow& _window, TimeUs _now)
+bool takeExtra(RetryWindow& _window, TimeUs _now, double _share)
 {
-	const double allowed = allowance(_window, _now);
+	const double allowed = allowance(_window, _now) * _share;
 	if (double(_window.extras.size() + 1) > allowed)
 	{
 		return false;
@@ -38,6 +40,15 @@
 	return true;
 }
 
+void giveBackExtra(RetryWindow& _window, TimeUs _takenAt)
+{
+	const auto taken = std::find(_window.extras.begin(), _window.extras.end(), _takenAt);
+	if (taken != _window.extras.end())
+	{
+		_window.extras.erase(taken);
+	}
+}
+
 double usedShare(RetryWindow& _window, TimeUs _now)
 {
 	const double allowed = allowance(_window, _now);
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -2,6 +2,7 @@
 #ifndef SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
 #define SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
 
+#include <optional>
 #include <string>
 
 #include "serving_p.h"
@@ -20,6 +21,7 @@
 	double prefillMs = 0.0;   ///< Still counted at the upstream.
 	double confidence = -1.0; ///< The model's own; -1: it told none.
 	std::string error;
+	bool waitedOn = false; ///< A limit has passed, and the attempt was not given up.
 };
 
 /// Runs one attempt at an upstream and takes note of how it went.
@@ -29,6 +31,10 @@
 /// @returns How the attempt ended.
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes);
 
+/// Decides when a limit of an attempt has passed, before its connection is closed.
+/// @returns Until when the wait goes on; nothing: the attempt is given up.
+std::optional<TimeUs> whenLate(Serving& _serving, AttemptNotes& _notes);
+
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
 void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
 } // namespace spanplank
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -82,6 +82,7 @@
 	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, now);
 	return {expectedHeadMs(router.upstreams, query, upstream, now),
-			expectedWaitMs(router.upstreams, upstream), router.pressure[_serving.service].share};
+			expectedWaitMs(router.upstreams, upstream), router.pressure[_serving.service].share,
+			isValid(upstream)};
 }
 } // namespace spanplank
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -32,6 +32,9 @@
 							   {"last", name(_serving.last)},
 							   {"last_event", std::to_string(_serving.events.lastId)},
 							   {"runs", std::to_string(_serving.plan.runs)},
+							   {"sends", std::to_string(_serving.plan.sends)},
+							   {"left_by_us", _serving.plan.leftByUs ? "1" : "0"},
+							   {"left_ms", millisText(_serving.plan.deadline - _now)},
 							   {"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
 	_serving.exchange.abort();
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -42,6 +42,7 @@
 		return false;
 	}
 	_serving.plan.started = true;
+	_serving.plan.leftByUs = false;
 	if (_serving.firstByteAt == 0)
 	{
 		_serving.firstByteAt = monotonicNow();
@@ -158,10 +159,14 @@
 	{
 		return false;
 	}
-	const double used = usedShare(retryWindow(_serving.router, _serving.service), monotonicNow());
-	const NextModel next = expectNextModel(_serving);
+	RetryWindow& window = retryWindow(_serving.router, _serving.service);
 	const TimeUs now = monotonicNow();
-	if (_confidence < confidenceLimit(_serving.plan, used, next, now))
+	const double used = usedShare(window, now);
+	const NextModel next = expectNextModel(_serving);
+	// Dropped only once the next attempt is taken from the window: else it might be refused, with nothing
+	// left.
+	if (_confidence < confidenceLimit(_serving.plan, used, next, now) &&
+		takeNextModel(_serving.plan, window, now))
 	{
 		return true;
 	}
@@ -172,6 +177,7 @@
 
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
+	_call.onLate([&] { return whenLate(_serving, _notes); });
 	const ExchangeState opened = _call.open(_times.connectBy, _times.headBy);
 	if (opened != ExchangeState::Ok)
 	{
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -57,10 +57,9 @@
 	DirectRouter& router = _serving.router;
 	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
 	AttemptNotes notes{_upstream, upstream, _query, monotonicNow(), 0.0, 0, 0.0, -1.0, ""};
-	const bool another = _serving.plan.repeatable && _serving.plan.runs + 1 < _serving.plan.maxAttempts;
 	notes.expectedMs = expectedHeadMs(router.upstreams, _query, _upstream, notes.begin);
 	const HeadTimes head{notes.expectedMs, longestHeadMs(router.upstreams, _query, _upstream)};
-	const AttemptTimes times = attemptTimes(_serving.plan, another, head, notes.begin);
+	const AttemptTimes times = attemptTimes(_serving.plan, mayBeFollowed(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
 	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
 	notes.prefillMs = noteSent(router.upstreams, _upstream, _query, notes.begin);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -9,6 +9,9 @@
 {
 namespace
 {
+/// Until upstreams that were full, and the retry window, are asked again for a stream that has to go on.
+constexpr uint32_t kLaterMs = 200;
+
 /// Asks one upstream after another until one brings an answer, or nothing more is to be tried.
 void runAttempts(Serving& _serving)
 {
@@ -16,21 +19,34 @@
 	RetryWindow& window = retryWindow(router, _serving.service);
 	noteRequest(window, _serving.plan.arrivedAt);
 	NextMove move = NextMove::Again;
-	while (move == NextMove::Again)
+	while (move != NextMove::Finish)
 	{
+		if (_serving.callerGone)
+		{
+			_serving.last = AttemptEnd::CallerLeft;
+			break;
+		}
+		if (move == NextMove::Later)
+		{
+			sleepFor(kLaterMs);
+			move = moveOn(_serving.plan, window, monotonicNow());
+			continue;
+		}
 		const std::string model = modelOf(_serving);
 		const UpstreamQuery query = queryOf(_serving, model);
 		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 		const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
 		if (!isValid(upstream))
 		{
-			return;
+			move = whenNoneIsLeft(_serving.plan, monotonicNow());
+			continue;
 		}
 		_serving.last = runAttempt(_serving, upstream, query);
 		move = afterAttempt(_serving.plan, _serving.last, upstream.idx, window, monotonicNow());
 		router.stats.escalated += _serving.last == AttemptEnd::Doubted ? 1 : 0;
-		router.stats.resumed += move == NextMove::Again && _serving.plan.started ? 1 : 0;
+		router.stats.resumed += move != NextMove::Finish && _serving.plan.started ? 1 : 0;
 	}
+	giveBackUnsent(_serving.plan, window);
 }
 } // namespace
 
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -259,6 +259,11 @@
 	}
 }
 
+void UpstreamCall::onLate(std::function<std::optional<TimeUs>()> _ask)
+{
+	m_askLate = std::move(_ask);
+}
+
 const std::string& UpstreamCall::error() const
 {
 	return m_error;
@@ -312,6 +317,15 @@
 		armTimer(monotonicNow() + kLookAgain);
 		return;
 	}
+	// Asked before the close, not after it: what is closed can't be waited for any more.
+	const std::optional<TimeUs> later =
+		m_step == Step::Read && m_askLate ? m_askLate() : std::optional<TimeUs>();
+	if (later)
+	{
+		m_looked = false;
+		armTimer(*later);
+		return;
+	}
 	m_timedOut = true;
 	closeConnection();
 }
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -97,6 +98,10 @@
 	/// The answer's head; valid after `open` returned `Ok`.
 	const boost::beast::http::response_header<>& head() const;
 
+	/// Asked when the limit of a read has passed and nothing has come, before the connection is closed.
+	/// @param[in] _ask Must not wait. Returns until when to wait on; nothing: the step ends as `TimedOut`.
+	void onLate(std::function<std::optional<TimeUs>()> _ask);
+
 	/// What the last failed step met, for logs; empty: nothing.
 	const std::string& error() const;
 
@@ -138,6 +143,7 @@
 	bool m_timerRuns = false;
 	Step m_step = Step::None;
 	bool m_looked = false; ///< The limit has passed, and what had arrived by then has been given time.
+	std::function<std::optional<TimeUs>()> m_askLate;
 	bool m_timedOut = false;
 	bool m_cancelled = false;
 	bool m_writing = false;
--- a/tests/core/request_plan_test.cpp
+++ b/tests/core/request_plan_test.cpp
@@ -1,6 +1,7 @@
 /// Attempts and final answers in direct mode: at most once, true refusals, bounded retries.
 #include "spanplank/request_plan.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -156,6 +157,154 @@
 		<< "nobody else may be asked";
 }
 
+RetryWindow fullWindow()
+{
+	RetryWindow window;
+	while (takeExtra(window, kNow))
+	{
+	}
+	return window;
+}
+
+RequestPlan begunStream(uint32_t _attempts = 3)
+{
+	RequestPlan plan = planRequest(routeOf(RouteKind::Stream, _attempts), 4000, kNow);
+	plan.started = true;
+	return plan;
+}
+
+TEST(LateAnswer, IsWaitedForWhileTheWindowHasNoRoomOrNoOtherUpstreamIsLeftOrNoAttempt)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow full = fullWindow();
+	const size_t taken = full.extras.size();
+	EXPECT_GT(waitOnUntil(plan, full, true, kNow), kNow);
+	EXPECT_EQ(full.extras.size(), taken);
+	RetryWindow wide = wideWindow();
+	EXPECT_GT(waitOnUntil(plan, wide, false, kNow), kNow) << "there is no other upstream";
+	plan.policies.resumption = false;
+	EXPECT_GT(waitOnUntil(plan, wide, true, kNow), kNow) << "nobody may go on";
+	RequestPlan last = begunStream(1);
+	EXPECT_GT(waitOnUntil(last, wide, true, kNow), kNow) << "the route allows one attempt";
+	EXPECT_TRUE(wide.extras.empty());
+	EXPECT_EQ(waitOnUntil(last, wide, true, last.deadline - 1), last.deadline) << "no wait goes beyond it";
+	EXPECT_EQ(waitOnUntil(last, wide, true, last.deadline), std::nullopt);
+	EXPECT_TRUE(wide.extras.empty()) << "nothing follows at the deadline";
+}
+
+TEST(LateAnswer, ThatIsGivenUpHasItsNextAttemptWhateverOthersTakeMeanwhile)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow window;
+	EXPECT_EQ(waitOnUntil(plan, window, true, kNow), std::nullopt);
+	while (takeExtra(window, kNow))
+	{
+	}
+	const size_t taken = window.extras.size();
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::Silent, 0, window, kNow), NextMove::Again);
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::NotSent, 1, window, kNow), NextMove::Again)
+		<< "no byte of it left: it is still there for the next upstream";
+	EXPECT_EQ(window.extras.size(), taken) << "counted once";
+}
+
+TEST(LateAnswer, ThatWasGivenUpIsNotCutWhenTheNextUpstreamRejectsIt)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow window;
+	ASSERT_EQ(waitOnUntil(plan, window, true, kNow), std::nullopt);
+	while (takeExtra(window, kNow))
+	{
+	}
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::Silent, 0, window, kNow), NextMove::Again);
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::NotRun, 1, window, kNow), NextMove::Later);
+	EXPECT_EQ(moveOn(plan, window, kNow + kMsToUs), NextMove::Later) << "the window has no room yet";
+	window.extras.clear();
+	EXPECT_EQ(moveOn(plan, window, kNow + kMsToUs), NextMove::Again);
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow + kMsToUs), NextMove::Later);
+	EXPECT_TRUE(plan.tried.empty()) << "a full upstream may have room, a paused one may be back";
+	EXPECT_EQ(moveOn(plan, window, plan.deadline), NextMove::Finish);
+	giveBackUnsent(plan, window);
+	EXPECT_TRUE(window.extras.empty());
+}
+
+TEST(LateAnswer, ThatItsUpstreamBrokeOffIsNotHeldBack)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow window = fullWindow();
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::Broken, 0, window, kNow), NextMove::Finish);
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Finish);
+}
+
+TEST(LateAnswer, LeavesTheLastPartOfTheWindowToStreamsWithoutAnUpstream)
+{
+	RetryWindow window;
+	window.burst = 100;
+	RequestPlan waiting = begunStream();
+	for (int ii = 0; ii < 95; ++ii)
+	{
+		RequestPlan other = begunStream();
+		ASSERT_EQ(waitOnUntil(other, window, true, kNow), std::nullopt) << ii;
+	}
+	EXPECT_NE(waitOnUntil(waiting, window, true, kNow), std::nullopt);
+	RequestPlan unbegun = planRequest(routeOf(RouteKind::Safe, 3), 4000, kNow);
+	EXPECT_EQ(afterAttempt(unbegun, AttemptEnd::Broken, 0, window, kNow), NextMove::Finish);
+	EXPECT_EQ(afterAttempt(waiting, AttemptEnd::Broken, 0, window, kNow), NextMove::Again);
+}
+
+// A doubted answer was dropped by the window's use, and the next attempt taken from the window only
+// afterwards: at a use of 2 of 2.9 the use was below the limit and there was no room, and the caller got
+// neither answer.
+TEST(LateAnswer, ADoubtedOneIsDroppedOnlyWithTheNextAttemptTaken)
+{
+	RequestPlan plan = planRequest(routeOf(RouteKind::Stream, 3), 4000, kNow);
+	plan.models = {"small", "large"};
+	RetryWindow window;
+	noteRequest(window, kNow);
+	ASSERT_TRUE(takeExtra(window, kNow));
+	ASSERT_TRUE(takeExtra(window, kNow));
+	const double used = usedShare(window, kNow);
+	ASSERT_GT(confidenceLimit(plan, used, {10.0, 0.0, 0.0}, kNow), 0.0);
+	EXPECT_FALSE(takeNextModel(plan, window, kNow));
+	window.extras.clear();
+	ASSERT_TRUE(takeNextModel(plan, window, kNow));
+	while (takeExtra(window, kNow))
+	{
+	}
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::Doubted, 0, window, kNow), NextMove::Again);
+	EXPECT_EQ(confidenceLimit(plan, 0.0, {10.0, 0.0, 0.0, false}, kNow), 0.0) << "no upstream can be asked";
+}
+
+RC_GTEST_PROP(LateAnswer, EachAttemptBeyondTheFirstIsCountedOnceInTheWindowAndAGivenUpOneIsFollowed, ())
+{
+	RequestPlan plan = begunStream(uint32_t(*rc::gen::inRange(1, 5)));
+	plan.started = *rc::gen::arbitrary<bool>();
+	RetryWindow window;
+	window.burst = uint32_t(*rc::gen::inRange(0, 8));
+	NextMove move = NextMove::Again;
+	TimeUs now = kNow;
+	for (uint32_t ii = 0; move != NextMove::Finish && ii < 40; ++ii)
+	{
+		now += *rc::gen::inRange(1, 500) * kMsToUs;
+		if (move == NextMove::Later)
+		{
+			move = moveOn(plan, window, now);
+			continue;
+		}
+		AttemptEnd end = *rc::gen::element(AttemptEnd::Failed, AttemptEnd::Broken, AttemptEnd::NotRun,
+										   AttemptEnd::NotSent, AttemptEnd::Whole);
+		if (*rc::gen::arbitrary<bool>() && now < plan.deadline)
+		{
+			const bool another = *rc::gen::arbitrary<bool>();
+			end = waitOnUntil(plan, window, another, now) ? end : AttemptEnd::Silent;
+		}
+		move = afterAttempt(plan, end, ii, window, now);
+		RC_ASSERT(end != AttemptEnd::Silent || move == NextMove::Again || move == NextMove::Later);
+		RC_ASSERT(plan.sends == 0 || window.extras.size() >= plan.sends - 1u);
+	}
+	giveBackUnsent(plan, window);
+	RC_ASSERT(window.extras.size() == std::max(1u, plan.sends) - 1u);
+}
+
 RC_GTEST_PROP(RetryWindow, ExtrasNeverExceedTheirShareOfAnyWindow, ())
 {
 	RetryWindow window;
--- a/tests/direct/paused_stream_test.cpp
+++ b/tests/direct/paused_stream_test.cpp
@@ -17,6 +17,7 @@
 	{"Model", "*"}, {"Token-Counts", "500,20"}, {"Prompt-Prefix", "aa:300,bb:100,cc:100"}};
 
 constexpr uint32_t kPauseMs = 450; ///< Over 0.8 of the route's gap of 500 ms, after which another may go on.
+constexpr uint32_t kLatePlainMs = 800; ///< Over the 600 ms after which another upstream may be asked.
 
 void startEvents(const Upstream& _upstream, Exchange& _exchange)
 {
@@ -60,6 +61,50 @@
 	EXPECT_EQ(engine.requests.size(), 1u);
 }
 
+// An answer that was late by 0.6 of its route's objective ended as 504 although its upstream was at work and
+// the only one: the same limit, armed for a further attempt that did not exist. The log said "attempt_ended
+// end=silent" and then "request_refused status=504" after 600 ms of the 4000 ms that the request had.
+TEST(PausedStream, AnAnswerThatHasNotBegunIsWaitedForWhileThereIsNoOtherUpstream)
+{
+	DirectSystem system;
+	Upstream& upstream = system.addUpstream("u", "app");
+	upstream.answer = [](Upstream& _upstream, Exchange& _exchange) {
+		sleepFor(kLatePlainMs);
+		answerWell(_upstream, _exchange);
+	};
+	system.startReady(1);
+	const DirectAnswer answer = system.call("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200) << logOf(system);
+	EXPECT_EQ(upstream.requests.size(), 1u);
+}
+
+// The same with the retry window used up: a further attempt isn't allowed, and the one under way was ended
+// for it.
+TEST(PausedStream, AnAnswerThatHasNotBegunIsWaitedForWhileNoFurtherAttemptIsAllowed)
+{
+	DirectSystem system("retryRatio: 0\n");
+	const auto late = [](Upstream& _upstream, Exchange& _exchange) {
+		sleepFor(kLatePlainMs);
+		answerWell(_upstream, _exchange);
+	};
+	const auto failing = [](Upstream&, Exchange& _exchange) {
+		_exchange.abort();
+	};
+	Upstream& first = system.addUpstream("u-first", "app");
+	Upstream& second = system.addUpstream("u-second", "app");
+	first.answer = failing;
+	second.answer = failing;
+	system.startReady(2);
+	system.call("GET", "/plain/x");
+	system.call("GET", "/plain/x"); // The window holds two extra attempts, whatever the requests.
+	first.answer = late;
+	second.answer = late;
+	const size_t before = first.requests.size() + second.requests.size();
+	const DirectAnswer answer = system.call("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200) << logOf(system);
+	EXPECT_EQ(first.requests.size() + second.requests.size(), before + 1);
+}
+
 // A paused stream was left for the only other upstream, which was full and said that it had not run the
 // request. Both were then ruled out and the stream was cut, though both upstreams were sound: the router had
 // ended by itself an answer that was under way. The log said "attempt_ended end=silent", "attempt_ended
@@ -96,6 +141,34 @@
 	EXPECT_EQ(arrivals, 3u);
 }
 
+// A doubted answer was dropped because the retry window was used to less than 0.9, and the attempt of the
+// next model was taken from the window only afterwards: with 2 of 2.76 extra attempts used there was no room
+// for a third, and the caller got neither answer. The log said "attempt_ended end=doubted" and
+// "request_refused status=502" with runs=1 of the route's 3.
+TEST(PausedStream, ADoubtedAnswerIsPassedOnIfNoOtherMayFollow)
+{
+	DirectSystem system("retryRatio: 0.4\n");
+	size_t arrivals = 0;
+	const auto answer = [&arrivals](Upstream& _upstream, Exchange& _exchange) {
+		if (++arrivals <= 3) // Two extra attempts of the first request.
+		{
+			_exchange.abort();
+			return;
+		}
+		answerEvents(_upstream, _exchange, 1, 0, false, 10.0);
+	};
+	for (const char* id : {"e-one", "e-two", "e-three"})
+	{
+		system.addUpstream(id, "engines").answer = answer;
+	}
+	system.startReady(3);
+	EXPECT_EQ(system.call("POST", "/chat/x", "prompt", kPrompt).status, 502);
+	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
+	EXPECT_EQ(got.status, 200) << logOf(system);
+	EXPECT_FALSE(got.cut);
+	EXPECT_EQ(arrivals, 4u);
+}
+
 TEST(PausedStream, IsLeftForAnotherUpstreamThatGoesOnAtTheLastEvent)
 {
 	DirectSystem system;
