--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -25,6 +25,7 @@
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
 	bool withdrawn = false;     ///< The upstream left before anything was sent.
 	double confidence = -1.0;   ///< The model's own; -1: it told none.
+	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
 };
 
 /// Runs one attempt at an upstream and takes note of how it went.
@@ -39,6 +40,10 @@
 /// Takes note of an attempt that ended before anything was sent, as its upstream left.
 void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes);
 
+/// Decides when a limit of an attempt has passed, before its connection is closed.
+/// @returns Until when the wait goes on; nothing: the attempt is given up.
+std::optional<TimeUs> whenLate(Serving& _serving, AttemptNotes& _notes);
+
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
 void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
 } // namespace spanplank
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -21,14 +21,6 @@
 constexpr uint32_t kHousekeepingMs = 1000;
 constexpr uint32_t kSlowBodyMs = 30000; ///< Longest time for the body of one request.
 
-HttpClient clientFor(boost::asio::io_context& _io, const Endpoint& _endpoint)
-{
-	HttpClient client;
-	client.io = &_io;
-	client.endpoint = _endpoint;
-	return client;
-}
-
 void answerReadiness(const DirectRouter& _router, HttpExchange& _exchange)
 {
 	const bool known = std::string_view(_exchange.request().target()) == platform::kReadinessPath;
@@ -74,20 +66,24 @@
 	}
 }
 
-/// Takes what can change while the process runs. The addresses can't: they are bound.
+/// Takes settings over into the parts that keep some of them.
+void applySettings(DirectRouter& _router, const DirectSettings& _settings)
+{
+	_router.settings = _settings;
+	_router.trials.exposureShare = _settings.exposureShare;
+	_router.upstreams.leaveBound = TimeUs(_settings.leaveMs) * kMsToUs;
+	_router.upstreams.contact.heartbeat = TimeUs(_settings.heartbeatMs) * kMsToUs;
+	_router.upstreams.policies = _settings.policies;
+	_router.store.http.endpoint = _settings.store;
+	_router.store.watchHttp.endpoint = _settings.store;
+}
+
+/// Takes what can change while the process runs. The addresses to listen on can't: they are bound.
 void reload(DirectRouter& _router)
 {
 	try
 	{
-		const DirectSettings settings = loadDirectSettings(_router.settingsFile);
-		const Endpoint store = settings.store;
-		_router.settings = settings;
-		_router.trials.exposureShare = settings.exposureShare;
-		_router.upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
-		_router.upstreams.contact.heartbeat = TimeUs(settings.heartbeatMs) * kMsToUs;
-		_router.upstreams.policies = settings.policies;
-		_router.store.http.endpoint = store;
-		_router.store.watchHttp.endpoint = store;
+		applySettings(_router, loadDirectSettings(_router.settingsFile));
 		logEvent("settings_reloaded", {{"file", _router.settingsFile}});
 	}
 	catch (const Failure& failure)
@@ -138,18 +134,14 @@
 }
 } // namespace
 
-DirectRouter::DirectRouter(const std::string& _settingsFile)
-	: settingsFile(_settingsFile), signals(io, SIGTERM, SIGINT, SIGHUP),
-	  settings(loadDirectSettings(_settingsFile))
+DirectRouter::DirectRouter(const std::string& _settingsFile, const DirectSettings& _settings)
+	: settingsFile(_settingsFile)
 {
-	store.http = clientFor(io, settings.store);
-	store.watchHttp = clientFor(io, settings.store);
 	store.protocol = &platform::storeProtocol();
+	store.http.io = &io;
+	store.watchHttp.io = &io;
 	pool.io = &io;
-	trials.exposureShare = settings.exposureShare;
-	upstreams.leaveBound = TimeUs(settings.leaveMs) * kMsToUs;
-	upstreams.contact.heartbeat = TimeUs(settings.heartbeatMs) * kMsToUs;
-	upstreams.policies = settings.policies;
+	applySettings(*this, _settings);
 	startedAt = monotonicNow();
 	random.state = stableHash(settings.box) ^ uint64_t(wallNow());
 	setLogProcess(settings.box);
@@ -173,8 +165,14 @@
 int runDirectRouter(const std::string& _settingsFile)
 {
 	static DirectRouter* s_router = nullptr; // Lives as long as the process: fibers refer to it to the end.
-	s_router = new DirectRouter(_settingsFile);
 	std::signal(SIGPIPE, SIG_IGN);
+	// Until the router's own handler stands: the settings are read below anyway.
+	std::signal(SIGHUP, SIG_IGN);
+	s_router = new DirectRouter(_settingsFile, loadDirectSettings(_settingsFile));
+	for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+	{
+		s_router->signals.add(signal);
+	}
 	installFiberScheduler(s_router->io);
 	startLogFlush();
 	listen(*s_router);
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -52,17 +52,13 @@
 
 struct DirectRouter
 {
-	/// Takes over the process's signals, then reads the settings.
-	/// @throws SettingsFailure if the settings don't hold.
-	explicit DirectRouter(const std::string& _settingsFile);
+	DirectRouter(const std::string& _settingsFile, const DirectSettings& _settings);
 
 	std::string settingsFile;
-	boost::asio::io_context io;
-	/// Lives as long as the process: with it would go the handlers, and the next SIGHUP or SIGTERM would end
-	/// the process at once with all its requests.
-	boost::asio::signal_set signals;
 	DirectSettings settings;
-	StoreClient store; ///< Reads and writes.
+	boost::asio::io_context io;
+	boost::asio::signal_set signals{io}; ///< Of the process; filled by `runDirectRouter`.
+	StoreClient store;                   ///< Reads and writes.
 	HttpServer callers;
 	HttpServer readiness;
 	HttpServer metrics;
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -100,6 +101,10 @@
 	/// The answer's head; valid after `send` returned `Ok`.
 	const boost::beast::http::response_header<>& head() const;
 
+	/// Asked when the limit of a read has passed and nothing has come, before the connection is closed.
+	/// @param[in] _ask Must not wait. Returns until when to wait on; nothing: the step ends as `TimedOut`.
+	void onLate(std::function<std::optional<TimeUs>()> _ask);
+
 	/// What the last failed step met, for logs; empty: nothing.
 	const std::string& error() const;
 
@@ -110,11 +115,23 @@
 	void release(std::optional<uint32_t> _keepAliveMs);
 
 private:
+	/// What the fiber waits for. A limit that passes between two steps ends nothing.
+	enum class Step : uint8_t
+	{
+		None,
+		Connect,
+		Read,
+	};
+
+	template <typename Start>
+	IoResult awaitStep(Step _step, Start&& _start);
+
 	ExchangeState makeConnection(TimeUs _by);
 	ExchangeState readHead();
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
 	void armTimer(TimeUs _by);
+	void limitPassed();
 	void closeConnection();
 	void awaitWrite();
 
@@ -126,6 +143,9 @@
 	TimeUs m_expiry = 0;   ///< Limit of the step under way.
 	TimeUs m_armedFor = 0; ///< When the timer fires.
 	bool m_timerRuns = false;
+	Step m_step = Step::None;
+	bool m_looked = false; ///< The limit has passed, and what had arrived by then has been given time.
+	std::function<std::optional<TimeUs>()> m_askLate;
 	bool m_timedOut = false;
 	bool m_cancelled = false;
 	bool m_writing = false;
