Stand-ins of a test wait for their accepting fibers, not only for their connections

Ruled out: the router; the crash is in the test's process, in the stand-in's accept loop, after the last check.

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -555,15 +555,19 @@
 {
 	m_router->killHard();
 	store.fault = StandInStore::Fault::None;
-	stopListening(store.http);
+	std::vector<HttpServer*> servers{&store.http};
 	for (const auto& upstream : m_upstreams)
 	{
-		stopListening(upstream->http);
+		servers.push_back(&upstream->http);
 	}
-	eventually([this] { return store.http.connections == 0; }, 5);
-	for (const auto& upstream : m_upstreams)
+	for (HttpServer* server : servers)
+	{
+		stopListening(*server);
+	}
+	for (const HttpServer* server : servers)
 	{
-		eventually([&upstream] { return upstream->http.connections == 0; }, 5);
+		// Its fibers refer to it, the accepting one too.
+		eventually([server] { return server->connections == 0 && !server->accepting; }, 5);
 	}
 	std::filesystem::remove_all(m_dir);
 }
