The soak is split into modules; callers keep connections through pauses, upstreams leave in series

Cause: the soak could not see a request that ends without an answer, a begun stream that is cut, or single late arrivals at upstreams that left: its callers never paused and its checks excused whole seconds. Ruled out: telling a reset from an orderly end by the text of the product's client; callers have their own connection now, which asks the kernel. Change: modules with one job each; checks for unanswered requests, cut streams, arrivals after a leaving and processes that end by themselves; idle limits, reloads, stops and leavings in series.

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -192,7 +192,13 @@
 /// @returns Whether it has one: the call then gets no other answer.
 bool answerFault(StandInStore& _store, HttpExchange& _exchange)
 {
-	switch (_store.fault)
+	StandInStore::Fault fault = _store.fault;
+	if (fault == StandInStore::Fault::None && _store.faultyCalls > 0)
+	{
+		--_store.faultyCalls;
+		fault = _store.callFault;
+	}
+	switch (fault)
 	{
 	case StandInStore::Fault::Busy:
 		_exchange.respond({503, {}, ""});
@@ -343,29 +349,31 @@
 	return true;
 }
 
-void answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
-				  bool _cut, double _confidence)
+bool answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
+				  bool _cut, double _confidence, std::optional<uint32_t> _firstMs)
 {
 	const std::string after(_exchange.request()["Last-Event-Id"]);
 	std::vector<HttpHeader> headers = soundHeaders(_upstream, _exchange.request());
 	headers.pop_back();
 	headers.push_back({"Confidence", std::to_string(int(_confidence))});
 	_exchange.startStream(200, headers, "text/event-stream");
+	uint32_t pauseMs = _firstMs.value_or(_pauseMs);
 	for (int id = after.empty() ? 0 : std::stoi(after) + 1; id <= _last; ++id)
 	{
-		if (!pauseUnlessGone(_exchange, _pauseMs) ||
+		if (!pauseUnlessGone(_exchange, pauseMs) ||
 			!_exchange.write(fmt::format("id: {}\ndata: {} of {}\n\n", id, id, _upstream.id)))
 		{
-			return;
+			return false;
 		}
+		pauseMs = _pauseMs;
 	}
 	if (_cut)
 	{
 		_exchange.write("id: 99\nda"); // In the middle of an event.
 		_exchange.abort();
-		return;
+		return true;
 	}
-	_exchange.finish();
+	return _exchange.finish();
 }
 
 std::string DirectAnswer::header(const std::string& _name) const
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -48,6 +49,8 @@
 	uint64_t revision = 1;
 	uint64_t forgottenTo = 0; ///< Watches from before this revision get 410.
 	Fault fault = Fault::None;
+	Fault callFault = Fault::None; ///< Of the next `faultyCalls` calls alone.
+	uint32_t faultyCalls = 0;
 	bool loseWrites = false; ///< Writes are done and not answered.
 	bool mute = false;       ///< Watches hear nothing.
 	uint64_t calls = 0;
@@ -77,8 +80,10 @@
 void answerNotRun(HttpExchange& _exchange);
 /// Streams the events after the caller's last one, up to `_last`, with a pause before each; then ends or
 /// cuts.
-void answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
-				  bool _cut, double _confidence = 100.0);
+/// @param[in] _firstMs The pause before the first event that is sent, if it differs.
+/// @returns false if the caller left before.
+bool answerEvents(StandInUpstream& _upstream, HttpExchange& _exchange, int _last, uint32_t _pauseMs,
+				  bool _cut, double _confidence = 100.0, std::optional<uint32_t> _firstMs = std::nullopt);
 
 /// What a caller saw.
 struct DirectAnswer
@@ -119,6 +124,12 @@
 		return m_listen;
 	}
 
+	/// 0: it does not run.
+	pid_t pid() const
+	{
+		return m_pid;
+	}
+
 private:
 	std::string m_file;
 	std::string m_listen;
--- a/tests/direct/fault_proxy.cpp
+++ b/tests/direct/fault_proxy.cpp
@@ -39,7 +39,7 @@
 		{
 			sleepFor(_proxy.delayMs);
 		}
-		if (_proxy.fault == drops || _proxy.fault == ProxyFault::DropAll)
+		if (_pair->silent || _proxy.fault == drops || _proxy.fault == ProxyFault::DropAll)
 		{
 			continue;
 		}
@@ -116,6 +116,14 @@
 	}
 }
 
+void silenceConnections(FaultProxy& _proxy)
+{
+	for (const auto& pair : _proxy.pairs)
+	{
+		pair->silent = true;
+	}
+}
+
 void stopProxy(FaultProxy& _proxy)
 {
 	boost::system::error_code ignored;
--- a/tests/direct/fault_proxy.h
+++ b/tests/direct/fault_proxy.h
@@ -35,6 +35,7 @@
 		boost::asio::ip::tcp::socket near;
 		boost::asio::ip::tcp::socket far;
 		int halves = 0;
+		bool silent = false; ///< Its bytes vanish both ways.
 	};
 
 	Endpoint target;
@@ -48,6 +49,8 @@
 void startProxy(FaultProxy& _proxy, const std::string& _target);
 /// Resets all open connections.
 void resetConnections(FaultProxy& _proxy);
+/// Open connections stay open and say nothing more; new ones are sound.
+void silenceConnections(FaultProxy& _proxy);
 void stopProxy(FaultProxy& _proxy);
 } // namespace spanplank
 
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,193 @@
+/// Callers that use their connections often, and callers that keep them through pauses.
+#include "soak_callers.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "soak_checks.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint32_t kCallTimeoutMs = 8000; ///< Of a caller: far over every deadline, also on a busy machine.
+constexpr uint32_t kCallsOnOne = 20;      ///< Requests on one connection, before the next router is called.
+constexpr double kNewKeyChance = 0.3;     ///< Of a caller: it uses the key that may be removed.
+constexpr double kPressChance = 0.5;      ///< Of a pause: it ends with a limit, or just before it.
+/// Longest time from the moment in which a caller chooses to use a connection, until the router has the
+/// request: a fifth of the shortest limit would be allowed.
+constexpr uint32_t kFlightMostMs = 100;
+constexpr uint32_t kRetryMs = 50; ///< After a connection that could not be opened.
+
+std::vector<HttpHeader> headersOf(const std::string& _id, const std::string& _key)
+{
+	return {{"Host", kHost},
+			{"Request-Id", _id},
+			{"Deadline-Remaining", std::to_string(kDeadlineMs)},
+			{"Key", _key}};
+}
+
+HttpCall requestFor(Soak& _soak, const std::string& _id, RequestRecord& _record)
+{
+	const uint32_t kind = below(_soak, 3);
+	_record.path = kind == 0 ? "/plain/" : kind == 1 ? "/once/" : "/chat/";
+	_record.key = kKeptKey;
+	if (happens(_soak, kNewKeyChance) && _soak.config["tenants"][0]["api_keys"].size() > 1)
+	{
+		_record.key = _soak.config["tenants"][0]["api_keys"].back();
+	}
+	_record.sentAt = monotonicNow();
+	HttpCall call;
+	call.method = kind == 0 ? "GET" : "POST";
+	call.target = _record.path + "x";
+	call.body = kind == 0 ? "" : std::string(1 + below(_soak, 20000), 'b');
+	call.timeoutMs = kCallTimeoutMs;
+	call.headers = headersOf(_id, _record.key);
+	if (kind == 2)
+	{
+		call.headers.push_back({"Model", "*"});
+		call.headers.push_back({"Token-Counts", "900,40"});
+		call.headers.push_back({"Prompt-Prefix", fmt::format("aa:500,b{}:300,c:100", below(_soak, 5))});
+	}
+	return call;
+}
+
+/// Opens a connection to any router. @returns That router; null: it could not be opened.
+SoakRouter* openAny(Soak& _soak, CallerConnection& _connection)
+{
+	SoakRouter& router = *_soak.routers[below(_soak, uint32_t(_soak.routers.size()))];
+	if (openConnection(_connection, parseEndpoint(router.process->listen()), kCallTimeoutMs))
+	{
+		return &router;
+	}
+	++_soak.outcomes["no connection"];
+	sleepFor(kRetryMs);
+	return nullptr;
+}
+
+/// Sends one request and checks what became of it.
+void callOnce(Soak& _soak, SoakRouter& _router, CallerConnection& _connection, uint32_t _caller,
+			  bool _allowed)
+{
+	constexpr double kDeafChance = 0.02;
+	const std::string id = fmt::format("r-{}-{}", _caller, _soak.nextRequest++);
+	RequestRecord& record = _soak.requests[id];
+	record.router = &_router;
+	record.allowed = _allowed;
+	const HttpCall request = requestFor(_soak, id, record);
+	_connection.deaf = isMutant("lost") && happens(_soak, kDeafChance);
+	const CallResult result = sendOn(_connection, request);
+	++_soak.outcomes[result.end == CallEnd::Whole ? std::to_string(result.answer.status) : name(result.end)];
+	if (result.end != CallEnd::NotSent)
+	{
+		checkEnd(_soak, id, record, result);
+	}
+	if (result.endedAt - record.sentAt > kDeadlineMs * kMsToUs + 2 * kCallerSlack && !_router.paused)
+	{
+		++_soak.outcomes["late"];
+	}
+}
+
+/// @returns How long a caller may leave a connection idle, as it knows the limit from the store.
+TimeUs longestIdle(const Soak& _soak, const CallerConnection& _connection)
+{
+	constexpr uint32_t kOverstay = 4;
+	const TimeUs limit =
+		TimeUs(_soak.idleLimits.back().second) * kMsToUs * (isMutant("idle") ? kOverstay : 1);
+	const TimeUs most = TimeUs(double(limit) * kIdleShare);
+	return _connection.keepAlive > 0 ? std::min(most, _connection.keepAlive) : most;
+}
+
+void sleepUntil(TimeUs _at)
+{
+	sleepFor(uint32_t(std::max<TimeUs>(0, _at - monotonicNow()) / kMsToUs));
+}
+
+/// Pauses for a time that the limit in force allows. At times, if that limit has become longer meanwhile,
+/// until just before the end of the shorter one: a router that still goes by it closes while the request is
+/// on its way.
+void pauseIdle(Soak& _soak, const CallerConnection& _connection, uint32_t _flightMs)
+{
+	const TimeUs limit = TimeUs(_soak.idleLimits.back().second) * kMsToUs;
+	const TimeUs most = longestIdle(_soak, _connection);
+	if (!happens(_soak, kPressChance))
+	{
+		sleepFor(below(_soak, uint32_t(most / kMsToUs)));
+		return;
+	}
+	sleepUntil(_connection.idleSince + most);
+	if (longestIdle(_soak, _connection) >= limit)
+	{
+		sleepUntil(_connection.idleSince + limit - below(_soak, _flightMs + 1) * kMsToUs);
+	}
+}
+} // namespace
+
+void callOften(Soak& _soak, uint32_t _caller)
+{
+	CallerConnection connection;
+	while (monotonicNow() < _soak.until)
+	{
+		SoakRouter* const router = openAny(_soak, connection);
+		for (uint32_t ii = 0; router != nullptr && ii < kCallsOnOne && monotonicNow() < _soak.until; ++ii)
+		{
+			if (!isOpen(connection))
+			{
+				break;
+			}
+			callOnce(_soak, *router, connection, _caller, true);
+			sleepFor(below(_soak, 40));
+		}
+	}
+}
+
+void callRarely(Soak& _soak, uint32_t _caller)
+{
+	CallerConnection connection;
+	SoakRouter* router = nullptr;
+	while (monotonicNow() < _soak.until)
+	{
+		const TimeUs idle = monotonicNow() - connection.idleSince;
+		const uint32_t flightMs = below(_soak, kFlightMostMs);
+		if (!isOpen(connection) || idle > longestIdle(_soak, connection))
+		{
+			router = openAny(_soak, connection);
+			if (router == nullptr)
+			{
+				continue;
+			}
+			callOnce(_soak, *router, connection, _caller, true);
+		}
+		else
+		{
+			const bool allowed = mayIdle(_soak, idle, monotonicNow()) || isMutant("idle");
+			sleepFor(flightMs);
+			callOnce(_soak, *router, connection, _caller, allowed);
+		}
+		pauseIdle(_soak, connection, flightMs);
+	}
+}
+
+bool isServed(Soak& _soak, SoakRouter& _router, const char* _path)
+{
+	CallerConnection connection;
+	if (!openConnection(connection, parseEndpoint(_router.process->listen()), kCallTimeoutMs))
+	{
+		return false;
+	}
+	const std::string id = fmt::format("r-end-{}", _soak.nextRequest++);
+	RequestRecord& record = _soak.requests[id];
+	record.router = &_router;
+	HttpCall request = requestFor(_soak, id, record);
+	record.path = _path;
+	record.key = kKeptKey;
+	request.target = record.path + "x";
+	request.headers = headersOf(id, kKeptKey);
+	const CallResult result = sendOn(connection, request);
+	if (result.end != CallEnd::NotSent)
+	{
+		checkEnd(_soak, id, record, result);
+	}
+	return result.answer.status == kOk && result.end == CallEnd::Whole;
+}
+} // namespace spanplank
--- /dev/null
+++ b/tests/soak/soak_state.h
@@ -0,0 +1,119 @@
+/// What all parts of the soak share: flags, bounds, the state of callers, upstreams and routers.
+#ifndef SPANPLANK_TESTS_SOAK_STATE_H_HEADER_GUARD
+#define SPANPLANK_TESTS_SOAK_STATE_H_HEADER_GUARD
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "direct_harness.h"
+#include "fault_proxy.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "spanplank/types.h"
+
+ABSL_DECLARE_FLAG(uint64_t, seed);
+ABSL_DECLARE_FLAG(uint32_t, seconds);
+ABSL_DECLARE_FLAG(uint32_t, routers);
+ABSL_DECLARE_FLAG(uint32_t, callers);
+ABSL_DECLARE_FLAG(uint32_t, keepers);
+ABSL_DECLARE_FLAG(bool, planned);
+ABSL_DECLARE_FLAG(std::string, mutant);
+
+namespace spanplank
+{
+constexpr TimeUs kSecond = 1000 * kMsToUs;
+constexpr uint32_t kGraceMs = 4000;
+constexpr uint32_t kRevokeMs = 3000;
+constexpr uint32_t kLeaveMs = 2000;
+constexpr uint32_t kApplyMs = 2000;    ///< Until a configuration must be in force at a router in touch.
+constexpr uint32_t kContactMs = 3000;  ///< Without a disturbance, until a router counts as in touch.
+constexpr uint32_t kDeadlineMs = 3000; ///< That callers state.
+constexpr TimeUs kCallerSlack = 1500 * kMsToUs; ///< Of this machine: many processes share its cores.
+constexpr int kOk = 200; ///< Apart from the router's own names: the checks must not follow a change of those.
+inline const std::string kKeptKey = "kept-key";
+inline const std::string kHost = "town.example";
+
+struct SoakUpstream
+{
+	StandInUpstream* upstream = nullptr;
+	FaultProxy proxy;
+	TimeUs leavingSince = 0;     ///< When the store took that it leaves; 0: it does not.
+	TimeUs harmedAt = 0;         ///< Until when the path to it was last harmed.
+	TimeUs heldUpAtLeaving = 0;  ///< `Soak::heldUp` then.
+	bool storeSoundThen = false; ///< The store took it while it was stable.
+};
+
+struct SoakRouter
+{
+	std::unique_ptr<RouterProcess> process;
+	FaultProxy toStore;
+	FaultProxy toLink; ///< Before its links: the other routers come through it.
+	TimeUs disturbedAt =
+		0; ///< Until when it, also by a planned stop, or its path to the store was last harmed.
+	TimeUs unplannedAt = 0; ///< The same without planned work.
+	TimeUs stopAt = 0;      ///< When it was last asked to stop.
+	TimeUs stoppedAt = 0;   ///< When it was last found ended after that.
+	TimeUs runDelay = 0;    ///< Of its process: see `Soak::heldUp`.
+	bool paused = false;
+	bool claimed = false; ///< It is stopped, killed or paused just now: by one body at a time.
+	bool up = false;      ///< It has been ready since its start, so that it heeds signals.
+};
+
+/// What became of one request, from both ends.
+struct RequestRecord
+{
+	std::string path;
+	std::string key;
+	SoakRouter* router = nullptr; ///< That the caller sent it to.
+	uint32_t runs = 0;            ///< Upstreams that began to work on it.
+	uint32_t working = 0;         ///< Upstreams that work on it now.
+	TimeUs workedUntil = 0;
+	SoakUpstream* lastEnd = nullptr; ///< The last that ran it.
+	TimeUs lastRunAt = 0;
+	bool brokeOff = false;   ///< That one cut its answer by itself.
+	bool seen = false;       ///< An upstream got it, also one that rejected it.
+	bool toldNotRun = false; ///< The caller got a status that promises so.
+	bool allowed = true;     ///< By every idle limit that may be in force.
+	TimeUs sentAt = 0;
+};
+
+struct Soak
+{
+	uint64_t seed = 0;
+	Random random;
+	std::string dir;
+	StandInStore store;
+	nlohmann::json config;
+	std::string storeAddress;
+	std::vector<std::unique_ptr<StandInUpstream>> upstreams;
+	std::vector<std::unique_ptr<SoakUpstream>> ends;
+	std::vector<std::unique_ptr<SoakRouter>> routers;
+	std::map<std::string, RequestRecord> requests;
+	std::map<std::string, TimeUs> revokedAt;
+	std::vector<std::pair<TimeUs, uint32_t>> idleLimits; ///< When the store took each, and its milliseconds.
+	std::vector<std::string> broken;
+	std::map<std::string, uint64_t> outcomes;
+	TimeUs storeHarmedAt = 0;
+	/// Sum of the time in which routers could run and got no core, and of the lateness of this process: what
+	/// a busy machine may have added to the way of a request.
+	TimeUs heldUp = 0;
+	TimeUs until = 0;
+	TimeUs startedAt = 0;
+	uint64_t nextRequest = 1;
+	uint32_t nextUpstream = 0;
+};
+
+void breach(Soak& _soak, const std::string& _what);
+void note(const Soak& _soak, const std::string& _what);
+uint32_t below(Soak& _soak, uint32_t _bound);
+bool happens(Soak& _soak, double _chance);
+bool isMutant(const char* _name);
+/// Measures `heldUp` and looks for routers that end by themselves, until the faults end.
+void watchProcesses(Soak& _soak);
+} // namespace spanplank
+
+#endif // SPANPLANK_TESTS_SOAK_STATE_H_HEADER_GUARD
--- /dev/null
+++ b/tests/soak/soak_upstreams.cpp
@@ -0,0 +1,150 @@
+/// Stand-ins of upstreams that reject, cut, pause and leave.
+#include "soak_upstreams.h"
+
+#include <fmt/format.h>
+
+#include "ports.h"
+#include "soak_checks.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr int kMisdirected = 421;
+constexpr double kRejectChance = 0.05;    ///< Of an upstream: it has not run the request.
+constexpr double kCutChance = 0.02;       ///< Of an upstream: it ran the request and cuts the connection.
+constexpr double kCutEventsChance = 0.05; ///< Of an upstream: it cuts a stream at its last event.
+constexpr double kPauseChance = 0.2;      ///< Of a stream: its upstream pauses between events.
+/// Longer than the share of the route's gap (500 ms) after which a router may ask another upstream.
+constexpr uint32_t kPauseLeastMs = 410;
+constexpr uint32_t kPauseSpreadMs = 240;
+constexpr int kPausingLast = 3; ///< Last event of a stream that pauses: it ends within the caller's deadline.
+
+/// Counts an upstream as working on a request while it answers.
+struct Working
+{
+	explicit Working(RequestRecord& _record) : record(_record)
+	{
+		++record.working;
+	}
+	~Working()
+	{
+		--record.working;
+		record.workedUntil = monotonicNow();
+	}
+	Working(const Working&) = delete;
+	Working& operator=(const Working&) = delete;
+
+	RequestRecord& record;
+};
+
+void streamAs(Soak& _soak, SoakUpstream& _end, HttpExchange& _exchange, RequestRecord& _record)
+{
+	const bool cut = happens(_soak, kCutEventsChance);
+	const double confidence = double(below(_soak, 101));
+	const bool pauses = happens(_soak, kPauseChance);
+	const uint32_t firstMs = 1 + below(_soak, 15);
+	const int last = pauses ? kPausingLast : int(5 + below(_soak, 20));
+	const uint32_t pauseMs = pauses ? kPauseLeastMs + below(_soak, kPauseSpreadMs) : firstMs;
+	const bool ended =
+		answerEvents(*_end.upstream, _exchange, last, pauseMs, cut || isMutant("cut"), confidence, firstMs);
+	// A run that another one follows meanwhile says nothing of the newer one.
+	_record.brokeOff = _record.brokeOff || (ended && cut && _record.lastEnd == &_end && !isMutant("cut"));
+}
+
+void answerAs(Soak& _soak, SoakUpstream& _end, HttpExchange& _exchange)
+{
+	const HttpRequest& request = _exchange.request();
+	if (std::string(request["Expect-Instance"]) != _end.upstream->id)
+	{
+		_exchange.respond({kMisdirected, {{"Instance-Id", _end.upstream->id}}, ""});
+		return;
+	}
+	const std::string id(request["Request-Id"]);
+	const auto found = _soak.requests.find(id);
+	if (found == _soak.requests.end())
+	{
+		breach(_soak, "a request came that no caller sent");
+		return;
+	}
+	RequestRecord& record = found->second;
+	checkArrival(_soak, _end, record);
+	if (happens(_soak, kRejectChance) && !isMutant("twice"))
+	{
+		answerNotRun(_exchange);
+		return;
+	}
+	checkRun(_soak, _end, record);
+	const Working working(record);
+	if (isMutant("twice") && happens(_soak, kRejectChance))
+	{
+		answerNotRun(_exchange);
+		return;
+	}
+	if (happens(_soak, kCutChance))
+	{
+		record.brokeOff = true;
+		_exchange.abort();
+		return;
+	}
+	if (record.path == "/chat/")
+	{
+		streamAs(_soak, _end, _exchange, record);
+		return;
+	}
+	sleepFor(1 + below(_soak, 30));
+	answerWell(*_end.upstream, _exchange, "answer to " + id);
+}
+
+void registerEnd(Soak& _soak, const SoakUpstream& _end, const char* _state)
+{
+	setItem(_soak.store, "servers/" + _end.upstream->id,
+			nlohmann::json{{"service", _end.upstream->service},
+						   {"address", _end.proxy.address},
+						   {"zone", "hall-a"},
+						   {"version", "v1"},
+						   {"slots", 16},
+						   {"state", _state}}
+				.dump());
+}
+} // namespace
+
+void addEnd(Soak& _soak, const std::string& _service)
+{
+	_soak.upstreams.push_back(std::make_unique<StandInUpstream>());
+	_soak.ends.push_back(std::make_unique<SoakUpstream>());
+	SoakUpstream& end = *_soak.ends.back();
+	end.upstream = _soak.upstreams.back().get();
+	end.upstream->id = fmt::format("u-{}", _soak.nextUpstream++);
+	end.upstream->service = _service;
+	end.upstream->http.handler = [&_soak, &end](HttpExchange& _exchange) {
+		answerAs(_soak, end, _exchange);
+	};
+	startProxy(end.proxy, loopback(startHttpServer(testIo(), end.upstream->http, {"127.0.0.1", 0})));
+	registerEnd(_soak, end, "ready");
+}
+
+void leave(Soak& _soak, SoakUpstream& _end, bool _says)
+{
+	constexpr uint32_t kServesOnMs = 3000; ///< Over the bound, before its entry goes.
+	note(_soak,
+		 fmt::format("{} {}", _end.upstream->id, _says ? "says that it leaves" : "is gone from the store"));
+	_end.leavingSince = monotonicNow();
+	_end.heldUpAtLeaving = _soak.heldUp;
+	_end.storeSoundThen = _end.leavingSince > _soak.storeHarmedAt + kContactMs * kMsToUs;
+	if (isMutant("drain"))
+	{
+		return;
+	}
+	if (!_says)
+	{
+		removeItem(_soak.store, "servers/" + _end.upstream->id);
+		return;
+	}
+	registerEnd(_soak, _end, "draining");
+	spawnFiber([&_soak, &_end] {
+		sleepFor(kLeaveMs + kServesOnMs);
+		removeItem(_soak.store, "servers/" + _end.upstream->id);
+	});
+}
+} // namespace spanplank
--- /dev/null
+++ b/tests/soak/soak_upstreams.h
@@ -0,0 +1,15 @@
+/// The upstreams of the soak: how they answer, register and leave.
+#ifndef SPANPLANK_TESTS_SOAK_UPSTREAMS_H_HEADER_GUARD
+#define SPANPLANK_TESTS_SOAK_UPSTREAMS_H_HEADER_GUARD
+
+#include "soak_state.h"
+
+namespace spanplank
+{
+/// Starts an upstream and registers it.
+void addEnd(Soak& _soak, const std::string& _service);
+/// An upstream leaves and serves on. @param[in] _says It first says so; otherwise its entry just goes.
+void leave(Soak& _soak, SoakUpstream& _end, bool _says);
+} // namespace spanplank
+
+#endif // SPANPLANK_TESTS_SOAK_UPSTREAMS_H_HEADER_GUARD
