Routers started by the tests no longer hold the tests' sockets

Cause: posix_spawn passed every open socket of the test's process on, so a connection that a stand-in or a proxy closed stayed open at the router that was started later: a reset call acted like 1.2 s of silence. Ruled out: the proxy and the product's client; with one router alone (no later start) 11 of 11 resets were seen as the end of the stream, with three 8 of 13 as a timeout. Change: the started router closes all descriptors from 3 on.

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -413,6 +413,8 @@
 	posix_spawn_file_actions_init(&actions);
 	const std::string file = m_file + ".log";
 	posix_spawn_file_actions_addopen(&actions, 1, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+	// A router that holds this process's sockets would keep connections open that this process closes.
+	posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
 	posix_spawn(&m_pid, words[0], &actions, nullptr, words.data(), environ);
 	posix_spawn_file_actions_destroy(&actions);
 }
