--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -37,6 +37,7 @@
 		_record.key = _soak.config["tenants"][0]["api_keys"].back();
 	}
 	_record.sentAt = monotonicNow();
+	_record.heldUpThen = _soak.heldUp;
 	HttpCall call;
 	call.method = kind == 0 ? "GET" : "POST";
 	call.target = _record.path + "x";
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -79,6 +79,7 @@
 	bool toldNotRun = false; ///< The caller got a status that promises so.
 	bool allowed = true;     ///< By every idle limit that may be in force.
 	TimeUs sentAt = 0;
+	TimeUs heldUpThen = 0; ///< `Soak::heldUp` when it was sent.
 };
 
 struct Soak
