A test that fails: a planned stop cuts a request whose body is still coming

Cause: the stop waits while requests are at upstreams; one that is being read, refused or about to run is not counted. Ruled out: the grace: 30 s are set, the process ends after 2.6 s with stopped cut="0" connections="1".

--- /dev/null
+++ b/tests/direct/caller_stop_test.cpp
@@ -0,0 +1,76 @@
+/// What callers get of a router in a planned stop whose requests have not come whole yet.
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "direct_harness.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "spanplank/planned_stop.h"
+
+namespace spanplank
+{
+namespace
+{
+using boost::asio::ip::tcp;
+
+/// A router process and one caller's connection to it.
+struct CallerStop : testing::Test
+{
+	tcp::socket caller{testIo()};
+
+	void connect(const DirectSystem& _system)
+	{
+		const Endpoint to = parseEndpoint(_system.listen());
+		caller.connect({boost::asio::ip::make_address(to.ip), to.port});
+	}
+
+	void send(const std::string& _bytes)
+	{
+		boost::system::error_code ignored; // A connection that was closed shows in what is read.
+		boost::asio::write(caller, boost::asio::buffer(_bytes), ignored);
+	}
+
+	/// @returns What came until the connection ended.
+	std::string readAll()
+	{
+		std::string got;
+		awaitIo(
+			[&](auto _done) { boost::asio::async_read(caller, boost::asio::dynamic_buffer(got), _done); });
+		return got;
+	}
+
+	/// Stops the router and waits until its balancer has seen that, and some more.
+	void stopPastTheBalancer(DirectSystem& _system)
+	{
+		_system.terminate();
+		ASSERT_TRUE(eventually([&] { return _system.log().find("event=stopping") != std::string::npos; }));
+		sleepFor(kBalancerMs + 1000);
+	}
+};
+
+std::string headOf(const DirectSystem& _system, size_t _bodyBytes)
+{
+	return "POST /once/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: "
+		   "4000\r\nKey: " +
+		   _system.key + "\r\nContent-Length: " + std::to_string(_bodyBytes) + "\r\n\r\n";
+}
+
+// A router in a planned stop cut requests that it was reading: the stop waited for those alone that were at
+// an upstream. It logged stopping in_flight="0" connections="1" and, 2.6 s later, stopped cut="0"
+// connections="1", and ended with half of a request in hand and 27 s of its grace left.
+TEST_F(CallerStop, ARequestThatIsBeingReadIsAnsweredWhenTheRestHasCome)
+{
+	DirectSystem system("graceSeconds: 30\n");
+	system.addUpstream("u-first", "app");
+	system.startReady(1);
+	connect(system);
+	send(headOf(system, 4) + "ab");
+	stopPastTheBalancer(system);
+	send("cd");
+	EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(system.awaitEnd(), 0);
+	EXPECT_NE(system.log().find("event=stopped cut=\"0\""), std::string::npos);
+}
+} // namespace
+} // namespace spanplank
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -615,6 +615,11 @@
 	return m_router->log();
 }
 
+const std::string& DirectSystem::listen() const
+{
+	return m_router->listen();
+}
+
 DirectAnswer DirectSystem::call(const std::string& _method, const std::string& _path,
 								const std::string& _body, std::vector<HttpHeader> _headers,
 								HttpCancel* _cancel)
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -161,6 +161,8 @@
 	bool isReady();
 	size_t knownUpstreams();
 	std::string log() const;
+	/// @returns Where the router takes callers, as `ip:port`.
+	const std::string& listen() const;
 
 	DirectAnswer call(const std::string& _method, const std::string& _path, const std::string& _body = "",
 					  std::vector<HttpHeader> _headers = {}, HttpCancel* _cancel = nullptr);
