A planned stop waits for requests from their first byte to the end of their answer, and looks at idle connections last

Cause: the stop waited for inFlight, which counts requests at upstreams alone. One that was read, refused or ready to run was cut with the process, and one that had come on an idle connection was not looked at. Ruled out: the grace (30 s, ended after 2.6 s); a lost FIN: the kernel closes idle connections well, only unread bytes reset them. Change: HttpServer counts busy requests by a guard that exceptions can't miss; closeIdle ends idle connections after a last look, what has come is answered with Connection: close; cut requests are logged as caller_connection_ended reason="stopped". A connection with bytes that nobody will read is drained before it is closed.

--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -149,12 +149,16 @@
 {
 	std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
 	size_t connections = 0;
+	size_t busy = 0;        ///< Requests, from their first byte until their answer is written.
 	bool accepting = false; ///< Until it is false again after `stopListening`, the server must stay.
 	bool draining = false;  ///< Answers carry `Connection: close` once set.
+	bool closing = false;   ///< Connections end as soon as no request is under way on them.
 	HttpServerLimits limits;
 	HttpHandler handler;
 	/// Connections that ended without a whole answer to what was read of them, by `ConnectionEnd`.
 	std::map<std::string, uint64_t> ended;
+	std::map<uint64_t, std::shared_ptr<ServedConnection>> open; ///< By id.
+	uint64_t nextConnection = 1;
 };
 
 /// Listens and serves; port 0 takes a free one. The server must outlive its connections.
@@ -164,6 +168,13 @@
 /// Closes the listening socket.
 void stopListening(HttpServer& _server);
 
+/// Closes idle connections after a last look: a request that has come is still answered, and closes its
+/// connection. Connections that are not idle follow with their answers.
+void closeIdle(HttpServer& _server);
+
+/// Counts and logs the requests under way, before a process that can't wait for them ends.
+void noteCut(HttpServer& _server);
+
 /// A failed call. `sent` tells whether any byte of the request could have left this process.
 class HttpFailure : public Failure
 {
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -48,14 +48,42 @@
 	}
 }
 
+/// Counts a request for as long as it is served, also if that ends by an exception.
+class BusyMark
+{
+public:
+	explicit BusyMark(HttpServer& _server) : m_server(_server)
+	{
+		++m_server.busy;
+	}
+
+	~BusyMark()
+	{
+		--m_server.busy;
+	}
+
+	BusyMark(const BusyMark&) = delete;
+	BusyMark& operator=(const BusyMark&) = delete;
+
+private:
+	HttpServer& m_server;
+};
+
 /// Waits for a request on a connection that may stay idle.
 bool awaitFirstByte(HttpServer& _server, ServedConnection& _connection)
 {
 	_connection.requestBytes = 0;
-	if (_connection.buffer.size() == 0 && // Else the caller sent it along with the request before.
-		awaitBytes(_connection, {_connection.idleSince, _server.limits.idleMs}) != ReadEnd::Bytes)
+	_connection.idleSince = monotonicNow();
+	if (_connection.buffer.size() == 0) // Else the caller sent it along with the request before.
 	{
-		return false;
+		_connection.idle = true;
+		const ReadEnd end =
+			awaitBytes(_connection, {_connection.idleSince, _server.limits.idleMs, &_server.closing});
+		_connection.idle = false;
+		if (end != ReadEnd::Bytes)
+		{
+			return false;
+		}
 	}
 	_connection.requestAt = monotonicNow();
 	_connection.requestBytes = _connection.buffer.size();
@@ -105,7 +133,6 @@
 		return;
 	}
 	refuseItself(_connection, _request, refusal);
-	drain(_connection.stream);
 }
 
 using RequestParser = http::request_parser<http::string_body>;
@@ -226,20 +253,54 @@
 	return exchange.keepAlive() && !exchange.broken();
 }
 
+/// Closes a connection. One that holds bytes that nobody will read would be reset, and its caller could lose
+/// the answer before them.
+void closeInOrder(ServedConnection& _connection)
+{
+	if (_connection.status != 0 || hasUnread(_connection))
+	{
+		drain(_connection.stream);
+	}
+	beast::error_code ignored;
+	_connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
 void serveConnection(HttpServer& _server, ServedConnection& _connection)
 {
-	_connection.acceptedAt = monotonicNow();
 	bool keepAlive = true;
-	while (keepAlive)
+	while (keepAlive && awaitFirstByte(_server, _connection))
 	{
-		_connection.idleSince = monotonicNow();
+		const BusyMark busy(_server);
 		HttpRequest request;
-		keepAlive = awaitFirstByte(_server, _connection) && readRequest(_server, _connection, request) &&
-					answerRequest(_server, _connection, request);
+		keepAlive =
+			readRequest(_server, _connection, request) && answerRequest(_server, _connection, request);
 	}
 	noteConnectionEnd(_server, _connection);
-	beast::error_code ignored;
-	_connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+	_connection.requestBytes = 0; // Nothing is under way any more.
+	closeInOrder(_connection);
+}
+
+/// Serves a connection in a fiber of its own.
+void openConnection(HttpServer& _server, std::shared_ptr<ServedConnection> _connection)
+{
+	boost::system::error_code ignored; // A connection that failed already shows in its first read.
+	_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+	_connection->acceptedAt = monotonicNow();
+	const uint64_t id = _server.nextConnection++;
+	++_server.connections;
+	_server.open.emplace(id, _connection);
+	spawnFiber([&_server, connection = std::move(_connection), id] {
+		try
+		{
+			serveConnection(_server, *connection);
+		}
+		catch (const std::exception& failure)
+		{
+			logEvent("connection_failed", {{"error", failure.what()}});
+		}
+		_server.open.erase(id);
+		--_server.connections;
+	});
 }
 
 void acceptLoop(boost::asio::io_context& _io, HttpServer& _server)
@@ -247,20 +308,14 @@
 	while (_server.acceptor->is_open())
 	{
 		auto connection = std::make_shared<ServedConnection>(_io);
-		tcp::socket& socket = connection->stream.socket();
-		const IoResult accepted = awaitIo([&](auto _done) { _server.acceptor->async_accept(socket, _done); });
+		const IoResult accepted =
+			awaitIo([&](auto _done) { _server.acceptor->async_accept(connection->stream.socket(), _done); });
 		if (accepted.error)
 		{
 			sleepFor(accepted.error == boost::asio::error::operation_aborted ? 0 : 10);
 			continue;
 		}
-		boost::system::error_code ignored; // A connection that failed already shows in its first read.
-		socket.set_option(tcp::no_delay(true), ignored);
-		++_server.connections;
-		spawnFiber([&_server, connection] {
-			serveConnection(_server, *connection);
-			--_server.connections;
-		});
+		openConnection(_server, std::move(connection));
 	}
 	_server.accepting = false;
 }
@@ -304,4 +359,30 @@
 	boost::system::error_code ignored;
 	_server.acceptor->close(ignored);
 }
+
+void closeIdle(HttpServer& _server)
+{
+	_server.draining = true;
+	_server.closing = true;
+	for (const auto& [id, connection] : _server.open)
+	{
+		boost::system::error_code ignored;
+		if (connection->idle)
+		{
+			connection->stream.socket().cancel(ignored); // Wakes its wait, which then looks a last time.
+		}
+	}
+}
+
+void noteCut(HttpServer& _server)
+{
+	for (const auto& [id, connection] : _server.open)
+	{
+		if (connection->requestBytes > 0 && connection->end == ConnectionEnd::None)
+		{
+			connection->end = ConnectionEnd::Stopped;
+			noteConnectionEnd(_server, *connection);
+		}
+	}
+}
 } // namespace spanplank
--- a/src/adapters/served_connection.cpp
+++ b/src/adapters/served_connection.cpp
@@ -131,6 +131,13 @@
 	return false;
 }
 
+bool hasUnread(ServedConnection& _connection)
+{
+	char byte = 0;
+	tcp::socket& socket = _connection.stream.socket();
+	return socket.is_open() && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 const char* name(ConnectionEnd _end)
 {
 	switch (_end)
--- a/src/adapters/served_connection_p.h
+++ b/src/adapters/served_connection_p.h
@@ -51,6 +51,7 @@
 	TimeUs requestAt = 0;    ///< When the first byte of the request under way was seen.
 	uint32_t armedMs = 0;    ///< The limit that the last wait went by.
 	size_t requestBytes = 0; ///< Read of the request under way; 0: none is under way.
+	bool idle = false;       ///< It waits for the first byte of a request.
 	int status = 0;          ///< Of the server's own refusal; 0: it sent none.
 	std::string error;       ///< The socket's or the parser's own words.
 	ConnectionEnd end = ConnectionEnd::None;
@@ -84,6 +85,9 @@
 /// @returns Whether no more is read of a caller that sends requests before the answer to the first.
 bool holdsMostEarlyBytes(const ServedConnection& _connection);
 
+/// @returns Whether bytes have come that were not read.
+bool hasUnread(ServedConnection& _connection);
+
 /// Counts and logs a connection that ends without a whole answer to what was read of it; says nothing of the
 /// others.
 void noteConnectionEnd(HttpServer& _server, const ServedConnection& _connection);
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -41,6 +41,8 @@
 	addGauge(page, "config_age_ms", "Since the store last proved the configuration.",
 			 double(monotonicNow() - _router.config.provedAt) / double(kMsToUs));
 	addGauge(page, "in_flight", "Requests in flight.", double(_router.inFlight));
+	addGauge(page, "requests_begun", "Requests from their first byte until their answer is written.",
+			 double(_router.callers.busy));
 	addGauge(page, "caller_connections", "Connections of callers.", double(_router.callers.connections));
 	addCounters(page, "caller_connections_ended_total",
 				"Connections of callers that ended without a whole answer to what was read, by reason.",
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -112,24 +112,32 @@
 	}
 }
 
-/// A planned stop: the balancer sees it first, then what is in flight ends, within the grace.
+/// A planned stop: the balancer sees it first, then what callers have begun to send ends, within the grace;
+/// idle connections are closed last, so that a request that has come on one is still answered.
 void stop(DirectRouter& _router)
 {
 	const TimeUs begin = monotonicNow();
 	_router.stopping = true;
 	_router.callers.draining = true;
 	logEvent("stopping", {{"in_flight", std::to_string(_router.inFlight)},
+						  {"begun", std::to_string(_router.callers.busy)},
 						  {"connections", std::to_string(_router.callers.connections)}});
 	const uint32_t grace = std::max(_router.settings.graceMs, kEndMarginMs + 1);
 	const TimeUs until = begin + TimeUs(grace - kEndMarginMs) * kMsToUs;
 	_router.stop = {begin, until};
 	const TimeUs earliest = std::min(until, begin + kBalancerMs * kMsToUs);
-	while (monotonicNow() < earliest || (_router.inFlight > 0 && monotonicNow() < until))
+	while (monotonicNow() < earliest || (_router.callers.busy > 0 && monotonicNow() < until))
 	{
 		sleepFor(kStopPollMs);
 	}
 	stopListening(_router.callers);
-	logEvent("stopped", {{"cut", std::to_string(_router.inFlight)},
+	closeIdle(_router.callers);
+	while (_router.callers.connections > 0 && monotonicNow() < until)
+	{
+		sleepFor(kStopPollMs);
+	}
+	noteCut(_router.callers);
+	logEvent("stopped", {{"cut", std::to_string(_router.callers.busy)},
 						 {"connections", std::to_string(_router.callers.connections)}});
 	flushLog();
 }
--- a/tests/direct/caller_connection_test.cpp
+++ b/tests/direct/caller_connection_test.cpp
@@ -382,5 +382,72 @@
 	sleepFor(kSettleMs);
 	EXPECT_NE(ask().find("Connection: close"), std::string::npos) << "the next answer tells it";
 }
+
+// A stop looked at its connections' sockets no more once no request was at an upstream: one that had come on
+// an idle connection by then was cut with the process.
+TEST_F(CallerConnection, ARequestThatHasComeIsAnsweredThoughIdleConnectionsAreClosed)
+{
+	connect();
+	ask();
+	sleepFor(kSettleMs);
+	send(kRequest);
+	closeIdle(server); // Before the server has had a turn to read.
+	const std::string answer = readTo("no such text");
+	EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
+	EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+	EXPECT_TRUE(eventually([this] { return server.connections == 0; }));
+}
+
+TEST_F(CallerConnection, AnIdleOneIsClosedAtOnce)
+{
+	server.limits.idleMs = kLongMs;
+	connect();
+	closeIdle(server);
+	EXPECT_EQ(readTo("no such text"), "");
+	EXPECT_TRUE(eventually([this] { return server.connections == 0; }));
+	EXPECT_TRUE(server.ended.empty());
+}
+
+// The answers of a caller that sent requests early were lost where the connection was closed after the first:
+// the bytes that nobody read reset it.
+TEST_F(CallerConnection, AnAnswerArrivesThoughMoreWasSentOnAConnectionThatIsClosedAfterIt)
+{
+	bool mayAnswer = false;
+	const std::string body = std::string(8u << 20, 'x') + "done";
+	server.handler = [&](HttpExchange& _exchange) {
+		++handled;
+		eventually([&] { return mayAnswer; });
+		_exchange.respond({200, {}, body});
+	};
+	connect();
+	server.draining = true;
+	send(kRequest);
+	ASSERT_TRUE(eventually([this] { return handled == 1; }));
+	send(kRequest);
+	mayAnswer = true;
+	EXPECT_GT(readTo("no such text").size(), body.size());
+}
+
+TEST_F(CallerConnection, CountsAsBusyFromTheFirstByteUntilTheAnswerIsWritten)
+{
+	connect();
+	EXPECT_EQ(server.busy, 0u);
+	send("GET");
+	EXPECT_TRUE(eventually([this] { return server.busy == 1; }));
+	send(" / HTTP/1.1\r\nHost: a\r\n\r\n");
+	readTo("done");
+	EXPECT_TRUE(eventually([this] { return server.busy == 0; }));
+	server.handler = [](HttpExchange&) {
+		throw std::runtime_error("a fault of the handler's");
+	};
+	send(kRequest);
+	readTo("no such text");
+	EXPECT_TRUE(eventually([this] { return server.busy == 0; }));
+	connect();
+	send("GET");
+	EXPECT_TRUE(eventually([this] { return server.busy == 1; }));
+	hangUp();
+	EXPECT_TRUE(eventually([this] { return server.busy == 0; }));
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/caller_stop_test.cpp
+++ b/tests/direct/caller_stop_test.cpp
@@ -72,5 +72,21 @@
 	EXPECT_EQ(system.awaitEnd(), 0);
 	EXPECT_NE(system.log().find("event=stopped cut=\"0\""), std::string::npos);
 }
+
+TEST_F(CallerStop, ARequestThatOutlivesTheGraceIsLoggedAsCut)
+{
+	DirectSystem system("graceSeconds: 4\n");
+	system.addUpstream("u-first", "app");
+	system.startReady(1);
+	connect(system);
+	send(headOf(system, 4) + "ab");
+	system.terminate();
+	EXPECT_EQ(readAll(), "");
+	EXPECT_EQ(system.awaitEnd(), 0);
+	EXPECT_NE(system.log().find("event=stopped cut=\"1\""), std::string::npos) << system.log();
+	EXPECT_NE(system.log().find("event=caller_connection_ended reason=\"stopped\" closed_by=\"stop\""),
+			  std::string::npos)
+		<< system.log();
+}
 } // namespace
 } // namespace spanplank
