A test that a stream which this router has left asks nobody any more once its caller has gone

Cause: between attempts there is no call that the caller's leaving could cancel; the loop looks at it by itself. Ruled out: a request that arrives after the caller left (the log ends with caller_left and without answer_broken). Change: the test.

--- a/tests/direct/paused_stream_test.cpp
+++ b/tests/direct/paused_stream_test.cpp
@@ -214,5 +214,33 @@
 			  }});
 	EXPECT_TRUE(eventually([&ended] { return ended; }));
 }
+
+TEST(PausedStream, ThatWasLeftAsksNobodyAnyMoreOnceItsCallerHasGone)
+{
+	DirectSystem system;
+	size_t arrivals = 0;
+	const auto answer = [&arrivals](Upstream& _upstream, Exchange& _exchange) {
+		if (++arrivals > 1)
+		{
+			answerNotRun(_exchange);
+			return;
+		}
+		startEvents(_upstream, _exchange);
+		_exchange.write("id: 0\ndata: begun\n\n");
+		eventually([&_exchange] { return _exchange.callerGone(); });
+	};
+	system.addUpstream("e-one", "engines").answer = answer;
+	system.addUpstream("e-two", "engines").answer = answer;
+	system.startReady(2);
+	HttpCancel cancel;
+	together({[&] { system.call("POST", "/chat/x", "prompt", kPrompt, &cancel); },
+			  [&] {
+				  eventually([&arrivals] { return arrivals >= 2; });
+				  spanplank::cancel(cancel);
+			  }});
+	EXPECT_TRUE(eventually([&] { return system.log().find("event=caller_left") != std::string::npos; }))
+		<< system.log();
+	EXPECT_EQ(system.log().find("event=answer_broken"), std::string::npos);
+}
 } // namespace
 } // namespace spanplank
