An outage of the store counts from three heartbeats without a proof, as registrations lapse after three

Cause: counted from two, a time of 2.96 s in which the tree of routers was rebuilt (the store turned its first router away) was taken for an outage of the store, and upstreams that left in it were used on. Ruled out: a later moment from which the time to return counts (from the last proof plus the shortest outage): after a true outage of 4.5 s nothing would be left of it. Change: kLapseHeartbeats 3.

--- a/include/spanplank/store_contact.h
+++ b/include/spanplank/store_contact.h
@@ -58,9 +58,10 @@
 /// @returns What a registration that goes now tells.
 LapseJudgement judgeLapse(const StoreContact& _contact, TimeUs _now);
 
-/// Heartbeats that an outage takes at least before registrations lapse in it: they do after three without a
-/// sign of life, and the last sign is up to one older than the outage.
-constexpr int64_t kLapseHeartbeats = 2;
+/// Heartbeats that an outage takes before registrations are believed to have lapsed in it: the store ends
+/// them after three without a sign of life. In a shorter one only those end whose last sign was older than
+/// the outage; taken for an outage, it kept upstreams that had left in use up to 2.9 s after others knew.
+constexpr int64_t kLapseHeartbeats = 3;
 /// Longest time between two proofs of a store that is there, with a lost answer between them. A shorter gap
 /// is no outage, whatever the heartbeat.
 constexpr TimeUs kLongestCalmGap = 2400 * kMsToUs;
