--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -78,6 +78,7 @@
 	bool seen = false;       ///< An upstream got it, also one that rejected it.
 	bool toldNotRun = false; ///< The caller got a status that promises so.
 	bool allowed = true;     ///< By every idle limit that may be in force.
+	TimeUs chosenAt = 0;     ///< When the caller last saw that the connection was open.
 	TimeUs sentAt = 0;
 	TimeUs heldUpThen = 0; ///< `Soak::heldUp` when it was sent.
 };
