Known red: a version that is rolled back while a request waits for its connection still gets it

Cause: before the first byte leaves the upstream's registration is looked at again, the state of its version is not. Ruled out: the choice itself, which never takes a version that was rolled back. Test: the version is rolled back between the choice and the connection; its upstream sees 1 request instead of 0.

--- a/tests/direct/chosen_upstream_test.cpp
+++ b/tests/direct/chosen_upstream_test.cpp
@@ -228,5 +228,25 @@
 	EXPECT_EQ(arrivals(), 0u);
 	EXPECT_EQ(router.upstreams.entries.begin()->second.inFlight, 0u);
 }
+// A version was rolled back while a request waited for its connection, and the request was still sent to it:
+// the upstream had been looked at again, its version had not. The rolled back version's upstream saw one
+// request.
+TEST_F(ChosenUpstream, WhoseVersionIsHaltedWhileItIsConnectedGetsNothing)
+{
+	for (size_t ii = 0; ii < kUpstreams; ++ii)
+	{
+		upstreams[ii].version = fmt::format("v{}", ii);
+	}
+	startUpstreams("app");
+	call("POST", "/once/x");
+	Upstream* chosen = awaitChosen();
+	ASSERT_NE(chosen, nullptr);
+	takeOrder(router.trials, {"app", chosen->version, 60000}, 1, monotonicNow());
+	takeStatus(router.trials, "app", {chosen->version, RolloutState::RolledBack}, 2);
+	ASSERT_EQ(haltedVersion(router.trials, "app"), chosen->version);
+	ASSERT_TRUE(eventually([this] { return answered; }));
+	EXPECT_EQ(chosen->requests.size(), 0u);
+	EXPECT_EQ(answer.status, 200);
+}
 } // namespace
 } // namespace spanplank
