The version of a chosen upstream is looked at again before the first byte leaves, as its registration is

Cause: a choice used late. A request that waited for its connection was sent to a version that had been rolled back meanwhile. Change: isStillAllowed asks both; the attempt ends unsent, without a run or an extra attempt, and another upstream is chosen. Ruled out: an upstream of the same version that is chosen again: the choice leaves out a version that was rolled back.

--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -173,16 +173,22 @@
 	logDoubtKept(_serving, _confidence, used, next, now);
 	return false;
 }
+
+/// A process that is hardly run waits long for a connection: meanwhile the upstream may have left, or its
+/// version have been rolled back.
+bool isStillAllowed(const DirectRouter& _router, const AttemptNotes& _notes)
+{
+	const std::string halted = haltedVersion(_router.trials, _notes.record.service);
+	return maySendTo(_router.upstreams, _notes.upstream, monotonicNow()) &&
+		   (halted.empty() || _notes.record.version != halted);
+}
 } // namespace
 
 AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
 {
 	_call.onLate([&] { return whenLate(_serving, _notes); });
 	ExchangeState state = _call.connect(_times.connectBy);
-	// The upstream may have left since it was chosen: a process that is hardly run waits long for a
-	// connection.
-	_notes.withdrawn =
-		state == ExchangeState::Ok && !maySendTo(_serving.router.upstreams, _notes.upstream, monotonicNow());
+	_notes.withdrawn = state == ExchangeState::Ok && !isStillAllowed(_serving.router, _notes);
 	if (_notes.withdrawn)
 	{
 		return AttemptEnd::NotSent;
