The agent mode's router waits in a planned stop for requests from their first byte, as the direct mode's does

Cause: its stop counted requests at agents alone; one that was being read was cut with the process. Change: HttpServer::busy, closeIdle and noteCut in place of the own count; bills are flushed once no connection is left, so that those of the last requests go too.

--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -398,25 +398,37 @@
 	});
 }
 
-/// A planned stop: the balancer sees it, what is in flight ends, the bills are flushed.
-void stop(Router& _router)
+/// Polls until a condition holds or a time is over.
+void pollUntil(TimeUs _until, const std::function<bool()>& _condition)
 {
 	constexpr uint32_t kPollMs = 20;
-	const TimeUs until = monotonicNow() + TimeUs(_router.settings.common.drainMs) * kMsToUs;
-	sleepFor(_router.settings.common.balancerMs);
-	_router.node.http.draining = true;
-	stopListening(_router.node.http);
-	while (!_router.callers.empty() && monotonicNow() < until)
+	while (!_condition() && monotonicNow() < _until)
 	{
 		sleepFor(kPollMs);
 	}
+}
+
+/// A planned stop: the balancer sees it, what is in flight ends, the bills are flushed.
+void stop(Router& _router)
+{
+	constexpr uint32_t kLastFramesMs = 20; ///< Lets the last frames leave.
+	HttpServer& http = _router.node.http;
+	const TimeUs until = monotonicNow() + TimeUs(_router.settings.common.drainMs) * kMsToUs;
+	sleepFor(_router.settings.common.balancerMs);
+	http.draining = true;
+	stopListening(http);
+	// From the first byte on: a request that is still being read would be cut without an answer.
+	pollUntil(until, [&] { return http.busy == 0; });
+	closeIdle(http);
+	pollUntil(until, [&] { return http.connections == 0; });
+	noteCut(http);
 	while (!flushOwnBills(_router) && monotonicNow() < until)
 	{
 		sleepFor(kStoreRetryMs);
 	}
 	noteEvent(_router.node, "drained", _router.settings.common.box,
-			  fmt::format("{} cut, {} bills kept", _router.callers.size(), _router.core.bills.count));
-	sleepFor(kPollMs); // Lets the last frames leave.
+			  fmt::format("{} cut, {} bills kept", http.busy, _router.core.bills.count));
+	sleepFor(kLastFramesMs);
 }
 } // namespace
 
