A test that fails: a kept connection to the store that went silent delays the news of an upstream that went

Cause: a router that watches the store pauses up to 0.8 s, waits 0.2 + 1.0 s for an answer that does not come on the kept connection, pauses up to 0.1 s and only then makes a new one: 2.1 s, by arithmetic, with a bound of 2 s. Ruled out: that the news came by another way: upstream_unregistered way="watch" proof_age_ms="1321" after store_lost (the tests pause 20 ms in place of 0.8 s).

--- a/tests/direct/leaving_upstream_test.cpp
+++ b/tests/direct/leaving_upstream_test.cpp
@@ -75,5 +75,30 @@
 	system.store.fault = StandInStore::Fault::None;
 	EXPECT_EQ(requestsAfterItWent(), 0u);
 }
+
+// A kept connection to the store went silent for good while an upstream went. The router waited 1.2 s for the
+// watch's answer and 0.1 s more before the next call, on top of the pause of 0.8 s: later than a bound of 2
+// s. The line that settled it: store_lost, between the silence and upstream_unregistered.
+TEST_F(LeavingUpstream, IsKnownToBeGoneByANewConnectionAtOnceWhenTheKeptOneIsSilent)
+{
+	int watches = 0;
+	bool released = false;
+	system.store.http.handler = [&](HttpExchange& _exchange) {
+		const bool watch = std::string(_exchange.request().target()).find("/kv-watch") == 0;
+		watches += watch ? 1 : 0;
+		if (watch && watches == 2) // The first one leaves a connection that is kept.
+		{
+			removeItem(system.store, "servers/u-first");
+			eventually([&] { return released; });
+			return;
+		}
+		answerStoreCall(system.store, _exchange);
+	};
+	EXPECT_EQ(requestsAfterItWent(), 0u);
+	EXPECT_EQ(system.log().find("event=store_lost"), std::string::npos);
+	released = true;
+	system.killHard();
+	EXPECT_TRUE(eventually([&] { return system.store.http.connections == 0; }));
+}
 } // namespace
 } // namespace spanplank
