The longest calm time between two proofs of the store follows from the settings; a cancelled call ends between reads too

A cancel met only an operation under way. Change: an outage takes three heartbeats, and at least a watch's pause and wait and 2 s for a lost answer and its repetition; cancelling closes the stream, so that the next step fails. Ruled out: a proof by the end of a watch: an answer may be on its way for long.

--- a/include/spanplank/store_contact.h
+++ b/include/spanplank/store_contact.h
@@ -24,7 +24,10 @@
 struct StoreContact
 {
 	TimeUs heartbeat =
-		1200 * kMsToUs;       ///< Between an upstream's signs of life at the store; from the settings.
+		1200 * kMsToUs; ///< Between an upstream's signs of life at the store; from the settings.
+	/// Between two proofs of a store that is there: pause and longest wait of a watch, whose answer proves
+	/// the moment at which it began; from the settings.
+	TimeUs watchGap = 1000 * kMsToUs;
 	TimeUs provedAt = 0;      ///< Latest moment that the store has proved, by whatever way; 0: none.
 	TimeUs backAt = 0;        ///< First proof after its last outage; 0: it had none.
 	TimeUs seenAt = 0;        ///< When this process was last seen running; 0: never.
@@ -62,9 +65,9 @@
 /// them after three without a sign of life. In a shorter one only those end whose last sign was older than
 /// the outage; taken for an outage, it kept upstreams that had left in use up to 2.9 s after others knew.
 constexpr int64_t kLapseHeartbeats = 3;
-/// Longest time between two proofs of a store that is there, with a lost answer between them. A shorter gap
-/// is no outage, whatever the heartbeat.
-constexpr TimeUs kLongestCalmGap = 2400 * kMsToUs;
+/// A lost answer between two proofs of a store that is there takes this long at most: the time limits of a
+/// call on a kept connection and of its repetition, the pause after them and a round trip to a slow store.
+constexpr TimeUs kLostAnswer = 2000 * kMsToUs;
 /// Registrations that lapsed during an outage may still be reported gone this long after its end.
 constexpr TimeUs kLapseTail = 1000 * kMsToUs;
 constexpr uint32_t kContactStepMs = 100;
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -120,7 +120,7 @@
 	_cancel.cancelled = true;
 	if (_cancel.stream != nullptr)
 	{
-		_cancel.stream->cancel();
+		_cancel.stream->close(); // A cancel alone would miss a call that works on what it has read.
 	}
 }
 
--- a/src/core/store_contact.cpp
+++ b/src/core/store_contact.cpp
@@ -9,7 +9,7 @@
 {
 TimeUs shortestOutage(const StoreContact& _contact)
 {
-	return std::max(kLongestCalmGap, kLapseHeartbeats * _contact.heartbeat);
+	return std::max(_contact.watchGap + kLostAnswer, kLapseHeartbeats * _contact.heartbeat);
 }
 
 TimeUs overlap(const Stall& _stall, TimeUs _from, TimeUs _to)
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -72,7 +72,9 @@
 	_router.settings = _settings;
 	_router.trials.exposureShare = _settings.exposureShare;
 	_router.upstreams.leaveBound = TimeUs(_settings.leaveMs) * kMsToUs;
-	_router.upstreams.contact.heartbeat = TimeUs(_settings.heartbeatMs) * kMsToUs;
+	StoreContact& contact = _router.upstreams.contact;
+	contact.heartbeat = TimeUs(_settings.heartbeatMs) * kMsToUs;
+	contact.watchGap = TimeUs(_settings.watchPauseMs + _settings.configWaitMs) * kMsToUs;
 	_router.upstreams.policies = _settings.policies;
 	_router.store.http.endpoint = _settings.store;
 	_router.store.watchHttp.endpoint = _settings.store;
