Cold upstreams get what they bear from all routers together, parted beforehand among a few owners

Ruled out: counting what others send. Loads take 60 ms a level of the tree, a cold upstream is overrun in less. Change: four routers at most own a cold upstream, found by a hash with the routers of its hall first; each keeps a least time between two requests. An upstream is cold by its registration, after its hall was evacuated, or after it took no connection. What no cold upstream takes soon is refused at once. Beside it stands an equal part for each router (`coldOwners` in `policiesOff`).

--- a/include/spanplank/policies.h
+++ b/include/spanplank/policies.h
@@ -24,6 +24,7 @@
 	bool ejection = true;       ///< Upstreams that fail get no work for a while.
 	bool resumption = true;     ///< A broken stream goes on at another upstream.
 	bool urgency = true;        ///< Engines are told the priority of account and route.
+	bool coldOwners = true;     ///< A cold upstream has few routers that send; else each sends a part.
 	bool stopReturn = true;     ///< Callers refused by the last router come back after its restart.
 };
 
--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -156,6 +156,10 @@
 /// @returns Whether the rules allow another attempt that may run.
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now);
 
+/// @returns Whether a request waits for a cold upstream that takes it from a moment on. If not, it is refused
+/// at once.
+bool mayAwaitCold(const RequestPlan& _plan, TimeUs _from, TimeUs _now);
+
 /// The router's own final answer to a request that has none.
 struct FinalAnswer
 {
--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "spanplank/cold_upstreams.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -59,6 +60,7 @@
 	uint32_t connectionLimit = 100; ///< Of one upstream, from all routers together.
 	uint32_t slots = 0;             ///< Requests that an engine batches; 0: a plain service.
 	std::vector<ModelOffer> models;
+	ColdService cold; ///< What an upstream bears after its start.
 };
 
 /// A client account as the configuration of the direct mode lists it.
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -5,11 +5,13 @@
 #include <absl/types/span.h>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "spanplank/cold_upstreams.h"
 #include "spanplank/hall_evacuation.h"
 #include "spanplank/policies.h"
 #include "spanplank/store_contact.h"
@@ -31,6 +33,8 @@
 	std::string version; ///< Of its software.
 	uint32_t slots = 1;
 	bool leaving = false;
+	uint32_t coldMs = 0;   ///< It is cold for so long from when it wrote this.
+	uint64_t revision = 0; ///< Of the store, at which it wrote this; 0: not known.
 };
 
 /// Health of an upstream, judged by the router's own requests alone.
@@ -63,6 +67,8 @@
 	double prefillMs = 0.0; ///< Expected reading time of the prompts sent there that have no first token yet.
 	SharedLoad others;      ///< What the other routers have there, as far as they told.
 	UpstreamHealth health;
+	ColdState cold;
+	bool unreachable = false; ///< It took no connection, and has not answered since.
 };
 
 /// Where the shared parts of a prompt were last read for one model, newest first.
@@ -105,9 +111,10 @@
 	std::unordered_map<uint64_t, std::vector<PromptHome>> homes; ///< By the hash of a shared part.
 	std::vector<NewHome> newHomes; ///< Not told to the other routers yet; at most `kMostNewHomes`.
 	uint32_t nextIdx = 0;
-	bool hearsOthers = false; ///< Other routers tell what they have at the upstreams.
-	StoreContact contact;     ///< Tells registrations that lapsed from upstreams that left.
-	HallOrders halls;         ///< Evacuated halls: their upstreams get nothing.
+	bool hearsOthers = false;                        ///< Other routers tell what they have at the upstreams.
+	std::map<std::string, ColdService> coldServices; ///< By service; one that is not here has no bound.
+	StoreContact contact; ///< Tells registrations that lapsed from upstreams that left.
+	HallOrders halls;     ///< Evacuated halls: their upstreams get nothing.
 	/// An upstream that leaves gets no request this long after; from the settings.
 	TimeUs leaveBound = 2000 * kMsToUs;
 };
@@ -116,7 +123,14 @@
 UpstreamKey keyOf(std::string_view _id);
 
 /// An upstream registered or changed its record. @returns Its id.
-UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record);
+/// @param[in] _now When that was read: from then the time counts for which it says that it is cold.
+UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record, TimeUs _now = 0);
+
+/// A hall is open again: its upstreams may have turned cold shortly before.
+void noteHallOpened(UpstreamTable& _table, const std::string& _hall, TimeUs _now);
+
+/// @returns Whether an upstream is cold, in a service whose cold upstreams must not get more than a bound.
+bool isCold(const UpstreamTable& _table, UpstreamId _id, TimeUs _now);
 
 /// A registration went. If it may have lapsed in an outage, the upstream stays usable for a while.
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now);
@@ -156,24 +170,30 @@
 UpstreamId pickDirectUpstream(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
 							  Random& _random);
 
+/// @returns When the first of the cold upstreams that a request may go to takes one of this router; nothing:
+/// none is cold.
+std::optional<TimeUs> nextColdTake(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
+
 /// Why no upstream takes a request, as far as that is known before any is asked.
 enum class NoUpstream : uint8_t
 {
 	None,      ///< None is registered, or those in open halls were tried.
 	Evacuated, ///< All that are registered are in evacuated halls.
+	Cold,      ///< Those in open halls are cold and get what they bear.
 };
 
 /// @returns A name for logs.
 const char* name(NoUpstream _why);
 
 /// @returns Why `pickDirectUpstream` finds none.
-NoUpstream whyNone(const UpstreamTable& _table, const UpstreamQuery& _query);
+NoUpstream whyNone(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
 
 /// @returns Whether work may be sent to an upstream.
 bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now);
 
 /// @returns Whether a request for which an upstream was chosen may still be sent there.
-bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now);
+/// @param[in] _asCold It was cold when it was chosen, and the request is one of those that it bears.
+bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now, bool _asCold = false);
 
 /// @returns Expected time to read a prompt at an upstream, with what it likely keeps of it, in milliseconds.
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -337,6 +337,8 @@
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
 	reader.decimal("processorShare", settings.capacity.cores, 0.001, 1024.0);
 	reader.decimal("linkMbps", settings.capacity.linkMbps, 0.1, 1000000.0);
+	reader.decimal("coldOvershoot", settings.coldBounds.overshoot, 0.0, 1000.0);
+	reader.decimal("coldSlack", settings.coldBounds.slack, 0.0, 1000000.0);
 	reader.policies("policiesOff", settings.policies);
 	reader.finish();
 	return settings;
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/cold_upstreams.h"
 #include "spanplank/peer_tree.h"
 #include "spanplank/policies.h"
 
@@ -68,6 +69,7 @@
 	uint32_t configWaitMs = 200;
 	/// What the box gives this router: how many others may follow it.
 	BoxCapacity capacity = {1.0, 1000.0};
+	ColdBounds coldBounds; ///< How far above its rate a cold upstream may get requests.
 	Policies policies;
 };
 
--- a/src/core/policies.cpp
+++ b/src/core/policies.cpp
@@ -13,7 +13,7 @@
 {
 using Switch = std::pair<std::string_view, bool Policies::*>;
 
-constexpr std::array<Switch, 12> kSwitches = {{{"escalation", &Policies::escalation},
+constexpr std::array<Switch, 13> kSwitches = {{{"escalation", &Policies::escalation},
 											   {"pressureLimit", &Policies::pressureLimit},
 											   {"longPatience", &Policies::longPatience},
 											   {"coldPatience", &Policies::coldPatience},
@@ -24,6 +24,7 @@
 											   {"ejection", &Policies::ejection},
 											   {"resumption", &Policies::resumption},
 											   {"urgency", &Policies::urgency},
+											   {"coldOwners", &Policies::coldOwners},
 											   {"stopReturn", &Policies::stopReturn}}};
 } // namespace
 
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -50,6 +50,13 @@
 /// caller that asks again sooner is refused again.
 constexpr uint32_t kEvacuatedRetryMs = 500;
 constexpr double kEvacuatedSpreadMs = 1000.0;
+/// The same while all upstreams are cold: their rate comes free step by step, and they warm up in seconds.
+constexpr uint32_t kColdRetryMs = 300;
+constexpr double kColdSpreadMs = 700.0;
+
+/// Of the objective, that a request may wait for a cold upstream: what is refused sooner can still be in time
+/// when its caller comes back.
+constexpr double kColdWaitShare = 0.125;
 
 TimeUs shareOf(uint32_t _ms, double _share)
 {
@@ -147,6 +154,11 @@
 	return inTime || (idle && fits) ? limit : 0.0;
 }
 
+bool mayAwaitCold(const RequestPlan& _plan, TimeUs _from, TimeUs _now)
+{
+	return _from < _plan.deadline && _from - _now < shareOf(_plan.targetMs, kColdWaitShare);
+}
+
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now)
 {
 	if (_now >= _plan.deadline)
@@ -259,6 +271,11 @@
 		return {status::kUnavailable, ms, "evacuated",
 				"all halls with upstreams of the service are evacuated; it has not run"};
 	}
+	if (!_plan.mayHaveRun && _why == NoUpstream::Cold)
+	{
+		const uint32_t ms = kColdRetryMs + uint32_t(_spread * kColdSpreadMs);
+		return {status::kUnavailable, ms, "cold", "the upstreams are cold and bear no more; it has not run"};
+	}
 	if (!_plan.mayHaveRun)
 	{
 		return {status::kUnavailable, kRetryAfterMs, "not_run",
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -94,6 +94,45 @@
 	_entry.health.slowness = _entry.health.slowness * kLatencyDecay + ratio * (1.0 - kLatencyDecay);
 }
 
+/// @returns What the upstreams of a service bear while they are cold; none: no bound is known.
+const ColdService* coldServiceOf(const UpstreamTable& _table, const std::string& _service)
+{
+	const auto found = _table.coldServices.find(_service);
+	return found != _table.coldServices.end() && found->second.perSecond > 0.0 ? &found->second : nullptr;
+}
+
+/// An upstream is taken for cold until a moment, if its service has a bound for that.
+void noteCold(const UpstreamTable& _table, UpstreamEntry& _entry, ColdCause _cause, TimeUs _until)
+{
+	if (coldServiceOf(_table, _entry.record.service) != nullptr)
+	{
+		noteCold(_entry.cold, _cause, _until);
+	}
+}
+
+/// As long as after a start.
+void noteMaybeStarted(const UpstreamTable& _table, UpstreamEntry& _entry, ColdCause _cause, TimeUs _now)
+{
+	const ColdService* service = coldServiceOf(_table, _entry.record.service);
+	if (service != nullptr)
+	{
+		noteCold(_entry.cold, _cause, _now + service->startTime);
+	}
+}
+
+/// An upstream that takes no connection may be starting again. Its registration tells, but later than it
+/// takes the first connection, or not at all while the store is away: it is cold until it has been reachable
+/// for as long as a start takes.
+void noteReach(const UpstreamTable& _table, UpstreamEntry& _entry, HealthSign _sign, TimeUs _now)
+{
+	const bool returns = _sign == HealthSign::Good && _entry.health.ejections > 0 && _entry.unreachable;
+	if (_sign == HealthSign::Unreachable || returns)
+	{
+		noteMaybeStarted(_table, _entry, ColdCause::Unreachable, _now);
+	}
+	_entry.unreachable = _sign == HealthSign::Unreachable || (_entry.unreachable && !returns);
+}
+
 bool shouldEject(const UpstreamHealth& _health, HealthSign _sign)
 {
 	if (_sign == HealthSign::Unreachable)
@@ -126,7 +165,8 @@
 	std::vector<Candidate> lapsed;
 	for (const auto& [idx, entry] : _table.entries)
 	{
-		if (!matches(entry, _query, idx) || isEvacuated(_table.halls, entry.record.hall))
+		if (!matches(entry, _query, idx) || isEvacuated(_table.halls, entry.record.hall) ||
+			!mayTake(entry.cold, _now))
 		{
 			continue;
 		}
@@ -153,7 +193,7 @@
 	return UpstreamKey(stableHash(_id));
 }
 
-UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record)
+UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record, TimeUs _now)
 {
 	const auto [known, fresh] = _table.idxOfId.try_emplace(_record.id, _table.nextIdx);
 	if (fresh)
@@ -161,6 +201,8 @@
 		++_table.nextIdx;
 	}
 	UpstreamEntry& entry = _table.entries[known->second];
+	// The same record read again, by a list, says nothing new: its upstream may be warm by now.
+	const bool isNews = _record.revision == 0 || _record.revision != entry.record.revision;
 	const bool leaving = entry.record.leaving; // An upstream that leaves does not come back under its id.
 	entry.record = _record;
 	entry.key = keyOf(_record.id);
@@ -169,6 +211,10 @@
 	entry.registered = true;
 	entry.goneAt = 0;
 	entry.lapse = {};
+	if (isNews && _record.coldMs > 0)
+	{
+		noteCold(_table, entry, ColdCause::Told, _now + TimeUs(_record.coldMs) * kMsToUs);
+	}
 	return UpstreamId{known->second};
 }
 
@@ -196,7 +242,7 @@
 	for (const UpstreamRecord& record : _records)
 	{
 		listed.insert(record.id);
-		registerUpstream(_table, record);
+		registerUpstream(_table, record, _now);
 	}
 	std::vector<uint32_t> gone;
 	for (const auto& [idx, entry] : _table.entries)
@@ -228,10 +274,11 @@
 
 const char* name(NoUpstream _why)
 {
-	return _why == NoUpstream::Evacuated ? "evacuated" : "none";
+	constexpr const char* kNames[] = {"none", "evacuated", "cold"};
+	return kNames[size_t(_why)];
 }
 
-NoUpstream whyNone(const UpstreamTable& _table, const UpstreamQuery& _query)
+NoUpstream whyNone(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
 {
 	bool evacuated = false;
 	for (const auto& [idx, entry] : _table.entries)
@@ -242,13 +289,44 @@
 		}
 		if (!isEvacuated(_table.halls, entry.record.hall))
 		{
-			return NoUpstream::None;
+			return nextColdTake(_table, _query, _now) ? NoUpstream::Cold : NoUpstream::None;
 		}
 		evacuated = true;
 	}
 	return evacuated ? NoUpstream::Evacuated : NoUpstream::None;
 }
 
+void noteHallOpened(UpstreamTable& _table, const std::string& _hall, TimeUs _now)
+{
+	for (auto& [idx, entry] : _table.entries)
+	{
+		if (entry.record.hall == _hall)
+		{
+			noteMaybeStarted(_table, entry, ColdCause::HallOpened, _now);
+		}
+	}
+}
+
+bool isCold(const UpstreamTable& _table, UpstreamId _id, TimeUs _now)
+{
+	const auto found = _table.entries.find(_id.idx);
+	return found != _table.entries.end() && isCold(found->second.cold, _now);
+}
+
+std::optional<TimeUs> nextColdTake(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+{
+	std::optional<TimeUs> next;
+	for (const auto& [idx, entry] : _table.entries)
+	{
+		const bool usable = matches(entry, _query, idx) && isUsable(_table, entry, _now);
+		if (usable && isCold(entry.cold, _now))
+		{
+			next = std::min(next.value_or(INT64_MAX), nextTake(entry.cold));
+		}
+	}
+	return next;
+}
+
 bool isUsable(const UpstreamTable& _table, const UpstreamEntry& _entry, TimeUs _now)
 {
 	if (_entry.record.leaving || isEvacuated(_table.halls, _entry.record.hall))
@@ -258,7 +336,7 @@
 	return _entry.registered || mayReturn(_table, _entry, kGraceShare, _now);
 }
 
-bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now)
+bool maySendTo(const UpstreamTable& _table, UpstreamId _id, TimeUs _now, bool _asCold)
 {
 	const auto found = _table.entries.find(_id.idx);
 	if (found == _table.entries.end() || found->second.record.leaving ||
@@ -266,6 +344,10 @@
 	{
 		return false;
 	}
+	if (isCold(found->second.cold, _now) && !_asCold)
+	{
+		return false; // It turned cold since it was chosen.
+	}
 	return found->second.registered || mayReturn(_table, found->second, kLastGraceShare, _now);
 }
 
@@ -288,6 +370,7 @@
 {
 	UpstreamEntry& entry = _table.entries.at(_id.idx);
 	++entry.inFlight;
+	noteTaken(entry.cold, _now);
 	entry.health.onTrial = entry.health.ejections > 0 && !isEjected(entry, _now);
 	if (_query.shared.empty())
 	{
@@ -331,6 +414,7 @@
 		return HealthChange::None;
 	}
 	const bool good = _sign == HealthSign::Good;
+	noteReach(_table, entry, _sign, _now);
 	++health.samples;
 	health.failureRate = health.failureRate * kDecay + (good ? 0.0 : 1.0 - kDecay);
 	health.failuresInRow = good ? 0 : health.failuresInRow + 1;
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -23,6 +23,7 @@
 	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
+	bool asCold = false;        ///< The upstream was cold when it was chosen.
 	bool withdrawn = false;     ///< The upstream left before anything was sent.
 	double confidence = -1.0;   ///< The model's own; -1: it told none.
 	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -56,6 +56,11 @@
 		std::count_if(halls.begin(), halls.end(), [](const auto& _hall) { return _hall.second.evacuated; });
 	addGauge(page, "halls_evacuated", "Halls whose upstreams get nothing by an operator's order.",
 			 double(evacuated));
+	const TimeUs now = monotonicNow();
+	const auto& entries = _router.upstreams.entries;
+	const auto cold = std::count_if(entries.begin(), entries.end(),
+									[now](const auto& _item) { return isCold(_item.second.cold, now); });
+	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "cold_sharing_p.h"
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
@@ -51,6 +52,10 @@
 			return;
 		}
 		++_router.stats.configs;
+		for (const auto& [service, info] : config->services)
+		{
+			_router.upstreams.coldServices[service] = info.cold;
+		}
 		HttpServerLimits& limits = _router.callers.limits;
 		limits.headerBytes = config->limits.headerBytes;
 		limits.bodyBytes = config->limits.bodyBytes;
@@ -349,6 +354,7 @@
 	});
 	spawnFiber([&_router] { followChanges(_router); });
 	spawnFiber([&_router] { runRollouts(_router); });
+	spawnFiber([&_router] { shareColdUpstreams(_router); });
 	startPeerLinks(_router);
 }
 } // namespace spanplank
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -101,6 +101,7 @@
 		 {"end", _end},
 		 {"upstream", _notes.record.id},
 		 {"hall", _notes.record.hall},
+		 {"cold", _notes.asCold ? "1" : "0"},
 		 {"version", _notes.record.version},
 		 {"route", _serving.route->name},
 		 {"session", _serving.call.session},
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -56,6 +56,15 @@
 	return _peers.registration.revision != 0 && _peers.registration.value == encodePeer(_peers.tree.self);
 }
 
+void noteStanding(PeerRegistration& _registration, uint64_t _revision)
+{
+	_registration.revision = _revision;
+	if (_revision == 0 || _registration.standsSince == 0)
+	{
+		_registration.standsSince = _revision == 0 ? 0 : monotonicNow();
+	}
+}
+
 void renewRegistration(DirectRouter& _router)
 {
 	PeerRegistration& registration = _router.peers.registration;
@@ -88,7 +97,7 @@
 									  registration.revision, revision, registration.lease);
 	if (result == CasResult::Done)
 	{
-		registration.revision = revision;
+		noteStanding(registration, revision);
 		registration.value = value;
 		registration.failures = 0;
 	}
@@ -148,7 +157,7 @@
 	const bool own = record.box == peers.tree.self.box;
 	if (own)
 	{
-		peers.registration.revision = _item.deleted ? 0 : _item.revision;
+		noteStanding(peers.registration, _item.deleted ? 0 : _item.revision);
 		peers.registration.value = _item.value;
 		return;
 	}
@@ -181,6 +190,6 @@
 	}
 	keepPeers(_router.peers.tree, boxes);
 	PeerRegistration& registration = _router.peers.registration;
-	registration.revision = boxes.count(_router.peers.tree.self.box) == 0 ? 0 : registration.revision;
+	noteStanding(registration, boxes.count(_router.peers.tree.self.box) == 0 ? 0 : registration.revision);
 }
 } // namespace spanplank
--- a/src/direct/peer_registration_p.h
+++ b/src/direct/peer_registration_p.h
@@ -20,9 +20,10 @@
 /// This router's own registration.
 struct PeerRegistration
 {
-	uint64_t revision = 0; ///< Of its item in the store; 0: there is none.
-	std::string value;     ///< Of that item.
-	uint64_t lease = 0;    ///< Taken by this process; 0: none.
+	uint64_t revision = 0;  ///< Of its item in the store; 0: there is none.
+	std::string value;      ///< Of that item.
+	TimeUs standsSince = 0; ///< When this process first knew that it stands in the store; 0: it does not.
+	uint64_t lease = 0;     ///< Taken by this process; 0: none.
 	TimeUs renewedAt = 0;
 	uint32_t failures = 0; ///< Of calls for it, in a row.
 	TimeUs retryAt = 0;    ///< No such call before.
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -179,7 +179,7 @@
 bool isStillAllowed(const DirectRouter& _router, const AttemptNotes& _notes)
 {
 	const std::string halted = haltedVersion(_router.trials, _notes.record.service);
-	return maySendTo(_router.upstreams, _notes.upstream, monotonicNow()) &&
+	return maySendTo(_router.upstreams, _notes.upstream, monotonicNow(), _notes.asCold) &&
 		   (halted.empty() || _notes.record.version != halted);
 }
 } // namespace
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -65,6 +65,7 @@
 	const AttemptTimes times = attemptTimes(_serving.plan, mayBeFollowed(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
 	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
+	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.prefillMs = noteSent(router.upstreams, _upstream, _query, notes.begin);
 	noteTrialSent(router.trials, _serving.service, upstream.version);
 	AttemptEnd end = AttemptEnd::NotSent;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -1,5 +1,7 @@
 /// One caller's request in direct mode, from its arrival to its final answer. The decisions are in
 /// `request_plan.h`, `upstream_table.h` and `version_trial.h`.
+#include <algorithm>
+
 #include "attempt_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
@@ -34,6 +36,20 @@
 	DirectRouter& m_router;
 };
 
+/// Waits for a cold upstream to take a request, if that is soon.
+/// @returns Whether it waited: the choice is to be made again.
+bool awaitCold(Serving& _serving, const UpstreamQuery& _query)
+{
+	const TimeUs now = monotonicNow();
+	const std::optional<TimeUs> from = nextColdTake(_serving.router.upstreams, _query, now);
+	if (!from || !mayAwaitCold(_serving.plan, *from, now))
+	{
+		return false;
+	}
+	sleepFor(uint32_t(std::max<TimeUs>(1, (*from - now) / kMsToUs + 1)));
+	return true;
+}
+
 /// Asks one upstream after another until one brings an answer, or nothing more is to be tried.
 void runAttempts(Serving& _serving)
 {
@@ -60,7 +76,11 @@
 		const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
 		if (!isValid(upstream))
 		{
-			_serving.noUpstream = whyNone(router.upstreams, query);
+			if (awaitCold(_serving, query))
+			{
+				continue;
+			}
+			_serving.noUpstream = whyNone(router.upstreams, query, monotonicNow());
 			move = whenNoneIsLeft(_serving.plan, monotonicNow());
 			continue;
 		}
--- a/src/direct/store_evacuations.cpp
+++ b/src/direct/store_evacuations.cpp
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "platform/records_p.h"
 #include "store_items_p.h"
@@ -26,6 +27,7 @@
 	}
 	if (_item.deleted && reopenHall(orders, hall, _item.revision))
 	{
+		noteHallOpened(_router.upstreams, hall, monotonicNow());
 		logHall("hall_reopened", hall, _item.revision);
 	}
 }
@@ -42,6 +44,7 @@
 	}
 	for (const std::string& hall : reopenOtherHalls(_router.upstreams.halls, evacuated, _list.revision))
 	{
+		noteHallOpened(_router.upstreams, hall, monotonicNow());
 		logHall("hall_reopened", hall, _list.revision);
 	}
 }
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -27,6 +27,7 @@
 			  {"hall", _record.hall},
 			  {"version", _record.version},
 			  {"leaving", _record.leaving ? "yes" : "no"},
+			  {"cold_ms", std::to_string(_record.coldMs)},
 			  {"way", name(_source.way)},
 			  {"revision", std::to_string(_source.revision)},
 			  {"proof_age_ms", std::to_string((monotonicNow() - _router.config.provedAt) / kMsToUs)}});
@@ -47,7 +48,10 @@
 
 UpstreamRecord decodeUpstreamItem(const StoreItem& _item)
 {
-	return platform::decodeUpstream(afterPrefix(_item.key, platform::kUpstreamPrefix), _item.value);
+	UpstreamRecord record =
+		platform::decodeUpstream(afterPrefix(_item.key, platform::kUpstreamPrefix), _item.value);
+	record.revision = _item.revision;
+	return record;
 }
 
 void rejectUpstream(const StoreItem& _item, const Failure& _failure)
@@ -93,7 +97,7 @@
 	try
 	{
 		const UpstreamRecord record = decodeUpstreamItem(_item);
-		registerUpstream(_router.upstreams, record);
+		registerUpstream(_router.upstreams, record, monotonicNow());
 		logRegistered(_router, record, source);
 	}
 	catch (const Failure& failure)
--- /dev/null
+++ b/tests/core/cold_upstreams_test.cpp
@@ -0,0 +1,260 @@
+/// Cold upstreams: the bound on what all routers send, whatever they know of each other, and that it is used.
+#include "spanplank/cold_upstreams.h"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "spanplank/request_plan.h"
+#include "spanplank/upstream_table.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr TimeUs kSecond = 1000 * kMsToUs;
+constexpr ColdService kService{14.0, 3 * kSecond};
+constexpr ColdBounds kBounds{1.5, 5.0};
+constexpr size_t kHalls = 3;
+
+FleetMember member(size_t _idx)
+{
+	return {fmt::format("box-{}", _idx), fmt::format("hall-{}", _idx % kHalls)};
+}
+
+/// What one router knows of a fleet. @param[in] _missing A router that it has not heard of.
+Fleet fleetOf(size_t _self, size_t _routers, size_t _missing)
+{
+	Fleet fleet;
+	fleet.self = member(_self);
+	fleet.settled = true;
+	for (size_t ii = 0; ii < _routers; ++ii)
+	{
+		if (ii != _self && ii != _missing)
+		{
+			fleet.others.push_back(member(ii));
+		}
+	}
+	return fleet;
+}
+
+/// Requests that a cold upstream gets from routers with work at all times, each with its own view.
+struct Rush
+{
+	std::vector<ColdState> routers;
+	std::vector<TimeUs> sent;
+
+	Rush(size_t _routers, ColdSharing _sharing, size_t _unheard, uint64_t _upstream, Random& _random)
+	{
+		for (size_t ii = 0; ii < _routers; ++ii)
+		{
+			const Fleet fleet = fleetOf(ii, _routers, _unheard);
+			ColdState state;
+			noteCold(state, ColdCause::Told, 60 * kSecond);
+			const TimeUs spacing = coldSpacing(kService, kBounds, fleet, _upstream, "hall-1", _sharing);
+			setColdSpacing(state, spacing, nextUnit(_random), 0);
+			routers.push_back(state);
+		}
+	}
+
+	/// @param[in] _jitter Longest time between two looks of a router.
+	void run(TimeUs _for, TimeUs _jitter, Random& _random)
+	{
+		std::vector<TimeUs> looks(routers.size(), 0);
+		for (TimeUs now = 0; now < _for; now += kMsToUs)
+		{
+			for (size_t ii = 0; ii < routers.size(); ++ii)
+			{
+				if (now < looks[ii])
+				{
+					continue;
+				}
+				looks[ii] = now + TimeUs(nextUnit(_random) * double(_jitter));
+				if (mayTake(routers[ii], now))
+				{
+					noteTaken(routers[ii], now);
+					sent.push_back(now);
+				}
+			}
+		}
+	}
+
+	size_t mostInASecond() const
+	{
+		std::deque<TimeUs> window;
+		size_t most = 0;
+		for (const TimeUs at : sent)
+		{
+			window.push_back(at);
+			while (at - window.front() >= kSecond)
+			{
+				window.pop_front();
+			}
+			most = std::max(most, window.size());
+		}
+		return most;
+	}
+};
+
+constexpr double kBound = 14.0 * 1.5 + 5.0;
+
+RC_GTEST_PROP(ColdUpstream, GetsNoMoreThanTheBoundWhateverRoutersKnowOfEachOther, ())
+{
+	const size_t routers = *rc::gen::element<size_t>(1, 3, 23, 103, 300);
+	const size_t unheard = *rc::gen::inRange<size_t>(0, routers + 1);
+	Random random{*rc::gen::arbitrary<uint64_t>()};
+	Rush rush(routers, ColdSharing::Owners, unheard, nextRandom(random), random);
+	rush.run(5 * kSecond, *rc::gen::inRange<TimeUs>(1, 60) * kMsToUs, random);
+	RC_ASSERT(double(rush.mostInASecond()) <= kBound);
+}
+
+TEST(ColdUpstream, IsUsedAtItsRateWhileAllElseIsFull)
+{
+	for (const size_t routers : {1u, 3u, 23u, 103u, 300u})
+	{
+		Random random{routers};
+		Rush rush(routers, ColdSharing::Owners, routers, 7, random);
+		rush.run(10 * kSecond, kMsToUs, random);
+		EXPECT_GE(double(rush.sent.size()) / 10.0, 0.8 * kService.perSecond) << routers;
+	}
+}
+
+// With equal parts the bound holds only by chance: of 200 fleets of 103 routers the fullest second had more
+// than 26 requests in some, and one router too few in the count does not matter there. A router that
+// believes itself alone sends the whole rate by either way.
+TEST(ColdUpstream, WithEqualPartsGetsTheSameOnAverage)
+{
+	Random random{3};
+	Rush rush(23, ColdSharing::EqualParts, 23, 7, random);
+	rush.run(10 * kSecond, kMsToUs, random);
+	EXPECT_NEAR(double(rush.sent.size()) / 10.0, kService.perSecond, 2.0);
+}
+
+TEST(ColdUpstream, GetsNothingFromARouterThatTheOthersDoNotKnowYet)
+{
+	Fleet fleet = fleetOf(0, 1, 1);
+	fleet.settled = false;
+	EXPECT_EQ(coldSpacing(kService, kBounds, fleet, 7, "hall-0", ColdSharing::Owners), 0);
+}
+
+struct ColdTable : testing::Test
+{
+	UpstreamTable table;
+	Random random{1};
+
+	ColdTable()
+	{
+		table.coldServices["llm"] = kService;
+	}
+
+	UpstreamRecord record(const std::string& _id, const std::string& _hall, uint32_t _coldMs,
+						  uint64_t _revision) const
+	{
+		UpstreamRecord upstream;
+		upstream.id = _id;
+		upstream.service = "llm";
+		upstream.address = "10.0.0.1:80";
+		upstream.hall = _hall;
+		upstream.coldMs = _coldMs;
+		upstream.revision = _revision;
+		return upstream;
+	}
+
+	/// As for a router that is the only one.
+	void share(TimeUs _now)
+	{
+		for (auto& [idx, entry] : table.entries)
+		{
+			setColdSpacing(entry.cold, kSecond / 10, 0.0, _now);
+		}
+	}
+
+	UpstreamId pick(TimeUs _now)
+	{
+		UpstreamQuery query;
+		query.service = "llm";
+		query.hall = "a";
+		return pickDirectUpstream(table, query, _now, random);
+	}
+
+	size_t sendAll(TimeUs _from, TimeUs _to)
+	{
+		size_t sent = 0;
+		for (TimeUs now = _from; now < _to; now += kMsToUs)
+		{
+			const UpstreamId chosen = pick(now);
+			if (isValid(chosen))
+			{
+				noteSent(table, chosen, {}, now);
+				noteEnded(table, chosen, 0.0, HealthSign::Good, now);
+				++sent;
+			}
+		}
+		return sent;
+	}
+};
+
+TEST_F(ColdTable, AnUpstreamThatSaysItIsColdGetsItsRateUntilItIsWarm)
+{
+	registerUpstream(table, record("one", "a", 3000, 5), 0);
+	EXPECT_FALSE(isValid(pick(0))) << "no part of its rate is worked out yet";
+	share(0);
+	EXPECT_LE(sendAll(0, kSecond), 11u);
+	registerUpstream(table, record("one", "a", 3000, 5), 2 * kSecond); // Listed again: no news.
+	EXPECT_EQ(sendAll(3 * kSecond, 3 * kSecond + 50 * kMsToUs), 50u);
+}
+
+TEST_F(ColdTable, AHallThatIsOpenAgainMayHaveTurnedCold)
+{
+	registerUpstream(table, record("one", "a", 0, 5), 0);
+	noteHallOpened(table, "a", 10 * kSecond);
+	share(10 * kSecond);
+	EXPECT_LE(sendAll(10 * kSecond, 11 * kSecond), 11u);
+	EXPECT_EQ(sendAll(13 * kSecond, 13 * kSecond + 50 * kMsToUs), 50u);
+}
+
+TEST_F(ColdTable, AnUpstreamThatTookNoConnectionMayHaveStartedAgain)
+{
+	const UpstreamId one = registerUpstream(table, record("one", "a", 0, 5), 0);
+	noteSent(table, one, {}, kSecond);
+	noteEnded(table, one, 0.0, HealthSign::Unreachable, kSecond);
+	share(kSecond);
+	EXPECT_LE(sendAll(2 * kSecond, 3 * kSecond), 11u);
+}
+
+TEST_F(ColdTable, ARequestChosenForAWarmUpstreamIsNotSentOnceItIsCold)
+{
+	const UpstreamId one = registerUpstream(table, record("one", "a", 0, 5), 0);
+	EXPECT_TRUE(maySendTo(table, one, kSecond));
+	registerUpstream(table, record("one", "a", 3000, 6), kSecond);
+	EXPECT_FALSE(maySendTo(table, one, kSecond));
+	EXPECT_TRUE(maySendTo(table, one, kSecond, true)) << "one of those that it bears";
+}
+
+TEST_F(ColdTable, WhereAllAreColdARequestWaitsBrieflyOrIsRefusedAtOnce)
+{
+	registerUpstream(table, record("one", "a", 3000, 5), 0);
+	UpstreamQuery query;
+	query.service = "llm";
+	EXPECT_EQ(whyNone(table, query, 0), NoUpstream::Cold);
+	RequestPlan plan;
+	plan.targetMs = 2000;
+	plan.deadline = 8 * kSecond;
+	EXPECT_FALSE(mayAwaitCold(plan, *nextColdTake(table, query, 0), 0)) << "this router has no part";
+	share(0);
+	noteTaken(table.entries.begin()->second.cold, 0);
+	EXPECT_TRUE(mayAwaitCold(plan, *nextColdTake(table, query, 0), 0));
+	EXPECT_EQ(finalAnswer(plan, AttemptEnd::NotSent, NoUpstream::Cold, 0.0, 0).status, status::kUnavailable);
+}
+
+TEST_F(ColdTable, AServiceWithoutABoundIsUsedWhateverItsUpstreamsSay)
+{
+	table.coldServices.clear();
+	registerUpstream(table, record("one", "a", 3000, 5), 0);
+	noteHallOpened(table, "a", 0);
+	EXPECT_TRUE(isValid(pick(0)));
+}
+} // namespace
+} // namespace spanplank
