A new start under a known id is another upstream; a record of another writer names nobody and harms no other

Cause: an id that left stayed so for good, though upstreams may start again under it (`born`). A value that is not base64 failed the whole call of the store, so that one item blinded every router; a record that can't be read kept the old one in force by a watch and dropped it by a list; missing fields decoded to empty text, numbers wrapped. Ruled out: telling lives apart by revision alone, as a record of the older life may be written later. Change: a later `born` gives the upstream a new entry: leaving, lapse, health, loads (own and told), homes, evidence of trials, kept connections and what a request has tried end with the old one, and its calls end as broken at once. An older `born` changes nothing; a missing one is the known upstream; an odd one spoils its record. Each field of a record is checked (`RecordFault`), a faulty one ends the registration by every way alike, is counted by fault and logged at most every 100 ms. Items without a readable key or revision are skipped and counted. The entries that tests write gain the fields that live upstreams write; those tests' checks are unchanged.

--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -174,7 +174,7 @@
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
 {
-	_json = {_item.key, _item.value, _item.revision, _item.deleted};
+	_json = {_item.key, _item.value, _item.revision, _item.deleted, _item.garbled};
 }
 
 inline void from_json(const nlohmann::json& _json, StoreItem& _item)
@@ -183,6 +183,8 @@
 	_json.at(1).get_to(_item.value);
 	_json.at(2).get_to(_item.revision);
 	_json.at(3).get_to(_item.deleted);
+	constexpr size_t kGarbledAt = 4; // A router of an earlier version tells none.
+	_item.garbled = _json.size() > kGarbledAt && _json.at(kGarbledAt).get<bool>();
 }
 
 inline void to_json(nlohmann::json& _json, const StoreAsk& _ask)
--- a/include/spanplank/store_item.h
+++ b/include/spanplank/store_item.h
@@ -13,6 +13,7 @@
 	std::string value;
 	uint64_t revision = 0; ///< Store revision of its latest change; 0: absent.
 	bool deleted = false;
+	bool garbled = false; ///< Its value could not be read, and is empty here.
 };
 } // namespace spanplank
 
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -26,7 +26,7 @@
 /// What an upstream registers of itself.
 struct UpstreamRecord
 {
-	std::string id; ///< One for each start of an upstream, never used again.
+	std::string id; ///< Its name; an upstream may start again under the one that it had.
 	std::string service;
 	std::string address; ///< ip:port; may be given to another upstream later.
 	std::string hall;
@@ -35,6 +35,9 @@
 	bool leaving = false;
 	uint32_t coldMs = 0;   ///< It is cold for so long from when it wrote this.
 	uint64_t revision = 0; ///< Of the store, at which it wrote this; 0: not known.
+	/// Unix time of its start in milliseconds: another one under the same id is another upstream. 0: it tells
+	/// none, and is taken for the one that is known.
+	uint64_t born = 0;
 };
 
 /// Health of an upstream, judged by the router's own requests alone.
@@ -119,10 +122,29 @@
 	TimeUs leaveBound = 2000 * kMsToUs;
 };
 
-/// @returns The key of an upstream's id.
-UpstreamKey keyOf(std::string_view _id);
+/// @returns The key of an upstream's id, and of its start if it tells one.
+UpstreamKey keyOf(std::string_view _id, uint64_t _born = 0);
 
-/// An upstream registered or changed its record. @returns Its id.
+/// @returns What tells an upstream from those that started under its id before, for logs and evidence.
+std::string lifeName(const UpstreamRecord& _record);
+
+/// How the upstream of a record relates to the one that is known under its id.
+enum class LifeOrder : uint8_t
+{
+	First, ///< None is known.
+	Same,
+	Newer, ///< It has started again.
+	Older, ///< The record is of an upstream that has ended.
+};
+
+LifeOrder lifeOrder(const UpstreamTable& _table, const UpstreamRecord& _record);
+
+/// @returns The upstream that is known under an id; invalid: none.
+UpstreamId currentLife(const UpstreamTable& _table, const std::string& _id);
+
+/// An upstream registered or changed its record. One that has started again is another upstream: what was
+/// known of the one before ends with it. A record of an older one changes nothing.
+/// @returns The upstream that is known under the record's id now.
 /// @param[in] _now When that was read: from then the time counts for which it says that it is cold.
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record, TimeUs _now = 0);
 
@@ -135,8 +157,11 @@
 /// A registration went. If it may have lapsed in an outage, the upstream stays usable for a while.
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now);
 
-/// Replaces all registrations by a list that was read in full. @returns The upstreams whose registration
-/// went.
+/// Ends the registrations that are not in a list that was read in full. @returns Their upstreams.
+std::vector<uint32_t> unregisterOthers(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
+									   TimeUs _now);
+
+/// Both of the above for a list.
 std::vector<uint32_t> replaceRegistrations(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
 										   TimeUs _now);
 
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -173,6 +173,7 @@
 		// Pages are no snapshot: a watch from the first page's revision brings what changed since.
 		list.revision = after.empty() ? page.revision : list.revision;
 		after = page.more && !page.items.empty() ? page.items.back().key : "";
+		list.skipped += page.skipped;
 		list.items.insert(list.items.end(), page.items.begin(), page.items.end());
 	} while (!after.empty());
 	return list;
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -19,7 +19,8 @@
 {
 	uint64_t revision = 0; ///< Of the store, when it was read.
 	std::vector<StoreItem> items;
-	bool more = false; ///< The list goes on after its last key.
+	bool more = false;    ///< The list goes on after its last key.
+	uint32_t skipped = 0; ///< Items without a key or revision that can be read: they name nobody.
 };
 
 enum class CasResult : uint8_t
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include "spanplank/upstream_table.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <vector>
 
 #include "prompt_choice_p.h"
@@ -133,6 +134,28 @@
 	_entry.unreachable = _sign == HealthSign::Unreachable || (_entry.unreachable && !returns);
 }
 
+/// What is known of an upstream ends with its life. Its entry stays for what is still in flight there.
+void endLife(UpstreamTable& _table, const std::string& _id, TimeUs _now)
+{
+	const uint32_t idx = _table.idxOfId.at(_id);
+	UpstreamEntry& entry = _table.entries.at(idx);
+	entry.record.leaving = true;
+	entry.goneAt = entry.registered ? _now : entry.goneAt;
+	entry.registered = false;
+	entry.lapse = {};
+	_table.idxOfId.erase(_id);
+}
+
+template <typename Map, typename Key>
+void eraseIf(Map& _map, const Key& _key, uint32_t _idx)
+{
+	const auto found = _map.find(_key);
+	if (found != _map.end() && found->second == _idx)
+	{
+		_map.erase(found);
+	}
+}
+
 bool shouldEject(const UpstreamHealth& _health, HealthSign _sign)
 {
 	if (_sign == HealthSign::Unreachable)
@@ -188,13 +211,50 @@
 	return healthy.empty() ? ejected : healthy; // With all of them ejected, any is better than none.
 }
 
-UpstreamKey keyOf(std::string_view _id)
+UpstreamKey keyOf(std::string_view _id, uint64_t _born)
+{
+	return UpstreamKey(stableHash(_id, _born));
+}
+
+std::string lifeName(const UpstreamRecord& _record)
+{
+	return _record.born == 0 ? _record.id : fmt::format("{}@{}", _record.id, _record.born);
+}
+
+LifeOrder lifeOrder(const UpstreamTable& _table, const UpstreamRecord& _record)
+{
+	const UpstreamId known = currentLife(_table, _record.id);
+	if (!isValid(known))
+	{
+		return LifeOrder::First;
+	}
+	const UpstreamRecord& before = _table.entries.at(known.idx).record;
+	const uint64_t born = before.born;
+	const bool firstTold = born == 0 && !before.leaving; // One that leaves does not begin to tell it.
+	if (born == _record.born || firstTold || _record.born == 0)
+	{
+		return LifeOrder::Same;
+	}
+	return _record.born > born ? LifeOrder::Newer : LifeOrder::Older;
+}
+
+UpstreamId currentLife(const UpstreamTable& _table, const std::string& _id)
 {
-	return UpstreamKey(stableHash(_id));
+	const auto known = _table.idxOfId.find(_id);
+	return known == _table.idxOfId.end() ? UpstreamId{} : UpstreamId{known->second};
 }
 
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record, TimeUs _now)
 {
+	const LifeOrder order = lifeOrder(_table, _record);
+	if (order == LifeOrder::Older)
+	{
+		return currentLife(_table, _record.id);
+	}
+	if (order == LifeOrder::Newer)
+	{
+		endLife(_table, _record.id, _now);
+	}
 	const auto [known, fresh] = _table.idxOfId.try_emplace(_record.id, _table.nextIdx);
 	if (fresh)
 	{
@@ -203,9 +263,12 @@
 	UpstreamEntry& entry = _table.entries[known->second];
 	// The same record read again, by a list, says nothing new: its upstream may be warm by now.
 	const bool isNews = _record.revision == 0 || _record.revision != entry.record.revision;
-	const bool leaving = entry.record.leaving; // An upstream that leaves does not come back under its id.
+	const bool leaving =
+		entry.record.leaving; // An upstream that leaves does not come back, but by a new start.
+	const uint64_t born = _record.born != 0 ? _record.born : entry.record.born;
 	entry.record = _record;
-	entry.key = keyOf(_record.id);
+	entry.record.born = born;
+	entry.key = keyOf(_record.id, born);
 	_table.idxOfKey[entry.key] = known->second;
 	entry.record.leaving = _record.leaving || leaving;
 	entry.registered = true;
@@ -237,12 +300,21 @@
 
 std::vector<uint32_t> replaceRegistrations(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
 										   TimeUs _now)
+{
+	for (const UpstreamRecord& record : _records)
+	{
+		registerUpstream(_table, record, _now);
+	}
+	return unregisterOthers(_table, _records, _now);
+}
+
+std::vector<uint32_t> unregisterOthers(UpstreamTable& _table, absl::Span<const UpstreamRecord> _records,
+									   TimeUs _now)
 {
 	std::set<std::string_view> listed;
 	for (const UpstreamRecord& record : _records)
 	{
 		listed.insert(record.id);
-		registerUpstream(_table, record, _now);
 	}
 	std::vector<uint32_t> gone;
 	for (const auto& [idx, entry] : _table.entries)
@@ -265,8 +337,8 @@
 		const bool gone = !entry.registered && entry.inFlight == 0 && _now - entry.goneAt > kForgetAfter;
 		if (gone)
 		{
-			_table.idxOfId.erase(entry.record.id);
-			_table.idxOfKey.erase(entry.key);
+			eraseIf(_table.idxOfId, entry.record.id, at->first); // Another life may have the id by now.
+			eraseIf(_table.idxOfKey, entry.key, at->first);
 		}
 		at = gone ? _table.entries.erase(at) : std::next(at);
 	}
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -36,6 +36,10 @@
 			   double(stats.resumed));
 	addCounter(page, "escalations_total", "Answers dropped for the next model's.", double(stats.escalated));
 	addCounter(page, "configs_total", "Configurations taken.", double(stats.configs));
+	addCounters(page, "records_rejected_total", "Records of the store that can't be used, by what is wrong.",
+				"fault", stats.recordsRejected);
+	addCounter(page, "store_items_skipped_total", "Items of the store without a key that can be read.",
+			   double(stats.itemsSkipped));
 	addCounter(page, "keys_unproved_total", "Keys trusted by a configuration that was not proved fresh.",
 			   double(stats.keysUnproved));
 	addGauge(page, "config_version", "Configuration in force.", double(_router.config.config->version));
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -40,7 +40,9 @@
 	uint64_t resumed = 0;                     ///< Streams that went on at another upstream.
 	uint64_t escalated = 0;                   ///< Answers dropped for the next model's.
 	uint64_t configs = 0;                     ///< Configurations taken.
-	uint64_t keysUnproved = 0;                ///< Keys trusted by a configuration that was not proved fresh.
+	std::map<std::string, uint64_t> recordsRejected; ///< Records that can't be used, by what is wrong.
+	uint64_t itemsSkipped = 0;                       ///< Items of the store without a key that can be read.
+	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
 };
 
 /// How far this router has read the store.
@@ -73,6 +75,7 @@
 	DirectStats stats;
 	Random random;
 	TimeUs startedAt = 0;
+	TimeUs recordLoggedAt = 0; ///< When a record that can't be used was logged last.
 	size_t inFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
 	bool stopping = false;
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -68,6 +68,7 @@
 	}
 	catch (const Failure& failure)
 	{
+		++_router.stats.recordsRejected["config"];
 		logEvent("config_rejected",
 				 {{"revision", std::to_string(_item.revision)}, {"error", failure.refusal().detail}});
 	}
@@ -303,6 +304,7 @@
 
 void takeStoreChanges(DirectRouter& _router, const StoreList& _changes, StoreWay _way)
 {
+	_router.stats.itemsSkipped += _changes.skipped;
 	const uint64_t known = _router.view.revision;
 	for (const StoreItem& item : _changes.items)
 	{
@@ -325,6 +327,7 @@
 	{
 		return; // Nothing new: the next call of the store, or the router that is followed, brings more.
 	}
+	_router.stats.itemsSkipped += _list.skipped;
 	takeAll(_router, _list, _way);
 	_router.view = {_list.revision, true};
 	if (_list.revision > known)
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -63,7 +63,7 @@
 		double(_notes.headAfter) / double(kMsToUs) / std::max(kLeastExpectedMs, _notes.expectedMs);
 	const bool halted =
 		noteTrialResult(router.trials, _serving.service, upstream.version,
-						_serving.route->name + " " + modelOf(_serving), upstream.id, sign, slowness);
+						_serving.route->name + " " + modelOf(_serving), lifeName(upstream), sign, slowness);
 	if (halted)
 	{
 		logEvent("rollout_halted",
@@ -101,6 +101,7 @@
 		 {"end", _end},
 		 {"upstream", _notes.record.id},
 		 {"hall", _notes.record.hall},
+		 {"born", std::to_string(_notes.record.born)},
 		 {"cold", _notes.asCold ? "1" : "0"},
 		 {"version", _notes.record.version},
 		 {"route", _serving.route->name},
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -23,6 +23,7 @@
 	}
 	catch (const Failure& failure)
 	{
+		++_router.stats.recordsRejected["rollout"];
 		logEvent("rollout_rejected", {{"key", _item.key}, {"error", failure.refusal().detail}});
 	}
 }
@@ -43,6 +44,7 @@
 	}
 	catch (const Failure& failure)
 	{
+		++_router.stats.recordsRejected["rollout_status"];
 		logEvent("rollout_status_rejected", {{"key", _item.key}, {"error", failure.refusal().detail}});
 	}
 }
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -5,12 +5,16 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "platform/records_p.h"
+#include "spanplank/record_fault.h"
 #include "store_items_p.h"
 
 namespace spanplank
 {
 namespace
 {
+constexpr TimeUs kRejectLogPause = 100 * kMsToUs; ///< Between two log lines on records that can't be used.
+constexpr size_t kMostLoggedId = 64;
+
 /// How a change came, for logs: a request that reaches an upstream late is traced by it.
 struct ChangeSource
 {
@@ -26,6 +30,7 @@
 			  {"address", _record.address},
 			  {"hall", _record.hall},
 			  {"version", _record.version},
+			  {"born", std::to_string(_record.born)},
 			  {"leaving", _record.leaving ? "yes" : "no"},
 			  {"cold_ms", std::to_string(_record.coldMs)},
 			  {"way", name(_source.way)},
@@ -48,23 +53,35 @@
 
 UpstreamRecord decodeUpstreamItem(const StoreItem& _item)
 {
-	UpstreamRecord record =
-		platform::decodeUpstream(afterPrefix(_item.key, platform::kUpstreamPrefix), _item.value);
+	UpstreamRecord record = platform::decodeUpstream(afterPrefix(_item.key, platform::kUpstreamPrefix),
+													 _item.value, _item.garbled);
 	record.revision = _item.revision;
 	return record;
 }
 
-void rejectUpstream(const StoreItem& _item, const Failure& _failure)
+/// A record that can't be used is counted, and logged unless many were a moment ago: whoever writes them may
+/// write often.
+void rejectUpstream(DirectRouter& _router, const StoreItem& _item, const RecordFailure& _failure)
 {
-	logEvent("upstream_rejected", {{"upstream", afterPrefix(_item.key, platform::kUpstreamPrefix)},
-								   {"error", _failure.refusal().detail}});
+	++_router.stats.recordsRejected[name(_failure.fault())];
+	const TimeUs now = monotonicNow();
+	if (now - _router.recordLoggedAt < kRejectLogPause)
+	{
+		return;
+	}
+	_router.recordLoggedAt = now;
+	const std::string id = afterPrefix(_item.key, platform::kUpstreamPrefix);
+	logEvent("upstream_rejected", {{"upstream", id.substr(0, kMostLoggedId)},
+								   {"fault", name(_failure.fault())},
+								   {"error", _failure.refusal().detail},
+								   {"revision", std::to_string(_item.revision)}});
 }
 
 /// @returns The entry of an upstream that is registered; null: none is.
 const UpstreamEntry* registeredEntry(const UpstreamTable& _table, const std::string& _id)
 {
-	const auto known = _table.idxOfId.find(_id);
-	const UpstreamEntry* entry = known == _table.idxOfId.end() ? nullptr : &_table.entries.at(known->second);
+	const UpstreamId known = currentLife(_table, _id);
+	const UpstreamEntry* entry = isValid(known) ? &_table.entries.at(known.idx) : nullptr;
 	return entry != nullptr && entry->registered ? entry : nullptr;
 }
 
@@ -78,6 +95,38 @@
 	}
 }
 
+void logRestarted(const UpstreamRecord& _before, const UpstreamRecord& _record, size_t _calls,
+				  const ChangeSource& _source)
+{
+	logEvent("upstream_restarted", {{"upstream", _record.id},
+									{"born", std::to_string(_record.born)},
+									{"born_before", std::to_string(_before.born)},
+									{"calls_ended", std::to_string(_calls)},
+									{"way", name(_source.way)},
+									{"revision", std::to_string(_source.revision)}});
+}
+
+/// Takes a record. The requests at an upstream that has started again are told at once that they have ended.
+void takeRecord(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
+{
+	UpstreamTable& table = _router.upstreams;
+	const LifeOrder order = lifeOrder(table, _record);
+	const UpstreamId before = currentLife(table, _record.id);
+	registerUpstream(table, _record, monotonicNow());
+	if (order == LifeOrder::Newer)
+	{
+		const size_t calls = endCalls(_router.pool, before);
+		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
+	}
+	else if (order == LifeOrder::Older)
+	{
+		logEvent("upstream_record_old", {{"upstream", _record.id},
+										 {"born", std::to_string(_record.born)},
+										 {"way", name(_source.way)},
+										 {"revision", std::to_string(_source.revision)}});
+	}
+}
+
 /// @returns Whether a listed upstream leaves and this router did not know it.
 bool isNewsOfLeaving(const UpstreamTable& _table, const UpstreamRecord& _record)
 {
@@ -97,12 +146,14 @@
 	try
 	{
 		const UpstreamRecord record = decodeUpstreamItem(_item);
-		registerUpstream(_router.upstreams, record, monotonicNow());
+		takeRecord(_router, record, source);
 		logRegistered(_router, record, source);
 	}
-	catch (const Failure& failure)
+	catch (const RecordFailure& failure)
 	{
-		rejectUpstream(_item, failure);
+		// The same answer as a list without it gives: the record that stood there is gone.
+		rejectUpstream(_router, _item, failure);
+		takeRemoval(_router, afterPrefix(_item.key, platform::kUpstreamPrefix), source);
 	}
 }
 
@@ -116,17 +167,19 @@
 		{
 			records.push_back(decodeUpstreamItem(item));
 		}
-		catch (const Failure& failure)
+		catch (const RecordFailure& failure)
 		{
-			rejectUpstream(item, failure);
+			rejectUpstream(_router, item, failure);
 			continue;
 		}
-		if (isNewsOfLeaving(_router.upstreams, records.back()))
+		const bool leaves = isNewsOfLeaving(_router.upstreams, records.back());
+		takeRecord(_router, records.back(), source);
+		if (leaves)
 		{
 			logRegistered(_router, records.back(), source);
 		}
 	}
-	for (const uint32_t idx : replaceRegistrations(_router.upstreams, records, monotonicNow()))
+	for (const uint32_t idx : unregisterOthers(_router.upstreams, records, monotonicNow()))
 	{
 		logUnregistered(_router, _router.upstreams.entries.at(idx), source);
 	}
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -72,13 +72,28 @@
 	}
 }
 
+size_t endCalls(UpstreamPool& _pool, UpstreamId _upstream)
+{
+	_pool.idle.erase(_upstream.idx);
+	const auto running = _pool.running.equal_range(_upstream.idx);
+	for (auto at = running.first; at != running.second; ++at)
+	{
+		at->second->lose();
+	}
+	return size_t(std::distance(running.first, running.second));
+}
+
 UpstreamCall::UpstreamCall(UpstreamPool& _pool, const AttemptRequest& _request)
 	: m_pool(_pool), m_request(_request), m_timer(*_pool.io)
 {
+	m_pool.running.emplace(m_request.upstream.idx, this);
 }
 
 UpstreamCall::~UpstreamCall()
 {
+	const auto running = m_pool.running.equal_range(m_request.upstream.idx);
+	m_pool.running.erase(std::find_if(running.first, running.second,
+									  [this](const auto& _item) { return _item.second == this; }));
 	*m_alive = false;
 	closeConnection();
 	awaitWrite();
@@ -239,10 +254,16 @@
 	closeConnection();
 }
 
+void UpstreamCall::lose()
+{
+	m_lost = true;
+	closeConnection();
+}
+
 void UpstreamCall::release(std::optional<uint32_t> _keepAliveMs)
 {
 	const bool whole = done() && !m_parser->need_eof() && m_parser->get().keep_alive();
-	const bool clean = !m_writing && !m_writeFailed && !m_cancelled && !m_timedOut;
+	const bool clean = !m_lost && !m_writing && !m_writeFailed && !m_cancelled && !m_timedOut;
 	if (!whole || !clean || m_connection->buffer.size() != 0)
 	{
 		return; // The destructor closes it.
@@ -269,7 +290,7 @@
 
 ExchangeState UpstreamCall::result(const boost::system::error_code& _error)
 {
-	m_error = _error.message();
+	m_error = m_lost ? "the upstream has started again" : _error.message();
 	if (m_cancelled)
 	{
 		return ExchangeState::Cancelled;
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -36,17 +36,24 @@
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
-/// Idle connections, by upstream.
+class UpstreamCall;
+
+/// Idle connections and calls under way, by upstream.
 struct UpstreamPool
 {
 	boost::asio::io_context* io = nullptr;
 	std::map<uint32_t, std::vector<UpstreamConnectionPtr>> idle;
-	uint64_t opened = 0; ///< Connections made.
+	uint64_t opened = 0;                            ///< Connections made.
+	std::multimap<uint32_t, UpstreamCall*> running; ///< Calls under way, by upstream; each takes itself out.
 };
 
 /// Closes connections that have been idle for too long or that the upstream has closed.
 void dropIdle(UpstreamPool& _pool, TimeUs _now);
 
+/// An upstream has ended for certain: its calls end as broken, its idle connections are closed.
+/// @returns The number of calls that were under way.
+size_t endCalls(UpstreamPool& _pool, UpstreamId _upstream);
+
 struct AttemptRequest
 {
 	UpstreamId upstream;
@@ -111,6 +118,9 @@
 	/// Ends the attempt from another handler; the running step returns `Cancelled`.
 	void cancel();
 
+	/// Ends the attempt from another handler, as its upstream has ended; the running step returns `Broken`.
+	void lose();
+
 	/// Gives the connection back for another request if its answer was read whole and it may be kept.
 	void release(std::optional<uint32_t> _keepAliveMs);
 
@@ -148,6 +158,7 @@
 	std::function<std::optional<TimeUs>()> m_askLate;
 	bool m_timedOut = false;
 	bool m_cancelled = false;
+	bool m_lost = false; ///< The upstream has ended.
 	bool m_writing = false;
 	bool m_writeFailed = false;
 	WaitSlot<IoResult> m_written;
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -323,5 +323,63 @@
 	EXPECT_TRUE(table.entries.empty());
 	EXPECT_TRUE(table.idxOfId.empty());
 }
+
+TEST_F(TableTest, AnUpstreamThatStartsAgainUnderItsIdHasNothingOfTheOneBefore)
+{
+	UpstreamRecord one = record("one");
+	one.born = 1000;
+	const UpstreamId before = registerUpstream(table, one);
+	for (int ii = 0; ii < 3; ++ii)
+	{
+		fail(before, HealthSign::Unreachable, kSecond);
+	}
+	noteSent(table, before, query(), kSecond);
+	one.leaving = true;
+	registerUpstream(table, one);
+	one.leaving = false;
+	one.born = 2000;
+	const UpstreamId after = registerUpstream(table, one, 2 * kSecond);
+	EXPECT_FALSE(before == after) << "what a request has tried is another upstream";
+	const UpstreamEntry& entry = table.entries.at(after.idx);
+	EXPECT_EQ(entry.inFlight, 0u);
+	EXPECT_EQ(entry.health.ejections, 0u);
+	EXPECT_NE(entry.key, table.entries.at(before.idx).key)
+		<< "loads and homes that others told are not its own";
+	EXPECT_EQ(pick(query(), 2 * kSecond), "one");
+	EXPECT_FALSE(maySendTo(table, before, 2 * kSecond));
+	noteEnded(table, before, 0.0, HealthSign::Good, 3 * kSecond);
+	forgetGone(table, 60 * kSecond);
+	EXPECT_EQ(table.entries.count(before.idx), 0u);
+	EXPECT_EQ(pick(query(), 60 * kSecond), "one") << "forgetting the one before keeps the new one's name";
+}
+
+TEST_F(TableTest, ARecordOfAnOlderLifeChangesNothingByWhateverWayItComes)
+{
+	UpstreamRecord one = record("one");
+	one.born = 2000;
+	registerUpstream(table, one);
+	UpstreamRecord old = record("one");
+	old.born = 1000;
+	old.leaving = true;
+	EXPECT_EQ(lifeOrder(table, old), LifeOrder::Older);
+	registerUpstream(table, old);
+	EXPECT_EQ(pick(query(), 0), "one");
+	EXPECT_TRUE(replaceRegistrations(table, {&old, 1}, kSecond).empty());
+	EXPECT_EQ(pick(query(), kSecond), "one");
+}
+
+TEST_F(TableTest, ARecordThatTellsNoStartIsTakenForTheOneThatIsKnown)
+{
+	UpstreamRecord one = record("one");
+	one.born = 2000;
+	registerUpstream(table, one);
+	one.leaving = true;
+	one.born = 0;
+	registerUpstream(table, one);
+	EXPECT_EQ(pick(query(), 0), "");
+	one.leaving = false;
+	registerUpstream(table, one);
+	EXPECT_EQ(pick(query(), 0), "") << "it has not started again";
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/change_order_test.cpp
+++ b/tests/direct/change_order_test.cpp
@@ -31,7 +31,12 @@
 	{
 		StoreItem item;
 		item.key = fmt::format("{}u-{}", platform::kUpstreamPrefix, _upstream);
-		item.value = _deleted ? "" : fmt::format(R"({{"service":"app","state":"{}"}})", _state);
+		item.value =
+			_deleted
+				? ""
+				: fmt::format(R"({{"service":"app","address":"127.0.0.1:9","zone":"hall-a","version":"v1",)"
+							  R"("slots":8,"cold_remaining_ms":0,"sequence":1,"state":"{}"}})",
+							  _state);
 		item.revision = revision() + 1;
 		item.deleted = _deleted;
 		changes.push_back(item);
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -480,16 +480,19 @@
 
 void DirectSystem::registerUpstream(const StandInUpstream& _upstream, bool _leaving)
 {
-	setItem(store, "servers/" + _upstream.id,
-			json{{"service", _upstream.service},
-				 {"address", _upstream.address},
-				 {"zone", _upstream.hall},
-				 {"version", _upstream.version},
-				 {"slots", 8},
-				 {"state", _leaving ? "draining" : "ready"},
-				 {"cold_remaining_ms", 0},
-				 {"sequence", 1}}
-				.dump());
+	json record{{"service", _upstream.service},
+				{"address", _upstream.address},
+				{"zone", _upstream.hall},
+				{"version", _upstream.version},
+				{"slots", 8},
+				{"state", _leaving ? "draining" : "ready"},
+				{"cold_remaining_ms", 0},
+				{"sequence", 1}};
+	if (_upstream.born != 0)
+	{
+		record["born"] = _upstream.born;
+	}
+	setItem(store, "servers/" + _upstream.id, record.dump());
 }
 
 void DirectSystem::writeConfig()
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -69,6 +69,7 @@
 	std::string address;
 	std::string version = "v1";
 	std::string hall = "hall-a";
+	uint64_t born = 0; ///< Unix milliseconds of its start; 0: it tells none.
 	HttpServer http;
 	std::function<void(StandInUpstream&, HttpExchange&)> answer;
 	std::vector<HttpRequest> requests; ///< All that came, in order.
