Soak: halls are evacuated and taken back, upstreams start again under the id that they had

Cause: the soak knew neither; its checks of late work looked at leaving upstreams alone. Change: one hall after the other is evacuated for 0.2 to 6.2 s, beside all other faults; three in ten upstreams that leave start again under their id with a later `born`. The check of leaving is one function for both notices; its bound and excuses are unchanged. Stand-ins write all fields that live upstreams write.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -116,6 +116,7 @@
 	}
 	bodies.emplace_back([&_soak] { changeOn(_soak); });
 	bodies.emplace_back([&_soak] { leaveOn(_soak); });
+	bodies.emplace_back([&_soak] { evacuateOn(_soak); });
 	bodies.emplace_back([&_soak] { watchProcesses(_soak); });
 	if (isMutant("ends"))
 	{
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -167,25 +167,37 @@
 		breach(_soak, "a caller got an answer that is not its own, not whole or not in order");
 	}
 }
-} // namespace
 
-void checkArrival(Soak& _soak, const SoakUpstream& _end, RequestRecord& _record)
+/// What was taken out of use gets nothing of routers in touch after the bound.
+void checkNotice(Soak& _soak, const SoakUpstream& _end, const RequestRecord& _record, const Notice& _notice,
+				 const char* _what)
 {
-	_record.seen = true;
 	const TimeUs now = monotonicNow();
 	const TimeUs calmSince = std::max({_soak.storeHarmedAt, _record.router->disturbedAt, _end.harmedAt});
 	// What the store took while it was in trouble is counted from the end of that, with more slack.
-	const TimeUs since = _end.storeSoundThen
-							 ? _end.leavingSince
-							 : std::max(_soak.storeHarmedAt, _end.leavingSince) + kCallerSlack;
+	const TimeUs since =
+		_notice.storeSound ? _notice.since : std::max(_soak.storeHarmedAt, _notice.since) + kCallerSlack;
 	const TimeUs late = now - since - kLeaveMs * kMsToUs;
-	const TimeUs heldUp = _soak.heldUp - _end.heldUpAtLeaving;
-	if (_end.leavingSince != 0 && now > calmSince + kContact && late > kFlight + heldUp)
+	const TimeUs heldUp = _soak.heldUp - _notice.heldUp;
+	if (_notice.since != 0 && now > calmSince + kContact && late > kFlight + heldUp)
+	{
+		breach(_soak,
+			   fmt::format("{} for longer than the bound got work: {} from {}, {} ms late, held up {} ms, "
+						   "router calm for {} ms",
+						   _what, _end.upstream->id, _record.router->process->listen(), late / kMsToUs,
+						   heldUp / kMsToUs, (now - calmSince) / kMsToUs));
+	}
+}
+} // namespace
+
+void checkArrival(Soak& _soak, const SoakUpstream& _end, RequestRecord& _record)
+{
+	_record.seen = true;
+	checkNotice(_soak, _end, _record, _end.leaving, "an upstream that has been leaving");
+	const auto evacuated = _soak.evacuated.find(_end.upstream->hall);
+	if (evacuated != _soak.evacuated.end())
 	{
-		breach(_soak, fmt::format("an upstream that has been leaving for longer than the bound got work: {} "
-								  "from {}, {} ms late, held up {} ms, router calm for {} ms",
-								  _end.upstream->id, _record.router->process->listen(), late / kMsToUs,
-								  heldUp / kMsToUs, (now - calmSince) / kMsToUs));
+		checkNotice(_soak, _end, _record, evacuated->second, "an upstream of a hall that has been evacuated");
 	}
 }
 
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -12,6 +12,8 @@
 void harmOn(Soak& _soak);
 /// Planned work, in series: reloads and stops of routers, which overlap.
 void signalOn(Soak& _soak);
+/// Planned work, in series: one hall after the other is evacuated and taken back.
+void evacuateOn(Soak& _soak);
 /// Planned work, in series: idle limits and keys change.
 void changeOn(Soak& _soak);
 /// Upstreams leave in series, beside trouble on the way to the store.
--- a/tests/soak/soak_planned.cpp
+++ b/tests/soak/soak_planned.cpp
@@ -102,6 +102,7 @@
 {
 	constexpr uint32_t kLaterMs = 2800; ///< Until a new one comes: none may be left meanwhile.
 	constexpr double kAlikeChance = 0.8;
+	constexpr double kAgainChance = 0.3; ///< Of an upstream that leaves, to start again under its id.
 	const std::string service = happens(_soak, 0.5) ? "app" : "engines";
 	const bool later = happens(_soak, 0.3);
 	const uint32_t most = later ? UINT32_MAX : 1 + below(_soak, 3);
@@ -110,12 +111,20 @@
 	for (size_t ii = 0; ii < _soak.ends.size() && left < most; ++ii)
 	{
 		SoakUpstream& end = *_soak.ends[ii];
-		if (end.leavingSince != 0 || end.upstream->service != service)
+		if (end.leaving.since != 0 || end.upstream->service != service)
 		{
 			continue;
 		}
 		++left;
-		if (later)
+		if (happens(_soak, kAgainChance))
+		{
+			spawnFiber([&_soak, &end] {
+				sleepFor(kLaterMs);
+				startAgain(_soak, end);
+			});
+			addEnd(_soak, service);
+		}
+		else if (later)
 		{
 			spawnFiber([&_soak, service] {
 				sleepFor(kLaterMs);
@@ -131,6 +140,29 @@
 	}
 }
 
+void evacuateOn(Soak& _soak)
+{
+	constexpr uint32_t kPauseMostMs = 3000;
+	constexpr uint32_t kLastsLeastMs = 200; ///< Some are taken back before all routers know them.
+	constexpr uint32_t kLastsMostMs = 6000;
+	while (monotonicNow() < _soak.until)
+	{
+		sleepFor(below(_soak, kPauseMostMs));
+		const std::string hall = happens(_soak, 0.5) ? "hall-a" : "hall-b";
+		const std::string key = "op/evacuate/" + hall;
+		note(_soak, hall + " is evacuated");
+		if (!isMutant("evacuation"))
+		{
+			setItem(_soak.store, key, "{}");
+		}
+		_soak.evacuated[hall] = noticeNow(_soak);
+		sleepFor(kLastsLeastMs + below(_soak, kLastsMostMs));
+		_soak.evacuated.erase(hall); // Before the store takes it: from then on the hall may be used.
+		removeItem(_soak.store, key);
+		note(_soak, hall + " is taken back");
+	}
+}
+
 void signalOn(Soak& _soak)
 {
 	while (monotonicNow() < _soak.until)
--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -15,7 +15,7 @@
 	std::string, mutant, "",
 	"a check to prove: `twice` lets upstreams run a rejected request, `lost` lets callers lose answers, "
 	"`idle` lets them overstay, `cut` lets upstreams cut streams unseen, `drain` keeps leavings from the "
-	"store, `ends` kills routers unseen");
+	"store, `evacuation` does so with orders, `ends` kills routers unseen");
 
 namespace spanplank
 {
@@ -38,6 +38,12 @@
 }
 } // namespace
 
+Notice noticeNow(const Soak& _soak)
+{
+	const TimeUs now = monotonicNow();
+	return {now, _soak.heldUp, now > _soak.storeHarmedAt + kContactMs * kMsToUs};
+}
+
 void breach(Soak& _soak, const std::string& _what)
 {
 	_soak.broken.push_back(fmt::format("{:.3f} s: {}", elapsed(_soak), _what));
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -37,14 +37,20 @@
 inline const std::string kKeptKey = "kept-key";
 inline const std::string kHost = "town.example";
 
+/// When the store took that something gets no more work, and what may have delayed the news.
+struct Notice
+{
+	TimeUs since = 0;        ///< 0: it does get work.
+	TimeUs heldUp = 0;       ///< `Soak::heldUp` then.
+	bool storeSound = false; ///< The store took it while it was stable.
+};
+
 struct SoakUpstream
 {
 	StandInUpstream* upstream = nullptr;
 	FaultProxy proxy;
-	TimeUs leavingSince = 0;     ///< When the store took that it leaves; 0: it does not.
-	TimeUs harmedAt = 0;         ///< Until when the path to it was last harmed.
-	TimeUs heldUpAtLeaving = 0;  ///< `Soak::heldUp` then.
-	bool storeSoundThen = false; ///< The store took it while it was stable.
+	Notice leaving;      ///< It leaves, or is gone from the store.
+	TimeUs harmedAt = 0; ///< Until when the path to it was last harmed.
 };
 
 struct SoakRouter
@@ -96,6 +102,7 @@
 	std::vector<std::unique_ptr<SoakRouter>> routers;
 	std::map<std::string, RequestRecord> requests;
 	std::map<std::string, TimeUs> revokedAt;
+	std::map<std::string, Notice> evacuated;             ///< By hall.
 	std::vector<std::pair<TimeUs, uint32_t>> idleLimits; ///< When the store took each, and its milliseconds.
 	std::vector<std::string> broken;
 	std::map<std::string, uint64_t> outcomes;
@@ -109,6 +116,8 @@
 	uint32_t nextUpstream = 0;
 };
 
+/// @returns That the store has just taken something.
+Notice noticeNow(const Soak& _soak);
 void breach(Soak& _soak, const std::string& _what);
 void note(const Soak& _soak, const std::string& _what);
 uint32_t below(Soak& _soak, uint32_t _bound);
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 constexpr int kMisdirected = 421;
-constexpr double kRejectChance = 0.05;    ///< Of an upstream: it has not run the request.
+constexpr uint64_t kFirstBornMs = 1700000000000; ///< Unix time.
+constexpr double kRejectChance = 0.05;           ///< Of an upstream: it has not run the request.
 constexpr double kCutChance = 0.02;       ///< Of an upstream: it ran the request and cuts the connection.
 constexpr double kCutEventsChance = 0.05; ///< Of an upstream: it cuts a stream at its last event.
 constexpr double kPauseChance = 0.2;      ///< Of a stream: its upstream pauses between events.
@@ -101,10 +102,13 @@
 	setItem(_soak.store, "servers/" + _end.upstream->id,
 			nlohmann::json{{"service", _end.upstream->service},
 						   {"address", _end.proxy.address},
-						   {"zone", "hall-a"},
+						   {"zone", _end.upstream->hall},
 						   {"version", "v1"},
 						   {"slots", 16},
-						   {"state", _state}}
+						   {"state", _state},
+						   {"born", _end.upstream->born},
+						   {"cold_remaining_ms", 0},
+						   {"sequence", 1}}
 				.dump());
 }
 } // namespace
@@ -117,6 +121,8 @@
 	end.upstream = _soak.upstreams.back().get();
 	end.upstream->id = fmt::format("u-{}", _soak.nextUpstream++);
 	end.upstream->service = _service;
+	end.upstream->hall = _soak.nextUpstream % 2 == 0 ? "hall-a" : "hall-b";
+	end.upstream->born = kFirstBornMs;
 	end.upstream->http.handler = [&_soak, &end](HttpExchange& _exchange) {
 		answerAs(_soak, end, _exchange);
 	};
@@ -124,14 +130,20 @@
 	registerEnd(_soak, end, "ready");
 }
 
+void startAgain(Soak& _soak, SoakUpstream& _end)
+{
+	note(_soak, fmt::format("{} starts again under its id", _end.upstream->id));
+	++_end.upstream->born;
+	_end.leaving = {};
+	registerEnd(_soak, _end, "ready");
+}
+
 void leave(Soak& _soak, SoakUpstream& _end, bool _says)
 {
 	constexpr uint32_t kServesOnMs = 3000; ///< Over the bound, before its entry goes.
 	note(_soak,
 		 fmt::format("{} {}", _end.upstream->id, _says ? "says that it leaves" : "is gone from the store"));
-	_end.leavingSince = monotonicNow();
-	_end.heldUpAtLeaving = _soak.heldUp;
-	_end.storeSoundThen = _end.leavingSince > _soak.storeHarmedAt + kContactMs * kMsToUs;
+	_end.leaving = noticeNow(_soak);
 	if (isMutant("drain"))
 	{
 		return;
@@ -142,8 +154,13 @@
 		return;
 	}
 	registerEnd(_soak, _end, "draining");
-	spawnFiber([&_soak, &_end] {
+	const uint64_t born = _end.upstream->born;
+	spawnFiber([&_soak, &_end, born] {
 		sleepFor(kLeaveMs + kServesOnMs);
+		if (_end.upstream->born != born)
+		{
+			return; // The entry is that of its new start.
+		}
 		removeItem(_soak.store, "servers/" + _end.upstream->id);
 	});
 }
