--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -39,8 +39,8 @@
 	UpstreamCall* running = nullptr; ///< The call of the attempt under way; null between attempts.
 	AttemptEnd last = AttemptEnd::NotSent;
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
-	bool failedOnTrial = false; ///< A version on trial answered an attempt with a failure.
-	TimeUs firstByteAt = 0;     ///< When the caller was sent the first byte of an answer; 0: not yet.
+	bool failedOnTrial = false;               ///< A version on trial answered an attempt with a failure.
+	TimeUs firstByteAt = 0; ///< When the caller was sent the first byte of an answer; 0: not yet.
 	// Of the answer that is passed on as it is, if the last upstream failed by its own word.
 	int failedStatus = 0;
 	HttpExchange::Fields failedHead;
