--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -133,6 +133,11 @@
 void startAgain(Soak& _soak, SoakUpstream& _end)
 {
 	note(_soak, fmt::format("{} starts again under its id", _end.upstream->id));
+	for (auto& [id, record] : _soak.requests) // Its process ends, and with it what it worked on.
+	{
+		record.brokeOff = record.brokeOff || (record.working > 0 && record.lastEnd == &_end);
+	}
+	resetConnections(_end.proxy);
 	++_end.upstream->born;
 	_end.leaving = {};
 	registerEnd(_soak, _end, "ready");
