--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,6 +14,14 @@
 	echo "known red:"
 	cat KNOWN-RED.txt
 	KNOWN_RED="$(cut -d, -f1 KNOWN-RED.txt | paste -sd'|' -)"
+	# A line that names no test would be printed and never run.
+	REGISTERED="$(ctest --test-dir build -N)"
+	while read -r name; do
+		grep -qE ": ${name//./\\.}\$" <<<"$REGISTERED" || {
+			echo "KNOWN-RED.txt names a test that does not exist: $name"
+			exit 1
+		}
+	done < <(cut -d, -f1 KNOWN-RED.txt)
 	ctest --test-dir build -R "^($KNOWN_RED)\$" -j 3 --timeout 120 || true
 fi
 ctest --test-dir build --output-on-failure -j 3 --timeout 120 ${KNOWN_RED:+-E "^($KNOWN_RED)\$"}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,7 +1,8 @@
 /// Randomized fault soak of the direct mode: real routers as separate processes, stand-ins of the platform's
 /// store and of upstreams, proxies between them that do harm, signals, restarts. Checks the promises while it
 /// runs, from what callers and upstreams see. Usage: soak --seed N --seconds S. Exit 1: a promise was broken;
-/// the seed, the schedule of faults and the routers' logs are printed or kept.
+/// the seed, the schedule of faults and the routers' logs are printed or kept. `--only` plays parts of a
+/// schedule again.
 #include <absl/flags/parse.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -22,6 +23,7 @@
 constexpr uint32_t kRecoveryS = 15;      ///< Longest wait until a request is served after the faults.
 /// For each body that signals, beyond the first: stops of more routers overlap more.
 constexpr uint32_t kRoutersOfSignaller = 4;
+constexpr uint32_t kHarmers = 2;        ///< Bodies that do harm: faults overlap.
 constexpr double kScarceRetries = 0.05; ///< Retry ratio of every second router: its window is used up.
 
 void startRouters(Soak& _soak)
@@ -109,11 +111,14 @@
 		bodies.emplace_back(
 			[&_soak, ii, callers] { ii < callers ? callOften(_soak, ii) : callRarely(_soak, ii); });
 	}
-	bodies.emplace_back([&_soak] { harmOn(_soak); });
-	bodies.emplace_back([&_soak] { harmOn(_soak); }); // Two at once: faults overlap.
-	for (size_t ii = 0; ii <= _soak.routers.size() + kRoutersOfSignaller; ii += kRoutersOfSignaller)
+	for (uint32_t ii = 0; ii < kHarmers; ++ii)
 	{
-		bodies.emplace_back([&_soak] { signalOn(_soak); });
+		bodies.emplace_back([&_soak, ii] { harmOn(_soak, ii); });
+	}
+	const uint32_t signallers = uint32_t(_soak.routers.size()) / kRoutersOfSignaller + 2;
+	for (uint32_t ii = 0; ii < signallers; ++ii)
+	{
+		bodies.emplace_back([&_soak, ii] { signalOn(_soak, ii); });
 	}
 	bodies.emplace_back([&_soak] { changeOn(_soak); });
 	bodies.emplace_back([&_soak] { leaveOn(_soak); });
@@ -138,7 +143,6 @@
 	static Soak* s_soak = new Soak; // Fibers refer to it until the process ends.
 	Soak& soak = *s_soak;
 	soak.seed = absl::GetFlag(FLAGS_seed);
-	soak.random.state = soak.seed;
 	char pattern[] = "/tmp/spanplank-soak-XXXXXX";
 	soak.dir = ::mkdtemp(pattern);
 	soak.startedAt = monotonicNow();
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -66,12 +66,12 @@
 	return nullptr;
 }
 
-/// Sends one request and checks what became of it.
+/// Sends one request and checks what became of it. @param[in] _number Of this caller.
 void callOnce(Soak& _soak, SoakRouter& _router, CallerConnection& _connection, uint32_t _caller,
-			  bool _allowed, TimeUs _chosenAt)
+			  uint64_t _number, bool _allowed, TimeUs _chosenAt)
 {
 	constexpr double kDeafChance = 0.02;
-	const std::string id = fmt::format("r-{}-{}", _caller, _soak.nextRequest++);
+	const std::string id = fmt::format("r-{}-{}", _caller, _number);
 	RequestRecord& record = _soak.requests[id];
 	record.router = &_router;
 	record.allowed = _allowed;
@@ -127,9 +127,12 @@
 
 void callOften(Soak& _soak, uint32_t _caller)
 {
+	const std::string body = fmt::format("caller-{}", _caller);
 	CallerConnection connection;
+	uint64_t number = 0;
 	while (monotonicNow() < _soak.until)
 	{
+		drawAs(_soak, body, ++number);
 		SoakRouter* const router = openAny(_soak, connection);
 		for (uint32_t ii = 0; router != nullptr && ii < kCallsOnOne && monotonicNow() < _soak.until; ++ii)
 		{
@@ -137,7 +140,8 @@
 			{
 				break;
 			}
-			callOnce(_soak, *router, connection, _caller, true, monotonicNow());
+			drawAs(_soak, body, ++number);
+			callOnce(_soak, *router, connection, _caller, number, true, monotonicNow());
 			sleepFor(below(_soak, 40));
 		}
 	}
@@ -147,8 +151,9 @@
 {
 	CallerConnection connection;
 	SoakRouter* router = nullptr;
-	while (monotonicNow() < _soak.until)
+	for (uint64_t number = 0; monotonicNow() < _soak.until; ++number)
 	{
+		drawAs(_soak, fmt::format("caller-{}", _caller), number);
 		const TimeUs idle = monotonicNow() - connection.idleSince;
 		const uint32_t flightMs = below(_soak, kFlightMostMs);
 		TimeUs chosenAt = monotonicNow();
@@ -165,7 +170,7 @@
 		}
 		if (router != nullptr)
 		{
-			callOnce(_soak, *router, connection, _caller, allowed, chosenAt);
+			callOnce(_soak, *router, connection, _caller, number, allowed, chosenAt);
 			pauseIdle(_soak, connection, flightMs);
 		}
 	}
@@ -178,7 +183,9 @@
 	{
 		return false;
 	}
-	const std::string id = fmt::format("r-end-{}", _soak.nextRequest++);
+	const uint64_t number = _soak.nextRequest++;
+	drawAs(_soak, "end", number);
+	const std::string id = fmt::format("r-end-{}", number);
 	RequestRecord& record = _soak.requests[id];
 	record.router = &_router;
 	record.chosenAt = connection.idleSince;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -179,25 +179,20 @@
 }
 } // namespace
 
-void harmOn(Soak& _soak)
+void harmOn(Soak& _soak, uint32_t _harmer)
 {
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, 800));
-		harmOnce(_soak);
-	}
+	constexpr uint32_t kPauseMostMs = 800;
+	playSteps(_soak, fmt::format("harm-{}", _harmer), kPauseMostMs, [&_soak] { harmOnce(_soak); });
 }
 
 void leaveOn(Soak& _soak)
 {
 	constexpr uint32_t kPauseMostMs = 2500;
 	constexpr uint32_t kBesideMostMs = 1300; ///< From a failed call until a registration goes.
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, kPauseMostMs));
+	playSteps(_soak, "leave", kPauseMostMs, [&_soak] {
 		troubleStoreCalls(_soak);
 		sleepFor(below(_soak, kBesideMostMs));
 		leaveInSeries(_soak);
-	}
+	});
 }
 } // namespace spanplank
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -9,9 +9,9 @@
 /// Writes the configuration anew, with its version raised.
 void writeConfig(Soak& _soak);
 /// Does harm of all kinds, one after the other.
-void harmOn(Soak& _soak);
+void harmOn(Soak& _soak, uint32_t _harmer);
 /// Planned work, in series: reloads and stops of routers, which overlap.
-void signalOn(Soak& _soak);
+void signalOn(Soak& _soak, uint32_t _signaller);
 /// Planned work, in series: one hall after the other is evacuated and taken back.
 void evacuateOn(Soak& _soak);
 /// Planned work, in series: idle limits and keys change.
--- a/tests/soak/soak_planned.cpp
+++ b/tests/soak/soak_planned.cpp
@@ -145,9 +145,7 @@
 	constexpr uint32_t kPauseMostMs = 3000;
 	constexpr uint32_t kLastsLeastMs = 200; ///< Some are taken back before all routers know them.
 	constexpr uint32_t kLastsMostMs = 6000;
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, kPauseMostMs));
+	playSteps(_soak, "evacuate", kPauseMostMs, [&_soak] {
 		const std::string hall = happens(_soak, 0.5) ? "hall-a" : "hall-b";
 		const std::string key = "op/evacuate/" + hall;
 		note(_soak, hall + " is evacuated");
@@ -160,29 +158,27 @@
 		_soak.evacuated.erase(hall); // Before the store takes it: from then on the hall may be used.
 		removeItem(_soak.store, key);
 		note(_soak, hall + " is taken back");
-	}
+	});
 }
 
-void signalOn(Soak& _soak)
+void signalOn(Soak& _soak, uint32_t _signaller)
 {
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, 1500));
+	constexpr uint32_t kPauseMostMs = 1500;
+	playSteps(_soak, fmt::format("signal-{}", _signaller), kPauseMostMs, [&_soak] {
 		const uint32_t idx = below(_soak, uint32_t(_soak.routers.size()));
 		happens(_soak, 0.5) ? reloadInSeries(_soak, idx) : restartPlanned(_soak, idx);
-	}
+	});
 }
 
 void changeOn(Soak& _soak)
 {
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, 6000));
+	constexpr uint32_t kPauseMostMs = 6000;
+	playSteps(_soak, "change", kPauseMostMs, [&_soak] {
 		for (uint32_t left = 1 + below(_soak, 3); left > 0; --left)
 		{
 			happens(_soak, 0.7) ? changeIdleLimit(_soak) : writeConfig(_soak);
 			sleepFor(below(_soak, 400));
 		}
-	}
+	});
 }
 } // namespace spanplank
--- a/tests/soak/soak_rollouts.cpp
+++ b/tests/soak/soak_rollouts.cpp
@@ -161,9 +161,7 @@
 void rolloutOn(Soak& _soak)
 {
 	constexpr uint32_t kPauseMostMs = 1500;
-	while (monotonicNow() < _soak.until)
-	{
-		sleepFor(below(_soak, kPauseMostMs));
+	playSteps(_soak, "rollout", kPauseMostMs, [&_soak] {
 		order(_soak);
 		const TimeUs deadline = _soak.trial->orderedAt + TimeUs(kTrialMs) * kMsToUs;
 		const TimeUs latest = deadline + TimeUs(kVerdictMs) * kMsToUs;
@@ -182,7 +180,7 @@
 			settle(_soak, *_soak.trial);
 			_soak.trial.reset();
 		}
-	}
+	});
 }
 
 void checkLastRollout(Soak& _soak)
--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -1,6 +1,9 @@
 /// Flags, notes and chances of the soak, and the watch on its processes.
 #include "soak_state.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <fstream>
 
@@ -12,6 +15,9 @@
 ABSL_FLAG(bool, rollouts, true, "Roll out good and bad versions meanwhile.");
 ABSL_FLAG(bool, planned, false,
 		  "planned work and harm between processes alone; nothing unplanned is done to routers");
+ABSL_FLAG(
+	std::string, only, "",
+	"play these steps alone, as BODY#STEP@MS separated by commas: what a run has printed, or other moments");
 ABSL_FLAG(
 	std::string, mutant, "",
 	"a check to prove: `twice` lets upstreams run a rejected request, `lost` lets callers lose answers, "
@@ -24,6 +30,61 @@
 {
 constexpr uint32_t kSampleMs = 50;
 
+/// What a fiber draws from.
+struct Draws
+{
+	Random random;
+	std::string label; ///< Of the step that is played, for notes; empty: none.
+};
+
+Draws& drawsOfFiber()
+{
+	static boost::fibers::fiber_specific_ptr<Draws> s_draws;
+	if (s_draws.get() == nullptr)
+	{
+		s_draws.reset(new Draws);
+	}
+	return *s_draws;
+}
+
+/// A step that `--only` names.
+struct ChosenStep
+{
+	uint64_t step = 0;
+	TimeUs at = 0; ///< Since the faults began.
+};
+
+/// @returns The steps of a body that `--only` names, in its order.
+std::vector<ChosenStep> chosenSteps(const std::string& _body)
+{
+	std::vector<ChosenStep> chosen;
+	const std::vector<std::string> items = absl::StrSplit(absl::GetFlag(FLAGS_only), ',', absl::SkipEmpty());
+	for (const std::string& item : items)
+	{
+		const std::vector<std::string> parts = absl::StrSplit(item, absl::ByAnyChar("#@"));
+		uint64_t step = 0;
+		uint64_t atMs = 0;
+		if (parts.size() != 3 || !absl::SimpleAtoi(parts[1], &step) || !absl::SimpleAtoi(parts[2], &atMs))
+		{
+			fmt::print("--only does not take {}\n", item);
+			std::exit(2);
+		}
+		if (parts[0] == _body)
+		{
+			chosen.push_back({step, TimeUs(atMs) * kMsToUs});
+		}
+	}
+	return chosen;
+}
+
+void playStep(Soak& _soak, const std::string& _body, uint64_t _number, const std::function<void()>& _step)
+{
+	const TimeUs since = monotonicNow() - _soak.startedAt;
+	drawsOfFiber().label = fmt::format("{}#{}@{}: ", _body, _number, since / kMsToUs);
+	_step();
+	drawsOfFiber().label.clear();
+}
+
 double elapsed(const Soak& _soak)
 {
 	return double(monotonicNow() - _soak.startedAt) / double(kSecond);
@@ -53,17 +114,45 @@
 
 void note(const Soak& _soak, const std::string& _what)
 {
-	fmt::print("{:.3f} s: {}\n", elapsed(_soak), _what);
+	fmt::print("{:.3f} s: {}{}\n", elapsed(_soak), drawsOfFiber().label, _what);
 }
 
-uint32_t below(Soak& _soak, uint32_t _bound)
+void drawAs(const Soak& _soak, std::string_view _body, uint64_t _step)
 {
-	return uint32_t(nextRandom(_soak.random) % _bound);
+	drawsOfFiber().random.state = stableHash(fmt::format("{} {}", _body, _step), _soak.seed);
 }
 
-bool happens(Soak& _soak, double _chance)
+uint32_t below(const Soak& /*_soak*/, uint32_t _bound)
 {
-	return nextUnit(_soak.random) < _chance;
+	return uint32_t(nextRandom(drawsOfFiber().random) % _bound);
+}
+
+bool happens(const Soak& /*_soak*/, double _chance)
+{
+	return nextUnit(drawsOfFiber().random) < _chance;
+}
+
+void playSteps(Soak& _soak, const std::string& _body, uint32_t _pauseMostMs,
+			   const std::function<void()>& _step)
+{
+	if (!absl::GetFlag(FLAGS_only).empty())
+	{
+		for (const ChosenStep& chosen : chosenSteps(_body))
+		{
+			drawAs(_soak, _body, chosen.step);
+			below(_soak, _pauseMostMs); // Drawn and not slept, so that the step draws the same.
+			const TimeUs wait = _soak.startedAt + chosen.at - monotonicNow();
+			sleepFor(uint32_t(std::max<TimeUs>(0, wait) / kMsToUs));
+			playStep(_soak, _body, chosen.step, _step);
+		}
+		return;
+	}
+	for (uint64_t number = 0; monotonicNow() < _soak.until; ++number)
+	{
+		drawAs(_soak, _body, number);
+		sleepFor(below(_soak, _pauseMostMs));
+		playStep(_soak, _body, number, _step);
+	}
 }
 
 bool isMutant(const char* _name)
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -4,10 +4,12 @@
 
 #include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "direct_harness.h"
@@ -24,6 +26,7 @@
 ABSL_DECLARE_FLAG(bool, planned);
 ABSL_DECLARE_FLAG(bool, rollouts);
 ABSL_DECLARE_FLAG(std::string, mutant);
+ABSL_DECLARE_FLAG(std::string, only);
 
 namespace spanplank
 {
@@ -77,6 +80,7 @@
 	std::string path;
 	std::string key;
 	SoakRouter* router = nullptr; ///< That the caller sent it to.
+	uint32_t arrivals = 0;        ///< At upstreams, also at those that rejected it.
 	uint32_t runs = 0;            ///< Upstreams that began to work on it.
 	uint32_t working = 0;         ///< Upstreams that work on it now.
 	TimeUs workedUntil = 0;
@@ -107,7 +111,6 @@
 struct Soak
 {
 	uint64_t seed = 0;
-	Random random;
 	std::string dir;
 	StandInStore store;
 	nlohmann::json config;
@@ -138,8 +141,20 @@
 Notice noticeNow(const Soak& _soak);
 void breach(Soak& _soak, const std::string& _what);
 void note(const Soak& _soak, const std::string& _what);
-uint32_t below(Soak& _soak, uint32_t _bound);
-bool happens(Soak& _soak, double _chance);
+
+/// The calling fiber draws from a stream of its own from here on, given by the seed, a body's name and the
+/// number of its step: how fast one body goes does not change what another draws, nor what a later step does.
+void drawAs(const Soak& _soak, std::string_view _body, uint64_t _step);
+/// @returns A draw below a bound, from the fiber's stream.
+uint32_t below(const Soak& _soak, uint32_t _bound);
+/// @returns Whether something of a chance happens, by the fiber's stream.
+bool happens(const Soak& _soak, double _chance);
+
+/// Plays the steps of a body that does harm or work, with a drawn pause before each, until the faults end.
+/// With `--only` just the steps named there, each at its moment. What a step notes begins with
+/// `BODY#STEP@MS`, as `--only` takes it.
+void playSteps(Soak& _soak, const std::string& _body, uint32_t _pauseMostMs,
+			   const std::function<void()>& _step);
 bool isMutant(const char* _name);
 /// Measures `heldUp` and looks for routers that end by themselves, until the faults end.
 void watchProcesses(Soak& _soak);
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -70,6 +70,7 @@
 		return;
 	}
 	RequestRecord& record = found->second;
+	drawAs(_soak, "answers to " + id, record.arrivals++);
 	checkArrival(_soak, _end, record);
 	noteTrialArrival(_soak, _end, record);
 	if (happens(_soak, kRejectChance) && !isMutant("twice"))
