A pausing upstream of a begun stream is kept until another has gone on with it

Cause: the router cancelled the pausing attempt on a guess, before another had brought an event; the next attempts went to an upstream that reset them, twice to the same one. Why this holds: the pausing attempt goes on being read while a fiber of its own asks others; whichever brings the next event ends the others, so a pause costs an attempt and not the stream. While an attempt is at work none is spent on an upstream that broke the answer; those that paused or rejected it are asked again first. Ruled out: another limit to wait before the last attempt (a dead path costs its deadline), a keeping of 400 ms, not counting quick resets as runs (the route's attempts bound the upstreams that a request may be sent to).

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -30,6 +30,7 @@
 	Silent,      ///< No answer, or no further event, in the time given: it may still run.
 	TimeUp,      ///< The request's time is over.
 	CallerLeft,
+	Overtaken, ///< Another attempt of a begun answer went on with it first; it ran.
 };
 
 /// @returns A name for logs.
@@ -51,11 +52,12 @@
 	uint32_t sends = 0;              ///< Attempts of which a byte may have left.
 	bool mayHaveRun = false;         ///< Not to be told "not run".
 	bool started = false;            ///< The caller has a part of the answer.
-	std::set<uint32_t> tried;        ///< Upstreams that failed or rejected it.
+	std::set<uint32_t> tried;        ///< Upstreams that failed, rejected or paused in it.
+	std::set<uint32_t> broke;        ///< Those among them that broke it off or failed it.
 	/// When the next attempt was counted in the retry window; 0: it wasn't. Stays until the attempt is sent.
 	TimeUs extraAt = 0;
 	TimeUs nextExtraAt = 0; ///< The same for the attempt after the one under way, which is given up.
-	/// A begun answer was given up with which its upstream might have gone on, and no other has since.
+	/// Another upstream was asked to go on with a begun answer while its own might have, and none has since.
 	bool leftByUs = false;
 	bool askedAll = false; ///< For such an answer all upstreams were asked: now one is at each pause.
 };
@@ -78,7 +80,8 @@
 };
 
 /// @returns Whether the rules allow a further attempt after the one that begins or is under way.
-bool mayBeFollowed(const RequestPlan& _plan);
+/// @param[in] _kept That one is counted already: see `noteKept`.
+bool mayBeFollowed(const RequestPlan& _plan, bool _kept = false);
 
 /// @param[in] _another Whether a further attempt may follow: without one, waiting on is all that is left.
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, const HeadTimes& _head, TimeUs _now);
@@ -125,8 +128,15 @@
 /// attempt that is sure to be allowed. Giving up takes that attempt from the window, so that nothing refuses
 /// it afterwards.
 /// @param[in] _another Whether another upstream can take the request now.
-/// @returns Until when the wait goes on, then to be asked again; nothing: the attempt is given up.
-std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now);
+/// @param[in] _kept The attempt was kept before, and went on.
+/// @returns Until when the wait goes on, then to be asked again; nothing: the attempt is given up, or, of a
+/// begun answer, kept beside the next one.
+std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now,
+								  bool _kept = false);
+
+/// Another upstream is asked to go on with a begun answer, and the attempt under way is kept until one of
+/// them has: from here on it counts as a run. @param[in] _again It was kept before, and went on.
+void noteKept(RequestPlan& _plan, uint32_t _upstream, bool _again);
 
 /// Takes the next model's attempt from the window.
 /// @returns Whether the answer at hand may be dropped for it.
@@ -144,11 +154,17 @@
 NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
 					  TimeUs _now);
 
+/// The same for an attempt that was kept, if no other looks for an upstream by then.
+NextMove afterKept(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
+				   TimeUs _now);
+
 /// Decides on a further attempt while none is under way. An extra attempt is taken from the window.
 NextMove moveOn(RequestPlan& _plan, RetryWindow& _window, TimeUs _now);
 
-/// No upstream is left to ask. An answer that has to go on may ask those again that were asked before.
-NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now);
+/// No upstream is left to ask. An answer that has to go on may ask those again that were asked before: those
+/// that only paused or rejected it first, those that broke it once nothing else is left.
+/// @param[in] _live Upstreams that are at work on it.
+NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now, const std::set<uint32_t>& _live = {});
 
 /// The request ends: gives an attempt back to the window that was taken and not sent.
 void giveBackUnsent(RequestPlan& _plan, RetryWindow& _window);
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -124,9 +124,9 @@
 	fibers::use_scheduling_algorithm<AsioRoundRobin>(_io);
 }
 
-void spawnFiber(std::function<void()> _body)
+fibers::fiber startFiber(std::function<void()> _body)
 {
-	fibers::fiber(fibers::launch::post, [body = std::move(_body)] {
+	return fibers::fiber(fibers::launch::post, [body = std::move(_body)] {
 		try
 		{
 			body();
@@ -135,7 +135,12 @@
 		{
 			logEvent("fiber_failed", {{"error", failure.what()}});
 		}
-	}).detach();
+	});
+}
+
+void spawnFiber(std::function<void()> _body)
+{
+	startFiber(std::move(_body)).detach();
 }
 
 void sleepFor(uint32_t _ms)
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -27,7 +27,11 @@
 /// Installs the scheduler in the calling thread. Call once, before the first fiber.
 void installFiberScheduler(boost::asio::io_context& _io);
 
-/// Starts a detached fiber. An exception that leaves `_body` is logged and ends only that fiber.
+/// Starts a fiber, which has to be joined. An exception that leaves `_body` is logged and ends only that
+/// fiber.
+boost::fibers::fiber startFiber(std::function<void()> _body);
+
+/// The same, detached.
 void spawnFiber(std::function<void()> _body);
 
 /// Suspends the calling fiber for a time.
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -73,8 +73,8 @@
 
 const char* name(AttemptEnd _end)
 {
-	constexpr const char* kNames[] = {"whole",  "doubted", "not_sent", "not_run", "misdirected",
-									  "failed", "broken",  "silent",   "time_up", "caller_left"};
+	constexpr const char* kNames[] = {"whole",  "doubted", "not_sent", "not_run",     "misdirected", "failed",
+									  "broken", "silent",  "time_up",  "caller_left", "overtaken"};
 	return kNames[size_t(_end)];
 }
 
@@ -93,10 +93,10 @@
 	return plan;
 }
 
-bool mayBeFollowed(const RequestPlan& _plan)
+bool mayBeFollowed(const RequestPlan& _plan, bool _kept)
 {
 	const bool mayGoOn = !_plan.started || _plan.policies.resumption;
-	return _plan.repeatable && mayGoOn && _plan.runs + 1 < _plan.maxAttempts;
+	return _plan.repeatable && mayGoOn && _plan.runs + (_kept ? 0 : 1) < _plan.maxAttempts;
 }
 
 AttemptTimes attemptTimes(const RequestPlan& _plan, bool _another, const HeadTimes& _head, TimeUs _now)
@@ -176,7 +176,8 @@
 	return _plan.runs == 0 || (_plan.repeatable && mayGoOn && _plan.runs < _plan.maxAttempts);
 }
 
-std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now)
+std::optional<TimeUs> waitOnUntil(RequestPlan& _plan, RetryWindow& _window, bool _another, TimeUs _now,
+								  bool _kept)
 {
 	if (_now >= _plan.deadline)
 	{
@@ -185,7 +186,7 @@
 	// A begun stream that is left is lost if its next upstream breaks it and no further attempt is allowed.
 	const bool spared = !_plan.started || hasRoom(_window, kAttemptsOfLeft, _now);
 	// The last part of the window stays for those whose next upstream then rejects them.
-	if (_another && spared && mayBeFollowed(_plan) && takeExtra(_window, _now, kBudgetForChoice))
+	if (_another && spared && mayBeFollowed(_plan, _kept) && takeExtra(_window, _now, kBudgetForChoice))
 	{
 		_plan.nextExtraAt = _now;
 		return std::nullopt;
@@ -218,13 +219,19 @@
 	return _plan.leftByUs ? NextMove::Later : NextMove::Finish;
 }
 
-NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now)
+NextMove whenNoneIsLeft(RequestPlan& _plan, TimeUs _now, const std::set<uint32_t>& _live)
 {
-	if (!_plan.leftByUs || !mayRunAgain(_plan, _now))
+	// One that only rejected a begun answer, or paused, may have room again soon.
+	const bool mayAskAgain = _plan.leftByUs || (_plan.started && _plan.tried != _plan.broke);
+	if (!mayAskAgain || !mayRunAgain(_plan, _now))
 	{
 		return NextMove::Finish;
 	}
-	_plan.tried.clear();
+	std::set<uint32_t> spared = _plan.broke;
+	spared.insert(_live.begin(), _live.end());
+	// While one is still at work, the last attempt is not spent on an upstream that has broken the answer.
+	const bool onlyBroke = _live.empty() && spared == _plan.tried;
+	_plan.tried = onlyBroke ? std::set<uint32_t>() : spared;
 	_plan.askedAll = true;
 	return NextMove::Later;
 }
@@ -241,20 +248,14 @@
 	}
 }
 
-NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
+namespace
+{
+/// What follows an attempt that is counted.
+NextMove afterCounted(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
 					  TimeUs _now)
 {
-	const bool sent = _end != AttemptEnd::NotSent;
-	const bool ran = sent && _end != AttemptEnd::NotRun && _end != AttemptEnd::Misdirected;
-	_plan.sends += sent ? 1 : 0;
-	_plan.runs += ran ? 1 : 0;
-	_plan.mayHaveRun = _plan.mayHaveRun || ran;
-	if (sent) // Else its extra attempt, if it was one, is still there for the next.
-	{
-		_plan.extraAt = std::exchange(_plan.nextExtraAt, 0);
-	}
-	_plan.leftByUs = _plan.leftByUs || (_plan.started && _end == AttemptEnd::Silent);
-	if (_end == AttemptEnd::Whole || _end == AttemptEnd::CallerLeft || _end == AttemptEnd::TimeUp)
+	if (_end == AttemptEnd::Whole || _end == AttemptEnd::CallerLeft || _end == AttemptEnd::TimeUp ||
+		_end == AttemptEnd::Overtaken)
 	{
 		return NextMove::Finish;
 	}
@@ -266,10 +267,46 @@
 	{
 		_plan.tried.insert(_upstream);
 	}
+	if (_end == AttemptEnd::Broken || _end == AttemptEnd::Failed)
+	{
+		_plan.broke.insert(_upstream);
+	}
 	// All being full, a round at once would use up the window.
-	const bool paced = _plan.leftByUs && _plan.askedAll && mayRunAgain(_plan, _now);
+	const bool paced = _plan.askedAll && mayRunAgain(_plan, _now);
 	return paced ? NextMove::Later : moveOn(_plan, _window, _now);
 }
+} // namespace
+
+void noteKept(RequestPlan& _plan, uint32_t _upstream, bool _again)
+{
+	_plan.sends += _again ? 0 : 1;
+	_plan.runs += _again ? 0 : 1;
+	_plan.mayHaveRun = true;
+	_plan.extraAt = std::exchange(_plan.nextExtraAt, 0);
+	_plan.leftByUs = true;
+	_plan.tried.insert(_upstream);
+}
+
+NextMove afterKept(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window, TimeUs _now)
+{
+	return afterCounted(_plan, _end, _upstream, _window, _now);
+}
+
+NextMove afterAttempt(RequestPlan& _plan, AttemptEnd _end, uint32_t _upstream, RetryWindow& _window,
+					  TimeUs _now)
+{
+	const bool sent = _end != AttemptEnd::NotSent;
+	const bool ran = sent && _end != AttemptEnd::NotRun && _end != AttemptEnd::Misdirected;
+	_plan.sends += sent ? 1 : 0;
+	_plan.runs += ran ? 1 : 0;
+	_plan.mayHaveRun = _plan.mayHaveRun || ran;
+	if (sent) // Else its extra attempt, if it was one, is still there for the next.
+	{
+		_plan.extraAt = std::exchange(_plan.nextExtraAt, 0);
+	}
+	_plan.leftByUs = _plan.leftByUs || (_plan.started && _end == AttemptEnd::Silent);
+	return afterCounted(_plan, _end, _upstream, _window, _now);
+}
 
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, NoUpstream _why, double _spread,
 						TimeUs _now)
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -3,6 +3,7 @@
 #define SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "serving_p.h"
@@ -29,24 +30,60 @@
 	TimeUs firstEventsAt = 0;   ///< When the first events of this attempt came; 0: none did.
 	TimeUs lastEventsAt = 0;
 	int64_t firstEventsId = -1; ///< The last id among those first events.
+	int64_t lastEventId = -1;   ///< The last id that this attempt brought; -1: none.
 	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
 };
 
+/// An attempt under way, as the request's other attempts see it.
+struct LiveAttempt
+{
+	UpstreamCall& call;
+	AttemptNotes& notes;
+	EventSplitter events;   ///< Of this attempt's answer; begins after what the caller had by then.
+	bool kept = false;      ///< It pauses, is counted as a run, and others were asked to go on.
+	bool overtaken = false; ///< Another one has gone on.
+	bool dropped = false;   ///< It was kept, and the one after it is kept now.
+};
+
+/// How an attempt went.
+struct AttemptResult
+{
+	/// Nothing: the upstream left, or another attempt went on, before anything was sent; the attempt counts
+	/// neither as a run nor as an extra attempt.
+	std::optional<AttemptEnd> end;
+	bool kept = false;      ///< It was counted before its end.
+	bool overtaken = false; ///< Another attempt went on, or is waited for in its place.
+};
+
 /// Runs one attempt at an upstream and takes note of how it went.
-/// @returns How it ended; nothing if the upstream left before anything was sent: another is to be chosen, and
-/// the attempt counts neither as a run nor as an extra attempt.
-std::optional<AttemptEnd> runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query);
+AttemptResult runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query);
 
 /// Sends the request, and passes its answer on or keeps it.
 /// @returns How the attempt ended.
-AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes);
+AttemptEnd runCall(Serving& _serving, LiveAttempt& _attempt, const AttemptTimes& _times);
+
+/// Asks one upstream after another until one brings an answer, or nothing more is to be tried.
+/// @param[in] _move What to begin with.
+void runAttempts(Serving& _serving, NextMove _move);
+
+/// An attempt goes on with the answer: all others end.
+void endOthers(Serving& _serving, const LiveAttempt& _attempt);
+
+/// Keeps an attempt that pauses in a begun answer, and asks others beside it.
+void keepBeside(Serving& _serving, LiveAttempt& _attempt);
+
+/// @returns The upstreams of the attempts under way.
+std::set<uint32_t> liveUpstreams(const Serving& _serving);
+
+/// Ends all attempts under way from another handler.
+void cancelAttempts(Serving& _serving);
 
 /// Takes note of an attempt that ended before anything was sent, as its upstream left.
 void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes);
 
 /// Decides when a limit of an attempt has passed, before its connection is closed.
 /// @returns Until when the wait goes on; nothing: the attempt is given up.
-std::optional<TimeUs> whenLate(Serving& _serving, AttemptNotes& _notes);
+std::optional<TimeUs> whenLate(Serving& _serving, LiveAttempt& _attempt);
 
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
 void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -27,12 +27,17 @@
 /// Cuts off an answer of which the caller has a part.
 void breakOff(Serving& _serving, TimeUs _now)
 {
+	const std::string model = modelOf(_serving);
+	const bool another = isValid(pickUpstreamFor(_serving, queryOf(_serving, model), _now));
+	const bool room = hasRoom(retryWindow(_serving.router, _serving.service), 1, _now);
 	++_serving.router.stats.answers["broken"];
 	logEvent("answer_broken", {{"request", _serving.call.requestId},
 							   {"last", name(_serving.last)},
-							   {"last_event", std::to_string(_serving.events.lastId)},
+							   {"last_event", std::to_string(_serving.lastEventId)},
 							   {"runs", std::to_string(_serving.plan.runs)},
 							   {"sends", std::to_string(_serving.plan.sends)},
+							   {"another", another ? "1" : "0"},
+							   {"window_room", room ? "1" : "0"},
 							   {"left_by_us", _serving.plan.leftByUs ? "1" : "0"},
 							   {"left_ms", millisText(_serving.plan.deadline - _now)},
 							   {"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -14,9 +14,9 @@
 constexpr int64_t kLeastPauses = 1;
 
 /// @returns The mean pause between the events of an attempt, in milliseconds; 0: too few came.
-double pauseMs(const Serving& _serving, const AttemptNotes& _notes)
+double pauseMs(const AttemptNotes& _notes)
 {
-	const int64_t pauses = _serving.events.lastId - _notes.firstEventsId;
+	const int64_t pauses = _notes.lastEventId - _notes.firstEventsId;
 	if (_notes.firstEventsAt == 0 || pauses < kLeastPauses)
 	{
 		return 0.0;
@@ -37,7 +37,7 @@
 	}
 	times.headKind = _notes.headAfter != 0 ? _serving.route->name + " " + model : "";
 	times.headMs = headMs;
-	times.paceMs = pauseMs(_serving, _notes);
+	times.paceMs = pauseMs(_notes);
 	if (times.paceMs > 0.0)
 	{
 		times.paceKind = _serving.plan.models.empty() ? _serving.route->name : model;
@@ -63,6 +63,7 @@
 		return HealthSign::Silent;
 	case AttemptEnd::NotRun:
 	case AttemptEnd::CallerLeft:
+	case AttemptEnd::Overtaken:
 		break;
 	}
 	return HealthSign::None;
@@ -149,8 +150,8 @@
 		 {"table_age_ms", millisText(_notes.tableAge)},
 		 {"sent_ms", millisText(_notes.sentAfter)},
 		 {"head_ms", millisText(_notes.headAfter)},
-		 {"last_event", std::to_string(_serving.events.lastId)},
-		 {"pause_ms", fmt::format("{:.1f}", pauseMs(_serving, _notes))},
+		 {"last_event", std::to_string(_serving.lastEventId)},
+		 {"pause_ms", fmt::format("{:.1f}", pauseMs(_notes))},
 		 {"took_ms", millisText(_now - _notes.begin)}});
 }
 
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -16,12 +16,16 @@
 constexpr size_t kMostBuffered = 16u << 20; ///< Bytes of an answer that is read whole before it is passed on.
 
 /// @returns What a step that did not go well makes of the attempt.
-AttemptEnd endOf(const Serving& _serving, ExchangeState _state)
+AttemptEnd endOf(const Serving& _serving, const LiveAttempt& _attempt, ExchangeState _state)
 {
 	if (_serving.callerGone)
 	{
 		return AttemptEnd::CallerLeft;
 	}
+	if (_attempt.overtaken || _attempt.dropped)
+	{
+		return _attempt.kept ? AttemptEnd::Silent : AttemptEnd::Overtaken;
+	}
 	if (_state == ExchangeState::Cancelled)
 	{
 		return AttemptEnd::TimeUp;
@@ -39,14 +43,17 @@
 
 /// Sends whole events to the caller, the first time after the head of the answer.
 /// @returns Whether the caller is still there.
-bool writeEvents(Serving& _serving, const HttpExchange::Fields& _head, std::string_view _events)
+bool writeEvents(Serving& _serving, LiveAttempt& _attempt, const HttpExchange::Fields& _head,
+				 std::string_view _events)
 {
+	_serving.lastEventId = _attempt.events.lastId;
 	if (!_serving.plan.started && !_serving.exchange.passOnHead(status::kOk, _head))
 	{
 		return false;
 	}
 	_serving.plan.started = true;
 	_serving.plan.leftByUs = false;
+	endOthers(_serving, _attempt);
 	if (_serving.firstByteAt == 0)
 	{
 		_serving.firstByteAt = monotonicNow();
@@ -62,24 +69,29 @@
 		_notes.firstEventsId = _lastId;
 	}
 	_notes.lastEventsAt = _now;
+	_notes.lastEventId = _lastId;
 }
 
 /// Passes events on as they come. Only whole events go out, so that another upstream can go on after them.
-AttemptEnd passEvents(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times,
-					  AttemptNotes& _notes)
+AttemptEnd passEvents(Serving& _serving, LiveAttempt& _attempt, const AttemptTimes& _times)
 {
-	const HttpExchange::Fields head = platform::encodeAnswerHead(_call.head());
-	dropPartialEvent(_serving.events);
+	UpstreamCall& call = _attempt.call;
+	EventSplitter& splitter = _attempt.events;
+	const HttpExchange::Fields head = platform::encodeAnswerHead(call.head());
 	TimeUs by = _times.headBy;
-	while (!_call.done())
+	while (!call.done())
 	{
 		std::string_view piece;
-		const ExchangeState state = _call.read(piece, by);
-		const std::string events = takeEvents(_serving.events, piece);
+		const ExchangeState state = call.read(piece, by);
+		if (_attempt.overtaken || _attempt.dropped)
+		{
+			return endOf(_serving, _attempt, state); // What it brought meanwhile is not passed on.
+		}
+		const std::string events = takeEvents(splitter, piece);
 		if (!events.empty())
 		{
-			noteEvents(_notes, _serving.events.lastId, monotonicNow());
-			if (!writeEvents(_serving, head, events))
+			noteEvents(_attempt.notes, splitter.lastId, monotonicNow());
+			if (!writeEvents(_serving, _attempt, head, events))
 			{
 				return AttemptEnd::CallerLeft;
 			}
@@ -87,32 +99,32 @@
 		}
 		if (state != ExchangeState::Ok)
 		{
-			return endOf(_serving, state);
+			return endOf(_serving, _attempt, state);
 		}
-		if (_serving.events.disordered)
+		if (splitter.disordered)
 		{
-			_serving.events.disordered = false;
 			return AttemptEnd::Broken;
 		}
 	}
-	const bool whole = _serving.events.rest.empty() && _serving.plan.started;
+	const bool whole = splitter.rest.empty() && _serving.plan.started;
 	if (!whole)
 	{
 		return AttemptEnd::Broken;
 	}
+	endOthers(_serving, _attempt);
 	return _serving.exchange.finish() ? AttemptEnd::Whole : AttemptEnd::CallerLeft;
 }
 
 /// Reads an answer whole before the caller gets any of it.
-AttemptEnd readWhole(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, std::string& _body)
+AttemptEnd readWhole(Serving& _serving, LiveAttempt& _attempt, const AttemptTimes& _times, std::string& _body)
 {
-	while (!_call.done())
+	while (!_attempt.call.done())
 	{
 		std::string_view piece;
-		const ExchangeState state = _call.read(piece, _times.headBy);
+		const ExchangeState state = _attempt.call.read(piece, _times.headBy);
 		if (state != ExchangeState::Ok)
 		{
-			return endOf(_serving, state);
+			return endOf(_serving, _attempt, state);
 		}
 		_body.append(piece);
 		if (_body.size() > kMostBuffered)
@@ -124,12 +136,13 @@
 }
 
 /// Reads an answer that is not passed on event by event, and tells what it means.
-AttemptEnd takePlainAnswer(Serving& _serving, UpstreamCall& _call, const platform::AnswerHeaders& _answer,
+AttemptEnd takePlainAnswer(Serving& _serving, LiveAttempt& _attempt, const platform::AnswerHeaders& _answer,
 						   const AttemptTimes& _times)
 {
-	const int code = int(_call.head().result_int());
+	UpstreamCall& call = _attempt.call;
+	const int code = int(call.head().result_int());
 	std::string body;
-	const AttemptEnd read = readWhole(_serving, _call, _times, body);
+	const AttemptEnd read = readWhole(_serving, _attempt, _times, body);
 	if (_answer.notRun && (read == AttemptEnd::Whole || read == AttemptEnd::Broken))
 	{
 		return code == status::kMisdirected ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
@@ -141,16 +154,16 @@
 	if (code >= status::kFirstServerError || promisesNotRun(code))
 	{
 		_serving.failedStatus = code;
-		_serving.failedHead = platform::encodeAnswerHead(_call.head());
+		_serving.failedHead = platform::encodeAnswerHead(call.head());
 		_serving.failedBody = std::move(body);
 		return AttemptEnd::Failed;
 	}
-	if (!_answer.signedByUpstream)
+	if (!_answer.signedByUpstream || _serving.plan.started) // A begun stream can't go on with another kind.
 	{
 		return AttemptEnd::Broken;
 	}
 	_serving.firstByteAt = monotonicNow();
-	const bool delivered = _serving.exchange.passOn(code, platform::encodeAnswerHead(_call.head()), body);
+	const bool delivered = _serving.exchange.passOn(code, platform::encodeAnswerHead(call.head()), body);
 	return delivered ? AttemptEnd::Whole : AttemptEnd::CallerLeft;
 }
 
@@ -200,34 +213,35 @@
 }
 } // namespace
 
-AttemptEnd runCall(Serving& _serving, UpstreamCall& _call, const AttemptTimes& _times, AttemptNotes& _notes)
+AttemptEnd runCall(Serving& _serving, LiveAttempt& _attempt, const AttemptTimes& _times)
 {
-	_call.onLate([&] { return whenLate(_serving, _notes); });
-	ExchangeState state = _call.connect(_times.connectBy);
-	_notes.withdrawn = state == ExchangeState::Ok && !isStillAllowed(_serving.router, _notes);
-	if (_notes.withdrawn)
+	UpstreamCall& call = _attempt.call;
+	AttemptNotes& notes = _attempt.notes;
+	call.onLate([&] { return whenLate(_serving, _attempt); });
+	ExchangeState state = call.connect(_times.connectBy);
+	notes.withdrawn = state == ExchangeState::Ok && !isStillAllowed(_serving.router, notes);
+	if (notes.withdrawn)
 	{
 		return AttemptEnd::NotSent;
 	}
 	if (state == ExchangeState::Ok)
 	{
-		_notes.sentAfter = std::max<TimeUs>(1, monotonicNow() - _notes.begin);
-		state = _call.send(_times.headBy);
+		notes.sentAfter = std::max<TimeUs>(1, monotonicNow() - notes.begin);
+		state = call.send(_times.headBy);
 	}
 	if (state != ExchangeState::Ok)
 	{
-		return endOf(_serving, state);
+		return endOf(_serving, _attempt, state);
 	}
-	_notes.headAfter = std::max<TimeUs>(1, monotonicNow() - _notes.begin);
-	const int code = int(_call.head().result_int());
-	const platform::AnswerHeaders answer = platform::readAnswerHeaders(_call.head(), code);
+	notes.headAfter = std::max<TimeUs>(1, monotonicNow() - notes.begin);
+	const int code = int(call.head().result_int());
+	const platform::AnswerHeaders answer = platform::readAnswerHeaders(call.head(), code);
 	AttemptEnd end = AttemptEnd::Broken;
-	_notes.confidence = answer.confidence.value_or(-1.0);
+	notes.confidence = answer.confidence.value_or(-1.0);
 	if (!answer.notRun)
 	{
-		noteHead(_serving.router.upstreams, _notes.upstream, _notes.query, _notes.prefillMs,
-				 _notes.headAfter);
-		_notes.prefillMs = 0.0;
+		noteHead(_serving.router.upstreams, notes.upstream, notes.query, notes.prefillMs, notes.headAfter);
+		notes.prefillMs = 0.0;
 	}
 	if (_serving.plan.stream && code == status::kOk && !answer.notRun)
 	{
@@ -235,13 +249,13 @@
 		{
 			return AttemptEnd::Doubted;
 		}
-		end = answer.signedByUpstream ? passEvents(_serving, _call, _times, _notes) : AttemptEnd::Broken;
+		end = answer.signedByUpstream ? passEvents(_serving, _attempt, _times) : AttemptEnd::Broken;
 	}
 	else
 	{
-		end = takePlainAnswer(_serving, _call, answer, _times);
+		end = takePlainAnswer(_serving, _attempt, answer, _times);
 	}
-	_call.release(answer.keepAliveMs);
+	call.release(answer.keepAliveMs);
 	return end;
 }
 } // namespace spanplank
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -20,9 +20,9 @@
 	headers.upstreamId = _upstream.id;
 	headers.account = _serving.account != nullptr ? _serving.account->name : "";
 	headers.model = _serving.plan.models.empty() ? "" : modelOf(_serving);
-	if (_serving.events.lastId >= 0)
+	if (_serving.lastEventId >= 0)
 	{
-		headers.lastEventId = _serving.events.lastId;
+		headers.lastEventId = _serving.lastEventId;
 	}
 	if (_serving.plan.stream && _serving.plan.policies.urgency)
 	{
@@ -50,9 +50,32 @@
 	request.freshOnly = !_serving.plan.repeatable;
 	return request;
 }
+
+/// Keeps an attempt among the live ones of its request for as long as it runs, also if it ends by an
+/// exception.
+class LiveMark
+{
+public:
+	LiveMark(Serving& _serving, LiveAttempt& _attempt) : m_live(_serving.live), m_attempt(&_attempt)
+	{
+		m_live.push_back(m_attempt);
+	}
+
+	~LiveMark()
+	{
+		m_live.erase(std::find(m_live.begin(), m_live.end(), m_attempt));
+	}
+
+	LiveMark(const LiveMark&) = delete;
+	LiveMark& operator=(const LiveMark&) = delete;
+
+private:
+	std::vector<LiveAttempt*>& m_live;
+	LiveAttempt* m_attempt;
+};
 } // namespace
 
-std::optional<AttemptEnd> runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
+AttemptResult runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
 {
 	DirectRouter& router = _serving.router;
 	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
@@ -68,20 +91,25 @@
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.prefillMs = noteSent(router.upstreams, _upstream, _query, notes.begin);
 	noteTrialSent(router.trials, _serving.service, upstream.version);
+	AttemptResult result;
 	AttemptEnd end = AttemptEnd::NotSent;
 	{
 		UpstreamCall call(router.pool, request);
-		_serving.running = &call;
-		end = runCall(_serving, call, times, notes);
-		_serving.running = nullptr;
+		LiveAttempt attempt{call, notes, {}};
+		attempt.events.lastId = _serving.lastEventId;
+		const LiveMark live(_serving, attempt);
+		end = runCall(_serving, attempt, times);
 		notes.error = call.error();
+		result.kept = attempt.kept;
+		result.overtaken = attempt.overtaken || attempt.dropped;
 	}
-	if (notes.withdrawn)
+	if (notes.withdrawn || (result.overtaken && notes.sentAfter == 0))
 	{
 		noteWithdrawn(_serving, notes);
-		return std::nullopt;
+		return result;
 	}
 	noteAttemptEnd(_serving, notes, end);
-	return end;
+	result.end = end;
+	return result;
 }
 } // namespace spanplank
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -1,7 +1,10 @@
 /// One caller's request in direct mode, from its arrival to its final answer. The decisions are in
 /// `request_plan.h`, `upstream_table.h` and `version_trial.h`.
 #include <algorithm>
+#include <chrono>
+#include <exception>
 #include <functional>
+#include <mutex>
 #include <utility>
 
 #include "attempt_p.h"
@@ -49,10 +52,7 @@
 		return;
 	}
 	_serving.plan.deadline = std::min(_serving.plan.deadline, monotonicNow());
-	if (_serving.running != nullptr)
-	{
-		_serving.running->cancel();
-	}
+	cancelAttempts(_serving);
 }
 
 /// Waits for a cold upstream to take a request, if that is soon.
@@ -69,53 +69,120 @@
 	return true;
 }
 
-/// Asks one upstream after another until one brings an answer, or nothing more is to be tried.
-void runAttempts(Serving& _serving)
+/// Waits for the fibers that make attempts beside the first one's; if that one ended by an exception, ends
+/// them.
+class SearchJoin
 {
-	DirectRouter& router = _serving.router;
-	RetryWindow& window = retryWindow(router, _serving.service);
-	noteRequest(window, _serving.plan.arrivedAt);
-	NextMove move = NextMove::Again;
-	while (move != NextMove::Finish)
+public:
+	explicit SearchJoin(Serving& _serving) : m_serving(_serving), m_exceptions(std::uncaught_exceptions())
 	{
-		if (_serving.callerGone)
+	}
+
+	~SearchJoin()
+	{
+		if (std::uncaught_exceptions() > m_exceptions)
 		{
-			_serving.last = AttemptEnd::CallerLeft;
-			break;
+			m_serving.callerGone = true;
+			cancelAttempts(m_serving);
 		}
-		if (move == NextMove::Later)
+		for (boost::fibers::fiber& search : m_serving.searches) // More may come meanwhile.
 		{
-			sleepFor(kLaterMs);
-			move = moveOn(_serving.plan, window, monotonicNow());
-			continue;
+			search.join();
 		}
-		const std::string model = modelOf(_serving);
-		const UpstreamQuery query = queryOf(_serving, model);
-		// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
-		const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
-		if (!isValid(upstream))
+	}
+
+	SearchJoin(const SearchJoin&) = delete;
+	SearchJoin& operator=(const SearchJoin&) = delete;
+
+private:
+	Serving& m_serving;
+	int m_exceptions;
+};
+
+/// Decides what follows an attempt. @param[in,out] _turns `Serving::turns` as the calling fiber knows it.
+NextMove afterResult(Serving& _serving, const AttemptResult& _result, UpstreamId _upstream, uint32_t& _turns)
+{
+	RetryWindow& window = retryWindow(_serving.router, _serving.service);
+	if (_result.overtaken)
+	{
+		if (_result.end && !_result.kept)
 		{
-			if (awaitCold(_serving, query))
-			{
-				continue;
-			}
-			_serving.noUpstream = whyNone(router.upstreams, query, monotonicNow());
-			move = whenNoneIsLeft(_serving.plan, monotonicNow());
-			continue;
+			afterAttempt(_serving.plan, AttemptEnd::Overtaken, _upstream.idx, window, monotonicNow());
 		}
-		const std::optional<AttemptEnd> end = runAttempt(_serving, upstream, query);
-		if (!end)
+		return NextMove::Finish;
+	}
+	_turns = _serving.turns; // The last turn was its own, if there was one.
+	if (!_result.end)
+	{
+		return NextMove::Again;
+	}
+	if (_result.kept && _serving.searching && *_result.end != AttemptEnd::Whole)
+	{
+		return NextMove::Finish; // The fiber that looks for another upstream decides.
+	}
+	_serving.last = *_result.end;
+	const auto follows = _result.kept ? afterKept : afterAttempt;
+	const NextMove move = follows(_serving.plan, _serving.last, _upstream.idx, window, monotonicNow());
+	DirectStats& stats = _serving.router.stats;
+	stats.escalated += _serving.last == AttemptEnd::Doubted ? 1 : 0;
+	stats.resumed += move != NextMove::Finish && _serving.plan.started ? 1 : 0;
+	return move;
+}
+
+/// Pauses before upstreams are asked again; ends early if another attempt goes on or the caller has left, as
+/// the answer is not over before.
+/// @returns Whether no other attempt has gone on meanwhile.
+bool pauseAlone(Serving& _serving, uint32_t _turns)
+{
+	std::unique_lock<boost::fibers::mutex> lock(_serving.pauseMutex);
+	_serving.pauseEnds.wait_for(lock, std::chrono::milliseconds(kLaterMs),
+								[&] { return _serving.callerGone || _turns != _serving.turns; });
+	return _turns == _serving.turns;
+}
+
+/// Chooses an upstream and makes an attempt there.
+/// @param[in,out] _turns `Serving::turns` as the calling fiber knows it.
+NextMove tryNext(Serving& _serving, uint32_t& _turns)
+{
+	const UpstreamTable& table = _serving.router.upstreams;
+	const std::string model = modelOf(_serving);
+	const UpstreamQuery query = queryOf(_serving, model);
+	// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
+	const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
+	if (isValid(upstream))
+	{
+		return afterResult(_serving, runAttempt(_serving, upstream, query), upstream, _turns);
+	}
+	if (awaitCold(_serving, query))
+	{
+		return NextMove::Again;
+	}
+	_serving.noUpstream = whyNone(table, query, monotonicNow());
+	return whenNoneIsLeft(_serving.plan, monotonicNow(), liveUpstreams(_serving));
+}
+} // namespace
+
+void runAttempts(Serving& _serving, NextMove _move)
+{
+	RetryWindow& window = retryWindow(_serving.router, _serving.service);
+	uint32_t turns = _serving.turns;
+	NextMove move = _move;
+	while (move != NextMove::Finish && turns == _serving.turns) // Else another attempt goes on meanwhile.
+	{
+		if (_serving.callerGone)
+		{
+			_serving.last = AttemptEnd::CallerLeft;
+			break;
+		}
+		if (move == NextMove::Again)
 		{
+			move = tryNext(_serving, turns);
 			continue;
 		}
-		_serving.last = *end;
-		move = afterAttempt(_serving.plan, _serving.last, upstream.idx, window, monotonicNow());
-		router.stats.escalated += _serving.last == AttemptEnd::Doubted ? 1 : 0;
-		router.stats.resumed += move != NextMove::Finish && _serving.plan.started ? 1 : 0;
+		const bool alone = pauseAlone(_serving, turns);
+		move = alone ? moveOn(_serving.plan, window, monotonicNow()) : NextMove::Finish;
 	}
-	giveBackUnsent(_serving.plan, window);
 }
-} // namespace
 
 void serveDirect(DirectRouter& _router, HttpExchange& _exchange)
 {
@@ -128,7 +195,7 @@
 	}
 	serving.plan = planRequest(*serving.route, serving.call.deadlineMs, serving.plan.arrivedAt);
 	serving.plan.policies = _router.settings.policies;
-	serving.events.lastId = serving.call.lastEventId;
+	serving.lastEventId = serving.call.lastEventId;
 	serving.service = pickService(*serving.route, stableHash(serving.call.requestId));
 	if (!admitByStop(serving))
 	{
@@ -136,14 +203,18 @@
 	}
 	_exchange.onCallerGone([&serving] {
 		serving.callerGone = true;
-		if (serving.running != nullptr)
-		{
-			serving.running->cancel();
-		}
+		cancelAttempts(serving);
 	});
 	{
 		const InFlightMark inFlight(_router, [&serving] { endBeforeStop(serving); });
-		runAttempts(serving);
+		const SearchJoin join(serving);
+		noteRequest(retryWindow(_router, serving.service), serving.plan.arrivedAt);
+		runAttempts(serving, NextMove::Again);
+	}
+	giveBackUnsent(serving.plan, retryWindow(_router, serving.service));
+	if (serving.callerGone && serving.last != AttemptEnd::Whole)
+	{
+		serving.last = AttemptEnd::CallerLeft;
 	}
 	finishRequest(serving);
 }
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -4,10 +4,13 @@
 #define SPANPLANK_SERVING_P_H_HEADER_GUARD
 
 #include <cstdint>
+#include <list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "direct_router_p.h"
+#include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "platform/headers_p.h"
 #include "spanplank/event_stream.h"
@@ -19,7 +22,11 @@
 
 namespace spanplank
 {
-/// One request and what its attempts need.
+struct LiveAttempt;
+
+/// One request and what its attempts need. One attempt at a time, but for a begun answer whose upstream
+/// pauses: that attempt is kept while others are made by a fiber of their own, and the first that goes on
+/// with the answer ends the others.
 struct Serving
 {
 	Serving(DirectRouter& _router, HttpExchange& _exchange) : router(_router), exchange(_exchange)
@@ -34,9 +41,15 @@
 	const AccountEntry* account = nullptr; ///< Null: the request came without a key on an anonymous route.
 	std::string service;
 	RequestPlan plan;
-	EventSplitter events;
+	int64_t lastEventId = -1; ///< Of the last event that the caller was sent; -1: none.
 	bool callerGone = false;
-	UpstreamCall* running = nullptr; ///< The call of the attempt under way; null between attempts.
+	std::vector<LiveAttempt*> live;           ///< Attempts under way, the oldest first.
+	std::list<boost::fibers::fiber> searches; ///< Fibers that make attempts beside a kept one.
+	bool searching = false; ///< One of them looks for an upstream, or waits for one that is not kept.
+	uint32_t search = 0;    ///< Number of the newest of them.
+	boost::fibers::mutex pauseMutex;
+	boost::fibers::condition_variable pauseEnds; ///< Of a fiber that pauses before it asks upstreams again.
+	uint32_t turns = 0; ///< How often an attempt has ended others by going on with the answer.
 	AttemptEnd last = AttemptEnd::NotSent;
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
 	bool failedOnTrial = false;               ///< A version on trial answered an attempt with a failure.
--- a/tests/core/request_plan_test.cpp
+++ b/tests/core/request_plan_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 namespace spanplank
 {
@@ -264,6 +265,52 @@
 	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Finish);
 }
 
+// A pausing upstream was left, the next one reset the stream, and 200 ms later the set of tried ones was
+// cleared as a whole: the last attempt went to the one that had just reset it (attempt_ended end=broken
+// upstream=u-4 twice, 200 ms apart, then answer_broken runs=3).
+TEST(LateAnswer, AsksThoseThatOnlyPausedAgainBeforeThoseThatBrokeIt)
+{
+	RequestPlan plan = begunStream(5);
+	RetryWindow window = wideWindow();
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::Silent, 6, window, kNow), NextMove::Again);
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::Broken, 4, window, kNow), NextMove::Again);
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Later);
+	EXPECT_EQ(plan.tried, std::set<uint32_t>{4});
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Later);
+	EXPECT_TRUE(plan.tried.empty()) << "nothing else is left";
+}
+
+TEST(LateAnswer, SpendsNoAttemptOnAnUpstreamThatBrokeItWhileAnotherIsAtWork)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow window = wideWindow();
+	ASSERT_EQ(waitOnUntil(plan, window, true, kNow), std::nullopt);
+	noteKept(plan, 6, false);
+	EXPECT_EQ(plan.runs, 1u);
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::Broken, 4, window, kNow), NextMove::Again);
+	for (int ii = 0; ii < 5; ++ii)
+	{
+		EXPECT_EQ(whenNoneIsLeft(plan, kNow, {6}), NextMove::Later);
+		EXPECT_EQ(plan.tried, (std::set<uint32_t>{4, 6}));
+	}
+	EXPECT_EQ(afterKept(plan, AttemptEnd::Broken, 6, window, kNow), NextMove::Later);
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Later) << "one attempt is left for either";
+	EXPECT_TRUE(plan.tried.empty());
+}
+
+// A begun stream whose upstream broke it and whose other one had no room at that moment was cut at once, with
+// two attempts and most of its time left.
+TEST(LateAnswer, OfABegunStreamAsksAnUpstreamAgainThatOnlyRejectedIt)
+{
+	RequestPlan plan = begunStream();
+	RetryWindow window = wideWindow();
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::Broken, 4, window, kNow), NextMove::Again);
+	ASSERT_EQ(afterAttempt(plan, AttemptEnd::NotRun, 6, window, kNow), NextMove::Again);
+	EXPECT_EQ(whenNoneIsLeft(plan, kNow), NextMove::Later);
+	EXPECT_EQ(plan.tried, std::set<uint32_t>{4});
+	EXPECT_EQ(afterAttempt(plan, AttemptEnd::NotRun, 6, window, kNow), NextMove::Later) << "at a pause";
+}
+
 TEST(LateAnswer, LeavesTheLastPartOfTheWindowToStreamsWithoutAnUpstream)
 {
 	RetryWindow window;
--- a/tests/direct/paused_stream_test.cpp
+++ b/tests/direct/paused_stream_test.cpp
@@ -313,6 +313,8 @@
 	EXPECT_EQ(got.body, kBothEvents);
 	EXPECT_EQ(arrivals.askedAt.size(), 2u)
 		<< "the last attempt is not spent on one that broke it, while another is at work";
+	EXPECT_TRUE(eventually([&] { return system.log().find("event=request_answered") != std::string::npos; }));
+	EXPECT_EQ(system.log().find("event=answer_broken"), std::string::npos) << system.log();
 }
 
 // The same with enough upstreams for all attempts: each that was asked beside the pausing one resets.
