--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -84,10 +84,6 @@
 	{
 		checkEnd(_soak, id, record, result);
 	}
-	if (result.endedAt - record.sentAt > kDeadlineMs * kMsToUs + 2 * kCallerSlack && !_router.paused)
-	{
-		++_soak.outcomes["late"];
-	}
 }
 
 /// @returns How long a caller may leave a connection idle, as it knows the limit from the store.
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -2,7 +2,9 @@
 #include "soak_checks.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace spanplank
 {
@@ -14,6 +16,8 @@
 /// Of a request that crosses the end of a process which was asked to stop: from its last byte to that end, on
 /// a machine with free cores.
 constexpr uint32_t kCrossMs = 200;
+constexpr unsigned long kAttempts = 3;  ///< Of the route of streams.
+constexpr uint32_t kLateMs = 500;       ///< After a request's deadline, until its answer must be there.
 constexpr uint32_t kStopTakesMs = 3000; ///< After it was asked to stop a router takes requests for so long.
 /// Of the grace: what upstreams still work on in its last sixth may be cut.
 constexpr TimeUs kEndOfGrace = TimeUs(kGraceMs) * kMsToUs * 5 / 6;
@@ -48,14 +52,11 @@
 	{
 		return "router disturbed";
 	}
-	if (_endedAt >= _record.sentAt + kDeadlineMs * kMsToUs)
-	{
-		return "deadline";
-	}
-	return isCutAtEndOfGrace(_record, _endedAt) ? "end of grace" : "";
+	return _endedAt >= _record.sentAt + kDeadlineMs * kMsToUs ? "deadline" : "";
 }
 
-/// The same for a request without any answer. An upstream that breaks off is no excuse: the router tells so.
+/// The same for a request without any answer. An upstream that breaks off is no excuse, nor the end of a
+/// stop: the router tells so.
 std::string unansweredExcuse(const Soak& _soak, const RequestRecord& _record, const CallResult& _result)
 {
 	std::string common = commonExcuse(_record, _result.endedAt);
@@ -92,7 +93,42 @@
 	{
 		return "path to the upstream harmed";
 	}
-	return commonExcuse(_record, _endedAt);
+	const std::string common = commonExcuse(_record, _endedAt);
+	return common.empty() && isCutAtEndOfGrace(_record, _endedAt) ? "end of grace" : common;
+}
+
+/// @returns A field of a log line; empty: it has none.
+std::string fieldOf(const std::string& _line, const std::string& _field)
+{
+	const std::string begin = " " + _field + "=\"";
+	const size_t at = _line.find(begin);
+	return at == std::string::npos
+			   ? ""
+			   : _line.substr(at + begin.size(), _line.find('"', at + begin.size()) - at - begin.size());
+}
+
+/// @returns The line with which a router says that it gave up a begun answer; empty: it has not.
+std::string lineOfCut(const RequestRecord& _record, const std::string& _id)
+{
+	std::istringstream log(_record.router->process->log());
+	const std::string request = "event=answer_broken request=\"" + _id + "\"";
+	for (std::string line; std::getline(log, line);)
+	{
+		if (line.find(request) != std::string::npos)
+		{
+			return line;
+		}
+	}
+	return "";
+}
+
+/// @returns Whether a begun answer was given up though an upstream, an attempt, room in the retry window and
+/// time were left.
+bool couldHaveGoneOn(const std::string& _line)
+{
+	return fieldOf(_line, "another") == "1" && fieldOf(_line, "window_room") == "1" &&
+		   std::stoul("0" + fieldOf(_line, "runs")) < kAttempts &&
+		   std::strtod(fieldOf(_line, "left_ms").c_str(), nullptr) > 0.0;
 }
 
 std::string describe(const Soak& _soak, const std::string& _id, const RequestRecord& _record,
@@ -127,6 +163,23 @@
 	{
 		breach(_soak, "a begun answer was cut: " + describe(_soak, _id, _record, _result));
 	}
+	const std::string line = lineOfCut(_record, _id);
+	if (!line.empty() && couldHaveGoneOn(line))
+	{
+		breach(_soak, "a begun answer was given up that could have gone on: " + line);
+	}
+}
+
+/// Answers come within the deadline and the slack that the users' rules give.
+void checkTime(Soak& _soak, const std::string& _id, const RequestRecord& _record, const CallResult& _result)
+{
+	const TimeUs most = (kDeadlineMs + kLateMs) * kMsToUs + _soak.heldUp - _record.heldUpThen;
+	const bool disturbed = _record.router->unplannedAt + kContact >= _record.sentAt;
+	if (!disturbed && _result.endedAt - _record.sentAt > most)
+	{
+		breach(_soak,
+			   "an answer came later than its deadline allows: " + describe(_soak, _id, _record, _result));
+	}
 }
 
 /// @returns Whether the ids of the events rise by one from the first to the last.
@@ -224,6 +277,7 @@
 
 void checkEnd(Soak& _soak, const std::string& _id, RequestRecord& _record, const CallResult& _result)
 {
+	checkTime(_soak, _id, _record, _result);
 	if (_result.end == CallEnd::Whole)
 	{
 		checkAnswer(_soak, _id, _record, _result.answer);
