A version on trial is compared with what the settled one did at the same time

Cause: its answers were ranked among the newest 64 of the settled version, however old, and its silence against the whole trial.

--- a/include/spanplank/answer_times.h
+++ b/include/spanplank/answer_times.h
@@ -14,6 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "spanplank/types.h"
+
 namespace spanplank
 {
 /// What is measured of an answer.
@@ -33,11 +35,18 @@
 	double paceMs = 0.0;
 };
 
+/// A time of an answer.
+struct TimedAnswer
+{
+	float ms = 0.0f;
+	TimeUs at = 0; ///< When it was taken.
+};
+
 /// Newest times of one kind, oldest overwritten.
 struct TimeSample
 {
-	std::vector<float> newest; ///< In milliseconds; at most `kTimesKept`.
-	size_t next = 0;           ///< Overwritten next once it is full.
+	std::vector<TimedAnswer> newest; ///< At most `kTimesKept`.
+	size_t next = 0;                 ///< Overwritten next once it is full.
 };
 
 /// Times of the answers that others are compared with, by kind of answer.
@@ -49,9 +58,13 @@
 constexpr size_t kTimesKept = 64;
 /// Answers before a rank among them is believed; with fewer nothing is compared.
 constexpr size_t kLeastTimes = 8;
+/// Of the last time, answers are compared among each other: a rise of the load moves both versions.
+constexpr TimeUs kCompared = 2000 * kMsToUs;
+/// Newest answers that are compared with where fewer came in that time: ranks among fewer are blurred.
+constexpr size_t kLeastCompared = 24;
 
 /// Takes an answer of the version that is compared with.
-void noteTimes(TimeReference& _reference, const AnswerTimes& _times);
+void noteTimes(TimeReference& _reference, const AnswerTimes& _times, TimeUs _now);
 
 /// How an answer's time ranks.
 enum class TimeRank : uint8_t
@@ -64,7 +77,7 @@
 /// @param[in] _quickShare Of the reference's answers, that count as quick: 0 to 1.
 /// @returns The rank of an answer; nothing: too few to compare with, or not measured.
 std::optional<TimeRank> rankOf(const TimeReference& _reference, TimeKind _kind, const AnswerTimes& _times,
-							   double _quickShare);
+							   double _quickShare, TimeUs _now);
 } // namespace spanplank
 
 #endif // SPANPLANK_ANSWER_TIMES_H_HEADER_GUARD
--- a/src/core/answer_times.cpp
+++ b/src/core/answer_times.cpp
@@ -7,8 +7,7 @@
 {
 namespace
 {
-/// An answer is slow above so many times what most of the reference take. Of a good version 0 of 42 to 59
-/// with little traffic, and up to 0.09 in the first seconds with all of it, were above (six plays).
+/// An answer is slow above so many times what most of the reference take.
 constexpr double kSlowFactor = 4.0;
 constexpr double kMost = 0.75;
 
@@ -24,17 +23,35 @@
 								   : Measure{_times.paceKind, _times.paceMs};
 }
 
-void add(TimeSample& _sample, double _ms)
+void add(TimeSample& _sample, double _ms, TimeUs _now)
 {
 	if (_sample.newest.size() < kTimesKept)
 	{
-		_sample.newest.push_back(float(_ms));
+		_sample.newest.push_back({float(_ms), _now});
 		return;
 	}
-	_sample.newest[_sample.next] = float(_ms);
+	_sample.newest[_sample.next] = {float(_ms), _now};
 	_sample.next = (_sample.next + 1) % kTimesKept;
 }
 
+/// @returns The times of the last moments, or the newest ones where those are few; newest first.
+std::vector<float> compared(const TimeSample& _sample, TimeUs _now)
+{
+	std::vector<float> times;
+	const size_t count = _sample.newest.size();
+	const size_t newest = count < kTimesKept ? count : _sample.next + kTimesKept;
+	for (size_t ii = 1; ii <= count; ++ii)
+	{
+		const TimedAnswer& answer = _sample.newest[(newest - ii) % kTimesKept];
+		if (times.size() >= kLeastCompared && _now - answer.at > kCompared)
+		{
+			break;
+		}
+		times.push_back(answer.ms);
+	}
+	return times;
+}
+
 /// @returns The value below or at which a share of the times lies.
 float quantile(std::vector<float> _times, double _share)
 {
@@ -44,20 +61,20 @@
 }
 } // namespace
 
-void noteTimes(TimeReference& _reference, const AnswerTimes& _times)
+void noteTimes(TimeReference& _reference, const AnswerTimes& _times, TimeUs _now)
 {
 	for (const TimeKind kind : {TimeKind::Head, TimeKind::Pace})
 	{
 		const Measure measure = measureOf(kind, _times);
 		if (!measure.kind.empty())
 		{
-			add(_reference.samples[size_t(kind)][measure.kind], measure.ms);
+			add(_reference.samples[size_t(kind)][measure.kind], measure.ms, _now);
 		}
 	}
 }
 
 std::optional<TimeRank> rankOf(const TimeReference& _reference, TimeKind _kind, const AnswerTimes& _times,
-							   double _quickShare)
+							   double _quickShare, TimeUs _now)
 {
 	const Measure measure = measureOf(_kind, _times);
 	const auto& samples = _reference.samples[size_t(_kind)];
@@ -66,11 +83,11 @@
 	{
 		return std::nullopt;
 	}
-	const std::vector<float>& newest = found->second.newest;
-	if (measure.ms <= double(quantile(newest, _quickShare)))
+	const std::vector<float> times = compared(found->second, _now);
+	if (measure.ms <= double(quantile(times, _quickShare)))
 	{
 		return TimeRank::Quick;
 	}
-	return measure.ms > kSlowFactor * double(quantile(newest, kMost)) ? TimeRank::Slow : TimeRank::Usual;
+	return measure.ms > kSlowFactor * double(quantile(times, kMost)) ? TimeRank::Slow : TimeRank::Usual;
 }
 } // namespace spanplank
--- a/tests/core/trial_load_test.cpp
+++ b/tests/core/trial_load_test.cpp
@@ -69,11 +69,62 @@
 	return text;
 }
 
+/// A service's answers of one moment, at one router.
+void answerAt(TrialBook& _book, const std::string& _version, double _ms, TimeUs _now, int _number)
+{
+	TrialAnswer answer;
+	answer.version = _version;
+	answer.route = "plain";
+	answer.upstream = fmt::format("u{}", _number % 4);
+	answer.sentAt = _now;
+	answer.times.paceKind = "plain";
+	answer.times.paceMs = _ms * (0.6 + 0.08 * double(_number % 10));
+	noteTrialAnswer(_book, kService, answer, _now);
+}
+
+/// The settled version answers calmly for 3 s; then all answers take longer, and the new version gets its
+/// first ones. @returns What has become of that.
+RolloutState afterARise(double _newMs)
+{
+	constexpr double kCalmMs = 15.0;
+	constexpr double kRisenMs = 25.0;
+	constexpr TimeUs kRise = 3 * kSecond;
+	TrialBook book;
+	book.exposureShare = kBound;
+	book.writer = 1;
+	takeOrder(book, {kService, "v3", 5000}, 5, 0);
+	for (int ii = 0; ii < 60; ++ii)
+	{
+		answerAt(book, "v2", kCalmMs, ii * 50 * kMsToUs, ii);
+	}
+	for (int ii = 0; ii < 60; ++ii)
+	{
+		const TimeUs now = kRise + ii * 33 * kMsToUs;
+		answerAt(book, "v3", _newMs, now, ii);
+		if (ii % 2 == 0)
+		{
+			answerAt(book, "v2", kRisenMs, now, ii / 2);
+		}
+	}
+	return book.trials.at(kService).state;
+}
+
 // A good version was rolled back as the load rose: rollout_halted version=v3 "slower; plain: new 50 good 0
 // bad 0 silent, paces 1 quick 0 slow of 40, old 410 good". By the routers' logs the settled version took 13.6
 // to 18.3 ms (medians of a second) while its times were gathered, and 25.0 to 26.8 ms in the two seconds in
 // which the new one got its answers, which took 27.1: it was as quick as the other in the same seconds and
 // was judged by the other's calm past.
+TEST(TrialLoad, AVersionThatIsAsQuickAsTheSettledOneInTheSameSecondsIsNotRolledBack)
+{
+	EXPECT_EQ(afterARise(27.0), RolloutState::Running);
+}
+
+TEST(TrialLoad, AVersionThatTakesThreeTimesAsLongInTheSameSecondsIsRolledBack)
+{
+	EXPECT_EQ(afterARise(75.0), RolloutState::RolledBack);
+}
+
+// The same over random fleets and loads.
 TEST(TrialLoadProperty, AGoodVersionIsNotRolledBackWhateverTheLoadDoes)
 {
 	constexpr uint32_t kTimesFleets = 12;
