Known red: routers are deaf to a store that has come back from an older copy

Symptom: configurations, keys, evacuations and registrations written after the return are not in force, as their revisions are at or below the ones that routers know.

--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -28,6 +28,17 @@
 
 constexpr uint32_t kWatchPollMs = 5;
 
+/// An answer of the store, which names its era if it tells one.
+HttpResponse storeResponse(const StandInStore& _store, int _status, const json& _body)
+{
+	HttpResponse response = jsonResponse(_status, _body);
+	if (!_store.era.empty())
+	{
+		response.headers.push_back({"Store-Era", _store.era});
+	}
+	return response;
+}
+
 bool startsWith(const std::string& _text, const std::string& _prefix)
 {
 	return _text.compare(0, _prefix.size(), _prefix) == 0;
@@ -77,12 +88,12 @@
 	const uint64_t lease = _lease.empty() ? _store.nextLease++ : std::stoull(_lease);
 	if (!_lease.empty() && _store.leases.count(lease) == 0)
 	{
-		_exchange.respond(jsonResponse(404, json::object()));
+		_exchange.respond(storeResponse(_store, 404, json::object()));
 		return;
 	}
 	const int64_t ttlMs = request.is_object() ? request.value("ttl_ms", kRenewalMs) : kRenewalMs;
 	_store.leases[lease] = monotonicNow() + ttlMs * kMsToUs;
-	_exchange.respond(jsonResponse(200, {{"lease", lease}, {"ttl_ms", ttlMs}}));
+	_exchange.respond(storeResponse(_store, 200, {{"lease", lease}, {"ttl_ms", ttlMs}}));
 }
 
 void answerRead(StandInStore& _store, HttpExchange& _exchange, const std::string& _key)
@@ -90,12 +101,12 @@
 	const auto found = _store.items.find(_key);
 	if (found == _store.items.end())
 	{
-		_exchange.respond(jsonResponse(404, {{"as_of", _store.revision}}));
+		_exchange.respond(storeResponse(_store, 404, {{"as_of", _store.revision}}));
 		return;
 	}
 	json item = shown(_key, found->second);
 	item["as_of"] = _store.revision;
-	_exchange.respond(jsonResponse(200, item));
+	_exchange.respond(storeResponse(_store, 200, item));
 }
 
 void answerRange(StandInStore& _store, HttpExchange& _exchange, const std::string& _prefix)
@@ -108,7 +119,8 @@
 			items.push_back(shown(key, item));
 		}
 	}
-	_exchange.respond(jsonResponse(200, {{"items", items}, {"has_more", false}, {"as_of", _store.revision}}));
+	_exchange.respond(
+		storeResponse(_store, 200, {{"items", items}, {"has_more", false}, {"as_of", _store.revision}}));
 }
 
 json changesAfter(const StandInStore& _store, uint64_t _after)
@@ -137,18 +149,19 @@
 {
 	const TimeUs until = monotonicNow() + TimeUs(_waitMs) * kMsToUs;
 	while (monotonicNow() < until && _store.fault == StandInStore::Fault::None &&
-		   (_store.mute || changesAfter(_store, _after).empty()) && _after >= _store.forgottenTo)
+		   (_store.mute || changesAfter(_store, _after).empty()) && _after >= _store.forgottenTo &&
+		   _after <= _store.revision)
 	{
 		sleepFor(kWatchPollMs);
 	}
-	if (_after < _store.forgottenTo)
+	if (_after < _store.forgottenTo || _after > _store.revision)
 	{
-		_exchange.respond(jsonResponse(410, json::object()));
+		_exchange.respond(storeResponse(_store, 410, json::object()));
 		return;
 	}
 	const json events = _store.mute ? json::array() : changesAfter(_store, _after);
 	_exchange.respond(
-		jsonResponse(200, {{"events", events}, {"as_of", _store.mute ? _after : _store.revision}}));
+		storeResponse(_store, 200, {{"events", events}, {"as_of", _store.mute ? _after : _store.revision}}));
 }
 
 void answerWrite(StandInStore& _store, HttpExchange& _exchange)
@@ -160,7 +173,7 @@
 		const uint64_t revision = item == _store.items.end() ? 0 : item->second.revision;
 		if (revision != expected["revision"].get<uint64_t>())
 		{
-			_exchange.respond(jsonResponse(412, {{"items", json::array()}}));
+			_exchange.respond(storeResponse(_store, 412, {{"items", json::array()}}));
 			return;
 		}
 	}
@@ -169,7 +182,7 @@
 		const auto lease = write["lease"].get<uint64_t>();
 		if (lease != 0 && _store.leases.count(lease) == 0)
 		{
-			_exchange.respond(jsonResponse(404, json::object()));
+			_exchange.respond(storeResponse(_store, 404, json::object()));
 			return;
 		}
 	}
@@ -185,7 +198,7 @@
 		_exchange.abort();
 		return;
 	}
-	_exchange.respond(jsonResponse(200, {{"revision", _store.revision}}));
+	_exchange.respond(storeResponse(_store, 200, {{"revision", _store.revision}}));
 }
 
 /// Does what the store's fault, if it has one, makes of a call.
@@ -316,6 +329,21 @@
 	_store.history.clear();
 }
 
+StoreCopy copyOf(const StandInStore& _store)
+{
+	return {_store.items, _store.history, _store.revision, _store.forgottenTo};
+}
+
+void returnFrom(StandInStore& _store, const StoreCopy& _copy)
+{
+	_store.items = _copy.items;
+	_store.history = _copy.history;
+	_store.revision = _copy.revision;
+	_store.forgottenTo = _copy.forgottenTo;
+	_store.leases.clear();
+	_store.era = std::to_string(std::stoull("0" + _store.era) + 1);
+}
+
 std::vector<HttpHeader> soundHeaders(const StandInUpstream& _upstream, const HttpRequest& _request)
 {
 	return {{"Request-Id", std::string(_request["Request-Id"])},
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -54,8 +54,22 @@
 	bool loseWrites = false; ///< Writes are done and not answered.
 	bool mute = false;       ///< Watches hear nothing.
 	uint64_t calls = 0;
+	std::string era = "1"; ///< As its answers tell; empty: they tell none.
 };
 
+/// What a store comes back from.
+struct StoreCopy
+{
+	std::map<std::string, StandInStore::Item> items;
+	std::deque<StandInStore::Change> history;
+	uint64_t revision = 0;
+	uint64_t forgottenTo = 0;
+};
+
+StoreCopy copyOf(const StandInStore& _store);
+/// The store comes back from an older copy: what it took since is gone, leases too, and its era rises.
+void returnFrom(StandInStore& _store, const StoreCopy& _copy);
+
 void setItem(StandInStore& _store, const std::string& _key, const std::string& _value);
 void removeItem(StandInStore& _store, const std::string& _key);
 /// Drops the history: watches must list anew.
