--- a/tests/core/trial_load_test.cpp
+++ b/tests/core/trial_load_test.cpp
@@ -95,11 +95,11 @@
 	takeOrder(book, {kService, "v3", 5000}, 5, 0);
 	for (int ii = 0; ii < 60; ++ii)
 	{
-		answerAt(book, "v2", kCalmMs, ii * 50 * kMsToUs, ii);
+		answerAt(book, "v2", kCalmMs, TimeUs(ii) * 50 * kMsToUs, ii);
 	}
 	for (int ii = 0; ii < 60; ++ii)
 	{
-		const TimeUs now = kRise + ii * 33 * kMsToUs;
+		const TimeUs now = kRise + TimeUs(ii) * 33 * kMsToUs;
 		answerAt(book, "v3", _newMs, now, ii);
 		if (ii % 2 == 0)
 		{
