An answer that was under way as the store returned is not taken for one of the new era

Cause: an answer of a lower era counted as one of the known era, so that a late answer of before the return (to a read or a write beside another call of the same client) got a newer position than it has. Change: such an answer fails its call; only where lower eras go on for more than five answers in a row they count as the known one, so that routers are not deaf. No test shows the late answer itself: by reading.

--- a/include/spanplank/answer_times.h
+++ b/include/spanplank/answer_times.h
@@ -58,7 +58,7 @@
 constexpr size_t kTimesKept = 64;
 /// Answers before a rank among them is believed; with fewer nothing is compared.
 constexpr size_t kLeastTimes = 8;
-/// Of the last time, answers are compared among each other: a rise of the load moves both versions.
+/// How old an answer may be to be compared with: a rise of the load moves both versions alike.
 constexpr TimeUs kCompared = 2000 * kMsToUs;
 /// Newest answers that are compared with where fewer came in that time: ranks among fewer are blurred.
 constexpr size_t kLeastCompared = 24;
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -22,8 +22,13 @@
 	}
 }
 
-/// Takes the era that an answer names. One that can't be read, or that falls, counts as the one known before:
-/// the store's word must not make routers deaf to it.
+/// Earlier eras in a row that may be those of answers which were under way as the store returned.
+constexpr uint32_t kLateAnswers = 5;
+
+/// Takes the era that an answer names. One that can't be read counts as the one known before, and so does one
+/// that stays lower: the store's word must not make routers deaf to it.
+/// @throws Failure(StoreUnavailable) An answer of before the store's return says nothing of the store as it
+/// is.
 void noteEra(StoreClient& _client, const HttpResponse& _response)
 {
 	const std::string text = _client.protocol->decodeEra(_response);
@@ -32,12 +37,19 @@
 	{
 		return;
 	}
-	if (!absl::SimpleAtoi(text, &era) || era > kMostEra || era < _client.era)
+	const bool read = absl::SimpleAtoi(text, &era) && era <= kMostEra;
+	if (read && era >= _client.era)
 	{
-		logEvent("store_era_rejected", {{"era", text.substr(0, 32)}, {"known", std::to_string(_client.era)}});
+		_client.era = era;
+		_client.lowerEras = 0;
 		return;
 	}
-	_client.era = era;
+	logEvent("store_era_rejected", {{"era", text.substr(0, 32)}, {"known", std::to_string(_client.era)}});
+	if (read && ++_client.lowerEras <= kLateAnswers)
+	{
+		throw Failure(
+			Refusal{ErrorCode::StoreUnavailable, RunState::Unknown, 0, "the answer is of an earlier era"});
+	}
 }
 
 void toPositions(const StoreClient& _client, StoreList& _list)
@@ -224,12 +236,11 @@
 					 uint32_t _patienceMs)
 {
 	++_client.stats.watches;
-	const uint64_t after = revisionOf(_after);
+	const HttpCall watch = _client.protocol->encodeWatch(_prefix, revisionOf(_after), _waitMs);
 	StoreList changes =
-		callStore(_client, _client.watchHttp, _client.protocol->encodeWatch(_prefix, after, _waitMs),
-				  _waitMs + _patienceMs, _client.protocol->decodeWatch);
-	if (eraOf(_after) <
-		_client.era) // The revision may have been given out again, with other changes up to it.
+		callStore(_client, _client.watchHttp, watch, _waitMs + _patienceMs, _client.protocol->decodeWatch);
+	// Else the revision may have been given out again, with other changes up to it.
+	if (eraOf(_after) < _client.era)
 	{
 		throw Failure(ErrorCode::NotFound, "the store has come back from an older copy");
 	}
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -75,7 +75,8 @@
 	const StoreProtocol* protocol = &standInStoreProtocol();
 	StoreStats stats;
 	bool reachable = true;
-	uint64_t era = 0;                                                 ///< The highest that an answer named.
+	uint64_t era = 0;       ///< The highest that an answer named.
+	uint32_t lowerEras = 0; ///< Answers in a row that named a lower one.
 	std::map<std::string, std::weak_ptr<boost::fibers::mutex>> turns; ///< Of writers, by key.
 };
 
