--- a/src/core/trial_verdict.cpp
+++ b/src/core/trial_verdict.cpp
@@ -137,7 +137,7 @@
 /// Of a version some of whose answers are slow. @param[in] _usual Share of the settled version's slow ones.
 double slowScore(const TimeCounts& _times, double _usual, const Shares& _shares)
 {
-	const double good = std::max(_shares.good, _usual);
+	const double good = std::max(_shares.good, std::min(_usual, kMostUsual)); // A bad share stays below 1.
 	return score(_times.slow, _times.timed - _times.slow, good, good + _shares.bad - _shares.good);
 }
 
