Usage is counted along the tree and reported by one router under a token

Weighed: the record in the store under a condition against the root of the tree with a lease. Chosen: both, the first router of the tree takes the record; the position of its write is the token, which rises also when the store returns from an older copy. Before each report its content is written to the record, so the next holder repeats exactly what may have been taken. A holder acts within half of the lease after such a write; the next one waits a whole lease. Counts: rows by window and writer that only rise, told to the parent each 0.5 s, summed once whatever links change. Time of day goes on evenly while the box's clock jumps; a router compares it once with the first that it follows. Orders of scale are not made yet.

--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -14,6 +14,7 @@
 #include "spanplank/peer_follow.h"
 #include "spanplank/store_item.h"
 #include "spanplank/types.h"
+#include "spanplank/usage_ledger.h"
 #include "spanplank/version_trial.h"
 
 namespace spanplank
@@ -27,6 +28,7 @@
 	std::vector<TrialHalt> halts;      ///< Not in the store yet.
 	std::vector<TrialNews> trials;     ///< Of the trials that run.
 	std::vector<SuspectNews> suspects; ///< Changed since the last ping over this link.
+	std::vector<UsageRow> usage;       ///< Of its subtree, changed since the last telling.
 };
 
 /// The answer to a ping.
@@ -42,6 +44,7 @@
 	std::vector<PeerKey> chain;    ///< The sender, whom it follows, and so on; a ring shows in it.
 	std::vector<TrialNews> trials; ///< Of the trials that run.
 	std::vector<SuspectNews> suspects; ///< Changed since the last answer over this link.
+	TimeUs wall = 0;                   ///< The sender's time of day.
 };
 
 /// A follower that missed changes of the store asks the router that it follows for them.
@@ -238,6 +241,18 @@
 	}
 }
 
+inline void to_json(nlohmann::json& _json, const UsageRow& _row)
+{
+	_json = nlohmann::json::array({_row.key.window, _row.key.writer, nlohmann::json(_row.counts)});
+}
+
+inline void from_json(const nlohmann::json& _json, UsageRow& _row)
+{
+	_json.at(0).get_to(_row.key.window);
+	_json.at(1).get_to(_row.key.writer);
+	_json.at(2).get_to(_row.counts);
+}
+
 inline void to_json(nlohmann::json& _json, const PeerPing& _ping)
 {
 	_json = {_ping.seq,
@@ -245,7 +260,8 @@
 			 encodeHomes(_ping.homes),
 			 nlohmann::json(_ping.halts),
 			 nlohmann::json(_ping.trials),
-			 nlohmann::json(_ping.suspects)};
+			 nlohmann::json(_ping.suspects),
+			 nlohmann::json(_ping.usage)};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
@@ -256,6 +272,11 @@
 	decodeHalts(_json, 3, _ping.halts);
 	decodeTrials(_json, 4, _ping.trials);
 	decodeSuspects(_json, 5, _ping.suspects);
+	constexpr size_t kUsageAt = 6;
+	if (_json.size() > kUsageAt)
+	{
+		_json.at(kUsageAt).get_to(_ping.usage);
+	}
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
@@ -269,7 +290,8 @@
 			 _pong.chain,
 			 nlohmann::json(_pong.halts),
 			 nlohmann::json(_pong.trials),
-			 nlohmann::json(_pong.suspects)};
+			 nlohmann::json(_pong.suspects),
+			 _pong.wall};
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPong& _pong)
@@ -289,6 +311,8 @@
 	decodeHalts(_json, kChainAt + 1, _pong.halts);
 	decodeTrials(_json, kChainAt + 2, _pong.trials);
 	decodeSuspects(_json, kChainAt + 3, _pong.suspects);
+	constexpr size_t kWallAt = kChainAt + 4;
+	_pong.wall = _json.size() > kWallAt ? _json.at(kWallAt).get<TimeUs>() : 0;
 }
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -337,6 +337,14 @@
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
 	reader.decimal("processorShare", settings.capacity.cores, 0.001, 1024.0);
 	reader.decimal("linkMbps", settings.capacity.linkMbps, 0.1, 1000000.0);
+	reader.address("duties", settings.duties, false);
+	uint32_t leaseMs = uint32_t(settings.dutyBounds.lease / kMsToUs);
+	uint32_t windowMs = uint32_t(settings.dutyBounds.window / kMsToUs);
+	uint32_t lateMs = uint32_t(settings.dutyBounds.late / kMsToUs);
+	reader.number("dutyLeaseMs", leaseMs, 100, kHourMs);
+	reader.seconds("usageWindowSeconds", windowMs, 0.1, 3600.0);
+	reader.seconds("usageLateSeconds", lateMs, 0.1, 3600.0);
+	settings.dutyBounds = {TimeUs(leaseMs) * kMsToUs, TimeUs(windowMs) * kMsToUs, TimeUs(lateMs) * kMsToUs};
 	reader.decimal("coldOvershoot", settings.coldBounds.overshoot, 0.0, 1000.0);
 	reader.decimal("coldSlack", settings.coldBounds.slack, 0.0, 1000000.0);
 	reader.policies("policiesOff", settings.policies);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -8,6 +8,7 @@
 
 #include "http_p.h"
 #include "spanplank/cold_upstreams.h"
+#include "spanplank/duty.h"
 #include "spanplank/peer_tree.h"
 #include "spanplank/policies.h"
 
@@ -69,6 +70,8 @@
 	uint32_t configWaitMs = 200;
 	/// What the box gives this router: how many others may follow it.
 	BoxCapacity capacity = {1.0, 1000.0};
+	Endpoint duties; ///< Where the platform takes the calls of duties; port 0: there are none.
+	DutyBounds dutyBounds;
 	ColdBounds coldBounds; ///< How far above its rate a cold upstream may get requests.
 	Policies policies;
 };
--- /dev/null
+++ b/src/core/wall_clock.cpp
@@ -0,0 +1,30 @@
+/// Time of day over jumps of the box's clock.
+#include "spanplank/wall_clock.h"
+
+#include <cstdlib>
+
+namespace spanplank
+{
+TimeUs wallTime(WallClock& _clock, TimeUs _box, TimeUs _now)
+{
+	const TimeUs offset = _box - _now;
+	if (_clock.offset == 0 || std::llabs(offset - _clock.offset) <= kMostWallDrift)
+	{
+		_clock.offset = offset;
+	}
+	return _now + _clock.offset;
+}
+
+bool compareWall(WallClock& _clock, TimeUs _wall, TimeUs _now)
+{
+	if (_wall == 0 || _clock.compared)
+	{
+		return false;
+	}
+	_clock.compared = true;
+	const TimeUs offset = _wall - _now;
+	const bool wrong = std::llabs(offset - _clock.offset) > kWrongWall;
+	_clock.offset = wrong ? offset : _clock.offset;
+	return wrong;
+}
+} // namespace spanplank
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -46,6 +46,10 @@
 	addGauge(page, "suspects_refused", "Those of them that are refused.",
 			 double(refusedSuspects(_router.suspects)));
 	addCounter(page, "escalations_total", "Answers dropped for the next model's.", double(stats.escalated));
+	addCounters(page, "usage_reports_total", "Reports of usage to the platform, by their answers.", "answer",
+				stats.usageReports);
+	addGauge(page, "usage_duty_token", "Token under which this router reports usage; 0: another one does.",
+			 double(_router.usageDuty.token));
 	addCounter(page, "configs_total", "Configurations taken.", double(stats.configs));
 	addCounters(page, "records_rejected_total", "Records of the store that can't be used, by what is wrong.",
 				"fault", stats.recordsRejected);
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -191,6 +191,7 @@
 	startedAt = monotonicNow();
 	random.state = stableHash(settings.box) ^ uint64_t(wallNow());
 	trials.writer = uint32_t(stableHash(settings.box, random.state));
+	usage.writer = trials.writer;
 	setLogProcess(settings.box);
 }
 
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -13,12 +13,15 @@
 #include "peer_links_p.h"
 #include "settings_p.h"
 #include "spanplank/crash_suspects.h"
+#include "spanplank/duty.h"
 #include "spanplank/planned_stop.h"
 #include "spanplank/request_plan.h"
 #include "spanplank/retry_window.h"
 #include "spanplank/service_config.h"
 #include "spanplank/upstream_table.h"
+#include "spanplank/usage_ledger.h"
 #include "spanplank/version_trial.h"
+#include "spanplank/wall_clock.h"
 #include "store_client_p.h"
 #include "upstream_http_p.h"
 
@@ -49,6 +52,7 @@
 	std::map<std::string, uint64_t> recordsRejected; ///< Records that can't be used, by what is wrong.
 	uint64_t itemsSkipped = 0;                       ///< Items of the store without a key that can be read.
 	uint64_t storeReturns = 0;                       ///< How often the store came back from an older copy.
+	std::map<std::string, uint64_t> usageReports;    ///< Reports to the platform, by their answers.
 	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
 };
 
@@ -115,6 +119,10 @@
 	std::map<RequestDigest, StoredSuspect> storedSuspects;
 	std::map<std::string, RetryWindow> retries;   ///< By service.
 	std::map<std::string, HeadPressure> pressure; ///< By service.
+	WallClock wall;
+	UsageLedger usage;
+	DutyState usageDuty;
+	HttpClient dutyCalls; ///< To the platform, of the duties.
 	DirectStats stats;
 	Random random;
 	TimeUs startedAt = 0;
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -10,6 +10,7 @@
 #include "platform/records_p.h"
 #include "spanplank/store_position.h"
 #include "store_items_p.h"
+#include "usage_duty_p.h"
 
 namespace spanplank
 {
@@ -115,6 +116,10 @@
 	{
 		takeSuspectItem(_router, _item);
 	}
+	else if (_item.key == kUsageDutyItem)
+	{
+		takeUsageDutyItem(_router, _item);
+	}
 	else if (hasPrefix(_item.key, kPeerPrefix) || _item.key == kLinkKeyItem)
 	{
 		takePeerItem(_router, _item);
@@ -146,6 +151,7 @@
 		_now + kRewrittenWithin + TimeUs(nextUnit(_router.random) * double(kLookUpSpread));
 	forgetOwnLease(_router, _now + TimeUs(nextUnit(_router.random) * double(kLeaseSpread)));
 	_router.storedSuspects.clear();
+	noteDutyReturned(_router.usageDuty, _router.settings.dutyBounds, wallTime(_router.wall, wallNow(), _now));
 	for (auto& [service, trial] : _router.trials.trials)
 	{
 		trial.progressRevision = 0;
@@ -408,6 +414,7 @@
 	spawnFiber([&_router] { runRollouts(_router); });
 	spawnFiber([&_router] { keepSuspectsStored(_router); });
 	spawnFiber([&_router] { shareColdUpstreams(_router); });
+	spawnFiber([&_router] { doUsageDuty(_router); });
 	startPeerLinks(_router);
 }
 } // namespace spanplank
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -46,6 +46,7 @@
 	takePeerHalts(_router, _ping.halts);
 	takePeerTrials(_router, _ping.trials, _link.idx);
 	takePeerSuspects(_router, _ping.suspects);
+	takeUsage(_router.usage, _ping.usage);
 	PeerPong pong;
 	pong.seq = _ping.seq;
 	pong.halts = unwrittenHalts(_router.trials);
@@ -56,6 +57,7 @@
 	pong.loads = changesFor(peers.loads, child);
 	pong.homes = homesForChild(peers.homes, _link.idx);
 	pong.stopping = _router.stopping;
+	pong.wall = wallTime(_router.wall, wallNow(), now);
 	pong.chain = peers.follow.chain;
 	pong.chain.insert(pong.chain.begin(), peerKeyOf(_router.settings.box));
 	peers.hub->send(_link, MessageType::PeerPong, pong);
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -17,6 +17,7 @@
 #include "spanplank/load_share.h"
 #include "spanplank/peer_follow.h"
 #include "spanplank/peer_tree.h"
+#include "spanplank/usage_ledger.h"
 #include "spanplank/version_trial.h"
 #include "store_client_p.h"
 
@@ -32,6 +33,7 @@
 	std::map<uint32_t, ToldTrials> toldTrials; ///< By link.
 	/// Last change of the suspects that was told, by link. A new link begins with all.
 	std::map<uint32_t, uint64_t> toldSuspects;
+	ToldUsage toldUsage; ///< To the parent over its link.
 	PeerRegistration registration;
 	std::string key;              ///< Of the links; empty: not known yet.
 	bool keyStands = false;       ///< The store has it.
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -36,6 +36,7 @@
 {
 	_peers.parentLink = {};
 	_peers.askedFrom = 0;
+	_peers.toldUsage = {};
 	dropLoads(_peers.loads, _peers.loads.parent);
 	_peers.homes.parent = {}; // What waited for it would be news no more to the next one.
 }
@@ -195,6 +196,7 @@
 	ping.trials = trialNews(_router, link, ping.seq);
 	peers.pingSentAt = monotonicNow();
 	ping.suspects = suspectNewsFor(_router.suspects, peers.toldSuspects[link.idx], peers.pingSentAt);
+	ping.usage = usageNewsFor(_router.usage, peers.toldUsage, peers.pingSentAt);
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
 
@@ -211,6 +213,10 @@
 	takePeerHalts(_router, _pong.halts);
 	takePeerTrials(_router, _pong.trials, _link.idx);
 	takePeerSuspects(_router, _pong.suspects);
+	if (compareWall(_router.wall, _pong.wall, now))
+	{
+		logEvent("wall_clock_corrected", {{"box", peers.parent}});
+	}
 	if (_pong.stopping && !_router.stopping)
 	{
 		leaveParent(_router, "it stops", now);
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -8,6 +8,7 @@
 #include "platform/headers_p.h"
 #include "spanplank/event_stream.h"
 #include "spanplank/http_status.h"
+#include "usage_duty_p.h"
 
 namespace spanplank
 {
@@ -240,6 +241,7 @@
 	notes.confidence = answer.confidence.value_or(-1.0);
 	if (!answer.notRun)
 	{
+		countBegun(_serving);
 		noteHead(_serving.router.upstreams, notes.upstream, notes.query, notes.prefillMs, notes.headAfter);
 		notes.prefillMs = 0.0;
 	}
--- /dev/null
+++ b/tests/core/usage_ledger_test.cpp
@@ -0,0 +1,131 @@
+/// Usage that is counted at every router comes together once, whatever becomes of the links between them.
+#include "spanplank/usage_ledger.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+#include "spanplank/peer_messages.h"
+#include "spanplank/wall_clock.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint64_t kWindow = 7;
+
+UsageLedger ledgerOf(uint32_t _writer)
+{
+	UsageLedger ledger;
+	ledger.writer = _writer;
+	return ledger;
+}
+
+TEST(UsageLedger, AWindowHoldsWhatBeganInIt)
+{
+	constexpr TimeUs kLength = 5000 * kMsToUs;
+	EXPECT_EQ(usageWindowOf(35 * 1000 * kMsToUs, kLength), 7u);
+	EXPECT_EQ(usageWindowOf(35 * 1000 * kMsToUs - 1, kLength), 6u);
+}
+
+TEST(UsageLedger, NewsAreToldOnceOverALinkAndAgainOverTheNext)
+{
+	UsageLedger ledger = ledgerOf(1);
+	countUsage(ledger, "hall-one", kWindow);
+	ToldUsage told;
+	ASSERT_EQ(usageNewsFor(ledger, told, kUsageEvery).size(), 1u);
+	EXPECT_TRUE(usageNewsFor(ledger, told, 2 * kUsageEvery).empty());
+	countUsage(ledger, "hall-one", kWindow);
+	EXPECT_TRUE(usageNewsFor(ledger, told, kUsageEvery + 1).empty()) << "the pause is not over";
+	EXPECT_EQ(usageNewsFor(ledger, told, 3 * kUsageEvery).size(), 1u);
+	ToldUsage next;
+	EXPECT_EQ(usageNewsFor(ledger, next, 3 * kUsageEvery).size(), 1u);
+}
+
+TEST(UsageLedger, ARouterOfAnEarlierVersionTellsNoUsage)
+{
+	PeerPing ping;
+	ping.usage = {{{kWindow, 3}, {{"one", 2}}}};
+	nlohmann::json wire = ping;
+	EXPECT_EQ(wire.get<PeerPing>().usage[0].counts.at("one"), 2u);
+	wire.erase(wire.size() - 1);
+	EXPECT_TRUE(wire.get<PeerPing>().usage.empty());
+}
+
+// Routers count, lose their parents, tell rows twice and by several ways; one ends. What has come together at
+// the end is what was counted, once, but for what the one that ended had not told.
+TEST(UsageLedgerProperty, CountsComeTogetherOnceWhateverTheLinksDo)
+{
+	constexpr uint32_t kRouters = 8;
+	constexpr uint32_t kRounds = 200;
+	for (uint64_t seed = 0; seed < 50; ++seed)
+	{
+		Random random{seed};
+		std::vector<UsageLedger> ledgers;
+		std::vector<ToldUsage> told(kRouters);
+		std::vector<uint32_t> parent(kRouters, 0);
+		for (uint32_t ii = 0; ii < kRouters; ++ii)
+		{
+			ledgers.push_back(ledgerOf(ii + 1));
+		}
+		uint64_t counted = 0;
+		TimeUs now = kUsageEvery;
+		const auto tell = [&](uint32_t _from) {
+			takeUsage(ledgers[parent[_from]], usageNewsFor(ledgers[_from], told[_from], now));
+		};
+		for (uint32_t round = 0; round < kRounds; ++round)
+		{
+			now += kUsageEvery;
+			const auto router = uint32_t(nextUnit(random) * kRouters);
+			countUsage(ledgers[router], "account", kWindow);
+			++counted;
+			const auto moved = 1 + uint32_t(nextUnit(random) * (kRouters - 1));
+			if (nextUnit(random) < 0.3)
+			{
+				parent[moved] = uint32_t(nextUnit(random) * moved);
+				told[moved] = {};
+			}
+			tell(moved);
+		}
+		for (uint32_t ii = kRouters; ii-- > 1;)
+		{
+			now += kUsageEvery;
+			tell(ii);
+		}
+		EXPECT_EQ(usageOf(ledgers[0], kWindow)["account"], counted) << "seed " << seed;
+	}
+}
+
+TEST(UsageLedger, WindowsThatAreNotReportedAnyMoreAreForgotten)
+{
+	UsageLedger ledger = ledgerOf(1);
+	countUsage(ledger, "account", 1);
+	countUsage(ledger, "account", 20);
+	forgetUsage(ledger, 20);
+	EXPECT_EQ(ledger.rows.size(), 1u);
+	EXPECT_TRUE(usageOf(ledger, 1).empty());
+}
+
+// The clock of a box jumped by seconds and back; usage fell into windows that were not those of true time.
+TEST(WallClock, AJumpOfTheBoxesClockDoesNotMoveTheTimeOfDay)
+{
+	constexpr TimeUs kStart = 1000000 * kMsToUs;
+	constexpr TimeUs kJump = 2400 * kMsToUs;
+	WallClock clock;
+	EXPECT_EQ(wallTime(clock, kStart, 0), kStart);
+	EXPECT_EQ(wallTime(clock, kStart + 2000, 1000), kStart + 2000) << "small corrections are taken";
+	EXPECT_EQ(wallTime(clock, kStart + kJump, 2000), kStart + 3000);
+	EXPECT_EQ(wallTime(clock, kStart - kJump, 3000), kStart + 4000);
+}
+
+TEST(WallClock, ARouterThatBeganWithAWrongClockTakesThatOfTheFirstItFollows)
+{
+	constexpr TimeUs kTrue = 1000000 * kMsToUs;
+	constexpr TimeUs kWrong = 2000 * kMsToUs;
+	WallClock clock;
+	wallTime(clock, kTrue + kWrong, 0);
+	EXPECT_TRUE(compareWall(clock, kTrue + 10, 10));
+	EXPECT_EQ(wallTime(clock, kTrue + kWrong + 20, 20), kTrue + 20);
+	EXPECT_FALSE(compareWall(clock, kTrue + kWrong, 30)) << "once only";
+}
+} // namespace
+} // namespace spanplank
