--- a/include/spanplank/link_messages.h
+++ b/include/spanplank/link_messages.h
@@ -36,6 +36,7 @@
 	StoreAsk,
 	StoreSnapshot,
 	Suspects,
+	PeerRegister,
 	Count
 };
 
--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -60,6 +60,14 @@
 	std::vector<StoreItem> items;
 };
 
+/// A follower asks the router that it follows to keep its registration in the store, with its own and those
+/// of others, under one lease.
+struct PeerRegister
+{
+	std::string box;
+	std::string value; ///< As the store is to hold it.
+};
+
 /// Lists travel flat, as numbers alone: their elements are many and small.
 constexpr size_t kNumbersOfLoad = 3;
 constexpr size_t kNumbersOfHome = 2;
@@ -330,6 +338,17 @@
 	_item.garbled = _json.size() > kGarbledAt && _json.at(kGarbledAt).get<bool>();
 }
 
+inline void to_json(nlohmann::json& _json, const PeerRegister& _register)
+{
+	_json = {_register.box, _register.value};
+}
+
+inline void from_json(const nlohmann::json& _json, PeerRegister& _register)
+{
+	_json.at(0).get_to(_register.box);
+	_json.at(1).get_to(_register.value);
+}
+
 inline void to_json(nlohmann::json& _json, const StoreAsk& _ask)
 {
 	_json = nlohmann::json::array({_ask.known});
--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -123,6 +123,10 @@
 /// @returns Whether it is now in force and was not before.
 bool adoptConfig(ConfigCache& _cache, ServiceConfigPtr _config);
 
+/// @returns Whether a configuration is known that the store has proved once. The first that a router reads
+/// may be old.
+bool knowsConfig(const ConfigCache& _cache);
+
 /// @returns Whether keys may still be trusted: a removed key must stop working within the bound.
 bool isProvedFresh(const ConfigCache& _cache, TimeUs _now, TimeUs _bound);
 } // namespace spanplank
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -325,6 +325,7 @@
 	reader.address("store", settings.store);
 	reader.address("link", settings.link, false);
 	reader.address("linkAnnounced", settings.linkAnnounced, false);
+	reader.flag("firstStart", settings.firstStart);
 	reader.seconds("graceSeconds", settings.graceMs, 0.1, 3600.0);
 	reader.number("revokeMs", settings.revokeMs, 100, kHourMs);
 	reader.flag("revocationFailClosed", settings.revocationFailClosed);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -51,6 +51,7 @@
 	Endpoint store;
 	Endpoint link;            ///< Where this router listens for links of others; port 0: it shares nothing.
 	Endpoint linkAnnounced;   ///< Where others reach that; port 0: at `link`.
+	bool firstStart = false;  ///< The whole fleet starts for the first time.
 	uint32_t graceMs = 8000;  ///< Between the signal to stop and the kill.
 	uint32_t revokeMs = 5000; ///< A removed key stops working within this time.
 	/// Whether keys are refused while the configuration is not proved to be younger than `revokeMs`. Without
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -2,6 +2,7 @@
 #include "store_client_p.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 
 #include "log_p.h"
 #include "spanplank/http_status.h"
@@ -93,6 +94,27 @@
 	}
 }
 
+/// Makes a call that writes. @param[out] _revision The new revision when done, as the store counts.
+/// @throws Failure(StoreUnavailable) if the store certainly did not take it.
+CasResult callWrite(StoreClient& _client, const HttpCall& _call, uint64_t& _revision)
+{
+	++_client.stats.writes;
+	try
+	{
+		return callStore(_client, _client.http, _call, kStoreTimeoutMs, [&](const HttpResponse& _response) {
+			return _client.protocol->decodeWrite(_response, _revision);
+		});
+	}
+	catch (const Failure& failure)
+	{
+		if (failure.refusal().run == RunState::Unknown)
+		{
+			return CasResult::Lost;
+		}
+		throw;
+	}
+}
+
 StoreItem toItem(const json& _json)
 {
 	return {_json.value("key", ""), _json.value("value", ""), _json.value("revision", uint64_t(0)),
@@ -132,7 +154,7 @@
 	return postCall("/kv/get", {{"key", _key}});
 }
 
-HttpCall encodeList(const std::string& _prefix, const std::string&)
+HttpCall encodeList(const std::string& _prefix, const std::string&, ListAge)
 {
 	return postCall("/kv/list", {{"prefix", _prefix}}); // The stand-in answers with the whole list.
 }
@@ -198,9 +220,9 @@
 
 const StoreProtocol& standInStoreProtocol()
 {
-	static const StoreProtocol s_protocol = {encodeRead,  encodeList,  encodeWatch, encodeWrite,
-											 encodeLease, decodeRead,  decodeList,  decodeList,
-											 decodeWrite, decodeLease, decodeEra};
+	static const StoreProtocol s_protocol = {encodeRead, encodeList,  encodeWatch, encodeWrite,
+											 nullptr,    encodeLease, decodeRead,  decodeList,
+											 decodeList, decodeWrite, decodeLease, decodeEra};
 	return s_protocol;
 }
 
@@ -213,18 +235,19 @@
 	return item;
 }
 
-StoreList listStore(StoreClient& _client, const std::string& _prefix)
+StoreList listStore(StoreClient& _client, const std::string& _prefix, ListAge _age)
 {
 	StoreList list;
 	std::string after;
 	do
 	{
 		++_client.stats.reads;
-		StoreList page = callStore(_client, _client.http, _client.protocol->encodeList(_prefix, after),
+		StoreList page = callStore(_client, _client.http, _client.protocol->encodeList(_prefix, after, _age),
 								   kStoreTimeoutMs, _client.protocol->decodeList);
 		toPositions(_client, page);
-		// Pages are no snapshot: a watch from the first page's revision brings what changed since.
-		list.revision = after.empty() ? page.revision : list.revision;
+		// Pages are no snapshot, and of old ones a later page may be the older one: a watch from the lowest
+		// revision brings what changed since.
+		list.revision = after.empty() ? page.revision : std::min(list.revision, page.revision);
 		after = page.more && !page.items.empty() ? page.items.back().key : "";
 		list.skipped += page.skipped;
 		list.items.insert(list.items.end(), page.items.begin(), page.items.end());
@@ -255,26 +278,17 @@
 	{
 		return CasResult::Conflict;
 	}
-	++_client.stats.writes;
-	try
-	{
-		const CasResult result = callStore(
-			_client, _client.http, _client.protocol->encodeWrite(_key, _value, revisionOf(_expected), _lease),
-			kStoreTimeoutMs, [&](const HttpResponse& _response) {
-				return _client.protocol->decodeWrite(_response, _revision);
-			});
-		_revision = positionOf(_client.era, _revision);
-		const bool returned = _expected != 0 && eraOf(_expected) < _client.era;
-		return returned ? CasResult::Conflict : result; // Its condition was of another history.
-	}
-	catch (const Failure& failure)
-	{
-		if (failure.refusal().run == RunState::Unknown)
-		{
-			return CasResult::Lost;
-		}
-		throw;
-	}
+	const HttpCall write = _client.protocol->encodeWrite(_key, _value, revisionOf(_expected), _lease);
+	const CasResult result = callWrite(_client, write, _revision);
+	_revision = positionOf(_client.era, _revision);
+	const bool returned = _expected != 0 && eraOf(_expected) < _client.era;
+	return returned && result == CasResult::Done ? CasResult::Conflict : result; // Of another history.
+}
+
+CasResult writeAllStore(StoreClient& _client, absl::Span<const StoreWrite> _writes, uint64_t _lease)
+{
+	uint64_t revision = 0;
+	return callWrite(_client, _client.protocol->encodeWriteAll(_writes, _lease), revision);
 }
 
 uint64_t leaseStore(StoreClient& _client, uint64_t _lease, uint32_t _ttlMs)
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -2,6 +2,7 @@
 #ifndef SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
 #define SPANPLANK_STORE_CLIENT_P_H_HEADER_GUARD
 
+#include <absl/types/span.h>
 #include <boost/fiber/mutex.hpp>
 #include <map>
 #include <memory>
@@ -33,17 +34,35 @@
 /// @returns A name for logs.
 const char* name(CasResult _result);
 
+/// An item to be written.
+struct StoreWrite
+{
+	std::string key;
+	std::string value;
+};
+/// Items of one call.
+constexpr size_t kMostWrites = 32;
+
+/// How old a list may be.
+enum class ListAge : uint8_t
+{
+	Newest,
+	MayBeOld, ///< By seconds: it proves nothing, and costs the store a tenth.
+};
+
 /// How a kind of store is spoken to: calls encoded, answers decoded. The decoders throw Failure; `run` in it
 /// tells whether the call may have been done.
 struct StoreProtocol
 {
 	HttpCall (*encodeRead)(const std::string& _key);
 	/// @param[in] _afterKey The list starts after this key; empty: at its beginning.
-	HttpCall (*encodeList)(const std::string& _prefix, const std::string& _afterKey);
+	HttpCall (*encodeList)(const std::string& _prefix, const std::string& _afterKey, ListAge _age);
 	HttpCall (*encodeWatch)(const std::string& _prefix, uint64_t _after, uint32_t _waitMs);
 	/// @param[in] _lease The item goes with this lease; 0: it stays.
 	HttpCall (*encodeWrite)(const std::string& _key, const std::string& _value, uint64_t _expected,
 							uint64_t _lease);
+	/// Writes several items at once, whatever they hold. Null: not offered.
+	HttpCall (*encodeWriteAll)(absl::Span<const StoreWrite> _writes, uint64_t _lease);
 	/// @param[in] _lease The lease to renew; 0: a new one.
 	HttpCall (*encodeLease)(uint64_t _lease, uint32_t _ttlMs);
 	StoreItem (*decodeRead)(const HttpResponse& _response);
@@ -84,8 +103,9 @@
 
 /// @throws Failure(StoreUnavailable)
 StoreItem readStore(StoreClient& _client, const std::string& _key);
+/// @returns All items, and the revision from which a watch brings what the list lacks.
 /// @throws Failure(StoreUnavailable)
-StoreList listStore(StoreClient& _client, const std::string& _prefix);
+StoreList listStore(StoreClient& _client, const std::string& _prefix, ListAge _age = ListAge::Newest);
 /// Longest time of a call, beyond what a watch waits for changes.
 constexpr uint32_t kStoreTimeoutMs = 1000;
 
@@ -102,6 +122,12 @@
 CasResult casStore(StoreClient& _client, const std::string& _key, const std::string& _value,
 				   uint64_t _expected, uint64_t& _revision, uint64_t _lease = 0);
 
+/// Writes items at once, whatever they hold; at most `kMostWrites`. @param[in] _lease They go with this
+/// lease.
+/// @returns `Conflict` if the lease is over.
+/// @throws Failure(StoreUnavailable) if the store certainly did not take it.
+CasResult writeAllStore(StoreClient& _client, absl::Span<const StoreWrite> _writes, uint64_t _lease);
+
 /// Takes a lease or renews one. @param[in] _lease The lease to renew; 0: a new one.
 /// @returns The lease; 0: the one to renew is over.
 /// @throws Failure(StoreUnavailable)
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -29,7 +29,7 @@
 {
 	awaitFirstConfig(_serving.router);
 	_serving.config = _serving.router.config.config;
-	if (_serving.config->version != 0)
+	if (knowsConfig(_serving.router.config))
 	{
 		return true;
 	}
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -21,6 +21,15 @@
 	_histogram.sumMs += ms;
 }
 
+namespace
+{
+StoreStats sumOf(const StoreStats& _one, const StoreStats& _other)
+{
+	return {_one.reads + _other.reads, _one.writes + _other.writes, _one.watches + _other.watches,
+			_one.failures + _other.failures};
+}
+} // namespace
+
 std::string directMetrics(DirectRouter& _router)
 {
 	MetricsPage page;
@@ -91,7 +100,7 @@
 	addCounter(page, "log_lines_dropped_total", "Log lines dropped because nobody read them.",
 			   double(droppedLogLines()));
 	addProcessMetrics(page, _router.peers.hub != nullptr ? _router.peers.hub->stats() : LinkStats{},
-					  _router.store.stats);
+					  sumOf(_router.store.stats, _router.followCalls));
 	return serialize(page);
 }
 } // namespace spanplank
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -197,7 +197,7 @@
 
 bool isReady(const DirectRouter& _router)
 {
-	return !_router.stopping && _router.config.config->version != 0 && _router.upstreamsKnown;
+	return !_router.stopping && knowsConfig(_router.config) && _router.upstreamsKnown;
 }
 
 RetryWindow& retryWindow(DirectRouter& _router, const std::string& _service)
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -61,6 +61,7 @@
 {
 	uint64_t revision = 0;  ///< As a position: see `store_position.h`.
 	bool listed = false;    ///< All items were read, and all changes since up to `revision`.
+	TimeUs firstListAt = 0; ///< When it was read first; that list may be old.
 	TimeUs listAgainAt = 0; ///< When what was believed beyond an older copy is looked up; 0: nothing is.
 };
 
@@ -104,6 +105,7 @@
 	boost::asio::io_context io;
 	boost::asio::signal_set signals{io}; ///< Of the process; filled by `runDirectRouter`.
 	StoreClient store;                   ///< Reads and writes.
+	StoreStats followCalls;              ///< Of the client that follows the store.
 	HttpServer callers;
 	HttpServer readiness;
 	HttpServer metrics;
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -1,6 +1,7 @@
 /// Follows the platform's store: configuration with proofs of its freshness. Registered upstreams are in
 /// `store_upstreams.cpp`, roll-outs in `store_rollouts.cpp`, evacuations in `store_evacuations.cpp`.
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include "cold_sharing_p.h"
@@ -25,6 +26,12 @@
 constexpr uint32_t kFollowerRetryMostMs = 3200;
 constexpr uint32_t kMostDoublings = 5; ///< Of the first pause; the longest is reached by then.
 constexpr uint32_t kFollowPollMs = 50; ///< Between looks whether the parent still keeps this router informed.
+/// For the first proof of a parent, before a blank router makes a call for it: callers may wait at it.
+constexpr TimeUs kFirstProofPatience = 350 * kMsToUs;
+/// The same at the first start of the whole fleet, before which there are no callers.
+constexpr TimeUs kFirstStartPatience = 2000 * kMsToUs;
+/// At that start the routers begin within this time, few of them early, so that most find others to follow.
+constexpr double kFirstStartSpreadMs = 5000.0;
 constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
 /// For the answer on a kept connection. One that has fallen silent for good is given up soon and the call
 /// made again on a new one: waiting as long as for a slow store takes more than the tightest bound on leaving
@@ -244,8 +251,29 @@
 	_router.config.provedAt = std::max(_router.config.provedAt, sentAt);
 }
 
+/// A blank router begins with a list that may be old. It takes no requests by it: the parent's proof and
+/// changes, or a watch of its own, make it the newest.
+void listFirst(DirectRouter& _router, StoreFollower& _follower)
+{
+	takeStoreList(_router, listStore(_follower.client, "", ListAge::MayBeOld), StoreWay::List);
+	_router.view.firstListAt = monotonicNow();
+}
+
+/// @returns Whether a router that has just listed the store may yet get the first proof from a parent.
+bool awaitsFirstProof(const DirectRouter& _router, TimeUs _now)
+{
+	const TimeUs patience = _router.settings.firstStart ? kFirstStartPatience : kFirstProofPatience;
+	return _router.view.listed && _router.config.provedAt == 0 && !_router.peers.behind &&
+		   _now - _router.view.firstListAt < patience && mayFollow(_router, _now);
+}
+
 void listOnce(DirectRouter& _router, StoreFollower& _follower)
 {
+	if (_router.view.revision == 0)
+	{
+		listFirst(_router, _follower);
+		return;
+	}
 	const TimeUs sentAt = monotonicNow();
 	const StoreList list = listStore(_follower.client, "");
 	noteStorePresent(_router, sentAt);
@@ -303,7 +331,8 @@
 {
 	const uint32_t longest = followers(_router) == 0 ? _router.settings.watchPauseMs
 													 : std::min(_router.settings.watchPauseMs, kRelayPauseMs);
-	pauseUnlessFollowing(_router, _router.config.config->version != 0 ? longest : 0);
+	const bool known = _router.config.config->version != 0 && _router.config.provedAt != 0;
+	pauseUnlessFollowing(_router, known ? longest : 0);
 }
 
 void followChanges(DirectRouter& _router)
@@ -312,6 +341,10 @@
 	follower.client.http.io = &_router.io;
 	follower.client.watchHttp.io = &_router.io;
 	follower.client.protocol = _router.store.protocol;
+	if (_router.settings.firstStart)
+	{
+		sleepFor(uint32_t(kFirstStartSpreadMs * std::cbrt(nextUnit(_router.random))));
+	}
 	while (true)
 	{
 		const TimeUs now = monotonicNow();
@@ -321,7 +354,8 @@
 			const bool believed = holdsEvacuations(_router) || !_router.trials.trials.empty();
 			_router.view.listed = _router.view.listed && !believed;
 		}
-		if (isFollowing(_router, now) && !wantsProbe(_router.peers.follow, now))
+		const bool served = isFollowing(_router, now) || awaitsFirstProof(_router, now);
+		if (served && !wantsProbe(_router.peers.follow, now))
 		{
 			sleepFor(kFollowPollMs);
 			continue;
@@ -341,6 +375,7 @@
 			noteStoreFailed(_router.peers.follow, monotonicNow());
 			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
 		}
+		_router.followCalls = follower.client.stats;
 	}
 }
 } // namespace
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -79,6 +79,9 @@
 	case MessageType::PeerPong:
 		takePong(_router, _link, _message.body.get<PeerPong>());
 		break;
+	case MessageType::PeerRegister:
+		takePeerRegister(_router, _message.body.get<PeerRegister>());
+		break;
 	case MessageType::StoreChanges:
 		takeChangesOfParent(_router, _message.body.get<StoreChanges>());
 		break;
@@ -141,7 +144,7 @@
 	{
 		return;
 	}
-	if (peers.key.empty() || !peers.keyStands)
+	if ((peers.key.empty() || !peers.keyStands) && _router.config.provedAt != 0)
 	{
 		writeLinkKey(_router);
 	}
@@ -206,6 +209,13 @@
 	return !peers.parent.empty() && answeredAt != 0 && _now - answeredAt < kPongPatience;
 }
 
+bool mayFollow(const DirectRouter& _router, TimeUs _now)
+{
+	const PeerLinks& peers = _router.peers;
+	const bool linkable = _router.settings.link.port != 0 && !peers.key.empty();
+	return linkable && !chooseParent(peers.tree, _now).empty();
+}
+
 bool isFollowing(const DirectRouter& _router, TimeUs _now)
 {
 	const PeerLinks& peers = _router.peers;
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -56,6 +56,9 @@
 /// parents and its newest proof is young.
 bool isFollowing(const DirectRouter& _router, TimeUs _now);
 
+/// @returns Whether there is another router that this one would follow.
+bool mayFollow(const DirectRouter& _router, TimeUs _now);
+
 /// @returns Whether the parent answers, whatever it knows of the store.
 bool hasParent(const DirectRouter& _router, TimeUs _now);
 
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -22,6 +22,10 @@
 constexpr TimeUs kRetryFirst = 1000 * kMsToUs;
 constexpr uint32_t kMostDoublings = 3;
 constexpr size_t kKeyBytes = 32;
+/// For a registration that the parent was asked for to stand, before it is asked again.
+constexpr TimeUs kAskAgain = 3000 * kMsToUs;
+/// For a parent to answer first, before this router registers by itself.
+constexpr TimeUs kParentPatience = 2000 * kMsToUs;
 
 std::string newLinkKey()
 {
@@ -73,7 +77,12 @@
 	{
 		return;
 	}
-	registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	const uint64_t lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	if (lease != registration.lease)
+	{
+		registration.written.clear();
+	}
+	registration.lease = lease;
 	registration.failures = 0;
 	registration.renewedAt = now;
 }
@@ -108,6 +117,59 @@
 	}
 	logEvent("peer_registered", {{"result", name(result)}, {"revision", std::to_string(revision)}});
 }
+
+/// Writes registrations of followers, as many as one call takes.
+void writeFollowers(DirectRouter& _router)
+{
+	PeerRegistration& registration = _router.peers.registration;
+	renewRegistration(_router);
+	std::vector<StoreWrite> writes;
+	for (const auto& [box, value] : registration.wanted)
+	{
+		if (writes.size() < kMostWrites)
+		{
+			writes.push_back({std::string(kPeerPrefix) + box, value});
+		}
+	}
+	const CasResult result = writeAllStore(_router.store, writes, registration.lease);
+	logEvent("followers_registered", {{"result", name(result)}, {"count", std::to_string(writes.size())}});
+	if (result != CasResult::Done)
+	{
+		registration.lease = result == CasResult::Conflict ? 0 : registration.lease;
+		postponeRegistration(registration);
+		return;
+	}
+	registration.failures = 0;
+	for (const StoreWrite& write : writes)
+	{
+		const std::string box = afterPrefix(write.key, kPeerPrefix);
+		registration.written[box] = write.value;
+		registration.wanted.erase(box);
+	}
+}
+
+/// Asks the parent for this router's registration: over each new link, and again while it does not stand.
+void askParent(DirectRouter& _router, TimeUs _now)
+{
+	PeerLinks& peers = _router.peers;
+	PeerRegistration& registration = peers.registration;
+	const bool asked = registration.toldOver == peers.parentLink;
+	if (asked && (isRegistered(peers) || _now - registration.toldAt < kAskAgain))
+	{
+		return;
+	}
+	registration.toldOver = peers.parentLink;
+	registration.toldAt = _now;
+	const PeerRegister wanted{peers.tree.self.box, encodePeer(peers.tree.self)};
+	peers.hub->send(peers.parentLink, MessageType::PeerRegister, wanted);
+}
+
+/// @returns Whether this router's registration is a parent's matter: one answers, or may soon.
+bool isParents(const DirectRouter& _router, TimeUs _now)
+{
+	const TimeUs since = std::max(_router.peers.registration.parentAt, _router.view.firstListAt);
+	return !_router.peers.parent.empty() && _now - since < kParentPatience;
+}
 } // namespace
 
 void writeLinkKey(DirectRouter& _router)
@@ -124,12 +186,23 @@
 
 void keepRegistered(DirectRouter& _router)
 {
-	const PeerRegistration& registration = _router.peers.registration;
-	if (monotonicNow() < registration.retryAt)
+	const PeerLinks& peers = _router.peers;
+	PeerRegistration& registration = _router.peers.registration;
+	const TimeUs now = monotonicNow();
+	if (hasParent(_router, now))
+	{
+		registration.parentAt = now;
+		askParent(_router, now);
+	}
+	if (now < registration.retryAt || _router.config.provedAt == 0)
 	{
 		return;
 	}
-	if (!isRegistered(_router.peers))
+	if (!registration.wanted.empty())
+	{
+		writeFollowers(_router);
+	}
+	if (!isParents(_router, now) && !isRegistered(peers))
 	{
 		writeRegistration(_router);
 	}
@@ -139,10 +212,24 @@
 	}
 }
 
+void takePeerRegister(DirectRouter& _router, const PeerRegister& _register)
+{
+	PeerLinks& peers = _router.peers;
+	const auto written = peers.registration.written.find(_register.box);
+	const bool stands = written != peers.registration.written.end() && written->second == _register.value &&
+						peers.tree.peers.count(_register.box) != 0;
+	if (!stands)
+	{
+		peers.registration.wanted[_register.box] = _register.value;
+	}
+}
+
 void forgetOwnLease(DirectRouter& _router, TimeUs _from)
 {
 	PeerRegistration& registration = _router.peers.registration;
 	registration.lease = 0;
+	registration.written.clear();
+	registration.toldOver = {};
 	registration.failures = 0;
 	registration.retryAt = _from;
 	noteStanding(registration, 0); // Written anew under the new lease; what the copy holds is read first.
--- a/src/direct/peer_registration_p.h
+++ b/src/direct/peer_registration_p.h
@@ -3,10 +3,12 @@
 #define SPANPLANK_PEER_REGISTRATION_P_H_HEADER_GUARD
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 
 #include "spanplank/errors.h"
+#include "spanplank/peer_messages.h"
 #include "spanplank/types.h"
 #include "store_client_p.h"
 
@@ -25,6 +27,12 @@
 	TimeUs standsSince = 0; ///< When this process first knew that it stands in the store; 0: it does not.
 	uint64_t lease = 0;     ///< Taken by this process; 0: none.
 	TimeUs renewedAt = 0;
+	LinkId toldOver; ///< Link over which the parent was asked last to keep it; invalid: none was.
+	TimeUs toldAt = 0;
+	TimeUs parentAt = 0; ///< When a parent was last seen to answer.
+	/// Registrations of followers that are to be written, by box; and those that stand under this lease.
+	std::map<std::string, std::string> wanted;
+	std::map<std::string, std::string> written;
 	uint32_t failures = 0; ///< Of calls for it, in a row.
 	TimeUs retryAt = 0;    ///< No such call before.
 };
@@ -33,10 +41,14 @@
 /// @throws Failure(StoreUnavailable)
 void writeLinkKey(DirectRouter& _router);
 
-/// Writes this router's registration unless it stands, and renews its lease in time.
+/// Keeps this router's registration in the store: the parent is asked for it, and without one it is written
+/// here. Writes those of the followers, and renews the lease in time.
 /// @throws Failure(StoreUnavailable)
 void keepRegistered(DirectRouter& _router);
 
+/// A follower asks for its registration.
+void takePeerRegister(DirectRouter& _router, const PeerRegister& _register);
+
 /// The store has lost all leases: this router's is taken anew, from a moment on.
 void forgetOwnLease(DirectRouter& _router, TimeUs _from);
 
