Soak: an older run that the router went on with may end a begun answer

Cause: the excuse looked at the newest run alone. Change: a run that breaks off counts if the router has left all later ones. Ruled out: that the router could have gone on; the route allows three attempts.

--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -87,6 +87,7 @@
 	TimeUs workedUntil = 0;
 	SoakUpstream* lastEnd = nullptr; ///< The last that ran it.
 	TimeUs lastRunAt = 0;
+	std::map<uint32_t, HttpExchange*> streams; ///< Runs that answer with events now, by their number.
 	bool ending = false;     ///< It ends upstreams that run it.
 	bool brokeOff = false;   ///< That one cut its answer by itself.
 	bool seen = false;       ///< An upstream got it, also one that rejected it.
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -1,6 +1,7 @@
 /// Stand-ins of upstreams that reject, cut, pause and leave.
 #include "soak_upstreams.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 #include "ports.h"
@@ -41,6 +42,35 @@
 	RequestRecord& record;
 };
 
+/// Keeps a run among those that answer with events now.
+class StreamMark
+{
+public:
+	StreamMark(RequestRecord& _record, HttpExchange& _exchange) : m_record(_record), m_run(_record.runs)
+	{
+		m_record.streams[m_run] = &_exchange;
+	}
+
+	~StreamMark()
+	{
+		m_record.streams.erase(m_run);
+	}
+
+	StreamMark(const StreamMark&) = delete;
+	StreamMark& operator=(const StreamMark&) = delete;
+
+	/// @returns Whether the router waits for no later run, so that the answer was this one's to end.
+	bool isLastWanted() const
+	{
+		return std::all_of(m_record.streams.upper_bound(m_run), m_record.streams.end(),
+						   [](const auto& _stream) { return _stream.second->callerGone(); });
+	}
+
+private:
+	RequestRecord& m_record;
+	uint32_t m_run;
+};
+
 void streamAs(Soak& _soak, SoakUpstream& _end, HttpExchange& _exchange, RequestRecord& _record)
 {
 	const bool cut = happens(_soak, kCutEventsChance);
@@ -49,10 +79,11 @@
 	const uint32_t firstMs = 1 + below(_soak, 15);
 	const int last = pauses ? kPausingLast : int(5 + below(_soak, 20));
 	const uint32_t pauseMs = pauses ? kPauseLeastMs + below(_soak, kPauseSpreadMs) : firstMs;
+	const StreamMark mark(_record, _exchange);
 	const bool ended =
 		answerEvents(*_end.upstream, _exchange, last, pauseMs, cut || isMutant("cut"), confidence, firstMs);
-	// A run that another one follows meanwhile says nothing of the newer one.
-	_record.brokeOff = _record.brokeOff || (ended && cut && _record.lastEnd == &_end && !isMutant("cut"));
+	// One that the router still waits for may go on with the answer.
+	_record.brokeOff = _record.brokeOff || (ended && cut && mark.isLastWanted() && !isMutant("cut"));
 }
 
 void answerAs(Soak& _soak, SoakUpstream& _end, HttpExchange& _exchange)
