--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -88,12 +88,12 @@
 	SoakUpstream* lastEnd = nullptr; ///< The last that ran it.
 	TimeUs lastRunAt = 0;
 	std::map<uint32_t, HttpExchange*> streams; ///< Runs that answer with events now, by their number.
-	bool ending = false;     ///< It ends upstreams that run it.
-	bool brokeOff = false;   ///< That one cut its answer by itself.
-	bool seen = false;       ///< An upstream got it, also one that rejected it.
-	bool toldNotRun = false; ///< The caller got a status that promises so.
-	bool allowed = true;     ///< By every idle limit that may be in force.
-	TimeUs chosenAt = 0;     ///< When the caller last saw that the connection was open.
+	bool ending = false;                       ///< It ends upstreams that run it.
+	bool brokeOff = false;                     ///< That one cut its answer by itself.
+	bool seen = false;                         ///< An upstream got it, also one that rejected it.
+	bool toldNotRun = false;                   ///< The caller got a status that promises so.
+	bool allowed = true;                       ///< By every idle limit that may be in force.
+	TimeUs chosenAt = 0;                       ///< When the caller last saw that the connection was open.
 	TimeUs sentAt = 0;
 	TimeUs heldUpThen = 0; ///< `Soak::heldUp` when it was sent.
 };
