Routes and accounts that name regions are served, chosen for and remembered there alone

Cause: allowed_regions was read nowhere: a request of a limited route went to any hall's upstreams, and what those kept of its prompt was told to all routers. Change: settings tell each hall's region; a request's limit is what its route and its account both allow. A router outside refuses at once (503 "region", not run), the choice takes upstreams within the limit alone, and homes of such prompts are told to no other router. Not limited yet: digests of crash suspects and names of accounts in usage rows.

--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -45,6 +45,7 @@
 	/// The router chooses among these, smallest first. Empty: the caller does.
 	std::vector<std::string> models;
 	std::vector<RouteTarget> targets;
+	std::vector<std::string> regions; ///< Only there it may be served and remembered; empty: anywhere.
 };
 
 /// A model that a service offers.
@@ -67,7 +68,8 @@
 struct AccountEntry
 {
 	std::string name;
-	uint32_t priority = 0; ///< Goes before the route's; lower goes first.
+	uint32_t priority = 0;            ///< Goes before the route's; lower goes first.
+	std::vector<std::string> regions; ///< As `Route::regions`.
 };
 
 /// Bounds on what callers may send and how long they may take.
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -14,6 +14,7 @@
 #include "spanplank/cold_upstreams.h"
 #include "spanplank/hall_evacuation.h"
 #include "spanplank/policies.h"
+#include "spanplank/region_limit.h"
 #include "spanplank/store_contact.h"
 #include "spanplank/types.h"
 
@@ -189,6 +190,7 @@
 	double withinMs = 0.0;  ///< A first token within this counts as timely; 0: any does.
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Not these.
+	HallLimit limit; ///< Only upstreams within it; what they keep is told to no other router.
 };
 
 /// @returns The upstream to send to; invalid if none is left.
@@ -205,6 +207,7 @@
 	None,      ///< None is registered, or those in open halls were tried.
 	Evacuated, ///< All that are registered are in evacuated halls.
 	Cold,      ///< Those in open halls are cold and get what they bear.
+	Regions,   ///< All that are registered are in regions that may not serve the request.
 };
 
 /// @returns A name for logs.
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -172,6 +172,29 @@
 		}
 	}
 
+	void names(const char* _key, std::map<std::string, std::string>& _values)
+	{
+		const YAML::Node node = take(_key, false);
+		if (!node || node.IsNull())
+		{
+			return;
+		}
+		if (!node.IsMap())
+		{
+			note(node, _key, "must be a mapping of names to names");
+			return;
+		}
+		for (const auto& item : node)
+		{
+			if (!item.second.IsScalar())
+			{
+				note(item.second, fmt::format("{}.{}", _key, item.first.Scalar()), "must be a single value");
+				continue;
+			}
+			_values[item.first.Scalar()] = item.second.Scalar();
+		}
+	}
+
 	void numbers(const char* _key, std::map<std::string, uint32_t>& _values, uint32_t _most)
 	{
 		const YAML::Node node = take(_key, false);
@@ -319,6 +342,7 @@
 	reader.choice("upstreams", upstreams, {"direct"});
 	reader.text("box", settings.box);
 	reader.text("hall", settings.hall);
+	reader.names("regions", settings.regions);
 	reader.address("listen", settings.listen);
 	reader.address("readiness", settings.readiness);
 	reader.address("metrics", settings.metrics);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -11,6 +11,7 @@
 #include "spanplank/duty.h"
 #include "spanplank/peer_tree.h"
 #include "spanplank/policies.h"
+#include "spanplank/region_limit.h"
 
 namespace spanplank
 {
@@ -45,6 +46,7 @@
 {
 	std::string box;
 	std::string hall;
+	RegionOfHall regions;
 	Endpoint listen;    ///< Callers.
 	Endpoint readiness; ///< Where the balancer asks whether this router takes callers.
 	Endpoint metrics;
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -250,7 +250,7 @@
 	{
 		const TimeUs before = noteHome(_table, part.hash, _upstream.idx, _now);
 		const bool shares = _table.hearsOthers && _table.policies.homeSharing;
-		if (shares && isNews(before, _now) && _table.newHomes.size() < kMostNewHomes)
+		if (shares && !_query.limit.limited && isNews(before, _now) && _table.newHomes.size() < kMostNewHomes)
 		{
 			_table.newHomes.push_back({part.hash, key});
 		}
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -322,6 +322,11 @@
 		const uint32_t ms = kColdRetryMs + uint32_t(_spread * kColdSpreadMs);
 		return {status::kUnavailable, ms, "cold", "the upstreams are cold and bear no more; it has not run"};
 	}
+	if (!_plan.mayHaveRun && _why == NoUpstream::Regions)
+	{
+		return {status::kUnavailable, kRetryAfterMs, "region",
+				"no region that may serve the request has upstreams; it has not run"};
+	}
 	if (!_plan.mayHaveRun)
 	{
 		return {status::kUnavailable, kRetryAfterMs, "not_run",
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -33,7 +33,8 @@
 								 ? _entry.record.version != _query.notVersion || _query.notVersion.empty()
 								 : _entry.record.version == _query.version;
 	const bool fresh = _query.tried == nullptr || _query.tried->count(_idx) == 0;
-	return _entry.record.service == _query.service && versionFits && fresh;
+	return _entry.record.service == _query.service && versionFits && fresh &&
+		   isAllowed(_query.limit, _entry.record.hall);
 }
 
 /// @returns Whether an upstream whose registration lapsed may still return, within a share of the bound.
@@ -351,26 +352,36 @@
 
 const char* name(NoUpstream _why)
 {
-	constexpr const char* kNames[] = {"none", "evacuated", "cold"};
+	constexpr const char* kNames[] = {"none", "evacuated", "cold", "regions"};
 	return kNames[size_t(_why)];
 }
 
 NoUpstream whyNone(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
 {
 	bool evacuated = false;
+	bool outside = false;
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (!entry.registered || entry.record.leaving || entry.record.service != _query.service)
 		{
 			continue;
 		}
+		if (!isAllowed(_query.limit, entry.record.hall))
+		{
+			outside = true;
+			continue;
+		}
 		if (!isEvacuated(_table.halls, entry.record.hall))
 		{
 			return nextColdTake(_table, _query, _now) ? NoUpstream::Cold : NoUpstream::None;
 		}
 		evacuated = true;
 	}
-	return evacuated ? NoUpstream::Evacuated : NoUpstream::None;
+	if (evacuated)
+	{
+		return NoUpstream::Evacuated;
+	}
+	return outside ? NoUpstream::Regions : NoUpstream::None;
 }
 
 void noteHallOpened(UpstreamTable& _table, const std::string& _hall, TimeUs _now)
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -95,6 +95,20 @@
 	return takeConfig(_serving) && takeRoute(_serving) && takeAccount(_serving);
 }
 
+bool admitByRegion(Serving& _serving)
+{
+	const DirectSettings& settings = _serving.router.settings;
+	const std::vector<std::string> any;
+	_serving.limit = limitHalls(settings.regions, _serving.route->regions,
+								_serving.account != nullptr ? _serving.account->regions : any);
+	if (isAllowed(_serving.limit, settings.hall))
+	{
+		return true;
+	}
+	refuse(_serving, status::kUnavailable, "region", "this region may not serve the request", 0);
+	return false;
+}
+
 bool admitByStop(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -25,6 +25,7 @@
 	query.model = _model;
 	query.repeatable = _serving.plan.repeatable;
 	query.tried = &_serving.plan.tried;
+	query.limit = _serving.limit;
 	query.withinMs = timelyWithinMs(_serving.plan, monotonicNow());
 	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
 	if (parts.empty())
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -189,7 +189,7 @@
 	Serving serving(_router, _exchange);
 	serving.call = platform::readCallHeaders(_exchange.request());
 	serving.plan.arrivedAt = monotonicNow();
-	if (!admitByConfig(serving))
+	if (!admitByConfig(serving) || !admitByRegion(serving))
 	{
 		return;
 	}
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -43,6 +43,7 @@
 	const Route* route = nullptr;
 	const AccountEntry* account = nullptr; ///< Null: the request came without a key on an anonymous route.
 	std::string service;
+	HallLimit limit; ///< Where it may be served.
 	RequestPlan plan;
 	int64_t lastEventId = -1; ///< Of the last event that the caller was sent; -1: none.
 	bool callerGone = false;
@@ -76,6 +77,9 @@
 /// @returns Whether the configuration allows the request; otherwise it has been refused.
 bool admitByConfig(Serving& _serving);
 
+/// @returns Whether this router's region may serve the request; otherwise it was refused.
+bool admitByRegion(Serving& _serving);
+
 /// @returns Whether the request may run, as far as upstreams have ended under copies of it; otherwise it was
 /// refused.
 bool admitBySuspicion(Serving& _serving);
--- /dev/null
+++ b/tests/core/region_limit_test.cpp
@@ -0,0 +1,33 @@
+/// Routes and accounts that are limited to regions.
+#include "spanplank/region_limit.h"
+
+#include <gtest/gtest.h>
+
+namespace spanplank
+{
+namespace
+{
+const RegionOfHall kRegions = {{"south-a", "south"}, {"south-b", "south"}, {"north-a", "north"}};
+
+TEST(RegionLimit, WithoutARegionAnyHallServes)
+{
+	EXPECT_TRUE(isAllowed(limitHalls(kRegions, {}, {}), "north-a"));
+	EXPECT_TRUE(isAllowed(limitHalls({}, {}, {}), "unknown"));
+}
+
+TEST(RegionLimit, OnlyTheHallsOfTheRegionsServe)
+{
+	const HallLimit limit = limitHalls(kRegions, {"south"}, {});
+	EXPECT_TRUE(isAllowed(limit, "south-b"));
+	EXPECT_FALSE(isAllowed(limit, "north-a"));
+	EXPECT_FALSE(isAllowed(limit, "unknown")) << "a hall of an unknown region is in none that is named";
+}
+
+TEST(RegionLimit, RouteAndAccountBothHaveToAllowIt)
+{
+	EXPECT_TRUE(isAllowed(limitHalls(kRegions, {"south", "north"}, {"north"}), "north-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, {"south", "north"}, {"north"}), "south-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, {"south"}, {"north"}), "south-a")) << "nobody may";
+}
+} // namespace
+} // namespace spanplank
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -72,6 +72,24 @@
 	EXPECT_EQ(pick(query(), 0), "");
 }
 
+TEST_F(TableTest, ARequestLimitedToRegionsGoesToTheirUpstreamsAloneAndIsRememberedThere)
+{
+	registerUpstream(table, record("near", "a"));
+	table.hearsOthers = true;
+	UpstreamQuery limited = query();
+	limited.shared = {{77, 500}};
+	limited.limit = limitHalls({{"a", "south"}, {"b", "north"}}, {"north"}, {});
+	EXPECT_EQ(pick(limited, 0), "");
+	EXPECT_EQ(whyNone(table, limited, 0), NoUpstream::Regions);
+	const UpstreamId far = registerUpstream(table, record("far", "b"));
+	EXPECT_EQ(pick(limited, 0), "far");
+	noteSent(table, far, limited, 0);
+	EXPECT_TRUE(table.newHomes.empty()) << "told to routers of other regions";
+	limited.limit = {};
+	noteSent(table, far, limited, 20 * kSecond);
+	EXPECT_EQ(table.newHomes.size(), 1u);
+}
+
 TEST_F(TableTest, ARegistrationThatGoesInCalmTimesEndsAtOnce)
 {
 	registerUpstream(table, record("one"));
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -107,6 +107,18 @@
 	EXPECT_EQ(arrivals(), 0u);
 }
 
+TEST_F(PlainTest, ARouteOfOtherRegionsIsRefusedAtOnceAndReachesNoUpstream)
+{
+	system.config["routes"][0]["allowed_regions"] = {"elsewhere"};
+	system.writeConfig();
+	EXPECT_TRUE(eventually([&] { return system.call("GET", "/plain/x", "").status == 503; }, 3));
+	const size_t before = arrivals();
+	const DirectAnswer answer = system.call("GET", "/plain/x", "");
+	EXPECT_EQ(answer.status, 503);
+	EXPECT_NE(answer.body.find("\"region\""), std::string::npos);
+	EXPECT_EQ(arrivals(), before);
+}
+
 TEST_F(PlainTest, ARejectedRequestThatCantBeRepeatedGoesToAnotherUpstream)
 {
 	firstAttempt([](Upstream&, Exchange& _exchange) { answerNotRun(_exchange); });
--- a/tests/direct/direct_settings_test.cpp
+++ b/tests/direct/direct_settings_test.cpp
@@ -39,6 +39,13 @@
 	EXPECT_EQ(mostFollowers(load("processorShare: 0.5\nlinkMbps: 10\n").capacity), 10u) << "the link binds";
 }
 
+TEST_F(DirectSettingsTest, RegionsOfHallsAreAMappingOrNone)
+{
+	EXPECT_TRUE(load("regions:\n").regions.empty());
+	EXPECT_EQ(load("regions: {\"b\": \"south\"}\n").regions.at("b"), "south");
+	EXPECT_THROW(load("regions: [south]\n"), SettingsFailure);
+}
+
 TEST_F(DirectSettingsTest, ACapacityOfNothingIsAMistake)
 {
 	try
