A blank router proves its older list at once unless the whole fleet starts for the first time

Ruled out: the older list itself (its pages take as long); slow boxes take 0.5 s to decode 1,958 routes, as before. Change: only the first start of the whole fleet waits for a parent's proof; else a watch that waits 1 ms follows the list.

--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -26,10 +26,11 @@
 constexpr uint32_t kFollowerRetryMostMs = 3200;
 constexpr uint32_t kMostDoublings = 5; ///< Of the first pause; the longest is reached by then.
 constexpr uint32_t kFollowPollMs = 50; ///< Between looks whether the parent still keeps this router informed.
-/// For the first proof of a parent, before a blank router makes a call for it: callers may wait at it.
-constexpr TimeUs kFirstProofPatience = 350 * kMsToUs;
-/// The same at the first start of the whole fleet, before which there are no callers.
-constexpr TimeUs kFirstStartPatience = 2000 * kMsToUs;
+/// For the first proof of a parent, at the first start of the whole fleet, before which there are no callers.
+/// At any other start callers may wait at a blank router, and its parent may be as blank.
+constexpr TimeUs kFirstProofPatience = 2000 * kMsToUs;
+/// Longest wait of the watch that brings the first proof.
+constexpr uint32_t kFirstWatchMs = 1;
 /// At that start the routers begin within this time, few of them early, so that most find others to follow.
 constexpr double kFirstStartSpreadMs = 5000.0;
 constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
@@ -205,6 +206,12 @@
 	return _refusal.code == ErrorCode::StoreUnavailable && _refusal.run == RunState::Unknown;
 }
 
+/// @returns How long a watch waits for changes.
+uint32_t watchWaitMs(const DirectRouter& _router)
+{
+	return _router.config.provedAt == 0 ? kFirstWatchMs : _router.settings.configWaitMs;
+}
+
 /// Watches on a kept connection if there is one that is likely sound. One that has fallen silent does not
 /// count as a failure of the store: cut-off routers that count it follow one another in a ring for 16 s.
 /// @returns The changes; nothing if the connection has fallen silent: it is closed then.
@@ -221,8 +228,7 @@
 	}
 	try
 	{
-		return watchStore(_follower.client, "", _router.view.revision, _router.settings.configWaitMs,
-						  kKeptPatienceMs);
+		return watchStore(_follower.client, "", _router.view.revision, watchWaitMs(_router), kKeptPatienceMs);
 	}
 	catch (const Failure& failure)
 	{
@@ -243,7 +249,7 @@
 	if (!changes)
 	{
 		sentAt = monotonicNow();
-		changes = watchStore(_follower.client, "", _router.view.revision, _router.settings.configWaitMs);
+		changes = watchStore(_follower.client, "", _router.view.revision, watchWaitMs(_router));
 	}
 	_follower.usedAt = monotonicNow();
 	noteStorePresent(_router, sentAt); // First: what went is judged by it.
@@ -251,8 +257,8 @@
 	_router.config.provedAt = std::max(_router.config.provedAt, sentAt);
 }
 
-/// A blank router begins with a list that may be old. It takes no requests by it: the parent's proof and
-/// changes, or a watch of its own, make it the newest.
+/// A blank router begins with a list that may be old. It takes no requests by it: a watch from there, or the
+/// parent's proof and changes, make it the newest.
 void listFirst(DirectRouter& _router, StoreFollower& _follower)
 {
 	takeStoreList(_router, listStore(_follower.client, "", ListAge::MayBeOld), StoreWay::List);
@@ -262,9 +268,9 @@
 /// @returns Whether a router that has just listed the store may yet get the first proof from a parent.
 bool awaitsFirstProof(const DirectRouter& _router, TimeUs _now)
 {
-	const TimeUs patience = _router.settings.firstStart ? kFirstStartPatience : kFirstProofPatience;
-	return _router.view.listed && _router.config.provedAt == 0 && !_router.peers.behind &&
-		   _now - _router.view.firstListAt < patience && mayFollow(_router, _now);
+	const bool blank = _router.settings.firstStart && _router.config.provedAt == 0;
+	return blank && _router.view.listed && !_router.peers.behind &&
+		   _now - _router.view.firstListAt < kFirstProofPatience && mayFollow(_router, _now);
 }
 
 void listOnce(DirectRouter& _router, StoreFollower& _follower)
