Requests at a blank router wait for its first list while the store answers

Cause: the wait ended 0.4 s after the start, and a box of 0.09 core takes 0.5 s to read 1,958 routes. Weighed: refuse at once (what is not known yet may be in a moment: the caller is served sooner by waiting), wait for up to 1 s; a router that does not reach the store now refuses at once, it waited before. Change: the wait goes on for up to 1 s while the calls of the store succeed. At twice the size of the configuration a small box needs 1 s as well: beyond that requests are refused as before.

--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -11,14 +11,16 @@
 /// store answered: only the rates of clocks and the rounding of settings need a margin.
 constexpr double kFreshShare = 0.96;
 constexpr uint32_t kUnknownRetryMs = 300; ///< Told while this router knows no configuration, or none fresh.
-constexpr TimeUs kBlankWait = 400 * kMsToUs; ///< From the start; a store that answers does so in far less.
+/// From the start, while the store answers: a small box takes half a second to read a large configuration.
+constexpr TimeUs kBlankWait = 1000 * kMsToUs;
 constexpr uint32_t kBlankPollMs = 3;
 
-/// A router that has just started reads the store within a few milliseconds: that is sooner than any retry.
+/// A router that has just started reads the store sooner than a refused caller would return. One that does
+/// not reach the store refuses at once.
 void awaitFirstConfig(const DirectRouter& _router)
 {
 	const TimeUs until = _router.startedAt + kBlankWait;
-	while (_router.config.provedAt == 0 && monotonicNow() < until)
+	while (_router.config.provedAt == 0 && monotonicNow() < until && _router.peers.follow.storeFailures == 0)
 	{
 		sleepFor(kBlankPollMs);
 	}
