A router whose registration its parent does not write registers by itself

Cause, by reading: a parent of an earlier version ignores the message that asks for a registration, and one that does not reach the store can't write it; the follower asked again for ever, and ranks and parts of cold upstreams lacked it. Change: after the third ask in a row (9 s) without the registration standing the router writes it under its own lease. Ruled out: at once, which would bring back the two calls of each start.

--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -24,6 +24,8 @@
 constexpr size_t kKeyBytes = 32;
 /// For a registration that the parent was asked for to stand, before it is asked again.
 constexpr TimeUs kAskAgain = 3000 * kMsToUs;
+/// Then this router registers by itself: the parent may be of an earlier version, or not reach the store.
+constexpr uint32_t kMostAsks = 3;
 /// For a parent to answer first, before this router registers by itself.
 constexpr TimeUs kParentPatience = 2000 * kMsToUs;
 
@@ -160,6 +162,7 @@
 	}
 	registration.toldOver = peers.parentLink;
 	registration.toldAt = _now;
+	registration.asks = isRegistered(peers) ? 0 : registration.asks + 1;
 	const PeerRegister wanted{peers.tree.self.box, encodePeer(peers.tree.self)};
 	peers.hub->send(peers.parentLink, MessageType::PeerRegister, wanted);
 }
@@ -202,7 +205,8 @@
 	{
 		writeFollowers(_router);
 	}
-	if (!isParents(_router, now) && !isRegistered(peers))
+	const bool byItself = !isParents(_router, now) || registration.asks > kMostAsks;
+	if (byItself && !isRegistered(peers))
 	{
 		writeRegistration(_router);
 	}
--- a/src/direct/peer_registration_p.h
+++ b/src/direct/peer_registration_p.h
@@ -29,6 +29,7 @@
 	TimeUs renewedAt = 0;
 	LinkId toldOver; ///< Link over which the parent was asked last to keep it; invalid: none was.
 	TimeUs toldAt = 0;
+	uint32_t asks = 0;   ///< In a row, without it standing.
 	TimeUs parentAt = 0; ///< When a parent was last seen to answer.
 	/// Registrations of followers that are to be written, by box; and those that stand under this lease.
 	std::map<std::string, std::string> wanted;
