A call of the store that was under way as the parent answered does not count against it

What was seen: 15 of 16 parallel runs of FleetTest.ARouterThatStartsAgain... failed, as the restarted router left its parent 0.18 s after it had followed it. The lines: peer_followed proof_age_ms=65, then peer_lost why="it does not reach the store", with a watch sent 0.03 s before the parent was chosen and ended after it. Cause: each own call that reached the store counted as one that the parent's proof should have spared, also one sent before the parent's first answer. Ruled out: missed changes (none), the proof's age. Change: a call counts only if it was sent after that answer.

--- a/include/spanplank/peer_follow.h
+++ b/include/spanplank/peer_follow.h
@@ -26,6 +26,7 @@
 	bool hasParent = false;     ///< One was chosen.
 	TimeUs parentSince = 0;     ///< When it was chosen.
 	TimeUs answeredAt = 0;      ///< When it answered last; 0: it has not.
+	TimeUs followedAt = 0;      ///< When it answered first.
 	TimeUs provenAt = 0;        ///< When its proof was young last; 0: it has not been.
 	bool ring = false;          ///< It follows this router, by whatever way.
 	uint32_t asked = 0;         ///< Own calls that reached the store in a row, while it proved nothing.
@@ -61,8 +62,9 @@
 void noteParentAnswer(FollowState& _state, TimeUs _proofAge, absl::Span<const PeerKey> _chain, PeerKey _self,
 					  TimeUs _now);
 
-/// An own call of the store ended.
-void noteStoreReached(FollowState& _state);
+/// An own call of the store ended. @param[in] _sentAt One from before the parent's first answer says nothing
+/// of it.
+void noteStoreReached(FollowState& _state, TimeUs _sentAt);
 void noteStoreFailed(FollowState& _state, TimeUs _now);
 
 /// @returns Whether a router that ranks itself last is to learn whether it reaches the store again.
--- a/src/core/peer_follow.cpp
+++ b/src/core/peer_follow.cpp
@@ -101,6 +101,7 @@
 void noteParentAnswer(FollowState& _state, TimeUs _proofAge, absl::Span<const PeerKey> _chain, PeerKey _self,
 					  TimeUs _now)
 {
+	_state.followedAt = _state.answeredAt == 0 ? _now : _state.followedAt;
 	_state.answeredAt = _now;
 	_state.chain.assign(_chain.begin(), _chain.begin() + std::min(_chain.size(), kMostChain));
 	_state.ring = std::find(_chain.begin(), _chain.end(), _self) != _chain.end();
@@ -112,12 +113,12 @@
 	}
 }
 
-void noteStoreReached(FollowState& _state)
+void noteStoreReached(FollowState& _state, TimeUs _sentAt)
 {
 	_state.storeFailures = 0;
 	_state.detached = false;
 	_state.searches = 0;
-	_state.asked += _state.answeredAt != 0 ? 1 : 0;
+	_state.asked += _state.answeredAt != 0 && _sentAt >= _state.followedAt ? 1 : 0;
 }
 
 void noteStoreFailed(FollowState& _state, TimeUs _now)
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -372,7 +372,7 @@
 		{
 			followOnce(_router, follower);
 			noteRegained(_router, follower);
-			noteAskedStore(_router);
+			noteAskedStore(_router, now);
 			pauseAfterCall(_router);
 		}
 		catch (const Failure& failure)
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -246,10 +246,10 @@
 	}
 }
 
-void noteAskedStore(DirectRouter& _router)
+void noteAskedStore(DirectRouter& _router, TimeUs _sentAt)
 {
 	_router.peers.behind = false;
-	noteStoreReached(_router.peers.follow);
+	noteStoreReached(_router.peers.follow, _sentAt);
 }
 
 size_t followers(const DirectRouter& _router)
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -69,8 +69,8 @@
 /// history is gone.
 void passListOn(DirectRouter& _router, const StoreList& _list);
 
-/// This router had to ask the store itself and reached it.
-void noteAskedStore(DirectRouter& _router);
+/// This router had to ask the store itself and reached it. @param[in] _sentAt When it asked.
+void noteAskedStore(DirectRouter& _router, TimeUs _sentAt);
 
 /// Starts registration, links and pings.
 void startPeerLinks(DirectRouter& _router);
--- a/tests/core/peer_follow_test.cpp
+++ b/tests/core/peer_follow_test.cpp
@@ -40,7 +40,7 @@
 	FollowState state = followed();
 	noteStoreFailed(state, kStart);
 	noteParentAnswer(state, kOld, kChain, kSelf, kStart + kSecond);
-	noteStoreReached(state);
+	noteStoreReached(state, kStart + kSecond);
 	EXPECT_EQ(nextFollowMove(state, kStart + kSecond), FollowMove::Keep);
 	noteParentAnswer(state, kYoung, kChain, kSelf, kStart + kSecond + 1);
 	EXPECT_EQ(state.asked, 0u);
@@ -62,13 +62,26 @@
 	{
 		noteParentAnswer(state, kOld, kChain, kSelf, now);
 		EXPECT_EQ(nextFollowMove(state, now), now > kStart ? FollowMove::LeaveCutOff : FollowMove::Keep);
-		noteStoreReached(state);
+		noteStoreReached(state, now);
 		EXPECT_EQ(nextFollowMove(state, now), FollowMove::LeaveCutOff);
 	}
 	noteParentAnswer(state, kYoung, kChain, kSelf, kStart + 6 * kSecond);
 	EXPECT_EQ(nextFollowMove(state, kStart + 6 * kSecond), FollowMove::Keep) << "it is back";
 }
 
+// A router that had just started asked the store, met its parent while that call was under way, and left it
+// for the call: "peer_lost why=it does not reach the store" 0.18 s after peer_followed with a proof of 65 ms.
+TEST(PeerFollow, ACallFromBeforeTheParentAnsweredSaysNothingOfIt)
+{
+	FollowState state;
+	noteParent(state, true, kStart);
+	noteParentAnswer(state, kYoung, kChain, kSelf, kStart + kSecond);
+	noteStoreReached(state, kStart + kSecond - 1);
+	EXPECT_EQ(nextFollowMove(state, kStart + kSecond), FollowMove::Keep);
+	noteStoreReached(state, kStart + kSecond);
+	EXPECT_EQ(nextFollowMove(state, kStart + kSecond), FollowMove::LeaveCutOff);
+}
+
 TEST(PeerFollow, RoutersFurtherDownWaitForThoseNextToTheOneThatIsCutOff)
 {
 	const auto callsUntilLeft = [](const std::vector<PeerKey>& _chain) {
@@ -77,7 +90,7 @@
 		while (nextFollowMove(state, kStart) == FollowMove::Keep)
 		{
 			noteParentAnswer(state, kOld, _chain, kSelf, kStart);
-			noteStoreReached(state);
+			noteStoreReached(state, kStart);
 			++calls;
 		}
 		return calls;
@@ -118,7 +131,7 @@
 	EXPECT_LE(searches, 6u) << "while the store is away from all, each search only breaks a link";
 	EXPECT_FALSE(wantsProbe(state, kStart + 20 * kSecond));
 	EXPECT_TRUE(wantsProbe(state, kStart + 25 * kSecond)) << "it must learn that the store is back";
-	noteStoreReached(state);
+	noteStoreReached(state, kStart + 25 * kSecond);
 	EXPECT_FALSE(state.detached) << "it takes its rank again at once";
 	EXPECT_FALSE(wantsProbe(state, kStart + 25 * kSecond));
 }
