--- a/tests/core/usage_ledger_test.cpp
+++ b/tests/core/usage_ledger_test.cpp
@@ -22,9 +22,10 @@
 
 TEST(UsageLedger, AWindowHoldsWhatBeganInIt)
 {
-	constexpr TimeUs kLength = 5000 * kMsToUs;
-	EXPECT_EQ(usageWindowOf(35 * 1000 * kMsToUs, kLength), 7u);
-	EXPECT_EQ(usageWindowOf(35 * 1000 * kMsToUs - 1, kLength), 6u);
+	constexpr TimeUs kSecond = 1000 * kMsToUs;
+	constexpr TimeUs kLength = 5 * kSecond;
+	EXPECT_EQ(usageWindowOf(35 * kSecond, kLength), 7u);
+	EXPECT_EQ(usageWindowOf(35 * kSecond - 1, kLength), 6u);
 }
 
 TEST(UsageLedger, NewsAreToldOnceOverALinkAndAgainOverTheNext)
