--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -28,6 +28,9 @@
 /// @throws Failure(BadRequest) unless `_text` is `ip:port`.
 Endpoint parseEndpoint(std::string_view _text);
 
+/// @returns `ip:port`.
+std::string endpointText(const Endpoint& _endpoint);
+
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 struct HttpHeader
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -341,6 +341,11 @@
 	return Endpoint{ip, uint16_t(number)};
 }
 
+std::string endpointText(const Endpoint& _endpoint)
+{
+	return fmt::format("{}:{}", _endpoint.ip, _endpoint.port);
+}
+
 uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint)
 {
 	const tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -351,11 +351,6 @@
 		}
 	}
 
-	static std::string endpointText(const Endpoint& _endpoint)
-	{
-		return _endpoint.ip + ":" + std::to_string(_endpoint.port);
-	}
-
 	void dial(const Endpoint& _endpoint)
 	{
 		const std::string text = endpointText(_endpoint);
@@ -465,7 +460,7 @@
 
 void LinkHub::connect(const Endpoint& _endpoint)
 {
-	const std::string text = Impl::endpointText(_endpoint);
+	const std::string text = endpointText(_endpoint);
 	m_impl->wanted[text] = _endpoint;
 	if (m_impl->dialing.count(text) == 0)
 	{
@@ -476,7 +471,7 @@
 
 void LinkHub::disconnect(const Endpoint& _endpoint)
 {
-	m_impl->wanted.erase(Impl::endpointText(_endpoint));
+	m_impl->wanted.erase(endpointText(_endpoint));
 }
 
 std::vector<LinkId> LinkHub::openLinks() const
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -27,11 +27,6 @@
 /// change of parent cost a call of the store (3,600 calls of a fleet of 103 on a quiet day of 48 s).
 constexpr TimeUs kOldestUnledProof = 900 * kMsToUs;
 
-std::string addressText(const Endpoint& _endpoint)
-{
-	return fmt::format("{}:{}", _endpoint.ip, _endpoint.port);
-}
-
 // ---- Messages ---------------------------------------------------------------------------------------------
 
 void answerPing(DirectRouter& _router, LinkId _link, const PeerPing& _ping)
@@ -265,7 +260,7 @@
 	}
 	const DirectSettings& settings = _router.settings;
 	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
-	_router.peers.tree.self = {settings.box, settings.hall, addressText(announced), settings.capacity};
+	_router.peers.tree.self = {settings.box, settings.hall, endpointText(announced), settings.capacity};
 	spawnFiber([&_router] { runLinks(_router); });
 	spawnFiber([&_router] { runPings(_router); });
 }
