A follower that missed changes asks the store as often as a router without a parent

Cause, by its lines: cut off from 8.4 s, it followed a parent that had just started again (peer_followed revision=134, its own 130); that one's log of changes began later, so it could not tell the four that were missed, and the router's own calls paused for up to 3.2 s as those of a follower that is kept informed: the cut ended at 13.0 s, the next call came at 18.4 (store_regained failures=4). Change: the longer pause is for followers whose parent tells them all.

--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -44,7 +44,9 @@
 /// Pause between calls that fail, with jitter so that routers do not come together.
 uint32_t backoff(DirectRouter& _router, uint32_t _failures)
 {
-	const bool follows = hasParent(_router, monotonicNow()) && !_router.peers.follow.detached;
+	// One whose parent can't tell it what it missed learns of changes by its own calls alone.
+	const bool told = _router.view.listed && !_router.peers.behind;
+	const bool follows = told && hasParent(_router, monotonicNow()) && !_router.peers.follow.detached;
 	const uint32_t least = follows ? kFollowerRetryLeastMs : kRetryLeastMs;
 	const uint32_t longest = follows ? kFollowerRetryMostMs : kRetryMostMs;
 	const uint32_t most = std::min(longest, least << std::min(_failures, kMostDoublings));
