Tests: a port is kept from other test processes from the choice on

Cause: of four direct_tests side by side one failed FleetTest.RegistrationsMove* in settle(); its output has "bind: Address already in use" and router-0 logs nothing after peer_registered: it ended as another test process had its link's port. A router binds that port only after it has read the store, some 0.3 s after freePort() looked; processes with neighbouring ids look 53 ports apart. Ruled out: the change of registrations under test (router-0 never chose a parent, as its process was gone). Change: freePort() holds a socket by the port's name in the kernel's abstract namespace until its process ends.

--- a/tests/direct/ports.cpp
+++ b/tests/direct/ports.cpp
@@ -1,9 +1,11 @@
-/// Looks for ports that nobody listens on.
+/// Looks for ports that nobody listens on, and keeps other test processes from them.
 #include "ports.h"
 
 #include <arpa/inet.h>
+#include <cstddef>
 #include <fmt/format.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 namespace spanplank
@@ -24,19 +26,37 @@
 	::close(probe);
 	return free;
 }
+/// Takes a port for this process until it ends: a router binds its port for links only once it has read the
+/// store, and another test process could have taken it by then.
+/// @returns Whether no other test process has it.
+bool reserve(uint16_t _port)
+{
+	sockaddr_un address{};
+	address.sun_family = AF_UNIX;
+	const std::string name = fmt::format("spanplank-port-{}", _port);
+	name.copy(address.sun_path + 1, sizeof(address.sun_path) - 1); // A name in the kernel, not in a folder.
+	const auto size = socklen_t(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+	const int mark = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+	if (::bind(mark, reinterpret_cast<const sockaddr*>(&address), size) == 0)
+	{
+		return true;
+	}
+	::close(mark);
+	return false;
+}
 } // namespace
 
 uint16_t freePort()
 {
 	constexpr uint32_t kFirst = 10000;
 	constexpr uint32_t kCount = 22000;
-	constexpr uint32_t kApart = 53; // Two tests started one after the other take other ports.
+	constexpr uint32_t kApart = 53; // Two tests started one after the other look at other ports first.
 	static uint32_t s_next = uint32_t(::getpid()) * kApart;
 	uint16_t port = 0;
 	do
 	{
 		port = uint16_t(kFirst + s_next++ % kCount);
-	} while (!isFree(port));
+	} while (!reserve(port) || !isFree(port));
 	return port;
 }
 
--- a/tests/direct/ports.h
+++ b/tests/direct/ports.h
@@ -7,8 +7,8 @@
 
 namespace spanplank
 {
-/// A port that nobody listens on, below those that the kernel gives to outgoing connections: one of those
-/// could take a port between the look and the child's bind.
+/// A port that nobody listens on and no other test process gets, below those that the kernel gives to
+/// outgoing connections: one of those could take a port between the look and the child's bind.
 uint16_t freePort();
 
 /// @returns 127.0.0.1 with a port.
