A router without a parent writes its registration under its own lease if it stands under another's

What callers saw: after the first router of the tree dies, the next one's registration goes with the dead one's lease, up to 60 s later; for up to a second it is missing and its followers look for another parent. Cause: keepRegistered asked whether the item says what it should, not whose lease it goes with. A follower is written again by its next parent over a new link; the new first router has no parent. Evidence: failing run: followers_registered by router-0, kill, peer_chosen box="" at router-2, no peer_registered within 8 s. Change: a router keeps the revision that it wrote itself; without a parent, any other revision is written again under its own lease while the store answers.

--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -62,6 +62,12 @@
 	return _peers.registration.revision != 0 && _peers.registration.value == encodePeer(_peers.tree.self);
 }
 
+/// @returns Whether it does, and goes with this process's lease. The lease of a parent that has died lapses.
+bool isRegisteredByItself(const PeerLinks& _peers)
+{
+	return isRegistered(_peers) && _peers.registration.revision == _peers.registration.ownRevision;
+}
+
 void noteStanding(PeerRegistration& _registration, uint64_t _revision)
 {
 	_registration.revision = _revision;
@@ -71,7 +77,7 @@
 	}
 }
 
-void renewRegistration(DirectRouter& _router)
+void renewLease(DirectRouter& _router)
 {
 	PeerRegistration& registration = _router.peers.registration;
 	const TimeUs now = monotonicNow();
@@ -91,12 +97,11 @@
 	_registration.retryAt = monotonicNow() + (kRetryFirst << doublings);
 }
 
-/// A registration under a lease of an earlier process stands until that lapses; then it is written anew.
 void writeRegistration(DirectRouter& _router)
 {
 	const PeerRecord& self = _router.peers.tree.self;
 	PeerRegistration& registration = _router.peers.registration;
-	renewRegistration(_router);
+	renewLease(_router);
 	uint64_t revision = 0;
 	const std::string value = encodePeer(self);
 	const CasResult result = casStore(_router.store, std::string(kPeerPrefix) + self.box, value,
@@ -104,6 +109,7 @@
 	if (result == CasResult::Done)
 	{
 		noteStanding(registration, revision);
+		registration.ownRevision = revision;
 		registration.value = value;
 		registration.failures = 0;
 	}
@@ -119,7 +125,7 @@
 void writeFollowers(DirectRouter& _router)
 {
 	PeerRegistration& registration = _router.peers.registration;
-	renewRegistration(_router);
+	renewLease(_router);
 	std::vector<StoreWrite> writes;
 	for (const auto& [box, value] : registration.wanted)
 	{
@@ -199,13 +205,15 @@
 		writeFollowers(_router);
 	}
 	const bool byItself = !isParents(_router, now) || registration.asks > kMostAsks;
-	if (byItself && !isRegistered(peers))
+	// One that stands under another's lease lapses later: it can wait for a store that answers.
+	const bool due = !isRegistered(peers) || (!isRegisteredByItself(peers) && _router.store.reachable);
+	if (byItself && due)
 	{
 		writeRegistration(_router);
 	}
 	else if (registration.lease != 0)
 	{
-		renewRegistration(_router);
+		renewLease(_router);
 	}
 }
 
--- a/src/direct/peer_registration_p.h
+++ b/src/direct/peer_registration_p.h
@@ -22,8 +22,11 @@
 /// This router's own registration.
 struct PeerRegistration
 {
-	uint64_t revision = 0;  ///< Of its item in the store; 0: there is none.
-	std::string value;      ///< Of that item.
+	uint64_t revision = 0; ///< Of its item in the store; 0: there is none.
+	std::string value;     ///< Of that item.
+	/// Of that item as this process wrote it last, under its own lease; 0: it has not. Any other revision is
+	/// another router's write, or an earlier process's, and goes with that one's lease.
+	uint64_t ownRevision = 0;
 	TimeUs standsSince = 0; ///< When this process first knew that it stands in the store; 0: it does not.
 	uint64_t lease = 0;     ///< Taken by this process; 0: none.
 	TimeUs renewedAt = 0;
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -438,10 +439,19 @@
 	killHard();
 }
 
+namespace
+{
+/// @returns The router that is tested: that of this build, or of another one, to compare two.
+std::string routerBinary()
+{
+	const char* other = std::getenv("SPANPLANK_ROUTER");
+	return other == nullptr ? std::string(SPANPLANK_BIN_DIR) + "/spanplank-router" : other;
+}
+} // namespace
+
 void RouterProcess::start()
 {
-	std::vector<std::string> command = {std::string(SPANPLANK_BIN_DIR) + "/spanplank-router",
-										"--settings=" + m_file + ".yaml"};
+	std::vector<std::string> command = {routerBinary(), "--settings=" + m_file + ".yaml"};
 	std::vector<char*> words = {command[0].data(), command[1].data(), nullptr};
 	posix_spawn_file_actions_t actions;
 	posix_spawn_file_actions_init(&actions);
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -113,6 +113,16 @@
 	settle();
 }
 
+/// By rank, as all boxes are of one size.
+std::vector<size_t> rankedRouters()
+{
+	std::vector<size_t> ranked{0, 1, 2};
+	std::sort(ranked.begin(), ranked.end(), [](size_t _one, size_t _other) {
+		return stableHash(fmt::format("router-{}", _one)) < stableHash(fmt::format("router-{}", _other));
+	});
+	return ranked;
+}
+
 uint64_t leaseOf(const StandInStore& _store, size_t _router)
 {
 	const auto item = _store.items.find(fmt::format("spanplank/router/router-{}", _router));
@@ -155,6 +165,22 @@
 	settle();
 }
 
+// A router that another one had registered became the first of all and left its registration under the dead
+// one's lease: it lapsed within 60 s, and the others forgot the router that they followed.
+TEST_F(FleetTest, ARouterThatComesFirstIsRegisteredUnderItsOwnLease)
+{
+	const std::vector<size_t> ranked = rankedRouters();
+	ASSERT_EQ(watcher(), ranked[0]);
+	const uint64_t lease = leaseOf(store, ranked[0]);
+	routers[ranked[1]]->killHard();
+	removeItem(store, fmt::format("spanplank/router/router-{}", ranked[1]));
+	routers[ranked[1]]->start();
+	ASSERT_TRUE(eventually([&] { return leaseOf(store, ranked[1]) == lease; }, 8));
+	routers[ranked[0]]->killHard();
+	EXPECT_TRUE(eventually([&] { return leaseOf(store, ranked[1]) != lease; }, 8));
+	EXPECT_NE(leaseOf(store, ranked[1]), 0u) << "it goes with its router";
+}
+
 TEST_F(FleetTest, ARegistrationThatCanNotBeReadIsRejectedAndDisturbsNobody)
 {
 	setItem(store, "spanplank/router/aa", R"({"hall":"hall-a","address":"nowhere"})");
@@ -188,16 +214,6 @@
 	EXPECT_EQ(store.items.count(fmt::format("spanplank/router/router-{}", gone)), 0u);
 }
 
-/// By rank, as all boxes are of one size.
-std::vector<size_t> rankedRouters()
-{
-	std::vector<size_t> ranked{0, 1, 2};
-	std::sort(ranked.begin(), ranked.end(), [](size_t _one, size_t _other) {
-		return stableHash(fmt::format("router-{}", _one)) < stableHash(fmt::format("router-{}", _other));
-	});
-	return ranked;
-}
-
 TEST_F(FleetTest, AFollowerThatIsCutOffTheStoreGoesOnByTheNextRouterThatItFollows)
 {
 	const std::vector<size_t> ranked = rankedRouters();
