A write that was not done costs followers no lease: it is renewed before the next try, and replaced if it is over

What callers saw: after one lost answer of the store all followers' registrations lapsed 60 s later and were written again up to 3 s after. Cause: writeRegistration and writeFollowers dropped the lease after a write that was not done, as it may have been over; what stood under it was not renewed by anybody. And a lease that was over when it was renewed left the write behind it without any. Ruled out: that the follower asks again in time: it sees its item standing until the lease lapses. Change: after such a write the lease counts as due; its renewal tells whether it holds, and an over one is replaced in the same step.

--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -77,6 +77,8 @@
 	}
 }
 
+/// Renews this process's lease in time. One that is over is replaced at once: an item that is written without
+/// a lease outlives its router.
 void renewLease(DirectRouter& _router)
 {
 	PeerRegistration& registration = _router.peers.registration;
@@ -85,11 +87,25 @@
 	{
 		return;
 	}
-	registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	if (registration.lease != 0)
+	{
+		registration.lease = leaseStore(_router.store, registration.lease, kLeaseMs);
+	}
+	if (registration.lease == 0)
+	{
+		registration.lease = leaseStore(_router.store, 0, kLeaseMs);
+	}
 	registration.failures = 0;
 	registration.renewedAt = now;
 }
 
+/// A write under the lease was not done: the lease may be over, which its renewal tells. It is kept if it
+/// holds, as registrations of followers go with it.
+void doubtLease(PeerRegistration& _registration)
+{
+	_registration.renewedAt = monotonicNow() - kRenewEvery;
+}
+
 /// The pause grows with each failure in a row.
 void postponeRegistration(PeerRegistration& _registration)
 {
@@ -115,7 +131,7 @@
 	}
 	else
 	{
-		registration.lease = 0; // It may be over: the next try takes another.
+		doubtLease(registration);
 		postponeRegistration(registration);
 	}
 	logEvent("peer_registered", {{"result", name(result)}, {"revision", std::to_string(revision)}});
@@ -138,7 +154,7 @@
 	logEvent("followers_registered", {{"result", name(result)}, {"count", std::to_string(writes.size())}});
 	if (result != CasResult::Done)
 	{
-		registration.lease = result == CasResult::Conflict ? 0 : registration.lease;
+		doubtLease(registration);
 		postponeRegistration(registration);
 		return;
 	}
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -181,6 +181,32 @@
 	EXPECT_NE(leaseOf(store, ranked[1]), 0u) << "it goes with its router";
 }
 
+// A write whose answer was lost made the router take another lease, and registrations of followers lapsed
+// with the first one, which nobody renewed.
+TEST_F(FleetTest, AWriteWhoseAnswerIsLostCostsNoFollowerItsRegistration)
+{
+	const size_t root = watcher();
+	const size_t follower = (root + 1) % kRouters;
+	routers[follower]->killHard();
+	removeItem(store, fmt::format("spanplank/router/router-{}", follower));
+	routers[follower]->start();
+	ASSERT_TRUE(eventually([&] { return leaseOf(store, follower) == leaseOf(store, root); }, 8));
+	store.loseWrites = true;
+	removeItem(store, fmt::format("spanplank/router/router-{}", root));
+	ASSERT_TRUE(eventually([&] { return leaseOf(store, root) != 0; }, 8)) << "written, and not answered";
+	sleepFor(2000);
+	store.loseWrites = false;
+	ASSERT_TRUE(eventually(
+		[&] {
+			return routers[root]->log().find("event=peer_registered result=\"lost\"") != std::string::npos;
+		},
+		5));
+	// Whatever is written next goes with the lease that holds.
+	removeItem(store, fmt::format("spanplank/router/router-{}", root));
+	ASSERT_TRUE(eventually([&] { return leaseOf(store, root) != 0; }, 12));
+	EXPECT_EQ(leaseOf(store, follower), leaseOf(store, root));
+}
+
 TEST_F(FleetTest, ARegistrationThatCanNotBeReadIsRejectedAndDisturbsNobody)
 {
 	setItem(store, "spanplank/router/aa", R"({"hall":"hall-a","address":"nowhere"})");
