The share of a version on trial is taken of requests that reached the service, not of upstreams that were chosen

Cause: a router gave the version on trial 0.15 of the attempts for which it had chosen an upstream, and one more. Attempts that find a dead upstream take microseconds: 178 of 344 ended with nothing sent, and raised the count. Each life of each router had its one more. Evidence: the users' counts of attempt_ended (178 not_sent of the settled version, 0 of the other); rollout_evidence sent="0" at 4.8 s. Change: an attempt on the version on trial counts from its choice on unless nothing was sent; a request counts once, when an upstream has answered or kept silent; the one more is for the first 15 routers of the tree that were there at the order, none after a restart.

--- a/include/spanplank/peer_tree.h
+++ b/include/spanplank/peer_tree.h
@@ -10,6 +10,7 @@
 #ifndef SPANPLANK_PEER_TREE_H_HEADER_GUARD
 #define SPANPLANK_PEER_TREE_H_HEADER_GUARD
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -65,6 +66,9 @@
 /// @returns The box to follow; empty: none, this router watches the store.
 std::string chooseParent(const PeerTree& _tree, TimeUs _now);
 
+/// @returns How many of the known routers rank before this one, whether they can be followed or not.
+size_t routersBefore(const PeerTree& _tree);
+
 /// A router could not be followed: it is left out for a while.
 void avoidPeer(PeerTree& _tree, const std::string& _box, TimeUs _now);
 
--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -5,7 +5,8 @@
 /// the version, which all routers share. The evidence of all routers is put together (`trial_evidence.h`) and
 /// judged
 /// (`trial_verdict.h`). Time alone never gives an unproved version more than the bound on exposure, each
-/// router keeps that bound by its own count, and only the store's word completes a version.
+/// router keeps that bound by its own count of what has reached the service, and only the store's word
+/// completes a version.
 #ifndef SPANPLANK_VERSION_TRIAL_H_HEADER_GUARD
 #define SPANPLANK_VERSION_TRIAL_H_HEADER_GUARD
 
@@ -71,11 +72,12 @@
 	uint32_t writesLost = 0;         ///< Such calls that failed in a row.
 	TrialEvidence evidence;          ///< Of all routers.
 	TimeReference reference;         ///< Times of this router's answers of the settled version.
-	uint64_t sent = 0;               ///< Attempts of this router on any version since the order.
-	uint64_t exposed = 0;            ///< Those on the version on trial.
-	TimeUs progressSaved = 0;        ///< Progress that the store holds, so that a blank router can go on.
-	uint64_t progressRevision = 0;   ///< Of that record; 0: none.
-	TimeUs loggedAt = 0;             ///< When a line was logged on where it stands.
+	uint64_t reached = 0; ///< Requests of this router that reached an upstream since the order, each once.
+	uint64_t exposed = 0; ///< Attempts on the version on trial: from the choice on, less those never sent.
+	uint64_t credit = 0;  ///< Such attempts that the router may make above its share.
+	TimeUs progressSaved = 0;      ///< Progress that the store holds, so that a blank router can go on.
+	uint64_t progressRevision = 0; ///< Of that record; 0: none.
+	TimeUs loggedAt = 0;           ///< When a line was logged on where it stands.
 };
 
 struct TrialBook
@@ -84,8 +86,15 @@
 	/// Bound on what an unproved version gets of all requests, from the settings.
 	double exposureShare = 0.15;
 	uint32_t writer = 0; ///< Of this router's rows of evidence: a hash of its box and start.
+	/// Whether this router may make one attempt above its share of a trial that is ordered now. At most
+	/// `kExposureCredits` routers of a fleet may: a share of few requests is less than one.
+	bool credited = true;
 };
 
+/// Routers of a fleet that may go above their share by one attempt. Well below what operators allow above the
+/// bound for all routers together.
+constexpr size_t kExposureCredits = 15;
+
 /// An order was read. An order that is known stays as it is.
 /// @param[in] _orderedAt When it was written, as far as that is known.
 /// @returns Whether it is news.
@@ -133,8 +142,25 @@
 /// @returns The version that was rolled back, which gets no more requests; empty: none.
 std::string haltedVersion(const TrialBook& _book, const std::string& _service);
 
-/// An attempt was sent.
-void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version);
+// ---- Counts -----------------------------------------------------------------------------------------------
+// A router keeps the bound whatever becomes of its attempts: one on the version on trial counts from its
+// choice on, a request that all are counted by only once it has reached an upstream.
+
+/// An attempt's part in a trial, from its choice to its end.
+struct TrialAttempt
+{
+	uint64_t orderRevision = 0; ///< Of the trial that ran when the upstream was chosen; 0: none did.
+	bool exposed = false;       ///< On the version on trial.
+};
+
+/// An upstream was chosen for an attempt.
+TrialAttempt noteTrialChosen(TrialBook& _book, const std::string& _service, const std::string& _version);
+
+/// An attempt is the first of its request that reached an upstream.
+void noteTrialReached(TrialBook& _book, const std::string& _service, const TrialAttempt& _attempt);
+
+/// An attempt ended before anything of it was sent.
+void noteTrialUnsent(TrialBook& _book, const std::string& _service, const TrialAttempt& _attempt);
 
 // ---- Evidence ---------------------------------------------------------------------------------------------
 
--- a/src/core/peer_tree.cpp
+++ b/src/core/peer_tree.cpp
@@ -169,6 +169,14 @@
 	return parent == nullptr ? "" : parent->box;
 }
 
+size_t routersBefore(const PeerTree& _tree)
+{
+	const PeerRank self = rankOf(_tree.self);
+	return size_t(std::count_if(_tree.peers.begin(), _tree.peers.end(), [&self](const auto& _peer) {
+		return ranksBefore(rankOf(_peer.second.record), self);
+	}));
+}
+
 void avoidPeer(PeerTree& _tree, const std::string& _box, TimeUs _now)
 {
 	const auto found = _tree.peers.find(_box);
--- a/src/core/trial_schedule.cpp
+++ b/src/core/trial_schedule.cpp
@@ -100,7 +100,8 @@
 bool mayExpose(const VersionTrial& _trial, double _exposureShare, TimeUs _now)
 {
 	const bool overdue = _trial.widenAt != 0 && elapsedPart(_trial, _now) >= kUnboundFrom;
-	return overdue || double(_trial.exposed) < _exposureShare * double(_trial.sent) + 1.0;
+	const double allowed = _exposureShare * double(_trial.reached) + double(_trial.credit);
+	return overdue || double(_trial.exposed + 1) <= allowed;
 }
 
 TimeUs triedOnAllFrom(const VersionTrial& _trial, double _exposureShare)
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -95,6 +95,7 @@
 	trial.order = _order;
 	trial.orderRevision = _revision;
 	trial.startedAt = _orderedAt;
+	trial.credit = _book.credited ? 1 : 0;
 	return true;
 }
 
@@ -167,13 +168,34 @@
 	return trial != nullptr && trial->state == RolloutState::RolledBack ? trial->order.version : "";
 }
 
-void noteTrialSent(TrialBook& _book, const std::string& _service, const std::string& _version)
+TrialAttempt noteTrialChosen(TrialBook& _book, const std::string& _service, const std::string& _version)
 {
 	VersionTrial* trial = trialOf(_book, _service);
-	if (trial != nullptr)
+	if (trial == nullptr)
+	{
+		return {};
+	}
+	const bool exposed = trial->order.version == _version;
+	trial->exposed += exposed ? 1 : 0;
+	return {trial->orderRevision, exposed};
+}
+
+void noteTrialReached(TrialBook& _book, const std::string& _service, const TrialAttempt& _attempt)
+{
+	VersionTrial* trial = trialOf(_book, _service);
+	// An attempt that was chosen before the order may have reached its upstream before it, too.
+	if (trial != nullptr && trial->orderRevision == _attempt.orderRevision)
+	{
+		++trial->reached;
+	}
+}
+
+void noteTrialUnsent(TrialBook& _book, const std::string& _service, const TrialAttempt& _attempt)
+{
+	VersionTrial* trial = trialOf(_book, _service);
+	if (trial != nullptr && trial->orderRevision == _attempt.orderRevision && _attempt.exposed)
 	{
-		++trial->sent;
-		trial->exposed += trial->order.version == _version ? 1 : 0;
+		--trial->exposed;
 	}
 }
 
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -33,6 +33,7 @@
 	int64_t lastEventId = -1;   ///< The last id that this attempt brought; -1: none.
 	bool lost = false;          ///< The upstream has started again, by its record.
 	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
+	TrialAttempt trial = {};    ///< Its part in the trial of a version of its service.
 };
 
 /// An attempt under way, as the request's other attempts see it.
@@ -79,6 +80,9 @@
 /// Ends all attempts under way from another handler.
 void cancelAttempts(Serving& _serving);
 
+/// Takes note that an attempt has reached its upstream.
+void noteReached(Serving& _serving, const AttemptNotes& _notes);
+
 /// Takes note of an attempt that ended before anything was sent, as its upstream left.
 void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes);
 
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -103,6 +103,21 @@
 	}
 }
 
+/// What an attempt's end tells of where it came to. One that was reset before its head came may or may not
+/// have arrived: it counts as exposed, and not as one that has reached its upstream.
+void noteExposure(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end)
+{
+	if (_end == AttemptEnd::NotSent || _notes.sentAfter == 0)
+	{
+		noteTrialUnsent(_serving.router.trials, _serving.service, _notes.trial);
+		return;
+	}
+	if (_end == AttemptEnd::Silent || _end == AttemptEnd::TimeUp)
+	{
+		noteReached(_serving, _notes);
+	}
+}
+
 /// The first model's prompts are the shortest: what they wait is what the engines are busy with.
 void notePressure(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end, TimeUs _now)
 {
@@ -170,10 +185,20 @@
 }
 } // namespace
 
+void noteReached(Serving& _serving, const AttemptNotes& _notes)
+{
+	if (!_serving.reachedService)
+	{
+		_serving.reachedService = true;
+		noteTrialReached(_serving.router.trials, _serving.service, _notes.trial);
+	}
+}
+
 void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes)
 {
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
+	noteTrialUnsent(router.trials, _serving.service, _notes.trial);
 	noteEnded(router.upstreams, _notes.upstream, _notes.prefillMs, HealthSign::None, now);
 	++router.stats.attempts[kWithdrawn];
 	logAttempt(_serving, _notes, kWithdrawn, now);
@@ -186,6 +211,7 @@
 	const HealthChange change =
 		noteEnded(router.upstreams, _notes.upstream, _notes.prefillMs, signOf(_end), now);
 	logHealthChange(_serving, _notes.record, change, _end);
+	noteExposure(_serving, _notes, _end);
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
 	++router.stats.attempts[name(_end)];
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -235,6 +235,7 @@
 		return endOf(_serving, _attempt, state);
 	}
 	notes.headAfter = std::max<TimeUs>(1, monotonicNow() - notes.begin);
+	noteReached(_serving, notes);
 	const int code = int(call.head().result_int());
 	const platform::AnswerHeaders answer = platform::readAnswerHeaders(call.head(), code);
 	AttemptEnd end = AttemptEnd::Broken;
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -33,6 +33,8 @@
 	{
 		RolloutOrder order = platform::decodeRolloutOrder(_item.value);
 		order.service = afterPrefix(_item.key, platform::kOrderPrefix);
+		// One that starts within a trial may have used its credit before.
+		_router.trials.credited = _router.view.listed && routersBefore(_router.peers.tree) < kExposureCredits;
 		if (!takeOrder(_router.trials, order, _item.revision, likelyWrittenAt(_router, _now)))
 		{
 			return;
@@ -280,7 +282,7 @@
 	logEvent(_event, {{"service", _service},
 					  {"version", _trial.order.version},
 					  {"elapsed_ms", std::to_string((_now - _trial.startedAt) / kMsToUs)},
-					  {"sent", std::to_string(_trial.sent)},
+					  {"reached", std::to_string(_trial.reached)},
 					  {"exposed", std::to_string(_trial.exposed)},
 					  {"evidence", describeEvidence(_trial)}});
 }
--- a/tests/core/trial_fleet.h
+++ b/tests/core/trial_fleet.h
@@ -54,6 +54,12 @@
 	}
 };
 
+/// A request that reaches an upstream of a version at once.
+inline void noteArrived(TrialBook& _book, const std::string& _service, const std::string& _version)
+{
+	noteTrialReached(_book, _service, noteTrialChosen(_book, _service, _version));
+}
+
 /// What moves the times of both versions alike, and what is uneven without any fault of a version.
 struct LoadProfile
 {
@@ -126,6 +132,7 @@
 		Router& router = routers[_router];
 		router = {};
 		router.book.exposureShare = kBound;
+		router.book.credited = _now == 0 && _router < kExposureCredits;
 		router.book.writer = uint32_t(random.state ^ _router) | 1u;
 		nextUnit(random);
 		router.startsAt = _now;
@@ -230,7 +237,7 @@
 		const uint32_t route = routeOf(nextUnit(random));
 		const TrialSubject subject{stableHash(fmt::format("{}", random.state)), true, TrialUse::Open};
 		const bool isNew = chooseVersion(router.book, kService, subject, _now).only == "v2";
-		noteTrialSent(router.book, kService, isNew ? "v2" : "v1");
+		noteArrived(router.book, kService, isNew ? "v2" : "v1");
 		++sent;
 		load += ((isNew ? 1.0 : 0.0) - load) * 0.05;
 		const bool failed = isNew && isBad(route, _now);
--- a/tests/core/version_trial_test.cpp
+++ b/tests/core/version_trial_test.cpp
@@ -27,6 +27,12 @@
 	return book;
 }
 
+/// A request that reaches an upstream of a version at once.
+void noteArrived(TrialBook& _book, const std::string& _version)
+{
+	noteTrialReached(_book, kService, noteTrialChosen(_book, kService, _version));
+}
+
 VersionTrial& trialIn(TrialBook& _book)
 {
 	return _book.trials.at(kService);
@@ -150,7 +156,7 @@
 			}
 			++all;
 			const bool is = isNew(choose(book, stableHash(fmt::format("{}", now)), now));
-			noteTrialSent(book, kService, is ? "v2" : "v1");
+			noteArrived(book, is ? "v2" : "v1");
 			exposed += is ? 1 : 0;
 		}
 		EXPECT_LT(double(exposed) / all, bound);
@@ -167,7 +173,7 @@
 	{
 		++all;
 		const bool is = isNew(choose(book, stableHash(fmt::format("{}", now)), now));
-		noteTrialSent(book, kService, is ? "v2" : "v1");
+		noteArrived(book, is ? "v2" : "v1");
 		exposed += is ? 1 : 0;
 		advanceTrial(trialIn(book), book.exposureShare, now);
 	}
@@ -185,7 +191,7 @@
 	for (uint32_t ii = 0; ii < kAll; ++ii)
 	{
 		const bool open = chooseAnyVersion(book, kService, kDuration / 2).never.empty();
-		noteTrialSent(book, kService, open ? "v2" : "v1");
+		noteArrived(book, open ? "v2" : "v1");
 		exposed += open ? 1 : 0;
 	}
 	EXPECT_LE(double(exposed), kBound * kAll + 1.0);
@@ -564,6 +570,7 @@
 	noteWriteLost(trial, now, 1.0);
 	EXPECT_EQ(trial.writeAfter - now, last) << "a halt is written soon after the store is back";
 }
+
 // A version that is bad under load alone was completed: routers heard of its answers in the last second
 // before the completion at once, and of the settled version's up to 2 s later, so that it seemed to have all
 // the load.
