Tests: each process listens on a loopback address of its own

Cause: stand-ins listened on ports that the kernel gives, at one address for all test processes. An upstream of one soak that ended left its port, a new one of the soak beside it got it 6 ms later, and routers of the first asked there on; ids are alike in all soaks. Ruled out: the change under test (the router sends nothing to an upstream that is not registered). Change: loopbackIp() is made of the process id; the checks of the soak name the request and what is wrong with an answer.

--- a/tests/direct/caller_connection_test.cpp
+++ b/tests/direct/caller_connection_test.cpp
@@ -8,6 +8,7 @@
 #include "fiber_runtime_p.h"
 #include "harness.h"
 #include "http_p.h"
+#include "ports.h"
 
 namespace spanplank
 {
@@ -36,7 +37,7 @@
 			++handled;
 			_exchange.respond({200, {}, "done"});
 		};
-		port = startHttpServer(testIo(), server, {"127.0.0.1", 0});
+		port = startHttpServer(testIo(), server, {loopbackIp(), 0});
 	}
 
 	~CallerConnection() override
@@ -57,7 +58,7 @@
 	{
 		hangUp();
 		ASSERT_TRUE(eventually([this] { return server.connections == 0; }));
-		caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+		caller.connect({boost::asio::ip::make_address(loopbackIp()), port});
 		ASSERT_TRUE(eventually([this] { return server.connections == 1; }));
 		sleepFor(kSettleMs);
 	}
--- a/tests/direct/chosen_upstream_test.cpp
+++ b/tests/direct/chosen_upstream_test.cpp
@@ -45,7 +45,7 @@
 		router.callers.handler = [this](HttpExchange& _exchange) {
 			serveDirect(router, _exchange);
 		};
-		address = loopback(startHttpServer(testIo(), router.callers, {"127.0.0.1", 0}));
+		address = loopback(startHttpServer(testIo(), router.callers, {loopbackIp(), 0}));
 	}
 
 	~ChosenUpstream() override
@@ -79,7 +79,7 @@
 				upstream.requests.push_back(_exchange.request());
 				upstream.answer(upstream, _exchange);
 			};
-			upstream.address = loopback(startHttpServer(testIo(), upstream.http, {"127.0.0.1", 0}));
+			upstream.address = loopback(startHttpServer(testIo(), upstream.http, {loopbackIp(), 0}));
 			registerUpstream(router.upstreams, recordOf(upstream));
 		}
 	}
--- a/tests/direct/crashing_fleet.h
+++ b/tests/direct/crashing_fleet.h
@@ -9,6 +9,7 @@
 
 #include "fiber_runtime_p.h"
 #include "fleet_fixture.h"
+#include "ports.h"
 #include "served_connection_p.h"
 
 namespace spanplank
@@ -87,7 +88,7 @@
 		stand.http.handler = [this, &_place](HttpExchange& _exchange) {
 			serve(_place, _exchange);
 		};
-		const Endpoint at = stand.address.empty() ? Endpoint{"127.0.0.1", 0} : parseEndpoint(stand.address);
+		const Endpoint at = stand.address.empty() ? Endpoint{loopbackIp(), 0} : parseEndpoint(stand.address);
 		stand.address = loopback(startHttpServer(testIo(), stand.http, at));
 		_place.up = true;
 		for (const char* service : {"app", "engines"})
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -512,7 +512,7 @@
 		upstream.answer(upstream, _exchange);
 		--upstream.open;
 	};
-	upstream.address = loopback(startHttpServer(testIo(), upstream.http, {"127.0.0.1", 0}));
+	upstream.address = loopback(startHttpServer(testIo(), upstream.http, {loopbackIp(), 0}));
 	registerUpstream(upstream);
 	return upstream;
 }
@@ -605,7 +605,7 @@
 	store.http.handler = [this](HttpExchange& _exchange) {
 		answerStoreCall(store, _exchange);
 	};
-	const std::string address = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
+	const std::string address = loopback(startHttpServer(testIo(), store.http, {loopbackIp(), 0}));
 	m_router = std::make_unique<RouterProcess>(m_dir, "router-0", address, _settings);
 }
 
--- a/tests/direct/fleet_fixture.h
+++ b/tests/direct/fleet_fixture.h
@@ -42,7 +42,7 @@
 		store.http.handler = [this](HttpExchange& _exchange) {
 			answerStoreCall(store, _exchange);
 		};
-		storeAddress = loopback(startHttpServer(testIo(), store.http, {"127.0.0.1", 0}));
+		storeAddress = loopback(startHttpServer(testIo(), store.http, {loopbackIp(), 0}));
 		config["tenants"][0]["api_keys"].push_back("other-key");
 		writeConfig();
 		startUpstream();
@@ -87,7 +87,7 @@
 		upstream.http.handler = [this](HttpExchange& _exchange) {
 			answerWell(upstream, _exchange);
 		};
-		upstream.address = loopback(startHttpServer(testIo(), upstream.http, {"127.0.0.1", 0}));
+		upstream.address = loopback(startHttpServer(testIo(), upstream.http, {loopbackIp(), 0}));
 		setItem(store, "servers/u-one",
 				json{{"service", "app"},
 					 {"address", upstream.address},
--- a/tests/direct/http_client_test.cpp
+++ b/tests/direct/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "fiber_runtime_p.h"
 #include "harness.h"
 #include "http_p.h"
+#include "ports.h"
 
 namespace spanplank
 {
@@ -26,10 +27,10 @@
 		}
 		_exchange.finish();
 	};
-	const uint16_t port = startHttpServer(testIo(), server, {"127.0.0.1", 0});
+	const uint16_t port = startHttpServer(testIo(), server, {loopbackIp(), 0});
 	HttpClient client;
 	client.io = &testIo();
-	client.endpoint = {"127.0.0.1", port};
+	client.endpoint = {loopbackIp(), port};
 	HttpCancel stop;
 	EXPECT_THROW(call(
 					 client, {}, [&](const HttpResponse&, std::string_view) { cancel(stop); }, &stop),
--- a/tests/direct/http_exchange_test.cpp
+++ b/tests/direct/http_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include "fiber_runtime_p.h"
 #include "harness.h"
 #include "http_p.h"
+#include "ports.h"
 
 namespace spanplank
 {
@@ -29,8 +30,8 @@
 			const std::string body(kBodyBytes, 'x');
 			delivered = _exchange.passOn(200, {}, body);
 		};
-		const uint16_t port = startHttpServer(testIo(), server, {"127.0.0.1", 0});
-		caller.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+		const uint16_t port = startHttpServer(testIo(), server, {loopbackIp(), 0});
+		caller.connect({boost::asio::ip::make_address(loopbackIp()), port});
 		const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 		boost::asio::write(caller, boost::asio::buffer(request));
 		caller.shutdown(tcp::socket::shutdown_send);
--- a/tests/direct/peer_links_test.cpp
+++ b/tests/direct/peer_links_test.cpp
@@ -321,7 +321,7 @@
 								{"Server-Stamp", "stamp-" + failing.id}},
 							   "failed"});
 		};
-		failing.address = loopback(startHttpServer(testIo(), failing.http, {"127.0.0.1", 0}));
+		failing.address = loopback(startHttpServer(testIo(), failing.http, {loopbackIp(), 0}));
 		const json record{{"service", "app"}, {"address", failing.address},
 						  {"zone", "hall-a"}, {"version", "v2"},
 						  {"slots", 8},       {"state", "ready"}};
--- a/tests/direct/ports.cpp
+++ b/tests/direct/ports.cpp
@@ -21,7 +21,7 @@
 	sockaddr_in address{};
 	address.sin_family = AF_INET;
 	address.sin_port = htons(_port);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_addr.s_addr = ::inet_addr(loopbackIp().c_str());
 	const bool free = ::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
 	::close(probe);
 	return free;
@@ -60,8 +60,20 @@
 	return port;
 }
 
+const std::string& loopbackIp()
+{
+	constexpr uint32_t kBits = 7;
+	constexpr uint32_t kLow = (1u << kBits) - 1;
+	constexpr uint32_t kFirst = 20; // Beyond the addresses that people use by hand.
+	constexpr uint32_t kCount = 200;
+	static const auto s_pid = uint32_t(::getpid());
+	static const std::string s_ip = fmt::format("127.{}.{}.{}", kFirst + (s_pid >> (2 * kBits)) % kCount,
+												(s_pid >> kBits) & kLow, 1 + (s_pid & kLow));
+	return s_ip;
+}
+
 std::string loopback(uint16_t _port)
 {
-	return fmt::format("127.0.0.1:{}", _port);
+	return fmt::format("{}:{}", loopbackIp(), _port);
 }
 } // namespace spanplank
--- a/tests/direct/ports.h
+++ b/tests/direct/ports.h
@@ -11,7 +11,11 @@
 /// outgoing connections: one of those could take a port between the look and the child's bind.
 uint16_t freePort();
 
-/// @returns 127.0.0.1 with a port.
+/// @returns An address of the loopback that no other test process uses: a stand-in that starts on a port
+/// which one of another process has just left would get that one's requests.
+const std::string& loopbackIp();
+
+/// @returns That address with a port.
 std::string loopback(uint16_t _port);
 } // namespace spanplank
 
--- a/tests/direct/suspended_box_test.cpp
+++ b/tests/direct/suspended_box_test.cpp
@@ -5,6 +5,7 @@
 #include "direct_harness.h"
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "ports.h"
 #include "upstream_http_p.h"
 
 namespace spanplank
@@ -31,7 +32,7 @@
 struct SilentServer
 {
 	HttpServer http;
-	Endpoint address{"127.0.0.1", 0};
+	Endpoint address{loopbackIp(), 0};
 	bool released = false;
 
 	SilentServer()
@@ -107,7 +108,7 @@
 	server.http.limits.idleMs = kLongMs;
 	boost::asio::ip::tcp::socket socket(testIo());
 	EXPECT_LT(besideSuspension([&] {
-				  const boost::asio::ip::tcp::endpoint to(boost::asio::ip::make_address("127.0.0.1"),
+				  const boost::asio::ip::tcp::endpoint to(boost::asio::ip::make_address(loopbackIp()),
 														  server.address.port);
 				  awaitIo([&](auto _done) { socket.async_connect(to, _done); });
 				  char byte = 0;
--- a/tests/direct/version_trial_fleet_test.cpp
+++ b/tests/direct/version_trial_fleet_test.cpp
@@ -4,6 +4,7 @@
 
 #include "fiber_runtime_p.h"
 #include "fleet_fixture.h"
+#include "ports.h"
 
 namespace spanplank
 {
@@ -40,7 +41,7 @@
 		end.http.handler = [this, &end, _answer](HttpExchange& _exchange) {
 			_answer(end, _exchange, answersOf[end.version]++);
 		};
-		end.address = loopback(startHttpServer(testIo(), end.http, {"127.0.0.1", 0}));
+		end.address = loopback(startHttpServer(testIo(), end.http, {loopbackIp(), 0}));
 		const json record{{"service", "app"}, {"address", end.address},
 						  {"zone", "hall-a"}, {"version", _version},
 						  {"slots", 8},       {"state", "ready"}};
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -58,7 +58,7 @@
 	_soak.store.http.handler = [&_soak](HttpExchange& _exchange) {
 		answerStoreCall(_soak.store, _exchange);
 	};
-	_soak.storeAddress = loopback(startHttpServer(testIo(), _soak.store.http, {"127.0.0.1", 0}));
+	_soak.storeAddress = loopback(startHttpServer(testIo(), _soak.store.http, {loopbackIp(), 0}));
 	for (const char* service : {"app", "app", "app", "engines", "engines", "engines", "engines"})
 	{
 		addEnd(_soak, service, "v1");
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -18,6 +18,7 @@
 /// Of a request that crosses the end of a process which was asked to stop: from its last byte to that end, on
 /// a machine with free cores.
 constexpr uint32_t kCrossMs = 200;
+constexpr size_t kShownBytes = 60;      ///< Of an answer that breaks a promise.
 constexpr unsigned long kAttempts = 3;  ///< Of the route of streams.
 constexpr uint32_t kLateMs = 500;       ///< After a request's deadline, until its answer must be there.
 constexpr uint32_t kStopTakesMs = 3000; ///< After it was asked to stop a router takes requests for so long.
@@ -200,6 +201,16 @@
 	return true;
 }
 
+/// @returns What is wrong with an answer of 200; empty: nothing.
+std::string faultOf(const RequestRecord& _record, const std::string& _id, const std::string& _body)
+{
+	if (_record.path == "/chat/")
+	{
+		return inOrder(_body) ? "" : "out of order";
+	}
+	return _body == "answer to " + _id ? "" : "not its own or not whole";
+}
+
 void checkAnswer(Soak& _soak, const std::string& _id, RequestRecord& _record, const HttpResponse& _answer)
 {
 	const bool promise =
@@ -218,9 +229,12 @@
 	{
 		breach(_soak, "a caller got an answer that no upstream made");
 	}
-	if (_record.path == "/chat/" ? !inOrder(_answer.body) : _answer.body != "answer to " + _id)
+	const std::string fault = faultOf(_record, _id, _answer.body);
+	if (!fault.empty())
 	{
-		breach(_soak, "a caller got an answer that is not its own, not whole or not in order");
+		breach(_soak, fmt::format("a caller got an answer that is {}: {} of {} ({} runs), {} bytes: {}",
+								  fault, _id, _record.path, _record.runs, _answer.body.size(),
+								  _answer.body.substr(0, kShownBytes)));
 	}
 }
 
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -98,7 +98,7 @@
 	const auto found = _soak.requests.find(id);
 	if (found == _soak.requests.end())
 	{
-		breach(_soak, "a request came that no caller sent");
+		breach(_soak, fmt::format("a request came that no caller sent: {} at {}", id, _end.upstream->id));
 		return;
 	}
 	RequestRecord& record = found->second;
@@ -174,7 +174,7 @@
 	end.upstream->http.handler = [&_soak, &end](HttpExchange& _exchange) {
 		answerAs(_soak, end, _exchange);
 	};
-	end.upstream->address = loopback(startHttpServer(testIo(), end.upstream->http, {"127.0.0.1", 0}));
+	end.upstream->address = loopback(startHttpServer(testIo(), end.upstream->http, {loopbackIp(), 0}));
 	startProxy(end.proxy, end.upstream->address);
 	registerEnd(_soak, end, "ready");
 }
