A process that ends with requests in hand names each, with the upstreams that it waited for

Ruled out: a line for each request at its start (twice the lines of a busy router). Change: request_cut with id, route, attempts and their upstreams, sent or not, head or not; counted as cut_by_stop.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -174,6 +174,10 @@
 		sleepFor(kStopPollMs);
 	}
 	noteCut(_router.callers);
+	for (const auto& [number, serving] : _router.inFlight)
+	{
+		noteCutByStop(*serving);
+	}
 	logEvent("stopped", {{"cut", std::to_string(_router.callers.busy)},
 						 {"connections", std::to_string(_router.callers.connections)}});
 	flushLog();
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -1,6 +1,8 @@
 /// The one final answer to a request: what an upstream said, or the router's own words; with its log events.
 #include <fmt/format.h>
+#include <vector>
 
+#include "attempt_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "platform/headers_p.h"
@@ -110,6 +112,29 @@
 	_serving.exchange.respond(ownAnswer(_status, _code, _message, _retryAfterMs));
 }
 
+void noteCutByStop(const Serving& _serving)
+{
+	const TimeUs now = monotonicNow();
+	std::vector<std::string> waitsFor;
+	for (const LiveAttempt* attempt : _serving.live)
+	{
+		const AttemptNotes& notes = attempt->notes;
+		waitsFor.push_back(fmt::format("{}{} for {} ms", notes.record.id,
+									   notes.sentAfter == 0   ? " (not sent)"
+									   : notes.headAfter == 0 ? " (no head)"
+															  : "",
+									   millisText(now - notes.begin)));
+	}
+	++_serving.router.stats.answers["cut_by_stop"];
+	logEvent("request_cut", {{"request", _serving.call.requestId},
+							 {"route", _serving.route->name},
+							 {"started", _serving.plan.started ? "1" : "0"},
+							 {"runs", std::to_string(_serving.plan.runs)},
+							 {"waits_for", fmt::format("{}", fmt::join(waitsFor, ", "))},
+							 {"last_event", std::to_string(_serving.lastEventId)},
+							 {"after_ms", millisText(now - _serving.plan.arrivedAt)}});
+}
+
 void finishRequest(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -129,6 +129,9 @@
 /// answer goes on until then, as its end is all that is missing.
 void endBeforeStop(Serving& _serving);
 
+/// The process ends with the request in hand: logs what it waited for.
+void noteCutByStop(const Serving& _serving);
+
 /// Ends the request after its last attempt: counts and logs it, and answers if no answer was passed on.
 void finishRequest(Serving& _serving);
 } // namespace spanplank
--- a/tests/direct/caller_stop_test.cpp
+++ b/tests/direct/caller_stop_test.cpp
@@ -58,6 +58,26 @@
 		   _system.key + "\r\nContent-Length: " + std::to_string(_bodyBytes) + "\r\n\r\n";
 }
 
+/// @returns A request whose deadline is long after the end of the stop.
+std::string longRequest(const DirectSystem& _system)
+{
+	return "POST /once/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: "
+		   "15000\r\nKey: " +
+		   _system.key + "\r\nContent-Length: 4\r\n\r\nabcd";
+}
+
+/// The upstream answers nothing until the test is over; its fiber must end within it.
+void keepSilent(StandInUpstream& _upstream, const bool& _over)
+{
+	_upstream.answer = [&_over](StandInUpstream&, HttpExchange& _exchange) {
+		while (!_over)
+		{
+			sleepFor(kPollMs);
+		}
+		_exchange.abort();
+	};
+}
+
 // A router in a planned stop cut requests that it was reading: the stop waited for those alone that were at
 // an upstream. It logged stopping in_flight="0" connections="1" and, 2.6 s later, stopped cut="0"
 // connections="1", and ended with half of a request in hand and 27 s of its grace left.
@@ -80,21 +100,13 @@
 // request_ms="1857.9" for the caller's connection. Nothing ended a request before the process did.
 TEST_F(CallerStop, ARequestWhoseUpstreamStaysSilentIsAnsweredBeforeTheEnd)
 {
-	bool over = false; // Until then the upstream is silent; its fiber must end within the test.
+	bool over = false;
 	DirectSystem system("graceSeconds: 4\n");
 	StandInUpstream& upstream = system.addUpstream("u-first", "app");
-	upstream.answer = [&over](StandInUpstream&, HttpExchange& _exchange) {
-		while (!over)
-		{
-			sleepFor(kPollMs);
-		}
-		_exchange.abort();
-	};
+	keepSilent(upstream, over);
 	system.startReady(1);
 	connect(system);
-	send(
-		"POST /once/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: 15000\r\nKey: " +
-		system.key + "\r\nContent-Length: 4\r\n\r\nabcd");
+	send(longRequest(system));
 	ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
 	system.terminate();
 	EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 504");
@@ -103,6 +115,32 @@
 	over = true;
 }
 
+TEST_F(CallerStop, AStreamThatIsCutByTheEndIsNamedWithItsUpstream)
+{
+	bool over = false;
+	DirectSystem system("graceSeconds: 4\n");
+	StandInUpstream& upstream = system.addUpstream("u-first", "engines");
+	upstream.answer = [&over](StandInUpstream& _upstream, HttpExchange& _exchange) {
+		answerEvents(_upstream, _exchange, 200, 100, false);
+		over = true;
+	};
+	system.startReady(1);
+	connect(system);
+	send(
+		"POST /chat/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: 15000\r\nModel: "
+		"*\r\nKey: " +
+		system.key + "\r\nContent-Length: 0\r\n\r\n");
+	ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
+	system.terminate();
+	EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(system.awaitEnd(), 0);
+	EXPECT_NE(system.log().find("event=request_cut request=\"r1\" route=\"chat\" started=\"1\" runs=\"0\" "
+								"waits_for=\"u-first for "),
+			  std::string::npos)
+		<< system.log();
+	EXPECT_TRUE(eventually([&] { return over; }));
+}
+
 TEST_F(CallerStop, ARequestThatOutlivesTheGraceIsLoggedAsCut)
 {
 	DirectSystem system("graceSeconds: 4\n");
