A router that is not run as its stop ends answers what it has in hand before it ends

Cause: that ending was polled within the wait for the end alone; a process that wakes past the end finds the wait over. Evidence: the new test (SIGSTOP at 3.3 s of a stop of 3.6, SIGCONT at 3.8) gets no answer of the landed router and 504 of this one. Ruled out: a longer margin (a pause can be longer); the kill comes 0.4 s after the end, the answers take 0.2 at most. Change: past the end, requests without an answer are ended once more, and their answers awaited for 0.2 s at most.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -1,6 +1,7 @@
 /// The process of a direct router: listening, housekeeping, signals, the planned stop.
 #include "direct_router_p.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <unistd.h>
@@ -145,6 +146,24 @@
 	}
 }
 
+/// A process that was not run for a while may find the time of its stop over with requests in hand.
+void answerLate(DirectRouter& _router)
+{
+	const auto unanswered = [](const auto& _entry) {
+		return !_entry.second->plan.started;
+	};
+	if (std::none_of(_router.inFlight.begin(), _router.inFlight.end(), unanswered))
+	{
+		return;
+	}
+	endInFlight(_router);
+	const TimeUs until = monotonicNow() + kAnswerTime;
+	while (_router.callers.busy > 0 && monotonicNow() < until)
+	{
+		sleepFor(kStopPollMs);
+	}
+}
+
 /// A planned stop: the balancer sees it first, then what callers have begun to send ends, within the grace;
 /// idle connections are closed last, so that a request that has come on one is still answered.
 void stop(DirectRouter& _router)
@@ -167,6 +186,7 @@
 		}
 		sleepFor(kStopPollMs);
 	}
+	answerLate(_router);
 	stopListening(_router.callers);
 	closeIdle(_router.callers);
 	while (_router.callers.connections > 0 && monotonicNow() < until)
--- a/tests/direct/caller_stop_test.cpp
+++ b/tests/direct/caller_stop_test.cpp
@@ -1,6 +1,7 @@
 /// What callers get of a router in a planned stop whose requests have not come whole yet.
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
 #include <gtest/gtest.h>
 
 #include "direct_harness.h"
@@ -15,6 +16,8 @@
 using boost::asio::ip::tcp;
 
 constexpr uint32_t kPollMs = 20;
+constexpr uint32_t kBeforeAnswersMs = 3300; ///< Of a stop of 4 s, which ends what is at upstreams at 3.4 s.
+constexpr uint32_t kPastTheEndMs = 500;     ///< From then on: past the end of such a stop, at 3.6 s.
 
 /// A router process and one caller's connection to it.
 struct CallerStop : testing::Test
@@ -115,6 +118,29 @@
 	over = true;
 }
 
+// A router that was not run in the last moments of its stop, as on a busy box, found the time over and ended
+// with the request in hand: stopped cut="1".
+TEST_F(CallerStop, ARequestIsAnsweredThoughTheRouterIsNotRunAsItsStopEnds)
+{
+	bool over = false;
+	DirectSystem system("graceSeconds: 4\n");
+	StandInUpstream& upstream = system.addUpstream("u-first", "app");
+	keepSilent(upstream, over);
+	system.startReady(1);
+	connect(system);
+	send(longRequest(system));
+	ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
+	system.terminate();
+	sleepFor(kBeforeAnswersMs);
+	system.signal(SIGSTOP);
+	sleepFor(kPastTheEndMs);
+	system.signal(SIGCONT);
+	EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 504");
+	EXPECT_EQ(system.awaitEnd(), 0);
+	EXPECT_NE(system.log().find("event=stopped cut=\"0\""), std::string::npos);
+	over = true;
+}
+
 TEST_F(CallerStop, AStreamThatIsCutByTheEndIsNamedWithItsUpstream)
 {
 	bool over = false;
