A stopping router takes no request in the time that is left for answers

What callers saw: a request that came in the last 0.2 s of a stop before the balancer knew was sent to an upstream and ended at once with 504, "may have run", or cut with the process in its last 20 ms. Cause: takesRequest asked for the balancer's knowledge and the deadline, not for the time that is left. Ruled out: stops of 3 s and more: there the balancer knows by then, and only deadlines within the stop are taken. Change: none is taken from 0.2 s before the end; the caller gets 503 "stopping" with the time to come back, and it has not run. Before: PlannedStop.NoneIsTakenInTheTimeThatIsLeftForAnswers fails on the old rule (by reading: it returned true). After: passes.

--- a/include/spanplank/planned_stop.h
+++ b/include/spanplank/planned_stop.h
@@ -11,6 +11,8 @@
 /// Until the balancer has seen that a router stops: it polls each second and drops a router at the second
 /// miss.
 constexpr uint32_t kBalancerMs = 2600;
+/// Before the end of a stop: requests at upstreams are ended, and their answers written.
+constexpr TimeUs kAnswerTime = 200 * kMsToUs;
 
 struct PlannedStop
 {
@@ -19,7 +21,7 @@
 };
 
 /// @returns Whether a request is taken: before the balancer has seen the stop any is, then those whose
-/// deadline is within it.
+/// deadline is within it, and none in the time that is left for answers.
 bool takesRequest(const PlannedStop& _stop, TimeUs _deadline, TimeUs _now);
 
 /// @returns The time in which a refused caller may come back, in milliseconds. One on an old connection meets
--- a/src/core/planned_stop.cpp
+++ b/src/core/planned_stop.cpp
@@ -20,7 +20,8 @@
 
 bool takesRequest(const PlannedStop& _stop, TimeUs _deadline, TimeUs _now)
 {
-	return !balancerKnows(_stop, _now) || _deadline <= _stop.endsAt;
+	const bool answersOnly = _stop.since != 0 && _now >= _stop.endsAt - kAnswerTime;
+	return !answersOnly && (!balancerKnows(_stop, _now) || _deadline <= _stop.endsAt);
 }
 
 uint32_t retryAfterStopMs(const PlannedStop& _stop, TimeUs _connectedAt, TimeUs _now, double _jitter)
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -21,8 +21,6 @@
 {
 constexpr uint32_t kEndMarginMs = 400; ///< Before the kill: the process ends by itself.
 constexpr uint32_t kStopPollMs = 20;
-/// Before the end of a stop: requests at upstreams are ended, and their answers written.
-constexpr TimeUs kAnswerTime = 200 * kMsToUs;
 constexpr uint32_t kHousekeepingMs = 1000;
 constexpr uint32_t kSlowBodyMs = 30000; ///< Longest time for the body of one request.
 
--- a/tests/core/planned_stop_test.cpp
+++ b/tests/core/planned_stop_test.cpp
@@ -24,6 +24,16 @@
 	EXPECT_TRUE(takesRequest(kStop, kEnd, kSignal + 3 * kSecond));
 }
 
+// A request that came as answers alone were still written was sent to an upstream and cut there.
+TEST(PlannedStop, NoneIsTakenInTheTimeThatIsLeftForAnswers)
+{
+	const PlannedStop brief{kSignal, kSignal + kSecond}; // It ends before the balancer knows.
+	EXPECT_TRUE(takesRequest(brief, kEnd, brief.endsAt - kAnswerTime - 1));
+	EXPECT_FALSE(takesRequest(brief, kEnd, brief.endsAt - kAnswerTime));
+	EXPECT_FALSE(takesRequest(brief, brief.endsAt, brief.endsAt - 1));
+	EXPECT_FALSE(takesRequest(brief, kEnd, brief.endsAt + kSecond)) << "late, as the process was not run";
+}
+
 TEST(PlannedStop, OnAnOldConnectionTheCallerGoesToAnotherRouterAtOnce)
 {
 	EXPECT_LT(retryAfterStopMs(kStop, kSignal - kSecond, kSignal + 3 * kSecond, 1.0), 100u);
