--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -13,6 +13,7 @@
 ABSL_FLAG(uint32_t, callers, 8, "callers, each with one kept connection");
 ABSL_FLAG(uint32_t, keepers, 32, "callers that keep a connection through pauses");
 ABSL_FLAG(bool, rollouts, true, "Roll out good and bad versions meanwhile.");
+ABSL_FLAG(double, silent, 0.0, "chance that an upstream keeps silent on a request that must not be repeated");
 ABSL_FLAG(bool, planned, false,
 		  "planned work and harm between processes alone; nothing unplanned is done to routers");
 ABSL_FLAG(
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -25,6 +25,7 @@
 ABSL_DECLARE_FLAG(uint32_t, keepers);
 ABSL_DECLARE_FLAG(bool, planned);
 ABSL_DECLARE_FLAG(bool, rollouts);
+ABSL_DECLARE_FLAG(double, silent);
 ABSL_DECLARE_FLAG(std::string, mutant);
 ABSL_DECLARE_FLAG(std::string, only);
 
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -22,6 +22,7 @@
 /// Longer than the share of the route's gap (500 ms) after which a router may ask another upstream.
 constexpr uint32_t kPauseLeastMs = 410;
 constexpr uint32_t kPauseSpreadMs = 240;
+constexpr uint32_t kLookMs = 20; ///< Between looks at whether a router has given up.
 constexpr int kPausingLast = 3; ///< Last event of a stream that pauses: it ends within the caller's deadline.
 
 /// Counts an upstream as working on a request while it answers.
@@ -86,6 +87,24 @@
 	_record.brokeOff = _record.brokeOff || (ended && cut && mark.isLastWanted() && !isMutant("cut"));
 }
 
+/// Draws nothing without the flag: what earlier seeds play stays as it was.
+bool keepsSilent(Soak& _soak)
+{
+	const double chance = absl::GetFlag(FLAGS_silent);
+	return chance > 0.0 && happens(_soak, chance);
+}
+
+/// Answers nothing until the router has given up.
+void awaitLeaving(HttpExchange& _exchange)
+{
+	const TimeUs until = monotonicNow() + 2 * kDeadlineMs * kMsToUs;
+	while (!_exchange.callerGone() && monotonicNow() < until)
+	{
+		sleepFor(kLookMs);
+	}
+	_exchange.abort();
+}
+
 void answerAs(Soak& _soak, SoakUpstream& _end, HttpExchange& _exchange)
 {
 	const HttpRequest& request = _exchange.request();
@@ -124,6 +143,11 @@
 		answerNotRun(_exchange);
 		return;
 	}
+	if (record.path == "/once/" && keepsSilent(_soak))
+	{
+		awaitLeaving(_exchange);
+		return;
+	}
 	if (happens(_soak, kCutChance))
 	{
 		record.brokeOff = true;
