A stopping router of the agent mode answers what it has in hand before it ends

What callers saw: a request at a silent service was closed without an answer as its router's planned stop was over. Ruled out: the service's answer was under way (it works for 60 s).

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -1,6 +1,7 @@
 /// Adapter to the callers: OpenAI-shaped chat completions, plain services, typed refusals.
 #include <fmt/format.h>
 
+#include "log_p.h"
 #include "router_p.h"
 
 namespace spanplank
@@ -12,6 +13,7 @@
 constexpr uint32_t kMaxDeadlineMs = 24u * 3600 * 1000;
 constexpr size_t kMaxKeyBytes = 256;
 constexpr auto kCallerPoll = std::chrono::milliseconds(500);
+constexpr auto kStoppingPoll = std::chrono::milliseconds(50); ///< The same in a planned stop.
 
 std::string headerOf(const HttpRequest& _request, const char* _name)
 {
@@ -182,6 +184,31 @@
 	return _event;
 }
 
+/// @returns Whether this process ends before an answer can be awaited any longer.
+bool endsUnanswered(const Router& _router, const HttpExchange& _exchange)
+{
+	return _router.answerBy != 0 && monotonicNow() >= _router.answerBy && !_exchange.answered();
+}
+
+/// Ends a request whose caller has left, or whose answer this process can't await. @param[in] _gone The
+/// caller has left.
+void endUnanswered(Router& _router, HttpExchange& _exchange, RequestId _id, bool _gone)
+{
+	RouterActions left;
+	callerLeft(_router.core, _id, left);
+	perform(_router, left);
+	if (_gone)
+	{
+		_exchange.abort();
+		return;
+	}
+	logEvent("request_cut", {{"number", std::to_string(_id.idx)}});
+	_exchange.respond(
+		refusalResponse({ErrorCode::UpstreamFailed, RunState::Unknown, 0,
+						 "the router stops, and no answer came in time; the request may have run"},
+						""));
+}
+
 void serve(Router& _router, HttpExchange& _exchange, const CallerRequest& _request)
 {
 	const RequestId id{_router.nextRequest++};
@@ -193,18 +220,16 @@
 	bool done = false;
 	while (!done)
 	{
-		std::optional<CallerEvent> event = events.pop(std::chrono::steady_clock::now() + kCallerPoll);
+		const auto poll = _router.answerBy != 0 ? kStoppingPoll : kCallerPoll;
+		std::optional<CallerEvent> event = events.pop(std::chrono::steady_clock::now() + poll);
 		if (event)
 		{
 			done = std::visit(EventWriter{_exchange}, joinParts(events, std::move(*event)));
 		}
 		const bool gone = event ? _exchange.broken() : _exchange.callerGone();
-		if (!done && gone)
+		if (!done && (gone || endsUnanswered(_router, _exchange)))
 		{
-			RouterActions left;
-			callerLeft(_router.core, id, left);
-			perform(_router, left);
-			_exchange.abort();
+			endUnanswered(_router, _exchange, id, gone);
 			done = true;
 		}
 	}
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -6,6 +6,7 @@
 #include "metrics_p.h"
 #include "router_p.h"
 #include "spanplank/daemons.h"
+#include "spanplank/planned_stop.h"
 
 namespace spanplank
 {
@@ -424,6 +425,7 @@
 	sleepFor(_router.settings.common.balancerMs);
 	http.draining = true;
 	stopListening(http);
+	_router.answerBy = until - kAnswerTime;
 	// From the first byte on: a request that is still being read would be cut without an answer.
 	pollUntil(until, [&] { return http.busy == 0; });
 	closeIdle(http);
--- a/src/adapters/router_p.h
+++ b/src/adapters/router_p.h
@@ -29,6 +29,9 @@
 	uint64_t nextRequest = 1;
 	bool fromStore = false; ///< The configuration was read from the store, not only from peers.
 	bool watching = false;
+	/// Of a planned stop: what has no answer by then gets one that says that it may have run; 0: it does not
+	/// stop.
+	TimeUs answerBy = 0;
 };
 
 /// Carries out what the core decided.
--- a/tests/system/operations_test.cpp
+++ b/tests/system/operations_test.cpp
@@ -275,6 +275,31 @@
 	EXPECT_EQ(exitCode, 0);
 }
 
+// A router of the agent mode ended with a request at a silent service, and its connection was closed without
+// an answer.
+TEST(PlannedStop, ARequestAtASilentServiceIsAnsweredBeforeTheRouterEnds)
+{
+	SystemShape shape;
+	shape.services = 3;
+	System system(shape);
+	system.declareBasics();
+	system.changeSettings("router-0", "drainMs: 20000", "drainMs: 3000");
+	EXPECT_EQ(system.stopPlanned("router-0"), 0);
+	system.start("router-0");
+	EXPECT_TRUE(eventually([&] { return system.callService(0, "first").status == 200; }));
+	system.serviceFault({{"work_ms", 60000}});
+	Answer answer;
+	int exitCode = -1;
+	together({[&] { answer = system.callService(0, "second", "{}", 30000); },
+			  [&] {
+				  pause(1000); // The request is at its service by then.
+				  exitCode = system.stopPlanned("router-0");
+			  }});
+	EXPECT_EQ(answer.status, 502);
+	EXPECT_EQ(answer.run(), "unknown");
+	EXPECT_EQ(exitCode, 0);
+}
+
 TEST(PlannedStop, RollingRestartUnderLoadCutsNothing)
 {
 	System system{SystemShape{}};
