The share of a version on trial is taken of attempts that reached their upstreams, as both are counted by attempts

Cause: the share was taken of requests, each once, and attempts on the new version counted each. A doubted answer makes two attempts: where many are doubted the share shrank by a quarter, and in the last tenth of a trial routers had none left for sessions that were drawn. Ruled out: the unsent attempts (still not counted). What the rule counts is what reaches the service, on both sides. Change: any attempt counts once it has reached its upstream. ExposureBound counts arrivals on both sides as well.

--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -72,7 +72,7 @@
 	uint32_t writesLost = 0;         ///< Such calls that failed in a row.
 	TrialEvidence evidence;          ///< Of all routers.
 	TimeReference reference;         ///< Times of this router's answers of the settled version.
-	uint64_t reached = 0; ///< Requests of this router that reached an upstream since the order, each once.
+	uint64_t reached = 0;            ///< Attempts of this router that reached an upstream since the order.
 	uint64_t exposed = 0; ///< Attempts on the version on trial: from the choice on, less those never sent.
 	uint64_t credit = 0;  ///< Such attempts that the router may make above its share.
 	TimeUs progressSaved = 0;      ///< Progress that the store holds, so that a blank router can go on.
@@ -156,7 +156,7 @@
 /// An upstream was chosen for an attempt.
 TrialAttempt noteTrialChosen(TrialBook& _book, const std::string& _service, const std::string& _version);
 
-/// An attempt is the first of its request that reached an upstream.
+/// An attempt has reached its upstream.
 void noteTrialReached(TrialBook& _book, const std::string& _service, const TrialAttempt& _attempt);
 
 /// An attempt ended before anything of it was sent.
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -112,7 +112,8 @@
 		noteTrialUnsent(_serving.router.trials, _serving.service, _notes.trial);
 		return;
 	}
-	if (_end == AttemptEnd::Silent || _end == AttemptEnd::TimeUp)
+	const bool silent = _end == AttemptEnd::Silent || _end == AttemptEnd::TimeUp;
+	if (silent && _notes.headAfter == 0) // Else it was noted with its head.
 	{
 		noteReached(_serving, _notes);
 	}
@@ -187,11 +188,7 @@
 
 void noteReached(Serving& _serving, const AttemptNotes& _notes)
 {
-	if (!_serving.reachedService)
-	{
-		_serving.reachedService = true;
-		noteTrialReached(_serving.router.trials, _serving.service, _notes.trial);
-	}
+	noteTrialReached(_serving.router.trials, _serving.service, _notes.trial);
 }
 
 void noteWithdrawn(Serving& _serving, const AttemptNotes& _notes)
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -61,7 +61,6 @@
 	AttemptEnd last = AttemptEnd::NotSent;
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
 	bool countedAsBegun = false;              ///< An upstream has begun to answer it.
-	bool reachedService = false;              ///< An attempt has reached an upstream.
 	bool failedOnTrial = false;               ///< A version on trial answered an attempt with a failure.
 	TimeUs firstByteAt = 0; ///< When the caller was sent the first byte of an answer; 0: not yet.
 	// Of the answer that is passed on as it is, if the last upstream failed by its own word.
