CallerStop: one set-up for a request at a silent upstream

Ruled out: anything in the product (no source changed). Change: startAtSilentUpstream and `over` in the fixture; expectations unchanged.

--- a/tests/direct/caller_stop_test.cpp
+++ b/tests/direct/caller_stop_test.cpp
@@ -19,10 +19,19 @@
 constexpr uint32_t kBeforeAnswersMs = 3300; ///< Of a stop of 4 s, which ends what is at upstreams at 3.4 s.
 constexpr uint32_t kPastTheEndMs = 500;     ///< From then on: past the end of such a stop, at 3.6 s.
 
+/// @returns A request whose deadline is long after the end of the stop.
+std::string longRequest(const DirectSystem& _system)
+{
+	return "POST /once/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: "
+		   "15000\r\nKey: " +
+		   _system.key + "\r\nContent-Length: 4\r\n\r\nabcd";
+}
+
 /// A router process and one caller's connection to it.
 struct CallerStop : testing::Test
 {
 	tcp::socket caller{testIo()};
+	bool over = false; ///< Until then the upstream is silent; its fiber must end within the test.
 
 	void connect(const DirectSystem& _system)
 	{
@@ -45,6 +54,23 @@
 		return got;
 	}
 
+	/// Starts the router with a request of the caller at an upstream that keeps silent.
+	void startAtSilentUpstream(DirectSystem& _system)
+	{
+		StandInUpstream& upstream = _system.addUpstream("u-first", "app");
+		upstream.answer = [this](StandInUpstream&, HttpExchange& _exchange) {
+			while (!over)
+			{
+				sleepFor(kPollMs);
+			}
+			_exchange.abort();
+		};
+		_system.startReady(1);
+		connect(_system);
+		send(longRequest(_system));
+		ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
+	}
+
 	/// Stops the router and waits until its balancer has seen that, and some more.
 	void stopPastTheBalancer(DirectSystem& _system)
 	{
@@ -61,26 +87,6 @@
 		   _system.key + "\r\nContent-Length: " + std::to_string(_bodyBytes) + "\r\n\r\n";
 }
 
-/// @returns A request whose deadline is long after the end of the stop.
-std::string longRequest(const DirectSystem& _system)
-{
-	return "POST /once/ HTTP/1.1\r\nHost: town.example\r\nRequest-Id: r1\r\nDeadline-Remaining: "
-		   "15000\r\nKey: " +
-		   _system.key + "\r\nContent-Length: 4\r\n\r\nabcd";
-}
-
-/// The upstream answers nothing until the test is over; its fiber must end within it.
-void keepSilent(StandInUpstream& _upstream, const bool& _over)
-{
-	_upstream.answer = [&_over](StandInUpstream&, HttpExchange& _exchange) {
-		while (!_over)
-		{
-			sleepFor(kPollMs);
-		}
-		_exchange.abort();
-	};
-}
-
 // A router in a planned stop cut requests that it was reading: the stop waited for those alone that were at
 // an upstream. It logged stopping in_flight="0" connections="1" and, 2.6 s later, stopped cut="0"
 // connections="1", and ended with half of a request in hand and 27 s of its grace left.
@@ -103,14 +109,8 @@
 // request_ms="1857.9" for the caller's connection. Nothing ended a request before the process did.
 TEST_F(CallerStop, ARequestWhoseUpstreamStaysSilentIsAnsweredBeforeTheEnd)
 {
-	bool over = false;
 	DirectSystem system("graceSeconds: 4\n");
-	StandInUpstream& upstream = system.addUpstream("u-first", "app");
-	keepSilent(upstream, over);
-	system.startReady(1);
-	connect(system);
-	send(longRequest(system));
-	ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
+	startAtSilentUpstream(system);
 	system.terminate();
 	EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 504");
 	EXPECT_EQ(system.awaitEnd(), 0);
@@ -122,14 +122,8 @@
 // with the request in hand: stopped cut="1".
 TEST_F(CallerStop, ARequestIsAnsweredThoughTheRouterIsNotRunAsItsStopEnds)
 {
-	bool over = false;
 	DirectSystem system("graceSeconds: 4\n");
-	StandInUpstream& upstream = system.addUpstream("u-first", "app");
-	keepSilent(upstream, over);
-	system.startReady(1);
-	connect(system);
-	send(longRequest(system));
-	ASSERT_TRUE(eventually([&] { return upstream.requests.size() == 1; }));
+	startAtSilentUpstream(system);
 	system.terminate();
 	sleepFor(kBeforeAnswersMs);
 	system.signal(SIGSTOP);
@@ -143,10 +137,9 @@
 
 TEST_F(CallerStop, AStreamThatIsCutByTheEndIsNamedWithItsUpstream)
 {
-	bool over = false;
 	DirectSystem system("graceSeconds: 4\n");
 	StandInUpstream& upstream = system.addUpstream("u-first", "engines");
-	upstream.answer = [&over](StandInUpstream& _upstream, HttpExchange& _exchange) {
+	upstream.answer = [this](StandInUpstream& _upstream, HttpExchange& _exchange) {
 		answerEvents(_upstream, _exchange, 200, 100, false);
 		over = true;
 	};
