--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -97,7 +97,7 @@
 /// Answers nothing until the router has given up.
 void awaitLeaving(HttpExchange& _exchange)
 {
-	const TimeUs until = monotonicNow() + 2 * kDeadlineMs * kMsToUs;
+	const TimeUs until = monotonicNow() + 2 * TimeUs(kDeadlineMs) * kMsToUs;
 	while (!_exchange.callerGone() && monotonicNow() < until)
 	{
 		sleepFor(kLookMs);
