A share of all requests bounds no router

What callers saw: with exposureShare 1.0 the first request of a router that has just started went to the settled version. Cause: the share is taken of what has reached the service, which is nothing yet; the uncounted request above it had hidden that. Ruled out: a larger credit (the router starts within a trial and has none). Change: with a share of 1 there is no bound. After: 1 of 1; ExposureBound and VersionTrial pass.

--- a/src/core/trial_schedule.cpp
+++ b/src/core/trial_schedule.cpp
@@ -104,7 +104,8 @@
 {
 	const bool overdue = _trial.widenAt != 0 && elapsedPart(_trial, _now) >= kUnboundFrom;
 	const double share = _exposureShare * double(_trial.reached);
-	if (overdue || double(_trial.exposed + 1) <= share + double(_trial.credit))
+	const bool bounded = _exposureShare < 1.0;
+	if (!bounded || overdue || double(_trial.exposed + 1) <= share + double(_trial.credit))
 	{
 		return true;
 	}
