--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -144,7 +144,7 @@
 
 // ---- Counts -----------------------------------------------------------------------------------------------
 // A router keeps the bound whatever becomes of its attempts: one on the version on trial counts from its
-// choice on, a request that all are counted by only once it has reached an upstream.
+// choice on, any attempt towards the share only once it has reached its upstream.
 
 /// An attempt's part in a trial, from its choice to its end.
 struct TrialAttempt
