Limits that upstreams state are decoded, logged and counted

An upstream in need states in its answers how many requests per second it accepts from all routers together. The field went to the caller and nowhere else: neither a log line nor a metric told whether a router had been told. Change: the field is decoded in platform/, kept with its upstream (one that makes no sense is ignored, counted and logged), and each change of it is logged with the request whose answer stated it. Nothing is chosen by it yet.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -15,6 +15,7 @@
 #include "spanplank/hall_evacuation.h"
 #include "spanplank/policies.h"
 #include "spanplank/region_limit.h"
+#include "spanplank/request_limit.h"
 #include "spanplank/store_contact.h"
 #include "spanplank/types.h"
 
@@ -72,6 +73,7 @@
 	SharedLoad others;      ///< Load from the other routers, as last reported.
 	UpstreamHealth health;
 	ColdState cold;
+	RequestLimit limit;
 	bool unreachable = false; ///< A connection failed, and no answer has arrived since.
 };
 
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -93,6 +93,16 @@
 	const auto cold = std::count_if(entries.begin(), entries.end(),
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
+	const auto limited = std::count_if(entries.begin(), entries.end(), [](const auto& _item) {
+		return _item.second.limit.perSecond.has_value();
+	});
+	addGauge(page, "upstreams_limited", "Upstreams that state a limit of requests per second.",
+			 double(limited));
+	addCounters(page, "upstream_limit_changes_total", "Changes of the limits that upstreams state, by kind.",
+				"change", stats.limitChanges);
+	addCounters(page, "answer_fields_ignored_total",
+				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
+				"field", stats.answerFieldsIgnored);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -54,6 +54,8 @@
 	uint64_t storeReturns = 0;                       ///< How often the store came back from an older copy.
 	std::map<std::string, uint64_t> usageReports;    ///< Reports to the platform, by their answers.
 	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
+	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
+	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
 };
 
 /// How far this router has read the store.
@@ -129,6 +131,7 @@
 	Random random;
 	TimeUs startedAt = 0;
 	TimeUs recordLoggedAt = 0;             ///< When a record that can't be used was logged last.
+	TimeUs answerFieldLoggedAt = 0;        ///< When an answer's invalid field was logged last.
 	std::map<uint64_t, Serving*> inFlight; ///< Requests at upstreams, by number.
 	uint64_t nextInFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -8,6 +8,7 @@
 #include "platform/headers_p.h"
 #include "spanplank/event_stream.h"
 #include "spanplank/http_status.h"
+#include "upstream_notices_p.h"
 #include "usage_duty_p.h"
 
 namespace spanplank
@@ -242,6 +243,7 @@
 	const platform::AnswerHeaders answer = platform::readAnswerHeaders(call.head(), code);
 	AttemptEnd end = AttemptEnd::Aborted;
 	notes.confidence = answer.confidence.value_or(-1.0);
+	recordNotices(_serving, notes, answer, code);
 	if (!answer.notRun)
 	{
 		countBegun(_serving);
--- /dev/null
+++ b/src/direct/upstream_notices_p.h
@@ -0,0 +1,15 @@
+/// What upstreams say about themselves in their answers.
+#ifndef SPANPLANK_UPSTREAM_NOTICES_P_H_HEADER_GUARD
+#define SPANPLANK_UPSTREAM_NOTICES_P_H_HEADER_GUARD
+
+#include "attempt_p.h"
+#include "platform/headers_p.h"
+
+namespace spanplank
+{
+/// Records what the head of an answer says about its upstream. @param[in] _status Status of the answer.
+void recordNotices(Serving& _serving, const AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
+				   int _status);
+} // namespace spanplank
+
+#endif // SPANPLANK_UPSTREAM_NOTICES_P_H_HEADER_GUARD
--- a/tests/direct/codec_test.cpp
+++ b/tests/direct/codec_test.cpp
@@ -123,6 +123,27 @@
 	}
 }
 
+TEST(Codec, ALimitThatIsNoAmountIsIgnoredByName)
+{
+	platform::Fields fields;
+	EXPECT_TRUE(platform::readAnswerHeaders(fields, 200).invalidFields.empty());
+	for (const char* text : {"1.4", "0", "250"})
+	{
+		fields.set("Server-Limit", text);
+		EXPECT_EQ(platform::readAnswerHeaders(fields, 200).requestLimit, std::stod(text));
+	}
+	for (const char* text : {"-1", "nan", "inf", "1e999", "many", "", "1.4, 2"})
+	{
+		fields.set("Server-Limit", text);
+		const platform::AnswerHeaders answer = platform::readAnswerHeaders(fields, 200);
+		EXPECT_EQ(answer.requestLimit, std::nullopt) << text;
+		EXPECT_EQ(answer.invalidFields, std::vector<std::string>{"Server-Limit"}) << text;
+	}
+	fields.set("Server-Limit", "1.4");
+	fields.insert("Server-Limit", "2");
+	EXPECT_EQ(platform::readAnswerHeaders(fields, 200).requestLimit, std::nullopt) << "twice";
+}
+
 TEST(Codec, ARolloutStatusSurvivesTheWay)
 {
 	for (const RolloutState state :
