--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -90,6 +90,8 @@
 	uint32_t open = 0;                 ///< Under way.
 };
 
+/// @returns The headers of a sound upstream's answer.
+std::vector<HttpHeader> soundHeaders(const StandInUpstream& _upstream, const HttpRequest& _request);
 /// Answers 200 with the headers that a sound upstream gives.
 void answerWell(StandInUpstream& _upstream, HttpExchange& _exchange, const std::string& _body = "done");
 /// Answers that it has not run the request.
