Soak: upstreams state limits, with the check of what they then get

Cause: no run of ours had an upstream that says something about itself in its answers, so no soak could see LIMIT. The stand-ins carry such fields in all answers, rejections too; the fixture of the limited fleet uses the same.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Fault soak of the direct mode: scripts/soak.sh [MINUTES] [FIRST_SEED]. Runs seed after seed, a few at once; prints
 # each seed that broke a promise, with its schedule and the folder of its logs. Exit 1 if any did. Odd seeds do planned
-# work alone; every fourth, even, has as many routers as the fault needs whose way through them is long.
+# work alone; every fourth, even, has as many routers as the fault needs whose way through them is long; in every third
+# upstreams state limits in their answers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 MINUTES="${1:-3}"
@@ -19,6 +20,7 @@
 		SHAPE=()
 		(((SEED + ii) % 2 == 0)) || SHAPE+=(--planned)
 		(((SEED + ii) % 4 != 0)) || SHAPE+=(--routers=12)
+		(((SEED + ii) % 3 != 0)) || SHAPE+=(--notices)
 		build/soak --seed="$((SEED + ii))" --seconds=20 "${SHAPE[@]}" >"build/soak-logs/$((SEED + ii)).out" 2>&1 &
 		PIDS+=("$!")
 	done
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -348,9 +348,11 @@
 
 std::vector<HttpHeader> soundHeaders(const StandInUpstream& _upstream, const HttpRequest& _request)
 {
-	return {{"Request-Id", std::string(_request["Request-Id"])},
-			{"Server-Stamp", "stamp-" + _upstream.id},
-			{"Content-Type", "text/plain"}};
+	std::vector<HttpHeader> headers = {{"Request-Id", std::string(_request["Request-Id"])},
+									   {"Server-Stamp", "stamp-" + _upstream.id}};
+	headers.insert(headers.end(), _upstream.notices.begin(), _upstream.notices.end());
+	headers.push_back({"Content-Type", "text/plain"});
+	return headers;
 }
 
 void answerWell(StandInUpstream& _upstream, HttpExchange& _exchange, const std::string& _body)
@@ -358,10 +360,12 @@
 	_exchange.respond({200, soundHeaders(_upstream, _exchange.request()), _body});
 }
 
-void answerNotRun(HttpExchange& _exchange)
+void answerNotRun(HttpExchange& _exchange, const std::vector<HttpHeader>& _notices)
 {
-	_exchange.respond(
-		{503, {{"Not-Executed", "1"}, {"Request-Id", std::string(_exchange.request()["Request-Id"])}}, ""});
+	std::vector<HttpHeader> headers = {{"Not-Executed", "1"},
+									   {"Request-Id", std::string(_exchange.request()["Request-Id"])}};
+	headers.insert(headers.end(), _notices.begin(), _notices.end());
+	_exchange.respond({503, headers, ""});
 }
 
 /// @returns false once the caller is gone.
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -83,19 +83,18 @@
 	std::string address;
 	std::string version = "v1";
 	std::string hall = "hall-a";
-	uint64_t born = 0; ///< Unix milliseconds of its start; 0: it tells none.
+	uint64_t born = 0;               ///< Unix milliseconds of its start; 0: it tells none.
+	std::vector<HttpHeader> notices; ///< What it says about itself in all its answers.
 	HttpServer http;
 	std::function<void(StandInUpstream&, HttpExchange&)> answer;
 	std::vector<HttpRequest> requests; ///< All that came, in order.
 	uint32_t open = 0;                 ///< Under way.
 };
 
-/// @returns The headers of a sound upstream's answer.
-std::vector<HttpHeader> soundHeaders(const StandInUpstream& _upstream, const HttpRequest& _request);
 /// Answers 200 with the headers that a sound upstream gives.
 void answerWell(StandInUpstream& _upstream, HttpExchange& _exchange, const std::string& _body = "done");
 /// Answers that it has not run the request.
-void answerNotRun(HttpExchange& _exchange);
+void answerNotRun(HttpExchange& _exchange, const std::vector<HttpHeader>& _notices = {});
 /// Streams the events after the caller's last one, up to `_last`, with a pause before each; then ends or
 /// cuts.
 /// @param[in] _firstMs The pause before the first event that is sent, if it differs.
--- a/tests/direct/limited_fleet.h
+++ b/tests/direct/limited_fleet.h
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +22,6 @@
 struct LimitedUpstream
 {
 	StandInUpstream stand;
-	std::optional<std::string> limit; ///< Text of the field in all answers; empty: no field.
 	std::vector<TimeUs> arrivals;
 };
 
@@ -74,12 +72,7 @@
 		stand.http.handler = [&_place](HttpExchange& _exchange) {
 			_place.arrivals.push_back(monotonicNow());
 			sleepFor(kWorkMs);
-			std::vector<HttpHeader> headers = soundHeaders(_place.stand, _exchange.request());
-			if (_place.limit)
-			{
-				headers.push_back({"Server-Limit", *_place.limit});
-			}
-			_exchange.respond({200, headers, "done"});
+			answerWell(_place.stand, _exchange);
 		};
 		stand.address = loopback(startHttpServer(testIo(), stand.http, {loopbackIp(), 0}));
 		setItem(store, "servers/" + stand.id,
@@ -92,6 +85,11 @@
 					.dump());
 	}
 
+	void stateLimit(size_t _place, const std::string& _text)
+	{
+		places[_place]->stand.notices = {{"Server-Limit", _text}};
+	}
+
 	void send(size_t _router)
 	{
 		HttpClient client;
--- a/tests/direct/limited_upstream_test.cpp
+++ b/tests/direct/limited_upstream_test.cpp
@@ -24,7 +24,7 @@
 // An upstream that stated 1.4 a second got 71 requests in 4 s.
 TEST_F(LimitedFleet, AnUpstreamGetsNoMoreThanTheLimitThatItStates)
 {
-	places[0]->limit = "1.4";
+	stateLimit(0, "1.4");
 	load(kContactMs);
 	countAnew();
 	load(kMeasuredMs);
@@ -36,9 +36,9 @@
 // Four that stated 1.9 a second got 95 in 4 s each, and no request was refused.
 TEST_F(LimitedFleet, WhereAllStateALimitTheRestIsRefusedWithATimeToComeBack)
 {
-	for (const auto& place : places)
+	for (size_t ii = 0; ii < places.size(); ++ii)
 	{
-		place->limit = "1.9";
+		stateLimit(ii, "1.9");
 	}
 	load(kContactMs);
 	countAnew();
@@ -56,7 +56,7 @@
 // second.
 TEST_F(LimitedFleet, ARouterThatStartsBlankKeepsALimitThatTheOthersWereTold)
 {
-	places[0]->limit = "1.4";
+	stateLimit(0, "1.4");
 	load(kContactMs);
 	countAnew();
 	together({[&] { load(kMeasuredMs); },
@@ -71,9 +71,9 @@
 
 TEST_F(LimitedFleet, AnUpstreamGetsItsShareAgainSoonAfterItStatesNoLimit)
 {
-	places[0]->limit = "1.4";
+	stateLimit(0, "1.4");
 	load(kContactMs);
-	places[0]->limit.reset();
+	places[0]->stand.notices.clear();
 	load(kContactMs);
 	countAnew();
 	load(kMeasuredMs);
@@ -91,12 +91,12 @@
 	const char* texts[] = {"-1", "nan", "inf", "many"};
 	for (size_t ii = 0; ii < places.size(); ++ii)
 	{
-		places[ii]->limit = texts[ii];
+		stateLimit(ii, texts[ii]);
 	}
 	load(kContactMs);
 	for (const auto& place : places)
 	{
-		EXPECT_GE(place->arrivals.size(), halfOf(1.9, kContactMs)) << *place->limit;
+		EXPECT_GE(place->arrivals.size(), halfOf(1.9, kContactMs)) << place->stand.id;
 	}
 	EXPECT_EQ(refused(), 0u);
 	EXPECT_NE(routers[0]->log().find("event=answer_field_ignored"), std::string::npos);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,6 +12,7 @@
 #include "soak_callers.h"
 #include "soak_endings.h"
 #include "soak_faults.h"
+#include "soak_notices.h"
 #include "soak_rollouts.h"
 #include "soak_state.h"
 #include "soak_upstreams.h"
@@ -125,6 +126,10 @@
 	bodies.emplace_back([&_soak] { leaveOn(_soak); });
 	bodies.emplace_back([&_soak] { evacuateOn(_soak); });
 	bodies.emplace_back([&_soak] { endUpstreamsOn(_soak); });
+	if (absl::GetFlag(FLAGS_notices))
+	{
+		bodies.emplace_back([&_soak] { limitOn(_soak); });
+	}
 	if (absl::GetFlag(FLAGS_rollouts))
 	{
 		bodies.emplace_back([&_soak] { rolloutOn(_soak); });
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -25,6 +25,7 @@
 ABSL_DECLARE_FLAG(uint32_t, keepers);
 ABSL_DECLARE_FLAG(bool, planned);
 ABSL_DECLARE_FLAG(bool, rollouts);
+ABSL_DECLARE_FLAG(bool, notices);
 ABSL_DECLARE_FLAG(double, silent);
 ABSL_DECLARE_FLAG(std::string, mutant);
 ABSL_DECLARE_FLAG(std::string, only);
@@ -51,9 +52,29 @@
 	bool storeSound = false; ///< The store took it while it was stable.
 };
 
+struct SoakRouter;
+
+/// A request that an upstream with a limit got.
+struct LimitedArrival
+{
+	TimeUs at = 0;
+	const SoakRouter* router = nullptr;
+};
+
+/// A limit that an upstream states in its answers.
+struct SoakLimit
+{
+	double perSecond = 0.0;
+	TimeUs since = 0;  ///< 0: it states none.
+	TimeUs heldUp = 0; ///< `Soak::heldUp` then.
+	std::map<const SoakRouter*, TimeUs> toldAt;
+	std::vector<LimitedArrival> arrivals; ///< Of routers that had been told.
+};
+
 struct SoakUpstream
 {
 	StandInUpstream* upstream = nullptr;
+	SoakLimit limit;
 	FaultProxy proxy;
 	Notice leaving;      ///< It leaves, or is gone from the store.
 	bool down = false;   ///< It has ended under a request, and is not back yet.
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -7,6 +7,7 @@
 #include "ports.h"
 #include "soak_checks.h"
 #include "soak_endings.h"
+#include "soak_notices.h"
 #include "soak_rollouts.h"
 
 namespace spanplank
@@ -81,6 +82,7 @@
 	const int last = pauses ? kPausingLast : int(5 + below(_soak, 20));
 	const uint32_t pauseMs = pauses ? kPauseLeastMs + below(_soak, kPauseSpreadMs) : firstMs;
 	const StreamMark mark(_record, _exchange);
+	noteTold(_end, _record);
 	const bool ended =
 		answerEvents(*_end.upstream, _exchange, last, pauseMs, cut || isMutant("cut"), confidence, firstMs);
 	// One that the router still waits for may go on with the answer.
@@ -123,10 +125,12 @@
 	RequestRecord& record = found->second;
 	drawAs(_soak, "answers to " + id, record.arrivals++);
 	checkArrival(_soak, _end, record);
+	checkLimit(_soak, _end, record);
 	noteTrialArrival(_soak, _end, record);
 	if (happens(_soak, kRejectChance) && !isMutant("twice"))
 	{
-		answerNotRun(_exchange);
+		answerNotRun(_exchange, _end.upstream->notices);
+		noteTold(_end, record);
 		return;
 	}
 	checkRun(_soak, _end, record);
@@ -140,7 +144,8 @@
 	}
 	if (isMutant("twice") && happens(_soak, kRejectChance))
 	{
-		answerNotRun(_exchange);
+		answerNotRun(_exchange, _end.upstream->notices);
+		noteTold(_end, record);
 		return;
 	}
 	if (record.path == "/once/" && keepsSilent(_soak))
@@ -166,6 +171,7 @@
 	}
 	sleepFor(1 + below(_soak, 30));
 	answerWell(*_end.upstream, _exchange, "answer to " + id);
+	noteTold(_end, record);
 }
 
 void registerEnd(Soak& _soak, const SoakUpstream& _end, const char* _state)
@@ -213,6 +219,7 @@
 	resetConnections(_end.proxy);
 	++_end.upstream->born;
 	_end.leaving = {};
+	forgetNotices(_end);
 	registerEnd(_soak, _end, "ready");
 }
 
@@ -220,6 +227,7 @@
 {
 	startProxy(_end.proxy, _end.upstream->address);
 	++_end.upstream->born;
+	forgetNotices(_end);
 	_end.down = false;
 	if (_end.leaving.since == 0)
 	{
