A request waits for an upstream's rate no longer than its eighth of the objective

Cause: an upstream whose rate is divided and that is due, but that the request can't use (here: of a version that the trial excludes), counted as one to wait for. The wait ends at once, the choice fails again, and so on in turns of 1 ms until the upstreams changed: r-2-167 arrived and made its first attempt 4,622 ms later (answer_late after_ms=4622.4, attempt took_ms=1.3). The same loop stood there for cold upstreams; no load is to blame, the router logged all the time. Change: only upstreams that are not due are waited for, and all waits of a request together last an eighth of its objective from the first one, or until its deadline.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -47,6 +47,7 @@
 	uint32_t eventGapMs = 0;
 	TimeUs arrivedAt = 0;
 	TimeUs deadline = 0;
+	TimeUs waitingSince = 0; ///< When it first waited for a paced upstream; 0 if it has not.
 	/// Models to choose from, smallest first; empty if the caller selected the model.
 	std::vector<std::string> models;
 	size_t model = 0;          ///< Index in `models` of the current attempt's model.
@@ -187,7 +188,7 @@
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now);
 
 /// @returns Whether a request may wait for an upstream that is cold or states a limit and accepts it from
-/// `_from` on. If not, it is refused at once.
+/// `_from` on, counted from when it first waited. If not, it is refused at once.
 bool mayWaitForUpstream(const RequestPlan& _plan, TimeUs _from, TimeUs _now);
 
 /// Final answer of the router to a request without an answer from an upstream.
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -238,8 +238,8 @@
 /// @returns Whether an upstream states a limit.
 bool isLimited(const UpstreamTable& _table, UpstreamId _id);
 
-/// @returns When the first of the request's paced upstreams accepts a request from this router, `kNever` if
-/// none is expected to; empty if none of its upstreams is paced.
+/// @returns When the first of the request's paced upstreams that accept none now accepts a request from this
+/// router, `kNever` if none is expected to; empty if there are none.
 std::optional<TimeUs> nextPacedSendAt(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
 
 /// Why no upstream accepts a request, as far as this router can determine without contacting one.
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -179,7 +179,9 @@
 
 bool mayWaitForUpstream(const RequestPlan& _plan, TimeUs _from, TimeUs _now)
 {
-	return _from < _plan.deadline && _from - _now < shareOf(_plan.targetMs, kMaxPacedWaitShare);
+	const TimeUs since = _plan.waitingSince != 0 ? _plan.waitingSince : _now;
+	const TimeUs until = std::max(_from, _now);
+	return until < _plan.deadline && until - since < shareOf(_plan.targetMs, kMaxPacedWaitShare);
 }
 
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now)
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -287,7 +287,8 @@
 	std::optional<TimeUs> next;
 	for (const auto& [idx, entry] : _table.entries)
 	{
-		if (isPacedFor(_table, entry, idx, _query, _now))
+		// One that is due and was not chosen can't take the request for another reason.
+		if (isPacedFor(_table, entry, idx, _query, _now) && !isDue(entry.pace, _now))
 		{
 			next = std::min(next.value_or(kNever), nextRequestAt(entry));
 		}
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -50,6 +50,7 @@
 	{
 		return false;
 	}
+	_serving.plan.waitingSince = _serving.plan.waitingSince != 0 ? _serving.plan.waitingSince : now;
 	sleepFor(uint32_t(std::max<TimeUs>(1, (*from - now) / kMsToUs + 1)));
 	return true;
 }
--- a/tests/core/request_limit_test.cpp
+++ b/tests/core/request_limit_test.cpp
@@ -238,6 +238,29 @@
 	EXPECT_GT(late.retryAfterMs, early.retryAfterMs);
 }
 
+TEST(PacedWaits, OfARequestAreBoundedFromTheFirstOne)
+{
+	RequestPlan plan;
+	plan.targetMs = 800;
+	plan.deadline = 8 * kSecond;
+	EXPECT_TRUE(mayWaitForUpstream(plan, kSecond + 99 * kMsToUs, kSecond));
+	EXPECT_FALSE(mayWaitForUpstream(plan, kSecond + 100 * kMsToUs, kSecond));
+	plan.waitingSince = kSecond;
+	EXPECT_FALSE(mayWaitForUpstream(plan, kSecond + 100 * kMsToUs, kSecond + 50 * kMsToUs));
+	EXPECT_FALSE(mayWaitForUpstream(plan, kNever, kSecond));
+	EXPECT_FALSE(mayWaitForUpstream(plan, kSecond, kSecond + 100 * kMsToUs)) << "waited enough";
+}
+
+// Requests waited 4.6 s, beyond their deadline, for an upstream that was due and that they could not use.
+TEST(PacedWaits, AreNotForAnUpstreamThatIsDueAndWasNotChosen)
+{
+	UpstreamTable table = tableOf({"one"});
+	const UpstreamId one = currentIncarnation(table, "one");
+	recordLimitAnswer(table, one, stating(2.0, 0), 1);
+	setSpacing(table.entries.at(one.idx).pace, kSecond / 2, 0.0, kSecond);
+	EXPECT_FALSE(nextPacedSendAt(table, appQuery(), 2 * kSecond));
+}
+
 // ---- Between routers --------------------------------------------------------------------------------------
 
 /// Routers in a tree whose links are cut and made anew, and that start blank.
