More urgent requests go first where upstreams' rates are used up

What callers saw: where all upstreams of a service state limits, whichever request looked first after an interval was sent; a more urgent one that had waited for it was refused. Cause: requests that wait for an upstream with a divided rate did not know of each other. Change: a request leaves such an upstream to a more urgent one of its service that waits (the urgency of the engines: the account's priority before the route's), within the same bound of all its waits. Upstreams without a limit are as before. Measured: PacedWaits (4), RequestLimit* and Cold* pass; the effect on classes of callers was not measured by itself.

--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -14,6 +14,7 @@
 #include "settings_p.h"
 #include "spanplank/crash_suspects.h"
 #include "spanplank/duty.h"
+#include "spanplank/paced_waits.h"
 #include "spanplank/planned_stop.h"
 #include "spanplank/request_plan.h"
 #include "spanplank/retry_window.h"
@@ -123,6 +124,7 @@
 	std::map<RequestDigest, StoredSuspect> storedSuspects;
 	std::map<std::string, RetryWindow> retries;         ///< By service.
 	std::map<std::string, FirstTokenPressure> pressure; ///< By service.
+	std::map<std::string, PacedWaits> pacedWaits;       ///< By service.
 	WallClock wall;
 	UsageLedger usage;
 	DutyState usageDuty;
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -13,6 +13,17 @@
 /// Steps of urgency for each step of an account's priority, which goes before the route's.
 constexpr uint32_t kAccountUrgency = 3;
 
+} // namespace
+
+uint32_t urgencyOf(const Serving& _serving)
+{
+	const uint32_t account = _serving.account != nullptr ? _serving.account->priority : 0;
+	const uint32_t route = std::min(_serving.route->priority, kAccountUrgency - 1);
+	return std::min(kMostUrgency, account * kAccountUrgency + route);
+}
+
+namespace
+{
 HttpExchange::Fields attemptHead(const Serving& _serving, const UpstreamRecord& _upstream, TimeUs _now)
 {
 	platform::AttemptHeaders headers;
@@ -26,9 +37,7 @@
 	}
 	if (_serving.plan.stream && _serving.plan.policies.urgency)
 	{
-		const uint32_t account = _serving.account != nullptr ? _serving.account->priority : 0;
-		const uint32_t route = std::min(_serving.route->priority, kAccountUrgency - 1);
-		headers.urgency = std::min(kMostUrgency, account * kAccountUrgency + route);
+		headers.urgency = urgencyOf(_serving);
 	}
 	return platform::encodeAttemptHead(_serving.exchange.request(), headers);
 }
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -16,6 +16,8 @@
 {
 /// Until upstreams that were full, and the retry window, are asked again for a stream that has to go on.
 constexpr uint32_t kLaterMs = 200;
+/// Time for more urgent requests that wait for an upstream to be sent there first.
+constexpr TimeUs kUrgentTurn = 5 * kMsToUs;
 
 /// Keeps a request among those in flight for as long as its attempts run, also if they end by an exception:
 /// one that is never taken out would keep a stop waiting until its grace is over.
@@ -40,21 +42,66 @@
 	uint64_t m_number;
 };
 
-/// Waits for an upstream that is cold or states a limit to accept a request, if that is soon.
+/// Keeps a request among those that wait for a paced upstream.
+class WaitMark
+{
+public:
+	explicit WaitMark(const Serving& _serving)
+		: m_waits(_serving.router.pacedWaits[_serving.service]), m_urgency(urgencyOf(_serving))
+	{
+		beginWait(m_waits, m_urgency);
+	}
+
+	~WaitMark()
+	{
+		endWait(m_waits, m_urgency);
+	}
+
+	WaitMark(const WaitMark&) = delete;
+	WaitMark& operator=(const WaitMark&) = delete;
+
+private:
+	PacedWaits& m_waits;
+	uint32_t m_urgency;
+};
+
+/// @returns Whether an upstream is left to a more urgent request that waits for one.
+bool isLeftToUrgent(const Serving& _serving, UpstreamId _upstream)
+{
+	DirectRouter& router = _serving.router;
+	const UpstreamEntry& entry = router.upstreams.entries.at(_upstream.idx);
+	return isPaced(entry, monotonicNow()) &&
+		   !mayGoFirst(router.pacedWaits[_serving.service], urgencyOf(_serving));
+}
+
+/// Waits until a time, if the request may wait that long.
 /// @returns Whether it waited: the choice is to be made again.
-bool awaitPaced(Serving& _serving, const UpstreamQuery& _query)
+bool awaitTime(Serving& _serving, TimeUs _from, TimeUs _now)
 {
-	const TimeUs now = monotonicNow();
-	const std::optional<TimeUs> from = nextPacedSendAt(_serving.router.upstreams, _query, now);
-	if (!from || !mayWaitForUpstream(_serving.plan, *from, now))
+	if (!mayWaitForUpstream(_serving.plan, _from, _now))
 	{
 		return false;
 	}
-	_serving.plan.waitingSince = _serving.plan.waitingSince != 0 ? _serving.plan.waitingSince : now;
-	sleepFor(uint32_t(std::max<TimeUs>(1, (*from - now) / kMsToUs + 1)));
+	_serving.plan.waitingSince = _serving.plan.waitingSince != 0 ? _serving.plan.waitingSince : _now;
+	const WaitMark waits(_serving);
+	sleepFor(uint32_t(std::max<TimeUs>(1, (_from - _now) / kMsToUs + 1)));
 	return true;
 }
 
+/// Waits for an upstream that is cold or states a limit to accept a request, if that is soon.
+/// @param[in] _leftToUrgent One accepts it now, and a more urgent request waits.
+/// @returns Whether it waited: the choice is to be made again.
+bool awaitPaced(Serving& _serving, const UpstreamQuery& _query, bool _leftToUrgent)
+{
+	const TimeUs now = monotonicNow();
+	if (_leftToUrgent)
+	{
+		return awaitTime(_serving, now + kUrgentTurn, now);
+	}
+	const std::optional<TimeUs> from = nextPacedSendAt(_serving.router.upstreams, _query, now);
+	return from && awaitTime(_serving, *from, now);
+}
+
 /// Waits for the fibers that make attempts beside the first one's; if that one ended by an exception, ends
 /// them.
 class SearchJoin
@@ -138,11 +185,12 @@
 	const UpstreamQuery query = queryOf(_serving, model);
 	// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
-	if (isValid(upstream))
+	const bool leftToUrgent = isValid(upstream) && isLeftToUrgent(_serving, upstream);
+	if (isValid(upstream) && !leftToUrgent)
 	{
 		return afterResult(_serving, runAttempt(_serving, upstream, query), upstream, _turns);
 	}
-	if (awaitPaced(_serving, query))
+	if (awaitPaced(_serving, query, leftToUrgent))
 	{
 		return RetryDecision::Retry;
 	}
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -99,6 +99,9 @@
 /// @returns The model of the attempt under way; empty: the caller names none.
 std::string modelOf(const Serving& _serving);
 
+/// @returns The urgency of a request, by its account's and its route's priority: from 0, most urgent, to 9.
+uint32_t urgencyOf(const Serving& _serving);
+
 /// What the attempt needs of an upstream. The views in it last as long as the serving and the model's name.
 UpstreamQuery queryOf(const Serving& _serving, const std::string& _model);
 
--- a/tests/core/request_limit_test.cpp
+++ b/tests/core/request_limit_test.cpp
@@ -10,6 +10,7 @@
 #include <rapidcheck/gtest.h>
 #include <set>
 
+#include "spanplank/paced_waits.h"
 #include "spanplank/peer_messages.h"
 #include "spanplank/request_plan.h"
 #include "spanplank/upstream_table.h"
@@ -238,6 +239,24 @@
 	EXPECT_GT(late.retryAfterMs, early.retryAfterMs);
 }
 
+TEST(PacedWaits, LeaveAnUpstreamToTheMostUrgentRequestThatWaits)
+{
+	PacedWaits waits;
+	EXPECT_TRUE(mayGoFirst(waits, 9));
+	beginWait(waits, 4);
+	beginWait(waits, 4);
+	beginWait(waits, 1);
+	EXPECT_TRUE(mayGoFirst(waits, 1));
+	EXPECT_FALSE(mayGoFirst(waits, 4));
+	endWait(waits, 1);
+	EXPECT_TRUE(mayGoFirst(waits, 4));
+	EXPECT_FALSE(mayGoFirst(waits, 5));
+	endWait(waits, 4);
+	EXPECT_FALSE(mayGoFirst(waits, 5)) << "one more waits";
+	endWait(waits, 4);
+	EXPECT_TRUE(mayGoFirst(waits, 5));
+}
+
 TEST(PacedWaits, OfARequestAreBoundedFromTheFirstOne)
 {
 	RequestPlan plan;
--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -25,8 +25,7 @@
 	"a check to prove: `twice` lets upstreams run a rejected request, `lost` lets callers lose answers, "
 	"`idle` lets them overstay, `cut` lets upstreams cut streams unseen, `drain` keeps leavings from the "
 	"store, `evacuation` does so with orders, `ends` kills routers unseen, `unlike` gives each copy of a "
-	"request that ends upstreams a body of its own, `alike` gives it the path of a harmless one, `limit` "
-	"keeps "
+	"request that ends upstreams a body of its own, `alike` gives it the path of a harmless one, `limit` keeps "
 	"stated limits from the answers");
 
 namespace spanplank
