Answers that say that their upstream leaves are decoded, logged and counted

An upstream that leaves says so in all its answers. The field went to the caller and nowhere else, so that neither the logs nor the metrics told whether a router had been told. Nothing is chosen by it yet.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -74,6 +74,7 @@
 	UpstreamHealth health;
 	ColdState cold;
 	RequestLimit limit;
+	bool saysLeaving = false; ///< An answer of this incarnation said that it shuts down.
 	RequestPace pace;         ///< Applies while the upstream is cold or states a limit.
 	bool unreachable = false; ///< A connection failed, and no answer has arrived since.
 };
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -98,6 +98,10 @@
 	});
 	addGauge(page, "upstreams_limited", "Upstreams that state a limit of requests per second.",
 			 double(limited));
+	const auto leaving = std::count_if(entries.begin(), entries.end(),
+									   [](const auto& _item) { return _item.second.saysLeaving; });
+	addGauge(page, "upstreams_leaving_by_answer", "Upstreams whose answers say that they shut down.",
+			 double(leaving));
 	addCounters(page, "upstream_limit_changes_total", "Changes of the limits that upstreams state, by kind.",
 				"change", stats.limitChanges);
 	addCounters(page, "answer_fields_ignored_total",
--- a/src/direct/upstream_notices.cpp
+++ b/src/direct/upstream_notices.cpp
@@ -56,6 +56,19 @@
 		logLimit(_serving.router, _notes.upstream, change, _before, {"request", _serving.call.requestId});
 	}
 }
+
+void recordLeaving(Serving& _serving, UpstreamEntry& _entry)
+{
+	if (_entry.saysLeaving)
+	{
+		return;
+	}
+	_entry.saysLeaving = true;
+	logEvent("upstream_leaving", {{"upstream", _entry.record.id},
+								  {"born", std::to_string(_entry.record.startedAtMs)},
+								  {"known", _entry.record.draining ? "1" : "0"},
+								  {"request", _serving.call.requestId}});
+}
 } // namespace
 
 void recordNotices(Serving& _serving, const AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
@@ -71,6 +84,10 @@
 	const TimeUs now = monotonicNow();
 	countInvalidFields(_serving, _notes, _answer, now);
 	recordLimit(_serving, _notes, _answer, found->second.limit.perSecond, now);
+	if (_answer.leaving)
+	{
+		recordLeaving(_serving, found->second);
+	}
 }
 
 void takePeerLimits(DirectRouter& _router, const std::vector<LimitUpdate>& _limits, LinkId _link)
--- a/tests/direct/codec_test.cpp
+++ b/tests/direct/codec_test.cpp
@@ -144,6 +144,21 @@
 	EXPECT_EQ(platform::readAnswerHeaders(fields, 200).requestLimit, std::nullopt) << "twice";
 }
 
+TEST(Codec, AFlagIsSetByTheValueOneAlone)
+{
+	platform::Fields fields;
+	EXPECT_FALSE(platform::readAnswerHeaders(fields, 200).leaving);
+	fields.set("Server-Leaving", "1");
+	EXPECT_TRUE(platform::readAnswerHeaders(fields, 503).leaving);
+	for (const char* text : {"0", "", "yes", "11"})
+	{
+		fields.set("Server-Leaving", text);
+		const platform::AnswerHeaders answer = platform::readAnswerHeaders(fields, 200);
+		EXPECT_FALSE(answer.leaving) << text;
+		EXPECT_EQ(answer.invalidFields, std::vector<std::string>{"Server-Leaving"}) << text;
+	}
+}
+
 TEST(Codec, ARolloutStatusSurvivesTheWay)
 {
 	for (const RolloutState state :
