Rest that upstreams ask for is decoded, logged and counted

An upstream that turns a request away may ask the router for a time without requests. Neither the logs nor the metrics told that it had: a rejection left no trace but in the request's own list. Nothing is chosen by it yet.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -18,6 +18,7 @@
 #include "spanplank/request_limit.h"
 #include "spanplank/store_contact.h"
 #include "spanplank/types.h"
+#include "spanplank/upstream_rest.h"
 
 namespace spanplank
 {
@@ -75,6 +76,7 @@
 	ColdState cold;
 	RequestLimit limit;
 	bool saysLeaving = false; ///< An answer of this incarnation said that it shuts down.
+	RestState rest;
 	RequestPace pace;         ///< Applies while the upstream is cold or states a limit.
 	bool unreachable = false; ///< A connection failed, and no answer has arrived since.
 };
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -102,6 +102,12 @@
 									   [](const auto& _item) { return _item.second.saysLeaving; });
 	addGauge(page, "upstreams_leaving_by_answer", "Upstreams whose answers say that they shut down.",
 			 double(leaving));
+	const auto resting = std::count_if(entries.begin(), entries.end(), [now](const auto& _item) {
+		return isResting(_item.second.rest, now);
+	});
+	addGauge(page, "upstreams_resting", "Upstreams that asked this router for rest.", double(resting));
+	addCounter(page, "upstream_rests_asked_total",
+			   "Rejections in which upstreams asked this router for rest.", double(stats.restsAsked));
 	addCounters(page, "upstream_limit_changes_total", "Changes of the limits that upstreams state, by kind.",
 				"change", stats.limitChanges);
 	addCounters(page, "answer_fields_ignored_total",
--- a/src/direct/upstream_notices.cpp
+++ b/src/direct/upstream_notices.cpp
@@ -1,6 +1,7 @@
 /// Records what upstreams say about themselves in their answers, with its log events.
 #include "upstream_notices_p.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 #include "fiber_runtime_p.h"
@@ -69,6 +70,21 @@
 								  {"known", _entry.record.draining ? "1" : "0"},
 								  {"request", _serving.call.requestId}});
 }
+
+void recordRest(Serving& _serving, UpstreamEntry& _entry, double _askedMs, TimeUs _now)
+{
+	const bool resting = isResting(_entry.rest, _now);
+	_entry.rest.until = std::max(_entry.rest.until, _now + restLength(_askedMs));
+	++_serving.router.stats.restsAsked;
+	if (!resting)
+	{
+		logEvent("upstream_rest", {{"upstream", _entry.record.id},
+								   {"born", std::to_string(_entry.record.startedAtMs)},
+								   {"asked_ms", fmt::format("{:.0f}", _askedMs)},
+								   {"for_ms", std::to_string((_entry.rest.until - _now) / kMsToUs)},
+								   {"request", _serving.call.requestId}});
+	}
+}
 } // namespace
 
 void recordNotices(Serving& _serving, const AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
@@ -84,6 +100,10 @@
 	const TimeUs now = monotonicNow();
 	countInvalidFields(_serving, _notes, _answer, now);
 	recordLimit(_serving, _notes, _answer, found->second.limit.perSecond, now);
+	if (_answer.restMs)
+	{
+		recordRest(_serving, found->second, *_answer.restMs, now);
+	}
 	if (_answer.leaving)
 	{
 		recordLeaving(_serving, found->second);
--- a/tests/direct/codec_test.cpp
+++ b/tests/direct/codec_test.cpp
@@ -144,6 +144,23 @@
 	EXPECT_EQ(platform::readAnswerHeaders(fields, 200).requestLimit, std::nullopt) << "twice";
 }
 
+TEST(Codec, ARestIsAskedForByAnUnavailableUpstreamThatDidNotRunTheRequest)
+{
+	platform::Fields fields;
+	fields.set("Retry-After", "2.5");
+	EXPECT_EQ(platform::readAnswerHeaders(fields, 503).restMs, std::nullopt) << "it may have run";
+	fields.set("Not-Executed", "1");
+	EXPECT_EQ(platform::readAnswerHeaders(fields, 503).restMs, 2500.0);
+	EXPECT_EQ(platform::readAnswerHeaders(fields, 429).restMs, std::nullopt);
+	for (const char* text : {"-3", "nan", "inf", "", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"})
+	{
+		fields.set("Retry-After", text);
+		const platform::AnswerHeaders answer = platform::readAnswerHeaders(fields, 503);
+		EXPECT_EQ(answer.restMs, std::nullopt) << text;
+		EXPECT_EQ(answer.invalidFields, std::vector<std::string>{"Retry-After"}) << text;
+	}
+}
+
 TEST(Codec, AFlagIsSetByTheValueOneAlone)
 {
 	platform::Fields fields;
