Failing test: an upstream that says in its answers that it leaves still gets requests

Three routers before four upstreams; the store is never told, or tells of the upstream as ready after an outage.

--- a/tests/direct/limited_fleet.h
+++ b/tests/direct/limited_fleet.h
@@ -1,4 +1,5 @@
-/// Three routers on one store before four upstreams, of which each may state a limit of requests per second.
+/// Three routers on one store before four upstreams, of which each may say something about itself in its
+/// answers: a limit of requests per second, that it leaves, or that it wants rest.
 #ifndef SPANPLANK_TESTS_LIMITED_FLEET_H_HEADER_GUARD
 #define SPANPLANK_TESTS_LIMITED_FLEET_H_HEADER_GUARD
 
@@ -22,7 +23,10 @@
 struct LimitedUpstream
 {
 	StandInUpstream stand;
+	bool rejects = false; ///< It runs no request.
 	std::vector<TimeUs> arrivals;
+	std::map<std::string, std::vector<TimeUs>> arrivalsOf; ///< By router.
+	std::map<std::string, std::vector<TimeUs>> askedOf;    ///< When it rejected a request, by router.
 };
 
 struct LimitedFleet : FleetTest
@@ -70,14 +74,27 @@
 		StandInUpstream& stand = _place.stand;
 		stand.id = fmt::format("l-{}", _idx);
 		stand.http.handler = [&_place](HttpExchange& _exchange) {
+			const std::string router = routerOf(_exchange.request());
 			_place.arrivals.push_back(monotonicNow());
+			_place.arrivalsOf[router].push_back(monotonicNow());
+			if (_place.rejects)
+			{
+				answerNotRun(_exchange, _place.stand.notices);
+				_place.askedOf[router].push_back(monotonicNow());
+				return;
+			}
 			sleepFor(kWorkMs);
 			answerWell(_place.stand, _exchange);
 		};
 		stand.address = loopback(startHttpServer(testIo(), stand.http, {loopbackIp(), 0}));
-		setItem(store, "servers/" + stand.id,
+		registerPlace(_place);
+	}
+
+	void registerPlace(const LimitedUpstream& _place)
+	{
+		setItem(store, "servers/" + _place.stand.id,
 				json{{"service", "app"},
-					 {"address", stand.address},
+					 {"address", _place.stand.address},
 					 {"zone", "hall-a"},
 					 {"version", "v1"},
 					 {"slots", 8},
@@ -85,6 +102,13 @@
 					.dump());
 	}
 
+	/// @returns The router that a caller sent a request to, as its id tells.
+	static std::string routerOf(const HttpRequest& _request)
+	{
+		const std::string id(_request["Request-Id"]);
+		return id.substr(id.rfind('-') + 1);
+	}
+
 	void stateLimit(size_t _place, const std::string& _text)
 	{
 		places[_place]->stand.notices = {{"Server-Limit", _text}};
@@ -99,7 +123,7 @@
 		request.method = "GET";
 		request.target = "/plain/x";
 		request.headers = {{"Host", "town.example"},
-						   {"Request-Id", fmt::format("request-{}", nextRequest++)},
+						   {"Request-Id", fmt::format("request-{}-{}", nextRequest++, _router)},
 						   {"Deadline-Remaining", "2000"},
 						   {"Key", "kept-key"}};
 		HttpResponse answer;
@@ -145,6 +169,8 @@
 		for (const auto& place : places)
 		{
 			place->arrivals.clear();
+			place->arrivalsOf.clear();
+			place->askedOf.clear();
 		}
 	}
 
