An upstream that says in an answer that it leaves gets no further request

What callers saw: nothing as long as the upstream served on; requests sent there for 12 s were at risk of its end. The choice and the second look before the first byte heed it already.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -162,6 +162,11 @@
 /// @returns Whether an upstream is cold and its service limits the rate of cold upstreams.
 bool isCold(const UpstreamTable& _table, UpstreamId _id, TimeUs _now);
 
+/// Records that an answer of an upstream said that it shuts down. This holds for its incarnation, whatever
+/// its registration says later.
+/// @returns Whether this is the first such answer.
+bool recordLeaving(UpstreamTable& _table, UpstreamId _id);
+
 /// Ends a registration. If it may have lapsed in a store outage, the upstream stays usable for a grace
 /// period.
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now);
--- a/src/core/upstream_registrations.cpp
+++ b/src/core/upstream_registrations.cpp
@@ -115,6 +115,18 @@
 	return UpstreamId{known->second};
 }
 
+bool recordLeaving(UpstreamTable& _table, UpstreamId _id)
+{
+	const auto found = _table.entries.find(_id.idx);
+	if (found == _table.entries.end() || found->second.saysLeaving)
+	{
+		return false;
+	}
+	found->second.saysLeaving = true;
+	found->second.record.draining = true;
+	return true;
+}
+
 void unregisterUpstream(UpstreamTable& _table, const std::string& _id, TimeUs _now)
 {
 	const auto known = _table.idxOfId.find(_id);
--- a/src/direct/upstream_notices.cpp
+++ b/src/direct/upstream_notices.cpp
@@ -58,17 +58,18 @@
 	}
 }
 
-void recordLeaving(Serving& _serving, UpstreamEntry& _entry)
+void noteLeaving(Serving& _serving, UpstreamId _upstream)
 {
-	if (_entry.saysLeaving)
+	UpstreamTable& table = _serving.router.upstreams;
+	const UpstreamRecord& record = table.entries.at(_upstream.idx).record;
+	const bool known = record.draining;
+	if (recordLeaving(table, _upstream))
 	{
-		return;
+		logEvent("upstream_leaving", {{"upstream", record.id},
+									  {"born", std::to_string(record.startedAtMs)},
+									  {"known", known ? "1" : "0"},
+									  {"request", _serving.call.requestId}});
 	}
-	_entry.saysLeaving = true;
-	logEvent("upstream_leaving", {{"upstream", _entry.record.id},
-								  {"born", std::to_string(_entry.record.startedAtMs)},
-								  {"known", _entry.record.draining ? "1" : "0"},
-								  {"request", _serving.call.requestId}});
 }
 
 void recordRest(Serving& _serving, UpstreamEntry& _entry, double _askedMs, TimeUs _now)
@@ -106,7 +107,7 @@
 	}
 	if (_answer.leaving)
 	{
-		recordLeaving(_serving, found->second);
+		noteLeaving(_serving, _notes.upstream);
 	}
 }
 
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -72,6 +72,28 @@
 	EXPECT_EQ(pick(query(), 0), "");
 }
 
+TEST_F(TableTest, AnUpstreamWhoseAnswerSaysThatItLeavesDoesSoWhateverItsRecordSays)
+{
+	UpstreamRecord one = record("one");
+	one.startedAtMs = 1000;
+	const UpstreamId leaving = registerUpstream(table, one);
+	EXPECT_TRUE(recordLeaving(table, leaving));
+	EXPECT_FALSE(recordLeaving(table, leaving)) << "known";
+	EXPECT_EQ(pick(query(), 0), "");
+	EXPECT_FALSE(maySendTo(table, leaving, 0)) << "chosen before";
+	EXPECT_EQ(noUpstreamReason(table, query(), 0), NoUpstream::None);
+	replaceRegistrations(table, {&one, 1}, kSecond);
+	EXPECT_EQ(pick(query(), kSecond), "") << "listed as ready";
+	simulateOutage(kSecond, 20 * kSecond);
+	unregisterUpstream(table, "one", 20 * kSecond);
+	EXPECT_EQ(pick(query(), 20 * kSecond), "") << "no lapse";
+	registerUpstream(table, one, 21 * kSecond);
+	EXPECT_EQ(pick(query(), 21 * kSecond), "") << "registered again";
+	one.startedAtMs = 2000;
+	registerUpstream(table, one, 22 * kSecond);
+	EXPECT_EQ(pick(query(), 22 * kSecond), "one") << "started again";
+}
+
 TEST_F(TableTest, ARequestLimitedToRegionsGoesToTheirUpstreamsAloneAndIsRememberedThere)
 {
 	registerUpstream(table, record("near", "a"));
