An upstream that asks for rest gets it, and one request after it

What callers saw: 503 from routers that had asked two or three resting upstreams each, while another one had room; the upstreams got up to 27 requests of one router in a rest of 3 s. Change: a rest of each upstream at each router, a minute at most. It is not chosen meanwhile, and what waits for a connection is not sent; after it, up to a quarter later at random, one request shows whether it accepts again. Where all rest, requests are refused at once with the shortest rest as time to come back. The wait for an upstream's rate covers its rest too, and request_refused tells retry_after_ms.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -187,7 +187,8 @@
 /// @returns Whether another attempt that may run is allowed now.
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now);
 
-/// @returns Whether a request may wait for an upstream that is cold or states a limit and accepts it from
+/// @returns Whether a request may wait for an upstream that is cold, states a limit or rests, and accepts it
+/// from
 /// `_from` on, counted from when it first waited. If not, it is refused at once.
 bool mayWaitForUpstream(const RequestPlan& _plan, TimeUs _from, TimeUs _now);
 
@@ -203,8 +204,9 @@
 /// @param[in] _why Why no upstream was available, if that ended the request.
 /// @param[in] _jitter Random number from 0 to 1 that spreads the retries of callers that are refused
 /// together.
+/// @param[in] _acceptsAt When an upstream accepts a request again; 0 or `kNever` if unknown.
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, NoUpstream _why, double _jitter,
-						TimeUs _now);
+						TimeUs _now, TimeUs _acceptsAt = 0);
 } // namespace spanplank
 
 #endif // SPANPLANK_REQUEST_PLAN_H_HEADER_GUARD
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -246,9 +246,9 @@
 /// @returns Whether an upstream states a limit.
 bool isLimited(const UpstreamTable& _table, UpstreamId _id);
 
-/// @returns When the first of the request's paced upstreams that accept none now accepts a request from this
-/// router, `kNever` if none is expected to; empty if there are none.
-std::optional<TimeUs> nextPacedSendAt(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
+/// @returns When the first of the request's upstreams that accept none now, by their rate or rest, accepts a
+/// request from this router, `kNever` if none is expected to; empty if there are none.
+std::optional<TimeUs> nextSendAt(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
 
 /// Why no upstream accepts a request, as far as this router can determine without contacting one.
 enum class NoUpstream : uint8_t
@@ -257,7 +257,8 @@
 	Evacuated, ///< All registered upstreams are in evacuated halls.
 	Cold,      ///< The upstreams in open halls are cold and at their rate limit.
 	Regions,   ///< All registered upstreams are in regions that may not serve the request.
-	Limited,   ///< Upstreams in open halls state limits that are used up, or are cold.
+	Limited,   ///< Upstreams in open halls state limits that are used up, or are cold or resting.
+	Resting,   ///< Upstreams in open halls asked for rest, or are cold.
 };
 
 /// @returns A name for logs.
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -74,7 +74,10 @@
 constexpr uint32_t kLimitedRetryAfterMs = 300;
 constexpr double kLimitedRetryJitterMs = 1200.0; ///< Maximum random addition to `kLimitedRetryAfterMs`.
 
-/// Maximum wait for an upstream that is cold or states a limit, as a share of the latency objective: a
+/// Maximum random addition to the Retry-After while all upstreams rest.
+constexpr double kRestRetryJitterMs = 1000.0;
+
+/// Maximum wait for an upstream that is cold, states a limit or rests, as a share of the latency objective: a
 /// request that is refused earlier can still be on time when its caller retries.
 constexpr double kMaxPacedWaitShare = 0.125;
 
@@ -330,8 +333,19 @@
 	return decideAfterAttempt(_plan, _end, _upstream, _window, _now);
 }
 
+namespace
+{
+/// Callers come back after the shortest rest, spread over a time.
+uint32_t restRetryAfterMs(TimeUs _acceptsAt, double _jitter, TimeUs _now)
+{
+	const TimeUs latest = _now + kMaxRest;
+	const TimeUs at = std::clamp(_acceptsAt, _now, latest);
+	return std::max(kRetryAfterMs, uint32_t((at - _now) / kMsToUs)) + uint32_t(_jitter * kRestRetryJitterMs);
+}
+} // namespace
+
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, NoUpstream _why, double _jitter,
-						TimeUs _now)
+						TimeUs _now, TimeUs _acceptsAt)
 {
 	if (!_plan.mayHaveRun && _why == NoUpstream::Evacuated)
 	{
@@ -351,6 +365,11 @@
 		return {status::kUnavailable, ms, "limited",
 				"the upstreams state request limits that are used up; it has not run"};
 	}
+	if (!_plan.mayHaveRun && _why == NoUpstream::Resting)
+	{
+		return {status::kUnavailable, restRetryAfterMs(_acceptsAt, _jitter, _now), "resting",
+				"the upstreams asked for rest; it has not run"};
+	}
 	if (!_plan.mayHaveRun && _why == NoUpstream::Regions)
 	{
 		return {status::kUnavailable, kRetryAfterMs, "region",
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -122,34 +122,55 @@
 	_entry.unreachable = _outcome == HealthOutcome::Unreachable || (_entry.unreachable && !returns);
 }
 
-/// @returns When an upstream that is paced accepts a request from this router.
-TimeUs nextRequestAt(const UpstreamEntry& _entry)
+/// @returns Whether an upstream accepts a request of this router now, as far as its rate and rest allow.
+bool acceptsNow(const UpstreamEntry& _entry, TimeUs _now)
 {
-	const TimeUs due = _entry.pace.spacing == 0 ? kNever : _entry.pace.nextAt;
-	return _entry.limit.perSecond ? due : std::min(due, _entry.cold.until);
+	return (!isPaced(_entry, _now) || isDue(_entry.pace, _now)) && mayReceive(_entry.rest, _now);
 }
 
-/// @returns Whether an upstream could take the request but for its rate.
-bool isPacedFor(const UpstreamTable& _table, const UpstreamEntry& _entry, uint32_t _idx,
-				const UpstreamQuery& _query, TimeUs _now)
+/// @returns When an upstream that accepts no request now accepts one; `kNever` if that is not known.
+TimeUs nextRequestAt(const UpstreamEntry& _entry, TimeUs _now)
 {
-	return matches(_entry, _query, _idx) && isUsable(_table, _entry, _now) && isPaced(_entry, _now);
+	if (!isResting(_entry.rest, _now) && !mayReceive(_entry.rest, _now))
+	{
+		return kNever; // It is probed.
+	}
+	TimeUs at = _entry.rest.until;
+	if (isPaced(_entry, _now))
+	{
+		const TimeUs due = _entry.pace.spacing == 0 ? kNever : _entry.pace.nextAt;
+		at = std::max(at, _entry.limit.perSecond ? due : std::min(due, _entry.cold.until));
+	}
+	return at;
 }
 
-NoUpstream pacedReason(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+/// @returns Whether an upstream could take the request but for its rate or rest.
+bool isUsableFor(const UpstreamTable& _table, const UpstreamEntry& _entry, uint32_t _idx,
+				 const UpstreamQuery& _query, TimeUs _now)
 {
+	return matches(_entry, _query, _idx) && isUsable(_table, _entry, _now);
+}
+
+/// @returns Why upstreams that could take the request accept none now.
+NoUpstream busyReason(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+{
+	UpstreamQuery all = _query;
+	all.tried = nullptr; // One that rejected this request may have asked for rest.
 	NoUpstream reason = NoUpstream::None;
 	for (const auto& [idx, entry] : _table.entries)
 	{
-		if (!isPacedFor(_table, entry, idx, _query, _now))
+		if (isUsableFor(_table, entry, idx, _query, _now) && entry.limit.perSecond)
 		{
-			continue;
+			return NoUpstream::Limited;
 		}
-		if (entry.limit.perSecond)
+		if (isUsableFor(_table, entry, idx, all, _now) && isResting(entry.rest, _now))
 		{
-			return NoUpstream::Limited;
+			reason = NoUpstream::Resting;
+		}
+		else if (isUsableFor(_table, entry, idx, _query, _now) && isCold(entry.cold, _now))
+		{
+			reason = reason == NoUpstream::None ? NoUpstream::Cold : reason;
 		}
-		reason = NoUpstream::Cold;
 	}
 	return reason;
 }
@@ -198,7 +219,7 @@
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (!matches(entry, _query, idx) || isEvacuated(_table.halls, entry.record.hall) ||
-			(isPaced(entry, _now) && !isDue(entry.pace, _now)))
+			!acceptsNow(entry, _now))
 		{
 			continue;
 		}
@@ -222,7 +243,7 @@
 
 const char* name(NoUpstream _why)
 {
-	constexpr const char* kNames[] = {"none", "evacuated", "cold", "regions", "limited"};
+	constexpr const char* kNames[] = {"none", "evacuated", "cold", "regions", "limited", "resting"};
 	return kNames[size_t(_why)];
 }
 
@@ -243,7 +264,7 @@
 		}
 		if (!isEvacuated(_table.halls, entry.record.hall))
 		{
-			return pacedReason(_table, _query, _now);
+			return busyReason(_table, _query, _now);
 		}
 		evacuated = true;
 	}
@@ -282,15 +303,15 @@
 	return found != _table.entries.end() && found->second.limit.perSecond.has_value();
 }
 
-std::optional<TimeUs> nextPacedSendAt(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+std::optional<TimeUs> nextSendAt(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
 {
 	std::optional<TimeUs> next;
 	for (const auto& [idx, entry] : _table.entries)
 	{
-		// One that is due and was not chosen can't take the request for another reason.
-		if (isPacedFor(_table, entry, idx, _query, _now) && !isDue(entry.pace, _now))
+		// One that accepts requests and was not chosen can't take this one for another reason.
+		if (isUsableFor(_table, entry, idx, _query, _now) && !acceptsNow(entry, _now))
 		{
-			next = std::min(next.value_or(kNever), nextRequestAt(entry));
+			next = std::min(next.value_or(kNever), nextRequestAt(entry, _now));
 		}
 	}
 	return next;
@@ -317,6 +338,10 @@
 	{
 		return false; // It has become cold or stated a limit since it was chosen.
 	}
+	if (isResting(found->second.rest, _now))
+	{
+		return false;
+	}
 	return found->second.registered || mayReregister(_table, found->second, kFallbackGraceShare, _now);
 }
 
@@ -344,6 +369,7 @@
 		recordPacedRequest(entry.pace, _now);
 	}
 	entry.health.probing = entry.health.ejections > 0 && !isEjected(entry, _now);
+	recordRestProbe(entry.rest);
 	if (_query.shared.empty())
 	{
 		return 0.0;
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -25,6 +25,7 @@
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
 	bool asCold = false;        ///< The upstream was cold when it was chosen.
+	bool asRestProbe = false;   ///< It shows whether the upstream accepts requests again after a rest.
 	bool asLimited = false;     ///< The upstream stated a limit when it was chosen.
 	bool withdrawn = false;     ///< The upstream left before anything was sent.
 	double confidence = -1.0;   ///< The model's own; -1: it told none.
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -76,7 +76,7 @@
 		return;
 	}
 	const FinalAnswer answer = finalAnswer(_serving.plan, _serving.last, _serving.noUpstream,
-										   nextUnit(_serving.router.random), _now);
+										   nextUnit(_serving.router.random), _now, _serving.acceptsAt);
 	refuse(_serving, answer.status, answer.code, answer.reason, answer.retryAfterMs);
 }
 } // namespace
@@ -108,6 +108,7 @@
 								 {"config_age_ms", millisText(now - router.config.confirmedAt)},
 								 {"runs", std::to_string(_serving.plan.runs)},
 								 {"last", name(_serving.last)},
+								 {"retry_after_ms", std::to_string(_retryAfterMs)},
 								 {"after_ms", millisText(now - _serving.plan.arrivedAt)}});
 	_serving.exchange.respond(ownAnswer(_status, _code, _message, _retryAfterMs));
 }
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -149,6 +149,7 @@
 		 {"born", std::to_string(_notes.record.startedAtMs)},
 		 {"cold", _notes.asCold ? "1" : "0"},
 		 {"limited", _notes.asLimited ? "1" : "0"},
+		 {"rest_probe", _notes.asRestProbe ? "1" : "0"},
 		 {"version", _notes.record.version},
 		 {"route", _serving.route->name},
 		 {"session", _serving.call.session},
@@ -187,6 +188,19 @@
 }
 } // namespace
 
+namespace
+{
+/// A probe that ended without an answer that accepts it: another one may follow.
+void noteProbeEnd(DirectRouter& _router, const AttemptNotes& _notes)
+{
+	const auto found = _router.upstreams.entries.find(_notes.upstream.idx);
+	if (_notes.asRestProbe && found != _router.upstreams.entries.end())
+	{
+		endRestProbe(found->second.rest, false);
+	}
+}
+} // namespace
+
 void noteReached(Serving& _serving, const AttemptNotes& _notes)
 {
 	recordTrialReached(_serving.router.trials, _serving.service, _notes.trial);
@@ -197,6 +211,7 @@
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
 	recordTrialUnsent(router.trials, _serving.service, _notes.trial);
+	noteProbeEnd(router, _notes);
 	recordEnded(router.upstreams, _notes.upstream, _notes.prefillMs, HealthOutcome::None, now);
 	++router.stats.attempts[kWithdrawn];
 	logAttempt(_serving, _notes, kWithdrawn, now);
@@ -209,6 +224,7 @@
 	const HealthChange change =
 		recordEnded(router.upstreams, _notes.upstream, _notes.prefillMs, signOf(_end), now);
 	logHealthChange(_serving, _notes.record, change, _end);
+	noteProbeEnd(router, _notes);
 	noteExposure(_serving, _notes, _end);
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -103,6 +103,7 @@
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.asLimited = isLimited(router.upstreams, _upstream);
 	notes.prefillMs = recordSent(router.upstreams, _upstream, _query, notes.begin);
+	notes.asRestProbe = router.upstreams.entries.at(_upstream.idx).rest.probing;
 	notes.trial = recordTrialChosen(router.trials, _serving.service, upstream.version);
 	AttemptResult result;
 	AttemptEnd end = AttemptEnd::NotSent;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -88,7 +88,7 @@
 	return true;
 }
 
-/// Waits for an upstream that is cold or states a limit to accept a request, if that is soon.
+/// Waits for an upstream that is cold, states a limit or rests to accept a request, if that is soon.
 /// @param[in] _leftToUrgent One accepts it now, and a more urgent request waits.
 /// @returns Whether it waited: the choice is to be made again.
 bool awaitPaced(Serving& _serving, const UpstreamQuery& _query, bool _leftToUrgent)
@@ -98,7 +98,7 @@
 	{
 		return awaitTime(_serving, now + kUrgentTurn, now);
 	}
-	const std::optional<TimeUs> from = nextPacedSendAt(_serving.router.upstreams, _query, now);
+	const std::optional<TimeUs> from = nextSendAt(_serving.router.upstreams, _query, now);
 	return from && awaitTime(_serving, *from, now);
 }
 
@@ -194,7 +194,11 @@
 	{
 		return RetryDecision::Retry;
 	}
-	_serving.noUpstream = noUpstreamReason(table, query, monotonicNow());
+	UpstreamQuery all = query;
+	all.tried = nullptr;
+	const TimeUs now = monotonicNow();
+	_serving.noUpstream = noUpstreamReason(table, query, now);
+	_serving.acceptsAt = nextSendAt(table, all, now).value_or(0);
 	return onUpstreamsExhausted(_serving.plan, monotonicNow(), liveUpstreams(_serving));
 }
 } // namespace
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -60,9 +60,10 @@
 	uint32_t turns = 0; ///< How often an attempt has ended others by going on with the answer.
 	AttemptEnd last = AttemptEnd::NotSent;
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
-	bool countedAsBegun = false;              ///< An upstream has begun to answer it.
-	bool failedOnTrial = false;               ///< A version on trial answered an attempt with a failure.
-	TimeUs firstByteAt = 0; ///< When the caller was sent the first byte of an answer; 0: not yet.
+	TimeUs acceptsAt = 0;        ///< When an upstream accepted a request again, as known then; 0: not known.
+	bool countedAsBegun = false; ///< An upstream has begun to answer it.
+	bool failedOnTrial = false;  ///< A version on trial answered an attempt with a failure.
+	TimeUs firstByteAt = 0;      ///< When the caller was sent the first byte of an answer; 0: not yet.
 	// Of the answer that is passed on as it is, if the last upstream failed by its own word.
 	int failedStatus = 0;
 	HttpExchange::Fields failedHead;
--- a/src/direct/upstream_notices.cpp
+++ b/src/direct/upstream_notices.cpp
@@ -1,8 +1,8 @@
 /// Records what upstreams say about themselves in their answers, with its log events.
 #include "upstream_notices_p.h"
 
-#include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 
 #include "fiber_runtime_p.h"
 #include "log_p.h"
@@ -72,23 +72,34 @@
 	}
 }
 
-void recordRest(Serving& _serving, UpstreamEntry& _entry, double _askedMs, TimeUs _now)
+/// @param[in] _askedMs Rest that a rejection asked for; empty if the answer asks for none.
+void noteRest(Serving& _serving, AttemptNotes& _notes, UpstreamEntry& _entry, std::optional<double> _askedMs,
+			  TimeUs _now)
 {
-	const bool resting = isResting(_entry.rest, _now);
-	_entry.rest.until = std::max(_entry.rest.until, _now + restLength(_askedMs));
+	if (!_askedMs && _notes.asRestProbe)
+	{
+		endRestProbe(_entry.rest, true);
+		_notes.asRestProbe = false;
+		logEvent("upstream_rest_over",
+				 {{"upstream", _entry.record.id}, {"request", _serving.call.requestId}});
+	}
+	if (!_askedMs)
+	{
+		return;
+	}
 	++_serving.router.stats.restsAsked;
-	if (!resting)
+	if (recordRestAsked(_entry.rest, *_askedMs, nextUnit(_serving.router.random), _now))
 	{
 		logEvent("upstream_rest", {{"upstream", _entry.record.id},
 								   {"born", std::to_string(_entry.record.startedAtMs)},
-								   {"asked_ms", fmt::format("{:.0f}", _askedMs)},
+								   {"asked_ms", fmt::format("{:.0f}", *_askedMs)},
 								   {"for_ms", std::to_string((_entry.rest.until - _now) / kMsToUs)},
 								   {"request", _serving.call.requestId}});
 	}
 }
 } // namespace
 
-void recordNotices(Serving& _serving, const AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
+void recordNotices(Serving& _serving, AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
 				   int _status)
 {
 	// Another upstream at the same address answers 421, and a harmed connection may bring anything.
@@ -101,10 +112,7 @@
 	const TimeUs now = monotonicNow();
 	countInvalidFields(_serving, _notes, _answer, now);
 	recordLimit(_serving, _notes, _answer, found->second.limit.perSecond, now);
-	if (_answer.restMs)
-	{
-		recordRest(_serving, found->second, *_answer.restMs, now);
-	}
+	noteRest(_serving, _notes, found->second, _answer.restMs, now);
 	if (_answer.leaving)
 	{
 		noteLeaving(_serving, _notes.upstream);
--- a/src/direct/upstream_notices_p.h
+++ b/src/direct/upstream_notices_p.h
@@ -11,7 +11,7 @@
 namespace spanplank
 {
 /// Records what the head of an answer says about its upstream. @param[in] _status Status of the answer.
-void recordNotices(Serving& _serving, const AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
+void recordNotices(Serving& _serving, AttemptNotes& _notes, const platform::AnswerHeaders& _answer,
 				   int _status);
 
 /// Takes the limits of upstreams that another router reports.
--- a/tests/core/cold_upstreams_test.cpp
+++ b/tests/core/cold_upstreams_test.cpp
@@ -239,11 +239,10 @@
 	RequestPlan plan;
 	plan.targetMs = 2000;
 	plan.deadline = 8 * kSecond;
-	EXPECT_FALSE(mayWaitForUpstream(plan, *nextPacedSendAt(table, query, 0), 0))
-		<< "this router has no share";
+	EXPECT_FALSE(mayWaitForUpstream(plan, *nextSendAt(table, query, 0), 0)) << "this router has no share";
 	share(0);
 	recordPacedRequest(table.entries.begin()->second.pace, 0);
-	EXPECT_TRUE(mayWaitForUpstream(plan, *nextPacedSendAt(table, query, 0), 0));
+	EXPECT_TRUE(mayWaitForUpstream(plan, *nextSendAt(table, query, 0), 0));
 	EXPECT_EQ(finalAnswer(plan, AttemptEnd::NotSent, NoUpstream::Cold, 0.0, 0).status, status::kUnavailable);
 }
 
--- a/tests/core/request_limit_test.cpp
+++ b/tests/core/request_limit_test.cpp
@@ -205,14 +205,14 @@
 	recordLimitAnswer(table, one, stating(2.0, 0), 1);
 	EXPECT_FALSE(isValid(pickDirectUpstream(table, appQuery(), kSecond, random)));
 	EXPECT_EQ(noUpstreamReason(table, appQuery(), kSecond), NoUpstream::Limited);
-	EXPECT_EQ(nextPacedSendAt(table, appQuery(), kSecond), kNever);
+	EXPECT_EQ(nextSendAt(table, appQuery(), kSecond), kNever);
 	EXPECT_FALSE(maySendTo(table, one, kSecond)) << "chosen before the limit was known";
 	EXPECT_TRUE(maySendTo(table, one, kSecond, true));
 	setSpacing(table.entries.at(one.idx).pace, kSecond / 2, 0.0, kSecond);
 	ASSERT_TRUE(isValid(pickDirectUpstream(table, appQuery(), kSecond, random)));
 	recordSent(table, one, appQuery(), kSecond);
 	EXPECT_FALSE(isValid(pickDirectUpstream(table, appQuery(), kSecond, random)));
-	EXPECT_EQ(nextPacedSendAt(table, appQuery(), kSecond), kSecond + kSecond / 2);
+	EXPECT_EQ(nextSendAt(table, appQuery(), kSecond), kSecond + kSecond / 2);
 	recordLimitAnswer(table, one, statingNone(2 * kSecond), 3 * kSecond);
 	EXPECT_TRUE(isValid(pickDirectUpstream(table, appQuery(), 3 * kSecond, random)));
 }
@@ -277,7 +277,7 @@
 	const UpstreamId one = currentIncarnation(table, "one");
 	recordLimitAnswer(table, one, stating(2.0, 0), 1);
 	setSpacing(table.entries.at(one.idx).pace, kSecond / 2, 0.0, kSecond);
-	EXPECT_FALSE(nextPacedSendAt(table, appQuery(), 2 * kSecond));
+	EXPECT_FALSE(nextSendAt(table, appQuery(), 2 * kSecond));
 }
 
 // ---- Between routers --------------------------------------------------------------------------------------
