Notices in an upstream's failures count as its own

What callers saw: nothing; found by reading the change. An upstream that leaves says so in all its answers, a failure of its own among them, which need not carry a signature: such an answer was passed on and not heeded. Cause: only signed answers and rejections were taken for the upstream's own. Change: an answer that names the request counts too (one that names another request is skipped before); a 421 does not. The gauges of these notices are a function of their own, and a comment is wrapped again. Test: LeavingByAnswer.IsHeededWhereAFailureSaysSo; run with the next build.

--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -188,8 +188,7 @@
 bool mayRunAgain(const RequestPlan& _plan, TimeUs _now);
 
 /// @returns Whether a request may wait for an upstream that is cold, states a limit or rests, and accepts it
-/// from
-/// `_from` on, counted from when it first waited. If not, it is refused at once.
+/// from `_from` on. All its waits together are bounded; if it may not, it is refused at once.
 bool mayWaitForUpstream(const RequestPlan& _plan, TimeUs _from, TimeUs _now);
 
 /// Final answer of the router to a request without an answer from an upstream.
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -28,6 +28,34 @@
 	return {_one.reads + _other.reads, _one.writes + _other.writes, _one.watches + _other.watches,
 			_one.failures + _other.failures};
 }
+
+/// What upstreams say about themselves in their answers.
+void addNoticeMetrics(MetricsPage& _page, const DirectRouter& _router)
+{
+	const TimeUs now = monotonicNow();
+	const DirectStats& stats = _router.stats;
+	const auto& entries = _router.upstreams.entries;
+	const auto limited = std::count_if(entries.begin(), entries.end(), [](const auto& _item) {
+		return _item.second.limit.perSecond.has_value();
+	});
+	addGauge(_page, "upstreams_limited", "Upstreams that state a limit of requests per second.",
+			 double(limited));
+	const auto leaving = std::count_if(entries.begin(), entries.end(),
+									   [](const auto& _item) { return _item.second.saysLeaving; });
+	addGauge(_page, "upstreams_leaving_by_answer", "Upstreams whose answers say that they shut down.",
+			 double(leaving));
+	const auto resting = std::count_if(entries.begin(), entries.end(), [now](const auto& _item) {
+		return isResting(_item.second.rest, now);
+	});
+	addGauge(_page, "upstreams_resting", "Upstreams that asked this router for rest.", double(resting));
+	addCounter(_page, "upstream_rests_asked_total",
+			   "Rejections in which upstreams asked this router for rest.", double(stats.restsAsked));
+	addCounters(_page, "upstream_limit_changes_total", "Changes of the limits that upstreams state, by kind.",
+				"change", stats.limitChanges);
+	addCounters(_page, "answer_fields_ignored_total",
+				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
+				"field", stats.answerFieldsIgnored);
+}
 } // namespace
 
 std::string directMetrics(DirectRouter& _router)
@@ -93,26 +121,7 @@
 	const auto cold = std::count_if(entries.begin(), entries.end(),
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
-	const auto limited = std::count_if(entries.begin(), entries.end(), [](const auto& _item) {
-		return _item.second.limit.perSecond.has_value();
-	});
-	addGauge(page, "upstreams_limited", "Upstreams that state a limit of requests per second.",
-			 double(limited));
-	const auto leaving = std::count_if(entries.begin(), entries.end(),
-									   [](const auto& _item) { return _item.second.saysLeaving; });
-	addGauge(page, "upstreams_leaving_by_answer", "Upstreams whose answers say that they shut down.",
-			 double(leaving));
-	const auto resting = std::count_if(entries.begin(), entries.end(), [now](const auto& _item) {
-		return isResting(_item.second.rest, now);
-	});
-	addGauge(page, "upstreams_resting", "Upstreams that asked this router for rest.", double(resting));
-	addCounter(page, "upstream_rests_asked_total",
-			   "Rejections in which upstreams asked this router for rest.", double(stats.restsAsked));
-	addCounters(page, "upstream_limit_changes_total", "Changes of the limits that upstreams state, by kind.",
-				"change", stats.limitChanges);
-	addCounters(page, "answer_fields_ignored_total",
-				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
-				"field", stats.answerFieldsIgnored);
+	addNoticeMetrics(page, _router);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/upstream_notices.cpp
+++ b/src/direct/upstream_notices.cpp
@@ -103,7 +103,8 @@
 				   int _status)
 {
 	// Another upstream at the same address answers 421, and a harmed connection may bring anything.
-	const bool own = _answer.signedByUpstream || (_answer.notRun && _status != status::kMisdirected);
+	const bool marked = _answer.signedByUpstream || _answer.notRun || _answer.hasRequestId;
+	const bool own = marked && _status != status::kMisdirected;
 	const auto found = _serving.router.upstreams.entries.find(_notes.upstream.idx);
 	if (!own || found == _serving.router.upstreams.entries.end())
 	{
--- a/tests/direct/leaving_by_answer_test.cpp
+++ b/tests/direct/leaving_by_answer_test.cpp
@@ -43,6 +43,18 @@
 	EXPECT_EQ(refused(), 0u);
 }
 
+// A failure without a signature says so as well.
+TEST_F(LeavingByAnswer, IsHeededWhereAFailureSaysSo)
+{
+	HttpServer& http = places[0]->stand.http;
+	http.handler = [this](HttpExchange& _exchange) {
+		places[0]->arrivals.push_back(monotonicNow());
+		const std::string id(_exchange.request()["Request-Id"]);
+		_exchange.respond({500, {{"Request-Id", id}, kLeaving.front()}, ""});
+	};
+	EXPECT_EQ(lateAt({0}), 0u);
+}
+
 // A store that was away told of the upstream as ready once it was back.
 TEST_F(LeavingByAnswer, StaysSoWhateverTheStoreSaysLater)
 {
