Soak: upstreams leave by their answers and ask for rest

Cause: the soak told of leaving through the store alone, and its upstreams never rejected all with a time to rest. Counted at the upstreams: what a router sends later than the bound after it was told (a restart or a freeze since excuses it), and what it sends in a rest.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,7 @@
 # Fault soak of the direct mode: scripts/soak.sh [MINUTES] [FIRST_SEED]. Runs seed after seed, a few at once; prints
 # each seed that broke a promise, with its schedule and the folder of its logs. Exit 1 if any did. Odd seeds do planned
 # work alone; every fourth, even, has as many routers as the fault needs whose way through them is long; in every third
-# upstreams state limits in their answers.
+# upstreams state limits, say that they leave or ask for rest in their answers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 MINUTES="${1:-3}"
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -129,6 +129,8 @@
 	if (absl::GetFlag(FLAGS_notices))
 	{
 		bodies.emplace_back([&_soak] { limitOn(_soak); });
+		bodies.emplace_back([&_soak] { leaveByAnswerOn(_soak); });
+		bodies.emplace_back([&_soak] { restOn(_soak); });
 	}
 	if (absl::GetFlag(FLAGS_rollouts))
 	{
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -43,6 +43,7 @@
 		router.process->signal(SIGSTOP);
 		sleepFor(lasts);
 		router.process->signal(SIGCONT);
+		router.renewedAt = monotonicNow();
 		router.paused = false;
 	}
 	router.claimed = false;
--- a/tests/soak/soak_planned.cpp
+++ b/tests/soak/soak_planned.cpp
@@ -29,6 +29,7 @@
 void startRouter(SoakRouter& _router)
 {
 	_router.process->start();
+	_router.renewedAt = monotonicNow();
 	_router.up = eventually([&] { return _router.process->isReady(); });
 	_router.disturbedAt = std::max(_router.disturbedAt, monotonicNow());
 }
--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -13,7 +13,8 @@
 ABSL_FLAG(uint32_t, callers, 8, "callers, each with one kept connection");
 ABSL_FLAG(uint32_t, keepers, 32, "callers that keep a connection through pauses");
 ABSL_FLAG(bool, rollouts, true, "Roll out good and bad versions meanwhile.");
-ABSL_FLAG(bool, notices, false, "Upstreams state limits of requests per second in their answers.");
+ABSL_FLAG(bool, notices, false,
+		  "Upstreams state limits, say that they leave and ask for rest in their answers.");
 ABSL_FLAG(double, silent, 0.0, "chance that an upstream keeps silent on a request that must not be repeated");
 ABSL_FLAG(bool, planned, false,
 		  "planned work and harm between processes alone; nothing unplanned is done to routers");
@@ -25,8 +26,8 @@
 	"a check to prove: `twice` lets upstreams run a rejected request, `lost` lets callers lose answers, "
 	"`idle` lets them overstay, `cut` lets upstreams cut streams unseen, `drain` keeps leavings from the "
 	"store, `evacuation` does so with orders, `ends` kills routers unseen, `unlike` gives each copy of a "
-	"request that ends upstreams a body of its own, `alike` gives it the path of a harmless one, `limit` keeps "
-	"stated limits from the answers");
+	"request that ends upstreams a body of its own, `alike` gives it the path of a harmless one, `limit`, "
+	"`leaving` and `rest` keep what upstreams say of that from their answers");
 
 namespace spanplank
 {
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -71,10 +71,22 @@
 	std::vector<LimitedArrival> arrivals; ///< Of routers that had been told.
 };
 
+/// A rest that an upstream asked one router for.
+struct SoakRest
+{
+	TimeUs askedAt = 0;
+	TimeUs heldUp = 0; ///< `Soak::heldUp` then.
+	size_t requests = 0;
+};
+
 struct SoakUpstream
 {
 	StandInUpstream* upstream = nullptr;
 	SoakLimit limit;
+	bool saysLeaving = false; ///< In its answers; the store is not told.
+	bool rests = false;       ///< It rejects all and asks for rest.
+	std::map<const SoakRouter*, TimeUs> leavingToldAt;
+	std::map<const SoakRouter*, std::vector<SoakRest>> restsOf;
 	FaultProxy proxy;
 	Notice leaving;      ///< It leaves, or is gone from the store.
 	bool down = false;   ///< It has ended under a request, and is not back yet.
@@ -89,6 +101,7 @@
 	TimeUs disturbedAt =
 		0; ///< Until when it, also by a planned stop, or its path to the store was last harmed.
 	TimeUs unplannedAt = 0; ///< The same without planned work.
+	TimeUs renewedAt = 0;   ///< When it was last started, or went on after a pause.
 	TimeUs stopAt = 0;      ///< When it was last asked to stop.
 	TimeUs stoppedAt = 0;   ///< When it was last found ended after that.
 	TimeUs runDelay = 0;    ///< Of its process: see `Soak::heldUp`.
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -125,12 +125,12 @@
 	RequestRecord& record = found->second;
 	drawAs(_soak, "answers to " + id, record.arrivals++);
 	checkArrival(_soak, _end, record);
-	checkLimit(_soak, _end, record);
+	checkNotices(_soak, _end, record);
 	noteTrialArrival(_soak, _end, record);
-	if (happens(_soak, kRejectChance) && !isMutant("twice"))
+	if ((happens(_soak, kRejectChance) && !isMutant("twice")) || _end.rests)
 	{
 		answerNotRun(_exchange, _end.upstream->notices);
-		noteTold(_end, record);
+		noteRejected(_soak, _end, record);
 		return;
 	}
 	checkRun(_soak, _end, record);
@@ -145,7 +145,7 @@
 	if (isMutant("twice") && happens(_soak, kRejectChance))
 	{
 		answerNotRun(_exchange, _end.upstream->notices);
-		noteTold(_end, record);
+		noteRejected(_soak, _end, record);
 		return;
 	}
 	if (record.path == "/once/" && keepsSilent(_soak))
