--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -56,7 +56,7 @@
 	std::map<std::string, uint64_t> usageReports;    ///< Reports to the platform, by their answers.
 	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
-	uint64_t restsAsked = 0; ///< Rejections in which upstreams asked for rest.
+	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
 	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
 };
 
