--- a/src/core/upstream_rest.cpp
+++ b/src/core/upstream_rest.cpp
@@ -13,7 +13,7 @@
 
 bool recordRestAsked(RestState& _rest, double _askedMs, double _spread, TimeUs _now)
 {
-	const TimeUs length = TimeUs(std::min(_askedMs, double(kMaxRest / kMsToUs)) * double(kMsToUs));
+	const TimeUs length = TimeUs(std::min(_askedMs * double(kMsToUs), double(kMaxRest)));
 	if (length <= 0)
 	{
 		return false;
