--- /dev/null
+++ b/include/spanplank/engine_speed.h
@@ -0,0 +1,92 @@
+/// Speed of each upstream, learned from first tokens and tokens of streams that all routers see. Ratios of
+/// observed to expected times are averaged as logarithms with exponential decay, so that one stalled answer
+/// does not dominate and an upstream without news returns to the mean.
+#ifndef SPANPLANK_ENGINE_SPEED_H_HEADER_GUARD
+#define SPANPLANK_ENGINE_SPEED_H_HEADER_GUARD
+
+#include <absl/types/span.h>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "spanplank/types.h"
+
+namespace spanplank
+{
+/// Decayed mean of logarithms of ratios.
+struct LogRatioMean
+{
+	double sum = 0.0;    ///< Of the decayed logarithms.
+	double weight = 0.0; ///< Decayed number of samples.
+	TimeUs at = 0;       ///< Time up to which both are decayed.
+};
+
+struct EngineSpeed
+{
+	LogRatioMean firstToken; ///< Observed over expected time to first token.
+	LogRatioMean token;      ///< Time per output token over the mean of its service and model.
+};
+
+/// Samples of one upstream that are not yet sent to a neighbour. Sums are in hundredths, so that merging them
+/// does not lose precision on the way.
+struct SpeedRow
+{
+	UpstreamKey upstream = 0;
+	uint32_t firstTokens = 0;  ///< Number of samples.
+	int32_t firstTokenSum = 0; ///< Of log ratios, in hundredths.
+	uint32_t streams = 0;      ///< Number of samples.
+	int32_t streamSum = 0;     ///< Of log ratios, in hundredths.
+};
+
+/// Samples for one neighbour in the tree of routers.
+struct SpeedOutbox
+{
+	std::unordered_map<UpstreamKey, SpeedRow> rows;
+	TimeUs sentAt = 0;
+};
+
+struct EngineSpeedTable
+{
+	std::unordered_map<UpstreamKey, EngineSpeed> speeds;
+	std::map<std::string, double, std::less<>> tokenMs; ///< Mean time per output token, by service and model.
+	std::map<uint32_t, SpeedOutbox> children;           ///< By link.
+	SpeedOutbox parent;
+	uint64_t rejectedRows = 0; ///< Rows of neighbours with figures out of range.
+};
+
+/// Records a time to first token. @param[in] _expectedMs Expected when the prompt was sent, without the
+/// upstream's own factor; samples with an expectation of 0 are ignored.
+void recordFirstTokenRatio(EngineSpeedTable& _table, UpstreamKey _upstream, double _expectedMs,
+						   double _seenMs, TimeUs _now);
+
+/// Records the mean time per output token of a stream. @param[in] _kind Service and model.
+void recordTokenTime(EngineSpeedTable& _table, UpstreamKey _upstream, const std::string& _kind,
+					 double _tokenMs, TimeUs _now);
+
+/// @returns Factor on the expected time to first token at an upstream; 1 without samples.
+double firstTokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now);
+
+/// @returns Factor on the time per output token at an upstream; 1 without samples.
+double tokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now);
+
+/// @returns Expected time per output token in milliseconds; 0 if the model has no sample yet.
+double tokenMsAt(const EngineSpeedTable& _table, UpstreamKey _upstream, std::string_view _kind, TimeUs _now);
+
+/// Applies rows of a neighbour and queues them for all others. Rows out of range are counted and ignored.
+/// @param[in] _from Link of the child, or `kParentNeighbour` of `home_share.h`.
+/// @param[in] _forward False in a ring of routers, where samples would circulate.
+void applySpeedRows(EngineSpeedTable& _table, uint32_t _from, absl::Span<const SpeedRow> _rows, bool _forward,
+					TimeUs _now);
+
+/// @returns The rows to send to a neighbour now, which are removed from its outbox. The first call for a
+/// child adds it.
+std::vector<SpeedRow> speedRowsFor(EngineSpeedTable& _table, uint32_t _neighbour, TimeUs _now);
+
+/// Removes upstreams without samples in the last seconds.
+void expireSpeeds(EngineSpeedTable& _table, TimeUs _now);
+} // namespace spanplank
+
+#endif // SPANPLANK_ENGINE_SPEED_H_HEADER_GUARD
--- a/include/spanplank/load_share.h
+++ b/include/spanplank/load_share.h
@@ -16,15 +16,20 @@
 
 namespace spanplank
 {
+/// Held tokens travel in this unit, so that small requests do not change the reported load by much.
+constexpr uint32_t kTokensPerUnit = 1024;
+
 /// Work at one upstream, in integers so that sums are corrected without rounding errors.
 struct LoadCount
 {
 	int32_t prefillMs = 0; ///< Expected prefill time of prompts without a first token yet.
 	int32_t inFlight = 0;
+	int32_t tokenUnits = 0; ///< Held tokens in units of `kTokensPerUnit`.
 
 	bool operator==(const LoadCount& _other) const
 	{
-		return prefillMs == _other.prefillMs && inFlight == _other.inFlight;
+		return prefillMs == _other.prefillMs && inFlight == _other.inFlight &&
+			   tokenUnits == _other.tokenUnits;
 	}
 };
 
@@ -58,6 +63,9 @@
 	bool isolated = false;
 };
 
+/// @returns A number of tokens in units of `kTokensPerUnit`, rounded.
+int32_t tokenUnitsOf(uint64_t _tokens);
+
 /// Updates this router's own load from its upstreams.
 void updateOwnLoad(LoadShare& _share, const UpstreamTable& _table);
 
--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -10,9 +10,11 @@
 
 #include "spanplank/change_log.h"
 #include "spanplank/crash_suspects.h"
+#include "spanplank/engine_speed.h"
 #include "spanplank/home_share.h"
 #include "spanplank/load_share.h"
 #include "spanplank/peer_follow.h"
+#include "spanplank/retry_lending.h"
 #include "spanplank/store_item.h"
 #include "spanplank/types.h"
 #include "spanplank/upstream_table.h"
@@ -32,6 +34,9 @@
 	std::vector<SuspectUpdate> suspects; ///< Suspects that changed since the last ping over this link.
 	std::vector<UsageRow> usage;     ///< Usage in the sender's subtree that changed since it was last sent.
 	std::vector<LimitUpdate> limits; ///< Limits of upstreams that changed since the last ping over this link.
+	std::vector<SpeedRow> speeds;    ///< Samples of upstreams' speeds since the last ping.
+	std::vector<LoadChange> accounts; ///< Use by client accounts that changed since the last ping.
+	std::vector<RetryRow> retries;    ///< Retries wanted and lent.
 };
 
 /// Answers a `PeerPing`.
@@ -51,7 +56,10 @@
 	std::vector<SuspectUpdate> suspects; ///< Suspects that changed since the last answer over this link.
 	TimeUs wall = 0;                     ///< The sender's time of day, us since 1970.
 	std::vector<LimitUpdate>
-		limits; ///< Limits of upstreams that changed since the last answer over this link.
+		limits;                   ///< Limits of upstreams that changed since the last answer over this link.
+	std::vector<SpeedRow> speeds; ///< Samples of upstreams' speeds since the last answer.
+	std::vector<LoadChange> accounts; ///< Use by client accounts that changed since the last answer.
+	std::vector<RetryRow> retries;    ///< Retries wanted and lent.
 };
 
 /// Requests the store changes that the sender missed, from its parent.
@@ -80,6 +88,8 @@
 constexpr size_t kNumbersPerHome = 2;
 constexpr size_t kNumbersPerEvidenceRow = 23;
 constexpr size_t kNumbersPerLimit = 3; ///< The last one is null if no limit is in force.
+constexpr size_t kNumbersPerSpeed = 5;
+constexpr size_t kNumbersPerRetry = 3;
 
 inline nlohmann::json encodeLoads(const std::vector<LoadChange>& _loads)
 {
@@ -94,6 +104,47 @@
 	return numbers;
 }
 
+/// Held tokens of the rows of `encodeLoads`, in the same order. They are a list of their own, since routers
+/// of earlier versions expect three numbers for each load.
+inline nlohmann::json encodeLoadTokens(const std::vector<LoadChange>& _loads)
+{
+	nlohmann::json::array_t numbers;
+	numbers.reserve(_loads.size());
+	for (const LoadChange& change : _loads)
+	{
+		numbers.emplace_back(change.load.tokenUnits);
+	}
+	return numbers;
+}
+
+inline nlohmann::json encodeSpeeds(const std::vector<SpeedRow>& _rows)
+{
+	nlohmann::json::array_t numbers;
+	numbers.reserve(_rows.size() * kNumbersPerSpeed);
+	for (const SpeedRow& row : _rows)
+	{
+		numbers.emplace_back(row.upstream);
+		numbers.emplace_back(row.firstTokens);
+		numbers.emplace_back(row.firstTokenSum);
+		numbers.emplace_back(row.streams);
+		numbers.emplace_back(row.streamSum);
+	}
+	return numbers;
+}
+
+inline nlohmann::json encodeRetries(const std::vector<RetryRow>& _rows)
+{
+	nlohmann::json::array_t numbers;
+	numbers.reserve(_rows.size() * kNumbersPerRetry);
+	for (const RetryRow& row : _rows)
+	{
+		numbers.emplace_back(row.service);
+		numbers.emplace_back(row.wanted);
+		numbers.emplace_back(row.lent);
+	}
+	return numbers;
+}
+
 inline nlohmann::json encodeHomes(const std::vector<NewHome>& _homes)
 {
 	nlohmann::json::array_t numbers;
@@ -135,6 +186,72 @@
 	}
 }
 
+/// Sets the held tokens of decoded loads. A list of another length belongs to no version and is ignored.
+inline void decodeLoadTokens(const nlohmann::json& _json, size_t _at, std::vector<LoadChange>& _loads)
+{
+	if (_json.size() <= _at || !_json.at(_at).is_array() || _json.at(_at).size() != _loads.size())
+	{
+		return;
+	}
+	for (size_t ii = 0; ii < _loads.size(); ++ii)
+	{
+		_json.at(_at).at(ii).get_to(_loads[ii].load.tokenUnits);
+	}
+}
+
+/// As `decodeLoads`.
+inline void decodeSpeeds(const nlohmann::json& _json, size_t _at, std::vector<SpeedRow>& _rows)
+{
+	if (_json.size() <= _at || !_json.at(_at).is_array())
+	{
+		return;
+	}
+	const nlohmann::json& numbers = _json.at(_at);
+	for (size_t ii = 0; ii + kNumbersPerSpeed <= numbers.size(); ii += kNumbersPerSpeed)
+	{
+		_rows.push_back({numbers.at(ii).get<UpstreamKey>(), numbers.at(ii + 1).get<uint32_t>(),
+						 numbers.at(ii + 2).get<int32_t>(), numbers.at(ii + 3).get<uint32_t>(),
+						 numbers.at(ii + 4).get<int32_t>()});
+	}
+}
+
+/// As `decodeLoads`.
+inline void decodeRetries(const nlohmann::json& _json, size_t _at, std::vector<RetryRow>& _rows)
+{
+	if (_json.size() <= _at || !_json.at(_at).is_array())
+	{
+		return;
+	}
+	const nlohmann::json& numbers = _json.at(_at);
+	for (size_t ii = 0; ii + kNumbersPerRetry <= numbers.size(); ii += kNumbersPerRetry)
+	{
+		_rows.push_back({numbers.at(ii).get<ServiceKey>(), numbers.at(ii + 1).get<uint32_t>(),
+						 numbers.at(ii + 2).get<uint32_t>()});
+	}
+}
+
+/// Appends what `PeerPing` and `PeerPong` tell alike about load.
+template <typename Message>
+void encodeLoadControl(nlohmann::json& _json, const Message& _message)
+{
+	_json.push_back(encodeLoadTokens(_message.loads));
+	_json.push_back(encodeSpeeds(_message.speeds));
+	_json.push_back(encodeLoads(_message.accounts));
+	_json.push_back(encodeLoadTokens(_message.accounts));
+	_json.push_back(encodeRetries(_message.retries));
+}
+
+/// @param[in] _at Index of the first list of `encodeLoadControl`.
+template <typename Message>
+void decodeLoadControl(const nlohmann::json& _json, size_t _at, Message& _message)
+{
+	decodeLoadTokens(_json, _at, _message.loads);
+	decodeSpeeds(_json, _at + 1, _message.speeds);
+	decodeLoads(_json, _at + 2, _message.accounts);
+	decodeLoadTokens(_json, _at + 3, _message.accounts);
+	decodeRetries(_json, _at + 4, _message.retries);
+}
+
 /// As `decodeLoads`.
 inline void decodeHomes(const nlohmann::json& _json, size_t _at, std::vector<NewHome>& _homes)
 {
@@ -315,6 +432,7 @@
 			 nlohmann::json(_ping.suspects),
 			 nlohmann::json(_ping.usage),
 			 encodeLimits(_ping.limits)};
+	encodeLoadControl(_json, _ping);
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
@@ -331,6 +449,7 @@
 		_json.at(kUsageAt).get_to(_ping.usage);
 	}
 	decodeLimits(_json, kUsageAt + 1, _ping.limits);
+	decodeLoadControl(_json, kUsageAt + 2, _ping);
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
@@ -347,6 +466,7 @@
 			 nlohmann::json(_pong.suspects),
 			 _pong.wall,
 			 encodeLimits(_pong.limits)};
+	encodeLoadControl(_json, _pong);
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPong& _pong)
@@ -369,6 +489,7 @@
 	constexpr size_t kWallAt = kChainAt + 4;
 	_pong.wall = _json.size() > kWallAt ? _json.at(kWallAt).get<TimeUs>() : 0;
 	decodeLimits(_json, kWallAt + 1, _pong.limits);
+	decodeLoadControl(_json, kWallAt + 2, _pong);
 }
 
 inline void to_json(nlohmann::json& _json, const StoreItem& _item)
--- a/include/spanplank/policies.h
+++ b/include/spanplank/policies.h
@@ -28,6 +28,12 @@
 	bool coldOwners = true;     ///< Few routers send to a cold upstream; if disabled, each sends a share.
 	/// While the last router stops, it refuses callers with a Retry-After beyond its restart.
 	bool stopReturn = true;
+	bool engineSpeeds = true;   ///< Estimates follow the measured speed of each upstream.
+	bool completionTime = true; ///< Answers that cannot end before the deadline are not begun.
+	bool waitingRoom = true;   ///< Running requests are bounded over all routers; others wait or are refused.
+	bool accountShares = true; ///< Client accounts are held to fair shares while a service is full.
+	bool retryLending = true;  ///< Routers lend each other unused retries.
+	bool serviceLoad = true;   ///< The confidence limit follows the load over all routers.
 };
 
 /// Disables the policies with these names, which are those of the fields.
--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -62,7 +62,9 @@
 {
 	std::string name;
 	uint32_t connectionLimit = 100; ///< Maximum connections to an upstream from all routers together.
-	uint32_t slots = 0; ///< Requests that an engine runs in a batch; 0: the service has no engine.
+	uint32_t slots = 0;          ///< Requests that an engine runs in a batch; 0: the service has no engine.
+	uint32_t kvTokens = 0;       ///< Tokens that an engine's memory holds; 0: not stated.
+	uint32_t tokensPerEvent = 1; ///< Output tokens in one event of a stream.
 	std::vector<ModelOffer> models;
 	ColdService cold; ///< Load limits of an upstream after its start.
 };
--- /dev/null
+++ b/include/spanplank/service_load.h
@@ -0,0 +1,38 @@
+/// Load of a service over all routers, against what its living upstreams can bear.
+#ifndef SPANPLANK_SERVICE_LOAD_H_HEADER_GUARD
+#define SPANPLANK_SERVICE_LOAD_H_HEADER_GUARD
+
+#include <cstdint>
+#include <string_view>
+
+#include "spanplank/types.h"
+#include "spanplank/upstream_table.h"
+
+namespace spanplank
+{
+/// Capacity of one upstream, from the configuration.
+struct UpstreamCapacity
+{
+	uint32_t slots = 0;    ///< Requests that run at once; 0: the registration of each upstream says it.
+	uint32_t kvTokens = 0; ///< Tokens that fit in the engine's memory; 0: unknown.
+};
+
+struct ServiceLoad
+{
+	uint32_t upstreams = 0; ///< Upstreams that can take requests.
+	double slots = 0.0;     ///< Running requests as a share of all places.
+	double tokens = 0.0;    ///< Held tokens as a share of all memory.
+	double queueMs = 0.0;   ///< Mean queued prefill time of an upstream, by its measured speed.
+};
+
+/// @returns The load of a service, from this router's own counts and those that the others reported.
+/// @param[in] _hall Only the upstreams of this hall; empty: all.
+ServiceLoad serviceLoad(const UpstreamTable& _table, std::string_view _service, std::string_view _hall,
+						const UpstreamCapacity& _capacity, TimeUs _now);
+
+/// @returns The load as one share: 0 is idle, 1 is full, above 1 requests wait.
+/// @param[in] _targetMs Latency objective, ms, against which queued work is measured.
+double loadShareOf(const ServiceLoad& _load, double _targetMs);
+} // namespace spanplank
+
+#endif // SPANPLANK_SERVICE_LOAD_H_HEADER_GUARD
--- a/include/spanplank/types.h
+++ b/include/spanplank/types.h
@@ -98,6 +98,10 @@
 
 /// @returns Uniformly distributed number in [0, 1).
 double nextUnit(Random& _random);
+
+/// Short identifier of an upstream incarnation in messages between routers: a hash of its id and start time.
+/// A collision only makes the hints about both upstreams inaccurate.
+using UpstreamKey = uint32_t;
 } // namespace spanplank
 
 #endif // SPANPLANK_TYPES_H_HEADER_GUARD
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "spanplank/cold_upstreams.h"
+#include "spanplank/engine_speed.h"
 #include "spanplank/hall_evacuation.h"
 #include "spanplank/policies.h"
 #include "spanplank/region_limit.h"
@@ -22,10 +23,6 @@
 
 namespace spanplank
 {
-/// Short identifier of an upstream incarnation in messages between routers: a hash of its id and start time.
-/// A collision only makes the hints about both upstreams inaccurate.
-using UpstreamKey = uint32_t;
-
 /// Registration that an upstream writes to the store.
 struct UpstreamRecord
 {
@@ -60,6 +57,7 @@
 {
 	double prefillMs = 0.0; ///< Expected prefill time of prompts without a first token yet.
 	uint32_t inFlight = 0;
+	uint32_t tokens = 0; ///< Held by running requests: prompts and expected answers.
 };
 
 struct UpstreamEntry
@@ -70,8 +68,9 @@
 	TimeUs unregisteredAt = 0; ///< When the registration disappeared; 0 while registered.
 	RemovalAssessment lapse;   ///< Whether the registration may have lapsed in a store outage.
 	uint32_t inFlight = 0;
-	double prefillMs = 0.0; ///< Expected prefill time of this router's prompts without a first token yet.
-	SharedLoad others;      ///< Load from the other routers, as last reported.
+	double prefillMs = 0.0;  ///< Expected prefill time of this router's prompts without a first token yet.
+	uint32_t heldTokens = 0; ///< Tokens of this router's running requests: prompts and expected answers.
+	SharedLoad others;       ///< Load from the other routers, as last reported.
 	UpstreamHealth health;
 	ColdState cold;
 	RequestLimit limit;
@@ -122,6 +121,7 @@
 	std::vector<NewHome> newHomes; ///< Not yet sent to the other routers; at most `kMaxNewHomes`.
 	uint32_t nextIdx = 0;
 	bool receivesPeerUpdates = false; ///< Other routers report their load and homes at the upstreams.
+	EngineSpeedTable speeds;          ///< Measured speeds of the upstreams.
 	std::map<std::string, ColdService> coldServices; ///< By service; absent services have no cold limit.
 	uint64_t limitChanges = 0; ///< Number of changes of upstreams' limits that this router has learned of.
 	StoreContact contact;      ///< Distinguishes lapsed registrations from upstreams that shut down.
@@ -202,6 +202,9 @@
 	std::vector<SharedPart> shared;
 	uint32_t ownTokens = 0;          ///< Prompt tokens after the shared parts.
 	double firstTokenTargetMs = 0.0; ///< Time in which a first token counts as timely; 0 for no target.
+	double answerTokens = 0.0;       ///< Expected output tokens still to come; 0 if unknown.
+	double leftMs = 0.0;             ///< Time until the caller's deadline; 0 if it does not bind the choice.
+	bool bySpeed = false;            ///< Estimates use the measured speeds of the upstreams.
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Upstreams to exclude.
 	HallLimit limit; ///< Allowed halls; if limited, the request's homes are not sent to other routers.
@@ -294,6 +297,12 @@
 /// @returns Prefill time added to the upstream, to be passed to `recordFirstToken` or `recordEnded`.
 double recordSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
 
+/// Records that a running request holds tokens in the memory of an upstream.
+void holdTokens(UpstreamTable& _table, UpstreamId _id, uint32_t _tokens);
+
+/// Records that they are released.
+void releaseTokens(UpstreamTable& _table, UpstreamId _id, uint32_t _tokens);
+
 /// Records that another router has sent a prompt part to an upstream.
 /// @returns Whether the upstream is known and the same home was not recorded recently.
 bool recordPeerHome(UpstreamTable& _table, const NewHome& _home, TimeUs _now);
--- a/src/core/load_share.cpp
+++ b/src/core/load_share.cpp
@@ -15,6 +15,7 @@
 {
 	_sum.prefillMs += _sign * _load.prefillMs;
 	_sum.inFlight += _sign * _load.inFlight;
+	_sum.tokenUnits += _sign * _load.tokenUnits;
 }
 
 LoadCount valueOf(const LoadTable& _table, UpstreamKey _upstream)
@@ -123,6 +124,11 @@
 }
 } // namespace
 
+int32_t tokenUnitsOf(uint64_t _tokens)
+{
+	return int32_t((_tokens + kTokensPerUnit / 2) / kTokensPerUnit);
+}
+
 void updateOwnLoad(LoadShare& _share, const UpstreamTable& _table)
 {
 	_share.own.counted = true;
@@ -131,7 +137,8 @@
 	{
 		if (entry.inFlight > 0)
 		{
-			const LoadCount load{int32_t(std::lround(entry.prefillMs)), int32_t(entry.inFlight)};
+			const LoadCount load{int32_t(std::lround(entry.prefillMs)), int32_t(entry.inFlight),
+								 tokenUnitsOf(entry.heldTokens)};
 			setLoad(_share, _share.own, entry.key, load);
 			ended.erase(entry.key);
 		}
@@ -187,7 +194,8 @@
 	{
 		const LoadCount others =
 			_table.policies.loadSharing ? othersLoad(_share, _share.own, entry.key) : LoadCount{};
-		entry.others = {double(others.prefillMs), uint32_t(std::max(0, others.inFlight))};
+		entry.others = {double(others.prefillMs), uint32_t(std::max(0, others.inFlight)),
+						uint32_t(std::max(0, others.tokenUnits)) * kTokensPerUnit};
 	}
 	pruneIdle(_share, _table);
 }
--- a/src/core/policies.cpp
+++ b/src/core/policies.cpp
@@ -13,7 +13,7 @@
 {
 using Switch = std::pair<std::string_view, bool Policies::*>;
 
-constexpr std::array<Switch, 13> kSwitches = {{{"escalation", &Policies::escalation},
+constexpr std::array<Switch, 19> kSwitches = {{{"escalation", &Policies::escalation},
 											   {"pressureLimit", &Policies::pressureLimit},
 											   {"longPatience", &Policies::longPatience},
 											   {"coldPatience", &Policies::coldPatience},
@@ -25,7 +25,13 @@
 											   {"resumption", &Policies::resumption},
 											   {"urgency", &Policies::urgency},
 											   {"coldOwners", &Policies::coldOwners},
-											   {"stopReturn", &Policies::stopReturn}}};
+											   {"stopReturn", &Policies::stopReturn},
+											   {"engineSpeeds", &Policies::engineSpeeds},
+											   {"completionTime", &Policies::completionTime},
+											   {"waitingRoom", &Policies::waitingRoom},
+											   {"accountShares", &Policies::accountShares},
+											   {"retryLending", &Policies::retryLending},
+											   {"serviceLoad", &Policies::serviceLoad}}};
 } // namespace
 
 void disablePolicies(Policies& _policies, const std::vector<std::string>& _names)
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -380,6 +380,24 @@
 	return prefillMs;
 }
 
+void holdTokens(UpstreamTable& _table, UpstreamId _id, uint32_t _tokens)
+{
+	const auto found = _table.entries.find(_id.idx);
+	if (found != _table.entries.end())
+	{
+		found->second.heldTokens += _tokens;
+	}
+}
+
+void releaseTokens(UpstreamTable& _table, UpstreamId _id, uint32_t _tokens)
+{
+	const auto found = _table.entries.find(_id.idx);
+	if (found != _table.entries.end())
+	{
+		found->second.heldTokens -= std::min(found->second.heldTokens, _tokens);
+	}
+}
+
 void recordFirstToken(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, double _prefillMs,
 					  TimeUs _latency)
 {
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -12,16 +12,20 @@
 #include "http_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
+#include "spanplank/account_share.h"
+#include "spanplank/completion.h"
 #include "spanplank/crash_suspects.h"
 #include "spanplank/duty.h"
 #include "spanplank/paced_waits.h"
 #include "spanplank/planned_stop.h"
 #include "spanplank/request_plan.h"
+#include "spanplank/retry_lending.h"
 #include "spanplank/retry_window.h"
 #include "spanplank/service_config.h"
 #include "spanplank/upstream_table.h"
 #include "spanplank/usage_ledger.h"
 #include "spanplank/version_trial.h"
+#include "spanplank/waiting_room.h"
 #include "spanplank/wall_clock.h"
 #include "store_client_p.h"
 #include "upstream_http_p.h"
@@ -126,6 +130,10 @@
 	std::map<std::string, RetryWindow> retries;         ///< By service.
 	std::map<std::string, FirstTokenPressure> pressure; ///< By service.
 	std::map<std::string, PacedWaits> pacedWaits;       ///< By service.
+	std::map<std::string, WaitingRoom> waitingRooms;    ///< By service.
+	RetryLending lending;
+	AccountShares accounts;
+	AnswerLengths answerLengths;
 	WallClock wall;
 	UsageLedger usage;
 	DutyState usageDuty;
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -6,6 +6,7 @@
 
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
+#include "load_control_p.h"
 #include "log_p.h"
 #include "peer_parent_p.h"
 #include "store_items_p.h"
@@ -43,6 +44,7 @@
 	takePeerTrials(_router, _ping.trials, _link.idx);
 	takePeerSuspects(_router, _ping.suspects);
 	takePeerLimits(_router, _ping.limits, _link);
+	takeLoadControl(_router, _link.idx, _ping.speeds, _ping.accounts, _ping.retries, 0);
 	applyUsage(_router.usage, _ping.usage);
 	PeerPong pong;
 	pong.seq = _ping.seq;
@@ -54,6 +56,7 @@
 	pong.confirmationAge = now - _router.config.confirmedAt;
 	pong.loads = loadChangesFor(peers.loads, child);
 	pong.homes = homesForChild(peers.homes, _link.idx);
+	addLoadControl(_router, _link.idx, pong.speeds, pong.accounts, pong.retries);
 	pong.stopping = _router.stopping;
 	pong.wall = wallTime(_router.wall, wallNow(), now);
 	pong.chain = peers.follow.chain;
@@ -109,6 +112,7 @@
 	peers.toldTrials.erase(_link.idx);
 	peers.toldSuspects.erase(_link.idx);
 	peers.toldLimits.erase(_link.idx);
+	forgetLoadControl(_router, _link.idx);
 	if (_link.idx == peers.parentLink.idx && !_router.stopping)
 	{
 		leaveParent(_router, "its link closed", monotonicNow());
@@ -185,6 +189,7 @@
 			reviewParent(_router, monotonicNow());
 		}
 		applyPeerLoads(_router.peers.loads, _router.upstreams, monotonicNow());
+		refreshLoadControl(_router, monotonicNow());
 		pingParent(_router);
 		sleepFor(kPingMs);
 	}
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -5,6 +5,7 @@
 
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
+#include "load_control_p.h"
 #include "log_p.h"
 #include "store_items_p.h"
 #include "suspects_p.h"
@@ -33,13 +34,15 @@
 }
 
 /// What was told over a link counts for that link alone.
-void forgetParentLink(PeerLinks& _peers)
+void forgetParentLink(DirectRouter& _router)
 {
-	_peers.parentLink = {};
-	_peers.askedFrom = 0;
-	_peers.toldUsage = {};
-	removeLoads(_peers.loads, _peers.loads.parent);
-	_peers.homes.parent = {}; // What waited for it would be news no more to the next one.
+	PeerLinks& peers = _router.peers;
+	forgetLoadControl(_router, kParentNeighbour);
+	peers.parentLink = {};
+	peers.askedFrom = 0;
+	peers.toldUsage = {};
+	removeLoads(peers.loads, peers.loads.parent);
+	peers.homes.parent = {}; // What waited for it would be news no more to the next one.
 }
 
 void dropParent(DirectRouter& _router)
@@ -52,7 +55,7 @@
 	}
 	const LinkId link = openParentLink(peers);
 	peers.parent.clear();
-	forgetParentLink(peers); // Before the link closes: its end is no loss of the next parent.
+	forgetParentLink(_router); // Before the link closes: its end is no loss of the next parent.
 	if (isValid(link) && peers.loads.children.count(link.idx) == 0)
 	{
 		peers.hub->close(link);
@@ -185,7 +188,7 @@
 	}
 	if (link.idx != peers.parentLink.idx)
 	{
-		forgetParentLink(peers);
+		forgetParentLink(_router);
 		peers.parentLink = link;
 	}
 	PeerPing ping;
@@ -198,6 +201,7 @@
 	peers.pingSentAt = monotonicNow();
 	ping.suspects = suspectUpdatesFor(_router.suspects, peers.toldSuspects[link.idx], peers.pingSentAt);
 	ping.limits = limitUpdatesFor(_router.upstreams, peers.toldLimits[link.idx]);
+	addLoadControl(_router, kParentNeighbour, ping.speeds, ping.accounts, ping.retries);
 	ping.usage = usageUpdateFor(_router.usage, peers.toldUsage, peers.pingSentAt);
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
@@ -216,6 +220,8 @@
 	takePeerTrials(_router, _pong.trials, _link.idx);
 	takePeerSuspects(_router, _pong.suspects);
 	takePeerLimits(_router, _pong.limits, _link);
+	takeLoadControl(_router, kParentNeighbour, _pong.speeds, _pong.accounts, _pong.retries,
+					now - peers.pingSentAt);
 	if (syncWallClock(_router.wall, _pong.wall, now))
 	{
 		logEvent("wall_clock_corrected", {{"box", peers.parent}});
