Completion in time: expected lengths and ends, choice and refusal

Change: expected length from the caller's estimate or the route's mean, its end at an upstream, upstreams that can end it first in the choice, a judgement that none can by half of the expected tokens, the answer no_time, and no second run that ends late. An unknown time per token changes nothing.

--- a/include/spanplank/completion.h
+++ b/include/spanplank/completion.h
@@ -14,17 +14,25 @@
 /// What a caller says about the length of its answer.
 struct LengthClaim
 {
-	std::optional<uint32_t> estimate; ///< Tokens; correct in the median and often far off.
-	uint32_t maxTokens = 0;           ///< Most tokens that the caller allows; 0: not stated.
+	std::optional<uint32_t>
+		estimate;           ///< Tokens; correct in the median and often far off. 0 is not an estimate.
+	uint32_t maxTokens = 0; ///< Most tokens that the caller allows; 0: not stated.
+};
+
+/// Moving average of the lengths of a route's answers.
+struct MeanLength
+{
+	double tokens = 0.0;
+	uint32_t samples = 0;
 };
 
 /// Mean length of answers by route, learned from complete answers.
 struct AnswerLengths
 {
-	std::map<std::string, double> meanTokens; ///< By route name.
+	std::map<std::string, MeanLength> routes; ///< By route name.
 };
 
-/// Records the length of a complete answer.
+/// Records the length of a complete answer. Lengths that are not positive numbers are ignored.
 void recordAnswerLength(AnswerLengths& _lengths, const std::string& _route, double _tokens);
 
 /// @returns Expected number of output tokens; 0 if unknown.
@@ -43,10 +51,24 @@
 /// @returns Expected time to the last token in milliseconds.
 double lastTokenMs(const CompletionEstimate& _estimate);
 
+/// @returns The same if the expected number of tokens is twice the actual one.
+double earliestLastTokenMs(const CompletionEstimate& _estimate);
+
+/// Whether an answer ends before its deadline, the best outcome first.
+enum class EndOutlook : uint8_t
+{
+	InTime,    ///< Expected to end in time, or its end is unknown.
+	Uncertain, ///< In time only if it is shorter than expected.
+	Late,      ///< Late even if it has half of the expected tokens.
+};
+
+/// @param[in] _leftMs Time until the deadline; 0 if there is none.
+EndOutlook endOutlook(const CompletionEstimate& _estimate, double _leftMs);
+
 /// @returns Whether an answer is expected to end in time; true if its end is unknown.
 bool endsInTime(const CompletionEstimate& _estimate, double _leftMs);
 
-/// @returns Whether an answer cannot end in time even if the estimate is far too high.
+/// @returns Whether an answer cannot end in time even if it has half of the expected tokens.
 bool cannotEnd(const CompletionEstimate& _estimate, double _leftMs);
 } // namespace spanplank
 
--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -121,6 +121,8 @@
 	double waitMs = 0.0;       ///< Part of it spent waiting for other requests.
 	double pressure = 0.0;     ///< `FirstTokenPressure::share` of the service.
 	bool available = true;     ///< An upstream with this model can take the request.
+	bool endsInTime = true;    ///< Its answer is expected to end before the deadline, or its end is unknown.
+	double lastTokenMs = 0.0;  ///< Expected time to the last token; 0 if unknown.
 };
 
 /// @returns Whether no larger model is left; also true if the caller selected the model.
@@ -203,7 +205,8 @@
 /// @param[in] _why Why no upstream was available, if that ended the request.
 /// @param[in] _jitter Random number from 0 to 1 that spreads the retries of callers that are refused
 /// together.
-/// @param[in] _acceptsAt When an upstream accepts a request again; 0 or `kNever` if unknown.
+/// @param[in] _acceptsAt When an upstream accepts a request again; 0 or `kNever` if unknown. For
+/// `NoUpstream::NoTime` when an upstream could finish the answer; 0 if returning makes no sense.
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, NoUpstream _why, double _jitter,
 						TimeUs _now, TimeUs _acceptsAt = 0);
 } // namespace spanplank
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -262,6 +262,7 @@
 	Regions,   ///< All registered upstreams are in regions that may not serve the request.
 	Limited,   ///< Upstreams in open halls state limits that are used up, or are cold or resting.
 	Resting,   ///< Upstreams in open halls asked for rest, or are cold.
+	NoTime,    ///< No upstream can finish the answer before the deadline; not by `noUpstreamReason`.
 };
 
 /// @returns A name for logs.
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -167,6 +167,7 @@
 /// Cost of a prompt at an upstream.
 struct PromptCost
 {
+	EndOutlook end = EndOutlook::InTime;
 	double firstTokenMs = 0.0; ///< Expected time to the first token.
 	double cost = 0.0;         ///< Includes the delay of the prompts behind it.
 	bool timely = true;
@@ -174,6 +175,10 @@
 
 bool isCheaper(const PromptCost& _one, const PromptCost& _other)
 {
+	if (_one.end != _other.end)
+	{
+		return _one.end < _other.end;
+	}
 	if (_one.timely != _other.timely)
 	{
 		return _one.timely;
@@ -211,12 +216,24 @@
 }
 } // namespace
 
+EndOutlook outlookAt(const UpstreamTable& _table, const UpstreamQuery& _query, const Candidate& _candidate,
+					 std::string_view _model, double _firstTokenMs, TimeUs _now)
+{
+	if (_query.leftMs <= 0.0 || _query.answerTokens <= 0.0)
+	{
+		return EndOutlook::InTime;
+	}
+	const double tokenMs = tokenMsAt(_table.speeds, _candidate.entry->key, _model, _now);
+	return endOutlook({_firstTokenMs, _query.answerTokens, tokenMs}, _query.leftMs);
+}
+
 UpstreamId cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						  const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
 	const HomeOrder order = homeOrder(_table, _candidates, _query);
 	const double perToken = msPerToken(_table, _query);
 	const double tokens = promptTokens(_query);
+	const std::string model = serviceModelKey(_query);
 	uint32_t best = kInvalidIdx;
 	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
@@ -232,6 +249,7 @@
 		PromptCost cost;
 		cost.firstTokenMs = (prefillMs + waitMs(_table, entry)) * health + jitter;
 		cost.cost = (kPrefillWeight * prefillMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.end = outlookAt(_table, _query, candidate, model, cost.firstTokenMs, _now);
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
 		if (best == kInvalidIdx || isCheaper(cost, bestCost))
 		{
--- a/src/core/prompt_choice_p.h
+++ b/src/core/prompt_choice_p.h
@@ -3,8 +3,10 @@
 #define SPANPLANK_PROMPT_CHOICE_P_H_HEADER_GUARD
 
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "spanplank/completion.h"
 #include "spanplank/upstream_table.h"
 
 namespace spanplank
@@ -18,7 +20,14 @@
 
 /// @returns The upstreams that may receive a request: the healthy ones; if there are none, the ejected ones;
 /// if there are none either, those whose registration lapsed in a store outage.
-std::vector<Candidate> candidatesFor(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now);
+/// @param[in] _busyToo Include upstreams that accept no request now by their rate or rest.
+std::vector<Candidate> candidatesFor(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
+									 bool _busyToo = false);
+
+/// @returns How likely an answer ends in time at a candidate whose first token is expected after a time.
+/// @param[in] _model Key of the service and model.
+EndOutlook outlookAt(const UpstreamTable& _table, const UpstreamQuery& _query, const Candidate& _candidate,
+					 std::string_view _model, double _firstTokenMs, TimeUs _now);
 
 /// @returns Factor by which an upstream's failures multiply its expected wait; 1 without failures.
 double failureFactor(const UpstreamHealth& _health);
@@ -31,6 +40,7 @@
 std::string serviceModelKey(const UpstreamQuery& _query);
 
 /// @returns The cheapest candidate that is expected to meet the time target; if there is none, the fastest.
+/// Candidates whose answer is expected to end before the deadline precede all others.
 UpstreamId cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						  const UpstreamQuery& _query, TimeUs _now, Random& _random);
 
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -77,6 +77,10 @@
 /// Maximum random addition to the Retry-After while all upstreams rest.
 constexpr double kRestRetryJitterMs = 1000.0;
 
+/// Longest Retry-After of a request that is refused as no upstream can finish it: a full engine's queue is
+/// processed within seconds, and its estimate is too inaccurate to keep callers away for longer.
+constexpr double kMaxNoTimeRetryMs = 5000.0;
+
 /// Maximum wait for an upstream that is cold, states a limit or rests, as a share of the latency objective: a
 /// request that is refused earlier can still be on time when its caller retries.
 constexpr double kMaxPacedWaitShare = 0.125;
@@ -172,6 +176,10 @@
 	}
 	const TimeUs head = TimeUs(_next.firstTokenMs * double(kMsToUs));
 	const TimeUs left = _plan.arrivedAt + TimeUs(_plan.targetMs) * kMsToUs - _now;
+	if (!_next.endsInTime)
+	{
+		return 0.0;
+	}
 	const bool inTime = left > head && left > shareOf(_plan.targetMs, kMinEscalationTimeShare);
 	const bool idle = _next.waitMs < kMaxIdleWaitShare * double(_plan.targetMs);
 	const bool fits = double(head) < kMaxLateStartShare * double(_plan.deadline - _now);
@@ -342,6 +350,18 @@
 	const TimeUs at = std::clamp(_acceptsAt, _now, latest);
 	return std::max(kRetryAfterMs, uint32_t((at - _now) / kMsToUs)) + uint32_t(_jitter * kRestRetryJitterMs);
 }
+
+/// Callers come back when the prompts ahead have been processed, spread up to twice that time; they are told
+/// no time if the answer itself is too long.
+uint32_t noTimeRetryAfterMs(TimeUs _freeAt, double _jitter, TimeUs _now)
+{
+	if (_freeAt <= _now || _freeAt == kNever)
+	{
+		return 0;
+	}
+	const double ms = std::max(double(kRetryAfterMs), double(_freeAt - _now) / double(kMsToUs));
+	return uint32_t(std::min(ms * (1.0 + _jitter), kMaxNoTimeRetryMs));
+}
 } // namespace
 
 FinalAnswer finalAnswer(const RequestPlan& _plan, AttemptEnd _last, NoUpstream _why, double _jitter,
@@ -370,6 +390,11 @@
 		return {status::kUnavailable, restRetryAfterMs(_acceptsAt, _jitter, _now), "resting",
 				"the upstreams asked for rest; it has not run"};
 	}
+	if (!_plan.mayHaveRun && _why == NoUpstream::NoTime)
+	{
+		return {status::kUnavailable, noTimeRetryAfterMs(_acceptsAt, _jitter, _now), "no_time",
+				"no upstream can finish the answer before the deadline; it has not run"};
+	}
 	if (!_plan.mayHaveRun && _why == NoUpstream::Regions)
 	{
 		return {status::kUnavailable, kRetryAfterMs, "region",
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include "spanplank/upstream_table.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "prompt_choice_p.h"
@@ -64,17 +65,20 @@
 	return (double(_entry.inFlight) + 1.0) * healthFactor(_entry.health) + away;
 }
 
-uint32_t leastLoaded(const std::vector<Candidate>& _candidates, std::string_view _hall, Random& _random)
+uint32_t leastLoaded(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+					 const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
+	const std::string model = serviceModelKey(_query);
 	uint32_t best = kInvalidIdx;
-	double bestLoad = 0.0;
+	std::pair<EndOutlook, double> bestLoad;
 	for (const Candidate& candidate : _candidates)
 	{
-		const double load = loadOf(*candidate.entry, _hall) + kLoadJitter * nextUnit(_random);
-		if (best == kInvalidIdx || load < bestLoad)
+		const double load = loadOf(*candidate.entry, _query.hall) + kLoadJitter * nextUnit(_random);
+		const std::pair ranked(outlookAt(_table, _query, candidate, model, 0.0, _now), load);
+		if (best == kInvalidIdx || ranked < bestLoad)
 		{
 			best = candidate.idx;
-			bestLoad = load;
+			bestLoad = ranked;
 		}
 	}
 	return best;
@@ -211,7 +215,8 @@
 	return std::max(1.0, _health.slowness) * failureFactor(_health);
 }
 
-std::vector<Candidate> candidatesFor(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+std::vector<Candidate> candidatesFor(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now,
+									 bool _busyToo)
 {
 	std::vector<Candidate> healthy;
 	std::vector<Candidate> ejected;
@@ -219,7 +224,7 @@
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (!matches(entry, _query, idx) || isEvacuated(_table.halls, entry.record.hall) ||
-			!acceptsNow(entry, _now))
+			(!_busyToo && !acceptsNow(entry, _now)))
 		{
 			continue;
 		}
@@ -243,7 +248,8 @@
 
 const char* name(NoUpstream _why)
 {
-	constexpr const char* kNames[] = {"none", "evacuated", "cold", "regions", "limited", "resting"};
+	constexpr const char* kNames[] = {"none",    "evacuated", "cold",   "regions",
+									  "limited", "resting",   "no_time"};
 	return kNames[size_t(_why)];
 }
 
@@ -355,7 +361,7 @@
 	}
 	if (_query.shared.empty())
 	{
-		return UpstreamId{leastLoaded(candidates, _query.hall, _random)};
+		return UpstreamId{leastLoaded(_table, candidates, _query, _now, _random)};
 	}
 	return cheapestInTime(_table, candidates, _query, _now, _random);
 }
