Prompt choice: move the outlook away from the cost

Change: the key of the model and the outlook stand at other lines of the same function; nothing else changes.

--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -230,10 +230,10 @@
 UpstreamId cheapestInTime(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
 						  const UpstreamQuery& _query, TimeUs _now, Random& _random)
 {
+	const std::string model = serviceModelKey(_query);
 	const HomeOrder order = homeOrder(_table, _candidates, _query);
 	const double perToken = msPerToken(_table, _query);
 	const double tokens = promptTokens(_query);
-	const std::string model = serviceModelKey(_query);
 	uint32_t best = kInvalidIdx;
 	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
@@ -249,8 +249,8 @@
 		PromptCost cost;
 		cost.firstTokenMs = (prefillMs + waitMs(_table, entry)) * health + jitter;
 		cost.cost = (kPrefillWeight * prefillMs + waitMs(_table, entry)) * health + hall + jitter;
-		cost.end = outlookAt(_table, _query, candidate, model, cost.firstTokenMs, _now);
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
+		cost.end = outlookAt(_table, _query, candidate, model, cost.firstTokenMs, _now);
 		if (best == kInvalidIdx || isCheaper(cost, bestCost))
 		{
 			best = candidate.idx;
