Completion in time in direct mode: lengths, tokens held, refusal no_time

Change: queries tell the expected tokens still to come and the time left; lengths are learned from complete streams; each attempt holds its prompt and expected answer for as long as it runs; a request that has not run is refused as no_time with its inputs logged; a doubted answer is kept if the next model's would end late; counters of refusals, second runs not made and invalid estimates, histogram stream_end_ratio.

--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -21,6 +21,7 @@
 	TimeUs tableAge = 0;        ///< Of the newest proof of the table by which the upstream was chosen.
 	uint64_t tableRevision = 0; ///< Of the store, up to which that table knows all.
 	double expectedMs = 0.0;    ///< Until the head; 0: unknown.
+	double expectedEndMs = 0.0; ///< Until the end of the answer; 0: unknown.
 	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
--- /dev/null
+++ b/src/direct/completion_time_p.h
@@ -0,0 +1,47 @@
+/// Completion of answers in time: expected lengths, the refusal of requests that no upstream can finish, and
+/// the tokens that attempts hold.
+#ifndef SPANPLANK_COMPLETION_TIME_P_H_HEADER_GUARD
+#define SPANPLANK_COMPLETION_TIME_P_H_HEADER_GUARD
+
+#include "attempt_p.h"
+#include "metrics_p.h"
+
+namespace spanplank
+{
+/// Counts an invalid estimate of the answer's length, which is ignored.
+void countInvalidLength(const Serving& _serving);
+
+/// @returns Expected output tokens that the caller does not have yet; 0 if unknown.
+double answerTokensLeft(const Serving& _serving);
+
+/// @returns Time until the caller's deadline for a query: 0 if the service's ends are not estimated.
+double leftMsFor(const Serving& _serving, TimeUs _now);
+
+/// Judges whether a request that has not run is to be refused because no upstream with any of its models can
+/// finish it before the deadline; logs the inputs if so.
+/// @param[in] _picked The upstream chosen for the current model.
+bool isTooLate(Serving& _serving, UpstreamId _picked, const UpstreamQuery& _query);
+
+/// Records the length of a complete stream, and its end compared with the expected one.
+void recordStreamEnd(Serving& _serving, const AttemptNotes& _notes, TimeUs _now);
+
+/// Keeps the tokens of an attempt, prompt and expected answer, counted at its upstream for as long as it
+/// runs, also if it ends by an exception.
+class TokenHold
+{
+public:
+	TokenHold(const Serving& _serving, UpstreamId _upstream);
+	~TokenHold();
+	TokenHold(const TokenHold&) = delete;
+	TokenHold& operator=(const TokenHold&) = delete;
+
+private:
+	UpstreamTable& m_table;
+	UpstreamId m_upstream;
+	uint32_t m_tokens = 0;
+};
+
+void addCompletionMetrics(MetricsPage& _page, const DirectStats& _stats);
+} // namespace spanplank
+
+#endif // SPANPLANK_COMPLETION_TIME_P_H_HEADER_GUARD
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <sys/resource.h>
 
+#include "completion_time_p.h"
 #include "direct_router_p.h"
 #include "log_p.h"
 #include "metrics_p.h"
@@ -122,6 +123,7 @@
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addNoticeMetrics(page, _router);
+	addCompletionMetrics(page, stats);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -42,6 +42,16 @@
 	double sumMs = 0.0;
 };
 
+/// Bounds of the buckets of ratios of observed to expected times.
+constexpr double kRatioBuckets[] = {0.1, 0.25, 0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 2.5, 4.0, 8.0, 25.0};
+constexpr size_t kRatioBucketCount = sizeof(kRatioBuckets) / sizeof(kRatioBuckets[0]);
+
+struct RatioHistogram
+{
+	uint64_t buckets[kRatioBucketCount + 1] = {};
+	double sum = 0.0;
+};
+
 struct DirectStats
 {
 	std::map<std::string, uint64_t> answers;  ///< Final answers, by `<kind of end>`.
@@ -62,6 +72,10 @@
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
 	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
 	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
+	uint64_t noTime = 0;                ///< Requests refused as no upstream can finish them in time.
+	uint64_t secondRunsWithoutTime = 0; ///< Answers kept as the next model's would end after the deadline.
+	uint64_t lengthsIgnored = 0;        ///< Invalid estimates of answer lengths.
+	RatioHistogram streamEnd;           ///< Observed over expected time to the end of a stream.
 };
 
 /// How far this router has read the store.
@@ -143,6 +157,7 @@
 	TimeUs startedAt = 0;
 	TimeUs recordLoggedAt = 0;             ///< When a record that can't be used was logged last.
 	TimeUs answerFieldLoggedAt = 0;        ///< When an answer's invalid field was logged last.
+	TimeUs lengthLoggedAt = 0;             ///< When an invalid estimate of a length was logged last.
 	std::map<uint64_t, Serving*> inFlight; ///< Requests at upstreams, by number.
 	uint64_t nextInFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
@@ -184,6 +199,7 @@
 std::string directMetrics(DirectRouter& _router);
 
 void noteLatency(LatencyHistogram& _histogram, TimeUs _latency);
+void noteRatio(RatioHistogram& _histogram, double _ratio);
 
 /// @returns Whether this router may take new callers.
 bool isReady(const DirectRouter& _router);
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "attempt_p.h"
+#include "completion_time_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 
@@ -161,6 +162,8 @@
 		 {"subject",
 		  _notes.query.shared.empty() ? "" : fmt::format("{:x}", _notes.query.shared.back().hash & 0xffffff)},
 		 {"expected_ms", fmt::format("{:.0f}", _notes.expectedMs)},
+		 {"expected_end_ms", fmt::format("{:.0f}", _notes.expectedEndMs)},
+		 {"answer_tokens", fmt::format("{:.0f}", _notes.query.answerTokens)},
 		 {"own_tokens", std::to_string(_notes.query.ownTokens)},
 		 {"waiting_ms", fmt::format("{:.0f}", known ? entry->second.prefillMs : 0.0)},
 		 {"error", _notes.error},
@@ -228,6 +231,10 @@
 	noteExposure(_serving, _notes, _end);
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
+	if (_end == AttemptEnd::Complete)
+	{
+		recordStreamEnd(_serving, _notes, now);
+	}
 	++router.stats.attempts[name(_end)];
 	logAttempt(_serving, _notes, name(_end), now);
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -181,6 +181,8 @@
 							{"next_head_ms", fmt::format("{:.0f}", _next.firstTokenMs)},
 							{"next_wait_ms", fmt::format("{:.0f}", _next.waitMs)},
 							{"pressure", fmt::format("{:.2f}", _next.pressure)},
+							{"next_end_ms", fmt::format("{:.0f}", _next.lastTokenMs)},
+							{"next_ends_in_time", _next.endsInTime ? "1" : "0"},
 							{"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
 }
 
@@ -203,6 +205,10 @@
 	{
 		return true;
 	}
+	NextModelEstimate unbound = next;
+	unbound.endsInTime = true;
+	const bool noTime = !next.endsInTime && _confidence < confidenceLimit(_serving.plan, used, unbound, now);
+	_serving.router.stats.secondRunsWithoutTime += noTime ? 1 : 0;
 	logDoubtKept(_serving, _confidence, used, next, now);
 	return false;
 }
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -2,8 +2,10 @@
 #include <algorithm>
 
 #include "attempt_p.h"
+#include "completion_time_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
+#include "spanplank/completion_choice.h"
 
 namespace spanplank
 {
@@ -94,6 +96,9 @@
 	notes.tableAge = notes.begin - router.config.confirmedAt;
 	notes.tableRevision = router.view.revision;
 	notes.expectedMs = expectedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin);
+	const CompletionEstimate completion = completionAt(router.upstreams, _query, _upstream, notes.begin);
+	const bool endKnown = completion.tokens > 0.0 && completion.tokenMs > 0.0;
+	notes.expectedEndMs = endKnown ? lastTokenMs(completion) : 0.0;
 	const FirstTokenEstimate head{notes.expectedMs,
 								  uncachedFirstTokenMs(router.upstreams, _query, _upstream)};
 	const AttemptTimeouts times =
@@ -108,6 +113,7 @@
 	AttemptResult result;
 	AttemptEnd end = AttemptEnd::NotSent;
 	{
+		const TokenHold tokens(_serving, _upstream);
 		UpstreamCall call(router.pool, request);
 		LiveAttempt attempt{call, notes, {}};
 		attempt.events.lastEventId = _serving.lastEventId;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "attempt_p.h"
+#include "completion_time_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
 #include "serving_p.h"
@@ -188,6 +189,11 @@
 	const bool leftToUrgent = isValid(upstream) && isLeftToUrgent(_serving, upstream);
 	if (isValid(upstream) && !leftToUrgent)
 	{
+		if (isTooLate(_serving, upstream, query))
+		{
+			++_serving.router.stats.noTime;
+			return RetryDecision::Finish;
+		}
 		return afterResult(_serving, runAttempt(_serving, upstream, query), upstream, _turns);
 	}
 	if (awaitPaced(_serving, query, leftToUrgent))
@@ -252,6 +258,7 @@
 	serving.plan = planRequest(*serving.route, serving.call.deadlineMs, serving.plan.arrivedAt);
 	serving.plan.policies = _router.settings.policies;
 	serving.lastEventId = serving.call.lastEventId;
+	countInvalidLength(serving);
 	serving.service = pickService(*serving.route, stableHash(serving.call.requestId));
 	if (!admitBySuspicion(serving) || !admitByStop(serving))
 	{
