Lend unused retries between routers

The retry window of each router is bounded by its own requests (61 to 167 in 11 s), so second runs were refused at some routers while others had room: 191 of 321 poor answers kept at low load were kept for that reason. A router now asks its neighbours for the retries that its recent demand needs beyond its window. Loans carry the time left, so that relays don't extend them, and pings repeat the number of the last answer, so that both sides bound the age of a loan by their own clock. Second runs use the reserve only as far as their expected gain reaches.

--- a/include/spanplank/peer_messages.h
+++ b/include/spanplank/peer_messages.h
@@ -37,6 +37,9 @@
 	std::vector<SpeedRow> speeds;    ///< Samples of upstreams' speeds since the last ping.
 	std::vector<LoadChange> accounts; ///< Use by client accounts that changed since the last ping.
 	std::vector<RetryRow> retries;    ///< Retries wanted and lent.
+	/// Sequence number of the last answer over this link before the loans in this message were made; 0 if
+	/// there was none. It tells the receiver, by its own clock, how old they may be.
+	uint64_t answered = 0;
 };
 
 /// Answers a `PeerPing`.
@@ -89,7 +92,7 @@
 constexpr size_t kNumbersPerEvidenceRow = 23;
 constexpr size_t kNumbersPerLimit = 3; ///< The last one is null if no limit is in force.
 constexpr size_t kNumbersPerSpeed = 5;
-constexpr size_t kNumbersPerRetry = 3;
+constexpr size_t kNumbersPerRetry = 4;
 
 inline nlohmann::json encodeLoads(const std::vector<LoadChange>& _loads)
 {
@@ -141,6 +144,7 @@
 		numbers.emplace_back(row.service);
 		numbers.emplace_back(row.wanted);
 		numbers.emplace_back(row.lent);
+		numbers.emplace_back(row.leftMs);
 	}
 	return numbers;
 }
@@ -226,10 +230,12 @@
 	for (size_t ii = 0; ii + kNumbersPerRetry <= numbers.size(); ii += kNumbersPerRetry)
 	{
 		_rows.push_back({numbers.at(ii).get<ServiceKey>(), numbers.at(ii + 1).get<uint32_t>(),
-						 numbers.at(ii + 2).get<uint32_t>()});
+						 numbers.at(ii + 2).get<uint32_t>(), numbers.at(ii + 3).get<uint32_t>()});
 	}
 }
 
+constexpr size_t kLoadControlLists = 5; ///< Of `encodeLoadControl`.
+
 /// Appends what `PeerPing` and `PeerPong` tell alike about load.
 template <typename Message>
 void encodeLoadControl(nlohmann::json& _json, const Message& _message)
@@ -433,6 +439,7 @@
 			 nlohmann::json(_ping.usage),
 			 encodeLimits(_ping.limits)};
 	encodeLoadControl(_json, _ping);
+	_json.push_back(_ping.answered);
 }
 
 inline void from_json(const nlohmann::json& _json, PeerPing& _ping)
@@ -450,6 +457,8 @@
 	}
 	decodeLimits(_json, kUsageAt + 1, _ping.limits);
 	decodeLoadControl(_json, kUsageAt + 2, _ping);
+	constexpr size_t kAnsweredAt = kUsageAt + 2 + kLoadControlLists;
+	_ping.answered = _json.size() > kAnsweredAt ? _json.at(kAnsweredAt).get<uint64_t>() : 0;
 }
 
 inline void to_json(nlohmann::json& _json, const PeerPong& _pong)
--- a/include/spanplank/request_plan.h
+++ b/include/spanplank/request_plan.h
@@ -151,9 +151,19 @@
 /// @param[in] _retainedBefore Whether it was retained before and continued.
 void recordRetainedAttempt(RequestPlan& _plan, uint32_t _upstream, bool _retainedBefore);
 
-/// Acquires the attempt on the next model from the window.
+/// @returns Used share of the retry window as it counts for a second run: 0 if a loan can be used for it.
+double usedShareForEscalation(RetryWindow& _window, TimeUs _now);
+
+/// @returns Expected gain of dropping an answer for the next model's, from 0 to 1: less confident answers
+/// come first, then more urgent requests.
+/// @param[in] _confidence In points. @param[in] _urgency From 0, most urgent, to 9.
+double escalationGain(double _confidence, uint32_t _urgency);
+
+/// Acquires the attempt on the next model from the window. While routers share their windows, the reserve for
+/// failures is used only as far as the gain reaches.
+/// @param[in] _gain See `escalationGain`.
 /// @returns Whether it was acquired, so that the current answer may be dropped.
-bool acquireEscalation(RequestPlan& _plan, RetryWindow& _window, TimeUs _now);
+bool acquireEscalation(RequestPlan& _plan, RetryWindow& _window, TimeUs _now, double _gain = 1.0);
 
 /// What to do after an attempt.
 enum class RetryDecision : uint8_t
--- a/src/core/request_plan.cpp
+++ b/src/core/request_plan.cpp
@@ -35,6 +35,10 @@
 /// Above this used share of the retry window only started streams without an upstream are retried: a caller
 /// can repeat any other request itself, but can't recover a stream that is aborted.
 constexpr double kOptionalRetryShare = 0.95;
+constexpr uint32_t kLeastUrgent = 9; ///< Of a request's account and route.
+/// Weight of the urgency in the expected gain of a second run. Doubt comes first: a second answer to a
+/// request whose first one is nearly good enough changes little, however urgent it is.
+constexpr double kUrgencyGainWeight = 0.25;
 /// Retries that must be allowed before the upstream of a started stream is given up because it pauses: the
 /// next attempt and one more. With only one, a stream that paused for 416 ms was reset by the next upstream
 /// and aborted 1.8 s later, although two other upstreams could have continued it.
@@ -217,9 +221,24 @@
 	return std::min(_plan.deadline, _now + kRecheckIntervalUs);
 }
 
-bool acquireEscalation(RequestPlan& _plan, RetryWindow& _window, TimeUs _now)
+double usedShareForEscalation(RetryWindow& _window, TimeUs _now)
 {
-	const bool acquired = acquireRetry(_window, _now, kOptionalRetryShare);
+	return borrowedRetries(_window, _now) > 0 ? 0.0 : usedShare(_window, _now);
+}
+
+double escalationGain(double _confidence, uint32_t _urgency)
+{
+	const double doubt = 1.0 - std::clamp(_confidence / kMaxConfidenceLimit, 0.0, 1.0);
+	const double urgent = 1.0 - double(std::min(_urgency, kLeastUrgent)) / double(kLeastUrgent);
+	return (1.0 - kUrgencyGainWeight) * doubt + kUrgencyGainWeight * urgent;
+}
+
+bool acquireEscalation(RequestPlan& _plan, RetryWindow& _window, TimeUs _now, double _gain)
+{
+	constexpr double kUnreserved = 1.0 - kRetryReserveShare;
+	const double share =
+		_window.shared ? kUnreserved + _gain * (kOptionalRetryShare - kUnreserved) : kOptionalRetryShare;
+	const bool acquired = acquireRetry(_window, _now, share);
 	_plan.nextRetryAcquiredAt = acquired ? _now : _plan.nextRetryAcquiredAt;
 	return acquired;
 }
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -56,6 +56,28 @@
 				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
 				"field", stats.answerFieldsIgnored);
 }
+
+void addRetryMetrics(MetricsPage& _page, const DirectRouter& _router)
+{
+	const RetryLending& lending = _router.lending;
+	uint64_t lapsed = lending.relayedLapsed;
+	uint64_t refused = 0;
+	for (const auto& [service, window] : _router.retries)
+	{
+		lapsed += window.lapsed;
+		refused += window.refused;
+	}
+	addCounters(_page, "retry_loans_total",
+				"Retries lent to other routers, borrowed, relayed between others, or lapsed unused.", "kind",
+				{{"lent", lending.lent},
+				 {"borrowed", lending.borrowed},
+				 {"relayed", lending.relayed},
+				 {"lapsed", lapsed}});
+	addCounter(_page, "retry_loan_rows_rejected_total", "Rows on loans of retries with figures out of range.",
+			   double(lending.rejectedRows));
+	addCounter(_page, "retries_refused_total", "Retries refused for want of room in the retry window.",
+			   double(refused));
+}
 } // namespace
 
 std::string directMetrics(DirectRouter& _router)
@@ -122,6 +144,7 @@
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addNoticeMetrics(page, _router);
+	addRetryMetrics(page, _router);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "fiber_runtime_p.h"
+#include "load_control_p.h"
 #include "log_p.h"
 #include "platform/headers_p.h"
 #include "platform/store_protocol_p.h"
@@ -229,6 +230,7 @@
 	RetryWindow& window = _router.retries[_service];
 	window.length = TimeUs(_router.settings.retryWindowMs) * kMsToUs;
 	window.ratio = _router.settings.retryRatio * kKeptShare;
+	window.shared = sharesRetries(_router);
 	return window;
 }
 
--- a/src/direct/load_control.cpp
+++ b/src/direct/load_control.cpp
@@ -1,7 +1,10 @@
 /// Exchange of speeds, use by client accounts and retries with the neighbours in the tree of routers.
 #include "load_control_p.h"
 
+#include <fmt/format.h>
+
 #include "fiber_runtime_p.h"
+#include "log_p.h"
 #include "spanplank/home_share.h"
 #include "spanplank/load_controls.h"
 
@@ -15,8 +18,33 @@
 	LoadShare& loads = _router.accounts.loads;
 	return _neighbour == kParentNeighbour ? loads.parent : loads.children[_neighbour];
 }
+
+/// In a ring of routers a loan could come back to its lender.
+bool lendsRetries(const DirectRouter& _router)
+{
+	return _router.settings.policies.retryLending && !_router.peers.loads.isolated;
+}
+
+void logBorrowing(DirectRouter& _router, TimeUs _now)
+{
+	for (const BorrowingChange& change : borrowingChanges(_router.lending, _router.retries, _now))
+	{
+		logEvent(change.begins ? "retries_borrowed" : "retry_borrowing_ended",
+				 {{"service", change.service},
+				  {"retries_used", fmt::format("{:.2f}", change.usedShare)},
+				  {"wanted", std::to_string(change.wanted)},
+				  {"borrowed", std::to_string(change.borrowed)},
+				  {"lapsed", std::to_string(change.lapsed)},
+				  {"refused", std::to_string(change.refused)}});
+	}
+}
 } // namespace
 
+bool sharesRetries(const DirectRouter& _router)
+{
+	return lendsRetries(_router) && hasRetryNeighbour(_router.lending);
+}
+
 const ServiceInfo* serviceInfo(const DirectRouter& _router, const std::string& _service)
 {
 	const auto& services = _router.config.config->services;
@@ -37,7 +65,10 @@
 	const bool forward = !_router.peers.loads.isolated;
 	applySpeedRows(_router.upstreams.speeds, _neighbour, _speeds, forward, now);
 	applyLoads(_router.accounts.loads, accountNeighbour(_router, _neighbour), _accounts, now);
-	applyRetryRows(_router.lending, _neighbour, _retries, _lendAge, now);
+	if (lendsRetries(_router))
+	{
+		applyRetryRows(_router.lending, _neighbour, _retries, _router.retries, _lendAge, now);
+	}
 }
 
 void addLoadControl(DirectRouter& _router, uint32_t _neighbour, std::vector<SpeedRow>& _speeds,
@@ -46,7 +77,7 @@
 	const TimeUs now = monotonicNow();
 	_speeds = speedRowsFor(_router.upstreams.speeds, _neighbour, now);
 	_accounts = loadChangesFor(_router.accounts.loads, accountNeighbour(_router, _neighbour));
-	if (!_router.peers.loads.isolated)
+	if (lendsRetries(_router))
 	{
 		_retries = retryRowsFor(_router.lending, _neighbour, _router.retries, now);
 	}
@@ -74,5 +105,6 @@
 	_router.accounts.loads.isolated = _router.peers.loads.isolated;
 	refreshAccounts(_router.accounts, _now);
 	expireSpeeds(_router.upstreams.speeds, _now);
+	logBorrowing(_router, _now);
 }
 } // namespace spanplank
--- a/src/direct/load_control_p.h
+++ b/src/direct/load_control_p.h
@@ -15,11 +15,14 @@
 /// @returns The parts that apply to a service by the configuration in force.
 LoadControls loadControls(const DirectRouter& _router, const std::string& _service);
 
+/// @returns Whether retries can be lent to and borrowed from other routers now.
+bool sharesRetries(const DirectRouter& _router);
+
 /// @returns The configuration of a service; null if it is not configured.
 const ServiceInfo* serviceInfo(const DirectRouter& _router, const std::string& _service);
 
 /// Applies what a neighbour tells. @param[in] _neighbour Link of the child, or `kParentNeighbour`.
-/// @param[in] _lendAge Time since the neighbour may have lent the retries, us.
+/// @param[in] _lendAge See `retryLoanAge`.
 void takeLoadControl(DirectRouter& _router, uint32_t _neighbour, const std::vector<SpeedRow>& _speeds,
 					 const std::vector<LoadChange>& _accounts, const std::vector<RetryRow>& _retries,
 					 TimeUs _lendAge);
@@ -31,7 +34,7 @@
 /// Removes what belongs to a link that has closed.
 void forgetLoadControl(DirectRouter& _router, uint32_t _neighbour);
 
-/// Excludes outdated reports from the sums; called with each ping.
+/// Excludes outdated reports from the sums and logs the begin and end of borrowing; called with each ping.
 void refreshLoadControl(DirectRouter& _router, TimeUs _now);
 } // namespace spanplank
 
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -44,7 +44,8 @@
 	takePeerTrials(_router, _ping.trials, _link.idx);
 	takePeerSuspects(_router, _ping.suspects);
 	takePeerLimits(_router, _ping.limits, _link);
-	takeLoadControl(_router, _link.idx, _ping.speeds, _ping.accounts, _ping.retries, 0);
+	takeLoadControl(_router, _link.idx, _ping.speeds, _ping.accounts, _ping.retries,
+					retryLoanAge(_router.lending, _link.idx, _ping.answered, now));
 	applyUsage(_router.usage, _ping.usage);
 	PeerPong pong;
 	pong.seq = _ping.seq;
@@ -57,6 +58,7 @@
 	pong.loads = loadChangesFor(peers.loads, child);
 	pong.homes = homesForChild(peers.homes, _link.idx);
 	addLoadControl(_router, _link.idx, pong.speeds, pong.accounts, pong.retries);
+	recordRetryMessage(_router.lending, _link.idx, pong.seq, now);
 	pong.stopping = _router.stopping;
 	pong.wall = wallTime(_router.wall, wallNow(), now);
 	pong.chain = peers.follow.chain;
--- a/src/direct/peer_links_p.h
+++ b/src/direct/peer_links_p.h
@@ -44,6 +44,7 @@
 	LinkId parentLink;            ///< Over which it was pinged last; invalid: it was not.
 	uint64_t pingSeq = 0;
 	TimeUs pingSentAt = 0;  ///< Of the last ping.
+	uint64_t pongSeq = 0;   ///< Of the last answer over `parentLink`; 0: none came.
 	ChangeLog changes;      ///< Newest changes of the store, for followers that missed some.
 	uint64_t askedFrom = 0; ///< Revision from which the parent was asked for changes; 0: it was not.
 	bool behind = false;    ///< Changes were missed that the parent can't tell: the store is to be asked.
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -39,6 +39,7 @@
 	PeerLinks& peers = _router.peers;
 	forgetLoadControl(_router, kParentNeighbour);
 	peers.parentLink = {};
+	peers.pongSeq = 0;
 	peers.askedFrom = 0;
 	peers.toldUsage = {};
 	removeLoads(peers.loads, peers.loads.parent);
@@ -201,7 +202,9 @@
 	peers.pingSentAt = monotonicNow();
 	ping.suspects = suspectUpdatesFor(_router.suspects, peers.toldSuspects[link.idx], peers.pingSentAt);
 	ping.limits = limitUpdatesFor(_router.upstreams, peers.toldLimits[link.idx]);
+	recordRetryMessage(_router.lending, kParentNeighbour, ping.seq, peers.pingSentAt);
 	addLoadControl(_router, kParentNeighbour, ping.speeds, ping.accounts, ping.retries);
+	ping.answered = peers.pongSeq;
 	ping.usage = usageUpdateFor(_router.usage, peers.toldUsage, peers.pingSentAt);
 	peers.hub->send(link, MessageType::PeerPing, ping);
 }
@@ -221,7 +224,8 @@
 	takePeerSuspects(_router, _pong.suspects);
 	takePeerLimits(_router, _pong.limits, _link);
 	takeLoadControl(_router, kParentNeighbour, _pong.speeds, _pong.accounts, _pong.retries,
-					now - peers.pingSentAt);
+					retryLoanAge(_router.lending, kParentNeighbour, _pong.seq, now));
+	peers.pongSeq = _pong.seq;
 	if (syncWallClock(_router.wall, _pong.wall, now))
 	{
 		logEvent("wall_clock_corrected", {{"box", peers.parent}});
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -171,13 +171,14 @@
 	return delivered ? AttemptEnd::Complete : AttemptEnd::CallerDisconnected;
 }
 
-void logDoubtKept(const Serving& _serving, double _confidence, double _budgetUsed,
+void logDoubtKept(const Serving& _serving, double _confidence, double _budgetUsed, bool _noRetry,
 				  const NextModelEstimate& _next, TimeUs _now)
 {
 	logEvent("doubt_kept", {{"request", _serving.call.requestId},
 							{"confidence", fmt::format("{:.0f}", _confidence)},
 							{"runs", std::to_string(_serving.plan.runs)},
 							{"retries_used", fmt::format("{:.2f}", _budgetUsed)},
+							{"no_retry", _noRetry ? "1" : "0"},
 							{"next_head_ms", fmt::format("{:.0f}", _next.firstTokenMs)},
 							{"next_wait_ms", fmt::format("{:.0f}", _next.waitMs)},
 							{"pressure", fmt::format("{:.2f}", _next.pressure)},
@@ -194,16 +195,22 @@
 	}
 	RetryWindow& window = retryWindow(_serving.router, _serving.service);
 	const TimeUs now = monotonicNow();
-	const double used = usedShare(window, now);
+	const double used = usedShareForEscalation(window, now);
 	const NextModelEstimate next = expectNextModel(_serving);
 	// Dropped only once the next attempt is taken from the window: else it might be refused, with nothing
 	// left.
-	if (_confidence < confidenceLimit(_serving.plan, used, next, now) &&
-		acquireEscalation(_serving.plan, window, now))
+	const bool allowed = _confidence < confidenceLimit(_serving.plan, used, next, now);
+	if (allowed &&
+		acquireEscalation(_serving.plan, window, now, escalationGain(_confidence, urgencyOf(_serving))))
 	{
 		return true;
 	}
-	logDoubtKept(_serving, _confidence, used, next, now);
+	const bool noRetry = _confidence < confidenceLimit(_serving.plan, 0.0, next, now);
+	if (noRetry && !allowed)
+	{
+		recordRefusedRetry(window, now);
+	}
+	logDoubtKept(_serving, _confidence, usedShare(window, now), noRetry, next, now);
 	return false;
 }
 
