--- a/include/spanplank/service_load.h
+++ b/include/spanplank/service_load.h
@@ -33,6 +33,15 @@
 /// @returns The load as one share: 0 is idle, 1 is full, above 1 requests wait.
 /// @param[in] _targetMs Latency objective, ms, against which queued work is measured.
 double loadShareOf(const ServiceLoad& _load, double _targetMs);
+
+/// @returns The load as pressure on the confidence limit, 0 to 1, in the unit of `FirstTokenPressure::share`:
+/// the share of the latency objective for which a new request waits. Running requests count only beyond the
+/// capacity, since they delay no first token before.
+double loadPressureOf(const ServiceLoad& _load, double _targetMs);
+
+/// @returns The share of the price of another hall that applies at a load of the router's own hall: 1 while
+/// the hall has capacity, 0 while it is overloaded.
+double hallPriceShare(double _hallLoad);
 } // namespace spanplank
 
 #endif // SPANPLANK_SERVICE_LOAD_H_HEADER_GUARD
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -205,6 +205,8 @@
 	double answerTokens = 0.0;       ///< Expected output tokens still to come; 0 if unknown.
 	double leftMs = 0.0;             ///< Time until the caller's deadline; 0 if it does not bind the choice.
 	bool bySpeed = false;            ///< Estimates use the measured speeds of the upstreams.
+	/// Load share of the service in `hall`, by `loadShareOf`; 0 if the price of another hall is fixed.
+	double hallLoad = 0.0;
 	bool repeatable = false;
 	const std::set<uint32_t>* tried = nullptr; ///< Upstreams to exclude.
 	HallLimit limit; ///< Allowed halls; if limited, the request's homes are not sent to other routers.
@@ -282,17 +284,27 @@
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 				   TimeUs _now);
 
+/// @returns Expected time to first token at an upstream of mean speed, including the work queued there and the
+/// part that does not depend on the prompt, in milliseconds; 0 if unknown. Speeds are measured against it.
+double meanFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+						TimeUs _now);
+
 /// @returns Expected time to first token, including the work queued there, in milliseconds; 0 if unknown.
 double expectedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 							TimeUs _now);
 
 /// @returns Time to first token if the upstream has cached nothing of the prompt, in milliseconds; 0 if
 /// unknown.
-double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream);
+double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+							TimeUs _now);
 
 /// @returns Expected time that a new prompt waits behind earlier ones at an upstream, in milliseconds.
 double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream);
 
+/// The same for a query, by the measured speed of the upstream if the query uses it.
+double expectedWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now);
+
 /// Records the start of an attempt.
 /// @returns Prefill time added to the upstream, to be passed to `recordFirstToken` or `recordEnded`.
 double recordSent(UpstreamTable& _table, UpstreamId _id, const UpstreamQuery& _query, TimeUs _now);
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 
+#include "spanplank/service_load.h"
+
 namespace spanplank
 {
 namespace
@@ -33,6 +35,9 @@
 constexpr double kMsPerTokenFall = 0.3;
 /// Part of a time to first token that does not depend on the prompt: network and decoding steps.
 constexpr double kFixedFirstTokenMs = 20.0;
+/// Times per output token up to this multiple of the fastest candidate's count as equal to it. Means of a few
+/// streams of alike engines differ by some 10 %, which for a long answer would outweigh cached parts.
+constexpr double kAlikeTokenTimes = 1.25;
 /// Shares of a prompt's shared tokens that the first upstreams of the hash order are presumed to have cached,
 /// even if this router has not sent them there lately. All routers prefer the first and use the next ones
 /// when it is loaded.
@@ -164,6 +169,58 @@
 	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
 }
 
+/// @returns Factor of an upstream's measured speed on times to first token; 1 if the query does not use it.
+double speedFactor(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+				   TimeUs _now)
+{
+	return _query.bySpeed ? firstTokenFactor(_table.speeds, _entry.key, _now) : 1.0;
+}
+
+/// @returns Time to first token at the measured speed. @param[in] _ms Prefill and waiting time at mean speed.
+double atMeasuredSpeed(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+					   double _ms, TimeUs _now)
+{
+	return _query.bySpeed ? (_ms + kFixedFirstTokenMs) * speedFactor(_table, _query, _entry, _now) : _ms;
+}
+
+/// Time of the answer's tokens at each candidate beyond that at the fastest one.
+class DecodeCost
+{
+public:
+	DecodeCost(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+			   const UpstreamQuery& _query, TimeUs _now)
+		: m_table(_table), m_now(_now)
+	{
+		if (!_query.bySpeed || _query.answerTokens <= 0.0)
+		{
+			return;
+		}
+		double fastest = 0.0;
+		for (const Candidate& candidate : _candidates)
+		{
+			const double factor = tokenFactor(_table.speeds, candidate.entry->key, _now);
+			fastest = fastest == 0.0 ? factor : std::min(fastest, factor);
+		}
+		m_free = fastest * kAlikeTokenTimes;
+		m_meanMs = _query.answerTokens * meanTokenMs(_table.speeds, serviceModelKey(_query));
+	}
+
+	double at(const UpstreamEntry& _entry) const
+	{
+		if (m_meanMs == 0.0)
+		{
+			return 0.0;
+		}
+		return m_meanMs * std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now) - m_free);
+	}
+
+private:
+	const UpstreamTable& m_table;
+	TimeUs m_now;
+	double m_free = 0.0;   ///< Factor up to which no time is added.
+	double m_meanMs = 0.0; ///< Time of all tokens at mean speed; 0: unknown.
+};
+
 /// Cost of a prompt at an upstream.
 struct PromptCost
 {
@@ -217,6 +274,8 @@
 	const HomeOrder order = homeOrder(_table, _candidates, _query);
 	const double perToken = msPerToken(_table, _query);
 	const double tokens = promptTokens(_query);
+	const double otherHallMs = kOtherHallMs * hallPriceShare(_query.hallLoad);
+	const DecodeCost decode(_table, _candidates, _query, _now);
 	uint32_t best = kInvalidIdx;
 	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
@@ -225,13 +284,16 @@
 		const double presumed = presumedShare(order, candidate.idx);
 		const double cached = cachedTokens(_table, _query, candidate.idx, presumed, _now);
 		const bool near = entry.record.hall == _query.hall || !_table.policies.hallPreference;
-		const double hall = near ? 0.0 : kOtherHallMs;
+		const double hall = near ? 0.0 : otherHallMs;
 		const double health = failureFactor(entry.health);
+		const double speed = speedFactor(_table, _query, entry, _now);
 		const double prefillMs = perToken * (tokens - cached);
+		const double wait = waitMs(_table, entry);
 		const double jitter = kJitterMs * nextUnit(_random);
 		PromptCost cost;
-		cost.firstTokenMs = (prefillMs + waitMs(_table, entry)) * health + jitter;
-		cost.cost = (kPrefillWeight * prefillMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.firstTokenMs =
+			atMeasuredSpeed(_table, _query, entry, prefillMs + wait, _now) * health + jitter;
+		cost.cost = (kPrefillWeight * prefillMs + wait) * speed * health + decode.at(entry) + hall + jitter;
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
 		if (best == kInvalidIdx || isCheaper(cost, bestCost))
 		{
@@ -297,6 +359,17 @@
 		   (promptTokens(_query) - cachedTokens(_table, _query, _upstream.idx, presumed, _now));
 }
 
+double meanFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+						TimeUs _now)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	if (found == _table.entries.end() || _query.shared.empty())
+	{
+		return 0.0;
+	}
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) + kFixedFirstTokenMs;
+}
+
 double expectedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 							TimeUs _now)
 {
@@ -305,17 +378,20 @@
 	{
 		return 0.0;
 	}
-	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
+	const double ms = prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now);
 }
 
-double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream)
+double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+							TimeUs _now)
 {
 	const auto found = _table.entries.find(_upstream.idx);
 	if (found == _table.entries.end() || _query.shared.empty())
 	{
 		return 0.0;
 	}
-	return msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second);
+	const double ms = msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now);
 }
 
 double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream)
@@ -323,4 +399,13 @@
 	const auto found = _table.entries.find(_upstream.idx);
 	return found == _table.entries.end() ? 0.0 : waitMs(_table, found->second);
 }
+
+double expectedWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	return found == _table.entries.end()
+			   ? 0.0
+			   : waitMs(_table, found->second) * speedFactor(_table, _query, found->second, _now);
+}
 } // namespace spanplank
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -95,7 +95,7 @@
 	notes.tableRevision = router.view.revision;
 	notes.expectedMs = expectedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin);
 	const FirstTokenEstimate head{notes.expectedMs,
-								  uncachedFirstTokenMs(router.upstreams, _query, _upstream)};
+								  uncachedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin)};
 	const AttemptTimeouts times =
 		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
