Engine speed and service load in the choice of an upstream, in estimates and in the confidence limit

Cause: estimates of first tokens ignored an engine's speed and a full batch, and the confidence limit followed one router's own first tokens.

--- a/include/spanplank/engine_speed.h
+++ b/include/spanplank/engine_speed.h
@@ -88,11 +88,25 @@
 void recordTokenTime(EngineSpeedTable& _table, UpstreamKey _upstream, const std::string& _kind,
 					 double _tokenMs, TimeUs _now);
 
-/// @returns Factor on the expected time to first token at an upstream; 1 without samples.
-double firstTokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now);
+/// Mean logarithms of the recent ratios of several upstreams.
+struct SpeedPrior
+{
+	double firstToken = 0.0;
+	double token = 0.0;
+};
+
+/// @returns The means of a service's upstreams. Estimates are often off for all of them in the same way; with
+/// these means as its prior, an upstream without samples counts as a usual one instead of a slower one, and
+/// is used again after it was slow.
+SpeedPrior speedPrior(const EngineSpeedTable& _table, absl::Span<const UpstreamKey> _upstreams, TimeUs _now);
+
+/// @returns Factor on the expected time to first token at an upstream; without samples that of the prior, 1.
+double firstTokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now,
+						const SpeedPrior& _prior = {});
 
-/// @returns Factor on the time per output token at an upstream; 1 without samples.
-double tokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now);
+/// @returns Factor on the time per output token at an upstream; without samples that of the prior, 1.
+double tokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now,
+				   const SpeedPrior& _prior = {});
 
 /// @returns Mean time per output token of a service and model in milliseconds; 0 without samples.
 double meanTokenMs(const EngineSpeedTable& _table, std::string_view _kind);
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -205,6 +205,7 @@
 	double answerTokens = 0.0;       ///< Expected output tokens still to come; 0 if unknown.
 	double leftMs = 0.0;             ///< Time until the caller's deadline; 0 if it does not bind the choice.
 	bool bySpeed = false;            ///< Estimates use the measured speeds of the upstreams.
+	uint32_t slots = 0; ///< Requests that an engine runs at once; 0: unknown. Used only with `bySpeed`.
 	/// Load share of the service in `hall`, by `loadShareOf`; 0 if the price of another hall is fixed.
 	double hallLoad = 0.0;
 	bool repeatable = false;
@@ -284,8 +285,9 @@
 double prefillMsAt(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 				   TimeUs _now);
 
-/// @returns Expected time to first token at an upstream of mean speed, including the work queued there and the
-/// part that does not depend on the prompt, in milliseconds; 0 if unknown. Speeds are measured against it.
+/// @returns Expected time to first token at an upstream of mean speed, including the work queued there and
+/// the part that does not depend on the prompt, in milliseconds; 0 if unknown. Speeds are measured against
+/// it.
 double meanFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 						TimeUs _now);
 
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -51,6 +51,21 @@
 	_page.families.push_back(std::move(counters));
 }
 
+void addGauges(MetricsPage& _page, const std::string& _name, const std::string& _help,
+			   const std::string& _label, const std::map<std::string, double>& _values)
+{
+	prometheus::MetricFamily gauges = family(_name, _help, prometheus::MetricType::Gauge);
+	gauges.metric.clear();
+	for (const auto& [value, number] : _values)
+	{
+		prometheus::ClientMetric metric;
+		metric.label.push_back({_label, value});
+		metric.gauge.value = number;
+		gauges.metric.push_back(std::move(metric));
+	}
+	_page.families.push_back(std::move(gauges));
+}
+
 void addHistogram(MetricsPage& _page, const std::string& _name, const std::string& _help,
 				  absl::Span<const double> _bounds, absl::Span<const uint64_t> _counts, double _sum)
 {
--- a/src/adapters/metrics_p.h
+++ b/src/adapters/metrics_p.h
@@ -22,6 +22,11 @@
 /// Counters that differ in one label. @param[in] _values By the label's value.
 void addCounters(MetricsPage& _page, const std::string& _name, const std::string& _help,
 				 const std::string& _label, const std::map<std::string, uint64_t>& _values);
+
+/// Gauges that differ in one label. @param[in] _values By the label's value.
+void addGauges(MetricsPage& _page, const std::string& _name, const std::string& _help,
+			   const std::string& _label, const std::map<std::string, double>& _values);
+
 /// @param[in] _bounds Upper bounds of all buckets but the last. @param[in] _counts Of each bucket, not
 /// cumulative.
 void addHistogram(MetricsPage& _page, const std::string& _name, const std::string& _help,
--- a/src/core/engine_speed.cpp
+++ b/src/core/engine_speed.cpp
@@ -14,7 +14,7 @@
 {
 /// Time in which the weight of a sample falls to 1/e. Engines were seen to slow down and recover within 4 s.
 constexpr double kDecayUs = 2000.0 * double(kMsToUs);
-/// Samples with a ratio of 1 that are part of every mean, so that one odd answer does not condemn an
+/// Samples with the prior ratio that are part of every mean, so that one odd answer does not condemn an
 /// upstream.
 constexpr double kPriorSamples = 2.0;
 /// Maximum weight of a mean. Without it a busy upstream, with 100 samples a second, would be avoided for 6 s
@@ -67,12 +67,31 @@
 	}
 }
 
-double factorOf(const LogRatioMean& _mean, TimeUs _now)
+double factorOf(const LogRatioMean& _mean, TimeUs _now, double _prior)
 {
 	const double share = decayedShare(_mean, _now);
-	return std::exp(_mean.sum * share / (_mean.weight * share + kPriorSamples));
+	return std::exp((_mean.sum * share + _prior * kPriorSamples) / (_mean.weight * share + kPriorSamples));
 }
 
+/// Sum of the decayed samples of several upstreams.
+struct SampleSum
+{
+	double sum = 0.0;
+	double weight = 0.0;
+
+	void add(const LogRatioMean& _mean, TimeUs _now)
+	{
+		const double share = decayedShare(_mean, _now);
+		sum += _mean.sum * share;
+		weight += _mean.weight * share;
+	}
+
+	double mean() const
+	{
+		return sum / (weight + kPriorSamples);
+	}
+};
+
 /// Applies samples to the means of an upstream. @returns Whether there is room for the upstream.
 bool applyRow(EngineSpeedTable& _table, const SpeedRow& _row, TimeUs _now)
 {
@@ -181,16 +200,35 @@
 	recordOwn(_table, {_upstream, 0, 0, 1, hundredths(logRatio)}, _now);
 }
 
-double firstTokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now)
+SpeedPrior speedPrior(const EngineSpeedTable& _table, absl::Span<const UpstreamKey> _upstreams, TimeUs _now)
+{
+	SampleSum firstTokens;
+	SampleSum tokens;
+	for (const UpstreamKey upstream : _upstreams)
+	{
+		const auto found = _table.speeds.find(upstream);
+		if (found != _table.speeds.end())
+		{
+			firstTokens.add(found->second.firstToken, _now);
+			tokens.add(found->second.token, _now);
+		}
+	}
+	return {firstTokens.mean(), tokens.mean()};
+}
+
+double firstTokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now,
+						const SpeedPrior& _prior)
 {
 	const auto found = _table.speeds.find(_upstream);
-	return found == _table.speeds.end() ? 1.0 : factorOf(found->second.firstToken, _now);
+	return factorOf(found == _table.speeds.end() ? LogRatioMean{} : found->second.firstToken, _now,
+					_prior.firstToken);
 }
 
-double tokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now)
+double tokenFactor(const EngineSpeedTable& _table, UpstreamKey _upstream, TimeUs _now,
+				   const SpeedPrior& _prior)
 {
 	const auto found = _table.speeds.find(_upstream);
-	return found == _table.speeds.end() ? 1.0 : factorOf(found->second.token, _now);
+	return factorOf(found == _table.speeds.end() ? LogRatioMean{} : found->second.token, _now, _prior.token);
 }
 
 double meanTokenMs(const EngineSpeedTable& _table, std::string_view _kind)
@@ -246,8 +284,8 @@
 	std::vector<SpeedChange> changes;
 	for (auto& [upstream, speed] : _table.speeds)
 	{
-		const double firstToken = factorOf(speed.firstToken, _now);
-		const double token = factorOf(speed.token, _now);
+		const double firstToken = factorOf(speed.firstToken, _now, 0.0);
+		const double token = factorOf(speed.token, _now, 0.0);
 		const double highest = std::max(firstToken, token);
 		const bool slow = highest > (speed.slow ? kNormalFactor : kSlowFactor);
 		if (slow != speed.slow)
--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -169,18 +169,52 @@
 	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
 }
 
+/// @returns The mean speeds of the upstreams of a query's service, if it uses speeds.
+SpeedPrior priorOf(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+{
+	if (!_query.bySpeed)
+	{
+		return {};
+	}
+	std::vector<UpstreamKey> upstreams;
+	for (const auto& [idx, entry] : _table.entries)
+	{
+		if (entry.record.service == _query.service)
+		{
+			upstreams.push_back(entry.key);
+		}
+	}
+	return speedPrior(_table.speeds, upstreams, _now);
+}
+
 /// @returns Factor of an upstream's measured speed on times to first token; 1 if the query does not use it.
 double speedFactor(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
-				   TimeUs _now)
+				   TimeUs _now, const SpeedPrior& _prior)
 {
-	return _query.bySpeed ? firstTokenFactor(_table.speeds, _entry.key, _now) : 1.0;
+	return _query.bySpeed ? firstTokenFactor(_table.speeds, _entry.key, _now, _prior) : 1.0;
+}
+
+/// @returns Expected wait for a slot of an engine, in milliseconds: with as many running requests as slots,
+/// one ends each `slots`-th part of an answer's time.
+double slotWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+				  TimeUs _now)
+{
+	const double slots = _query.slots;
+	const double ahead = double(_entry.inFlight) + double(_entry.others.inFlight) + 1.0 - slots;
+	if (!_query.bySpeed || slots == 0.0 || ahead <= 0.0)
+	{
+		return 0.0;
+	}
+	const double tokenMs = tokenMsAt(_table.speeds, _entry.key, serviceModelKey(_query), _now);
+	return ahead / slots * _query.answerTokens * tokenMs;
 }
 
 /// @returns Time to first token at the measured speed. @param[in] _ms Prefill and waiting time at mean speed.
 double atMeasuredSpeed(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
-					   double _ms, TimeUs _now)
+					   double _ms, TimeUs _now, const SpeedPrior& _prior)
 {
-	return _query.bySpeed ? (_ms + kFixedFirstTokenMs) * speedFactor(_table, _query, _entry, _now) : _ms;
+	const double fixedMs = _query.bySpeed ? kFixedFirstTokenMs : 0.0;
+	return (_ms + fixedMs) * speedFactor(_table, _query, _entry, _now, _prior);
 }
 
 /// Time of the answer's tokens at each candidate beyond that at the fastest one.
@@ -188,8 +222,8 @@
 {
 public:
 	DecodeCost(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
-			   const UpstreamQuery& _query, TimeUs _now)
-		: m_table(_table), m_now(_now)
+			   const UpstreamQuery& _query, TimeUs _now, const SpeedPrior& _prior)
+		: m_table(_table), m_prior(_prior), m_now(_now)
 	{
 		if (!_query.bySpeed || _query.answerTokens <= 0.0)
 		{
@@ -198,7 +232,7 @@
 		double fastest = 0.0;
 		for (const Candidate& candidate : _candidates)
 		{
-			const double factor = tokenFactor(_table.speeds, candidate.entry->key, _now);
+			const double factor = tokenFactor(_table.speeds, candidate.entry->key, _now, _prior);
 			fastest = fastest == 0.0 ? factor : std::min(fastest, factor);
 		}
 		m_free = fastest * kAlikeTokenTimes;
@@ -211,11 +245,12 @@
 		{
 			return 0.0;
 		}
-		return m_meanMs * std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now) - m_free);
+		return m_meanMs * std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now, m_prior) - m_free);
 	}
 
 private:
 	const UpstreamTable& m_table;
+	SpeedPrior m_prior;
 	TimeUs m_now;
 	double m_free = 0.0;   ///< Factor up to which no time is added.
 	double m_meanMs = 0.0; ///< Time of all tokens at mean speed; 0: unknown.
@@ -275,7 +310,8 @@
 	const double perToken = msPerToken(_table, _query);
 	const double tokens = promptTokens(_query);
 	const double otherHallMs = kOtherHallMs * hallPriceShare(_query.hallLoad);
-	const DecodeCost decode(_table, _candidates, _query, _now);
+	const SpeedPrior prior = priorOf(_table, _query, _now);
+	const DecodeCost decode(_table, _candidates, _query, _now, prior);
 	uint32_t best = kInvalidIdx;
 	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
@@ -286,13 +322,13 @@
 		const bool near = entry.record.hall == _query.hall || !_table.policies.hallPreference;
 		const double hall = near ? 0.0 : otherHallMs;
 		const double health = failureFactor(entry.health);
-		const double speed = speedFactor(_table, _query, entry, _now);
+		const double speed = speedFactor(_table, _query, entry, _now, prior);
 		const double prefillMs = perToken * (tokens - cached);
-		const double wait = waitMs(_table, entry);
+		const double wait = waitMs(_table, entry) + slotWaitMs(_table, _query, entry, _now);
 		const double jitter = kJitterMs * nextUnit(_random);
 		PromptCost cost;
 		cost.firstTokenMs =
-			atMeasuredSpeed(_table, _query, entry, prefillMs + wait, _now) * health + jitter;
+			atMeasuredSpeed(_table, _query, entry, prefillMs + wait, _now, prior) * health + jitter;
 		cost.cost = (kPrefillWeight * prefillMs + wait) * speed * health + decode.at(entry) + hall + jitter;
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
 		if (best == kInvalidIdx || isCheaper(cost, bestCost))
@@ -367,7 +403,8 @@
 	{
 		return 0.0;
 	}
-	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) + kFixedFirstTokenMs;
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) +
+		   slotWaitMs(_table, _query, found->second, _now) + kFixedFirstTokenMs;
 }
 
 double expectedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
@@ -378,8 +415,9 @@
 	{
 		return 0.0;
 	}
-	const double ms = prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
-	return atMeasuredSpeed(_table, _query, found->second, ms, _now);
+	const double ms = prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) +
+					  slotWaitMs(_table, _query, found->second, _now);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now, priorOf(_table, _query, _now));
 }
 
 double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
@@ -390,8 +428,9 @@
 	{
 		return 0.0;
 	}
-	const double ms = msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second);
-	return atMeasuredSpeed(_table, _query, found->second, ms, _now);
+	const double ms = msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second) +
+					  slotWaitMs(_table, _query, found->second, _now);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now, priorOf(_table, _query, _now));
 }
 
 double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream)
@@ -404,8 +443,11 @@
 					  TimeUs _now)
 {
 	const auto found = _table.entries.find(_upstream.idx);
-	return found == _table.entries.end()
-			   ? 0.0
-			   : waitMs(_table, found->second) * speedFactor(_table, _query, found->second, _now);
+	if (found == _table.entries.end() || !_query.bySpeed)
+	{
+		return expectedWaitMs(_table, _upstream);
+	}
+	const double ms = waitMs(_table, found->second) + slotWaitMs(_table, _query, found->second, _now);
+	return ms * speedFactor(_table, _query, found->second, _now, priorOf(_table, _query, _now));
 }
 } // namespace spanplank
--- a/src/core/service_load.cpp
+++ b/src/core/service_load.cpp
@@ -42,8 +42,8 @@
 		running += double(entry.inFlight) + double(entry.others.inFlight);
 		slots += double(std::max(1u, _capacity.slots != 0 ? _capacity.slots : entry.record.slots));
 		held += double(entry.heldTokens) + double(entry.others.tokens);
-		load.queueMs += (entry.prefillMs + entry.others.prefillMs) *
-						firstTokenFactor(_table.speeds, entry.key, _now);
+		load.queueMs +=
+			(entry.prefillMs + entry.others.prefillMs) * firstTokenFactor(_table.speeds, entry.key, _now);
 	}
 	if (load.upstreams == 0)
 	{
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -21,18 +21,22 @@
 	TimeUs tableAge = 0;        ///< Of the newest proof of the table by which the upstream was chosen.
 	uint64_t tableRevision = 0; ///< Of the store, up to which that table knows all.
 	double expectedMs = 0.0;    ///< Until the head; 0: unknown.
-	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
-	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
-	double prefillMs = 0.0;     ///< Still counted at the upstream.
-	bool asCold = false;        ///< The upstream was cold when it was chosen.
-	bool asRestProbe = false;   ///< It shows whether the upstream accepts requests again after a rest.
-	bool asLimited = false;     ///< The upstream stated a limit when it was chosen.
-	bool withdrawn = false;     ///< The upstream left before anything was sent.
-	double confidence = -1.0;   ///< The model's own; -1: it told none.
-	TimeUs firstEventsAt = 0;   ///< When the first events of this attempt came; 0: none did.
+	double meanMs = 0.0;      ///< The same at an upstream of mean speed; 0: unknown, or speeds are not used.
+	TimeUs sentAfter = 0;     ///< Time from the choice to the first byte sent; 0: none was.
+	TimeUs headAfter = 0;     ///< Time until the head came; 0: none did.
+	double prefillMs = 0.0;   ///< Still counted at the upstream.
+	bool asCold = false;      ///< The upstream was cold when it was chosen.
+	bool asRestProbe = false; ///< It shows whether the upstream accepts requests again after a rest.
+	bool asLimited = false;   ///< The upstream stated a limit when it was chosen.
+	bool withdrawn = false;   ///< The upstream left before anything was sent.
+	double confidence = -1.0; ///< The model's own; -1: it told none.
+	TimeUs firstEventsAt = 0; ///< When the first events of this attempt came; 0: none did.
 	TimeUs lastEventsAt = 0;
 	int64_t firstEventsId = -1; ///< The last id among those first events.
 	int64_t lastEventId = -1;   ///< The last id that this attempt brought; -1: none.
+	TimeUs paceFrom = 0;        ///< Begin of the next sample of the time per token; 0: no event came.
+	int64_t paceFromId = -1;    ///< The last id at that time.
+	TimeUs callerTime = 0;      ///< Since then spent on writing to the caller.
 	bool lost = false;          ///< The upstream has started again, by its record.
 	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
 	TrialAttempt trial = {};    ///< Its part in the trial of a version of its service.
@@ -82,6 +86,14 @@
 /// Ends all attempts under way from another handler.
 void cancelAttempts(Serving& _serving);
 
+/// Records the time to the head of an answer as a sample of the upstream's speed.
+void noteFirstToken(Serving& _serving, const AttemptNotes& _notes);
+
+/// Records the time per token since the last sample, if enough events came. Streams give a sample every
+/// second, so that a slow engine is known before its answers end.
+/// @param[in] _ended The stream ends: events of less than a second count as well.
+void noteTokenTime(Serving& _serving, AttemptNotes& _notes, bool _ended);
+
 /// Takes note that an attempt has reached its upstream.
 void noteReached(Serving& _serving, const AttemptNotes& _notes);
 
@@ -97,7 +109,7 @@
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes);
 
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
-void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
+void noteAttemptEnd(Serving& _serving, AttemptNotes& _notes, AttemptEnd _end);
 } // namespace spanplank
 
 #endif // SPANPLANK_ATTEMPT_P_H_HEADER_GUARD
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -2,7 +2,9 @@
 #include <algorithm>
 #include <set>
 
+#include "load_control_p.h"
 #include "serving_p.h"
+#include "spanplank/service_load.h"
 #include "suspects_p.h"
 
 namespace spanplank
@@ -17,6 +19,40 @@
 	return _serving.plan.models.empty() ? _serving.call.model : _serving.plan.models[_serving.plan.model];
 }
 
+namespace
+{
+/// @returns The load of the request's service. @param[in] _hall Only in this hall; empty: in all.
+ServiceLoad loadOf(const Serving& _serving, std::string_view _hall)
+{
+	const ServiceInfo* info = serviceInfo(_serving.router, _serving.service);
+	const UpstreamCapacity capacity =
+		info == nullptr ? UpstreamCapacity{} : UpstreamCapacity{info->slots, info->kvTokens};
+	return serviceLoad(_serving.router.upstreams, _serving.service, _hall, capacity, monotonicNow());
+}
+
+/// Adds what the control of load needs.
+void addLoadControls(const Serving& _serving, UpstreamQuery& _query)
+{
+	const LoadControls controls = loadControls(_serving.router, _serving.service);
+	const ServiceInfo* info = serviceInfo(_serving.router, _serving.service);
+	_query.bySpeed = controls.engineSpeeds;
+	_query.slots = info == nullptr ? 0 : info->slots;
+	if (controls.serviceLoad)
+	{
+		_query.hallLoad = loadShareOf(loadOf(_serving, _query.hall), double(_serving.plan.targetMs));
+	}
+}
+
+/// @returns How much the next model's answer would delay others, for the confidence limit.
+double pressureOf(const Serving& _serving)
+{
+	DirectRouter& router = _serving.router;
+	return loadControls(router, _serving.service).serviceLoad
+			   ? loadPressureOf(loadOf(_serving, ""), double(_serving.plan.targetMs))
+			   : router.pressure[_serving.service].share;
+}
+} // namespace
+
 UpstreamQuery queryOf(const Serving& _serving, const std::string& _model)
 {
 	UpstreamQuery query;
@@ -27,6 +63,7 @@
 	query.tried = &_serving.plan.tried;
 	query.limit = _serving.limit;
 	query.firstTokenTargetMs = firstTokenBudgetMs(_serving.plan, monotonicNow());
+	addLoadControls(_serving, query);
 	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
 	if (parts.empty())
 	{
@@ -98,7 +135,6 @@
 	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, now);
 	return {expectedFirstTokenMs(router.upstreams, query, upstream, now),
-			expectedWaitMs(router.upstreams, upstream), router.pressure[_serving.service].share,
-			isValid(upstream)};
+			expectedWaitMs(router.upstreams, query, upstream, now), pressureOf(_serving), isValid(upstream)};
 }
 } // namespace spanplank
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -3,8 +3,10 @@
 #include <sys/resource.h>
 
 #include "direct_router_p.h"
+#include "load_control_p.h"
 #include "log_p.h"
 #include "metrics_p.h"
+#include "spanplank/service_load.h"
 #include "spanplank/store_position.h"
 
 namespace spanplank
@@ -56,6 +58,33 @@
 				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
 				"field", stats.answerFieldsIgnored);
 }
+
+/// Speeds of engines and loads of services.
+void addLoadMetrics(MetricsPage& _page, const DirectRouter& _router)
+{
+	const SpeedStats& speeds = _router.stats.speeds;
+	addHistogram(_page, "first_token_ratio",
+				 "Observed over expected time to first token, by measured speeds.",
+				 absl::MakeConstSpan(kRatioBuckets), absl::MakeConstSpan(speeds.ratios), speeds.ratioSum);
+	addGauge(_page, "upstreams_slow",
+			 "Upstreams at which times are more than three times as long as expected.",
+			 double(countSlow(_router.upstreams.speeds)));
+	addCounter(_page, "speed_rows_rejected_total",
+			   "Rows of other routers on speeds that were ignored as they are out of range.",
+			   double(_router.upstreams.speeds.rejectedRows));
+	std::map<std::string, double> loads;
+	for (const auto& [name, info] : _router.config.config->services)
+	{
+		if (loadControls(_router, name).serviceLoad)
+		{
+			const ServiceLoad load =
+				serviceLoad(_router.upstreams, name, "", {info.slots, info.kvTokens}, monotonicNow());
+			loads[name] = std::max(load.slots, load.tokens);
+		}
+	}
+	addGauges(_page, "service_load",
+			  "Running requests and held tokens as a share of the upstreams' capacity.", "service", loads);
+}
 } // namespace
 
 std::string directMetrics(DirectRouter& _router)
@@ -122,6 +151,7 @@
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addNoticeMetrics(page, _router);
+	addLoadMetrics(page, _router);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -42,6 +42,17 @@
 	double sumMs = 0.0;
 };
 
+/// Bounds of the buckets of observed over expected times.
+constexpr double kRatioBuckets[] = {0.25, 0.5, 0.75, 1, 1.5, 2, 2.5, 4, 8, 16, 32};
+constexpr size_t kRatioBucketCount = sizeof(kRatioBuckets) / sizeof(kRatioBuckets[0]);
+
+/// Observed over expected times to first token, where speeds are used.
+struct SpeedStats
+{
+	uint64_t ratios[kRatioBucketCount + 1] = {};
+	double ratioSum = 0.0;
+};
+
 struct DirectStats
 {
 	std::map<std::string, uint64_t> answers;  ///< Final answers, by `<kind of end>`.
@@ -61,7 +72,8 @@
 	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
 	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
-	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
+	SpeedStats speeds;
+	std::map<std::string, uint64_t> limitChanges; ///< Changes of limits that upstreams state, by kind.
 };
 
 /// How far this router has read the store.
--- a/src/direct/load_control.cpp
+++ b/src/direct/load_control.cpp
@@ -1,7 +1,10 @@
 /// Exchange of speeds, use by client accounts and retries with the neighbours in the tree of routers.
 #include "load_control_p.h"
 
+#include <fmt/format.h>
+
 #include "fiber_runtime_p.h"
+#include "log_p.h"
 #include "spanplank/home_share.h"
 #include "spanplank/load_controls.h"
 
@@ -15,6 +18,28 @@
 	LoadShare& loads = _router.accounts.loads;
 	return _neighbour == kParentNeighbour ? loads.parent : loads.children[_neighbour];
 }
+
+/// Logs upstreams that have become slow, and those that are no longer.
+void logSpeedChanges(DirectRouter& _router, TimeUs _now)
+{
+	UpstreamTable& table = _router.upstreams;
+	for (const SpeedChange& change : takeSpeedChanges(table.speeds, _now))
+	{
+		const auto idx = table.idxOfKey.find(change.upstream);
+		const auto entry =
+			idx == table.idxOfKey.end() ? table.entries.end() : table.entries.find(idx->second);
+		if (entry == table.entries.end())
+		{
+			continue; // Known to other routers alone.
+		}
+		logEvent(change.slow ? "upstream_slow" : "upstream_speed_normal",
+				 {{"upstream", entry->second.record.id},
+				  {"service", entry->second.record.service},
+				  {"hall", entry->second.record.hall},
+				  {"first_token_factor", fmt::format("{:.2f}", change.firstToken)},
+				  {"token_factor", fmt::format("{:.2f}", change.token)}});
+	}
+}
 } // namespace
 
 const ServiceInfo* serviceInfo(const DirectRouter& _router, const std::string& _service)
@@ -73,6 +98,7 @@
 {
 	_router.accounts.loads.isolated = _router.peers.loads.isolated;
 	refreshAccounts(_router.accounts, _now);
+	logSpeedChanges(_router, _now);
 	expireSpeeds(_router.upstreams.speeds, _now);
 }
 } // namespace spanplank
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include "attempt_p.h"
 #include "fiber_runtime_p.h"
+#include "load_control_p.h"
 #include "log_p.h"
 
 namespace spanplank
@@ -134,12 +135,61 @@
 	recordFirstTokenTime(_serving.router.pressure[_serving.service], _serving.plan, after);
 }
 
+/// Samples with fewer pauses between events show the network rather than the engine.
+constexpr int64_t kMinPacePauses = 4;
+/// Interval of the samples of a stream.
+constexpr TimeUs kPacePeriod = 1000 * kMsToUs;
+/// Share of a sample's time that may be spent on writing to the caller. The router reads no further event
+/// meanwhile, so a slow caller would appear as a slow engine.
+constexpr double kMaxCallerShare = 0.1;
+
+std::string speedKind(const AttemptNotes& _notes)
+{
+	return _notes.record.service + " " + std::string(_notes.query.model);
+}
+
+UpstreamKey upstreamKey(const AttemptNotes& _notes)
+{
+	return keyOf(_notes.record.id, _notes.record.startedAtMs);
+}
+
+void noteRatio(SpeedStats& _stats, double _ratio)
+{
+	size_t bucket = 0;
+	while (bucket < kRatioBucketCount && _ratio > kRatioBuckets[bucket])
+	{
+		++bucket;
+	}
+	++_stats.ratios[bucket];
+	_stats.ratioSum += _ratio;
+}
+
+/// Samples at the end of an attempt. Ends that speak of the caller, of a connection or of another attempt
+/// that went on are none.
+void noteSpeed(Serving& _serving, AttemptNotes& _notes, AttemptEnd _end, TimeUs _now)
+{
+	if (_end == AttemptEnd::Complete || _end == AttemptEnd::DeadlineExceeded)
+	{
+		noteTokenTime(_serving, _notes, true);
+	}
+	// An attempt that was given up without a head took at least this long. Without it the slowest answers of
+	// an engine would not count.
+	const double tookMs = double(_now - _notes.begin - _notes.sentAfter) / double(kMsToUs);
+	const bool silent = _end == AttemptEnd::Unresponsive && _notes.sentAfter != 0 && _notes.headAfter == 0;
+	if (silent && _notes.meanMs > 0.0 && tookMs > _notes.meanMs)
+	{
+		recordFirstTokenRatio(_serving.router.upstreams.speeds, upstreamKey(_notes), _notes.meanMs, tookMs,
+							  _now);
+	}
+}
+
 constexpr const char* kWithdrawn = "withdrawn"; ///< In logs and counters, beside the names of `AttemptEnd`.
 
 void logAttempt(const Serving& _serving, const AttemptNotes& _notes, const char* _end, TimeUs _now)
 {
 	const auto entry = _serving.router.upstreams.entries.find(_notes.upstream.idx);
 	const bool known = entry != _serving.router.upstreams.entries.end();
+	const EngineSpeedTable& speeds = _serving.router.upstreams.speeds;
 	logEvent(
 		"attempt_ended",
 		{{"request", _serving.call.requestId},
@@ -161,6 +211,8 @@
 		 {"subject",
 		  _notes.query.shared.empty() ? "" : fmt::format("{:x}", _notes.query.shared.back().hash & 0xffffff)},
 		 {"expected_ms", fmt::format("{:.0f}", _notes.expectedMs)},
+		 {"first_token_factor", fmt::format("{:.2f}", firstTokenFactor(speeds, upstreamKey(_notes), _now))},
+		 {"token_factor", fmt::format("{:.2f}", tokenFactor(speeds, upstreamKey(_notes), _now))},
 		 {"own_tokens", std::to_string(_notes.query.ownTokens)},
 		 {"waiting_ms", fmt::format("{:.0f}", known ? entry->second.prefillMs : 0.0)},
 		 {"error", _notes.error},
@@ -201,6 +253,44 @@
 }
 } // namespace
 
+void noteFirstToken(Serving& _serving, const AttemptNotes& _notes)
+{
+	if (_notes.meanMs <= 0.0)
+	{
+		return;
+	}
+	DirectRouter& router = _serving.router;
+	const double seenMs = double(_notes.headAfter - _notes.sentAfter) / double(kMsToUs);
+	recordFirstTokenRatio(router.upstreams.speeds, upstreamKey(_notes), _notes.meanMs, seenMs,
+						  monotonicNow());
+	if (_notes.expectedMs > 0.0)
+	{
+		noteRatio(router.stats.speeds, double(_notes.headAfter) / double(kMsToUs) / _notes.expectedMs);
+	}
+}
+
+void noteTokenTime(Serving& _serving, AttemptNotes& _notes, bool _ended)
+{
+	const TimeUs time = _notes.lastEventsAt - _notes.paceFrom;
+	const int64_t pauses = _notes.lastEventId - _notes.paceFromId;
+	if (!_notes.query.bySpeed || _notes.paceFrom == 0 || (time < kPacePeriod && !_ended))
+	{
+		return;
+	}
+	const ServiceInfo* info = serviceInfo(_serving.router, _serving.service);
+	const uint32_t perEvent = info == nullptr ? 1 : std::max(1u, info->tokensPerEvent);
+	const bool slowCaller = double(_notes.callerTime) > kMaxCallerShare * double(time);
+	if (pauses >= kMinPacePauses && !slowCaller)
+	{
+		const double ms = double(time) / double(kMsToUs) / double(pauses) / double(perEvent);
+		recordTokenTime(_serving.router.upstreams.speeds, upstreamKey(_notes), speedKind(_notes), ms,
+						monotonicNow());
+	}
+	_notes.paceFrom = _notes.lastEventsAt;
+	_notes.paceFromId = _notes.lastEventId;
+	_notes.callerTime = 0;
+}
+
 void noteReached(Serving& _serving, const AttemptNotes& _notes)
 {
 	recordTrialReached(_serving.router.trials, _serving.service, _notes.trial);
@@ -217,7 +307,7 @@
 	logAttempt(_serving, _notes, kWithdrawn, now);
 }
 
-void noteAttemptEnd(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end)
+void noteAttemptEnd(Serving& _serving, AttemptNotes& _notes, AttemptEnd _end)
 {
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
@@ -228,6 +318,7 @@
 	noteExposure(_serving, _notes, _end);
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
+	noteSpeed(_serving, _notes, _end, now);
 	++router.stats.attempts[name(_end)];
 	logAttempt(_serving, _notes, name(_end), now);
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -71,6 +71,11 @@
 		_notes.firstEventsAt = _now;
 		_notes.firstEventsId = _lastId;
 	}
+	if (_notes.paceFrom == 0)
+	{
+		_notes.paceFrom = _now;
+		_notes.paceFromId = _lastId;
+	}
 	_notes.lastEventsAt = _now;
 	_notes.lastEventId = _lastId;
 }
@@ -94,10 +99,13 @@
 		if (!events.empty())
 		{
 			noteEvents(_attempt.notes, splitter.lastEventId, monotonicNow());
+			noteTokenTime(_serving, _attempt.notes, false);
+			const TimeUs writeFrom = monotonicNow();
 			if (!writeEvents(_serving, _attempt, head, events))
 			{
 				return AttemptEnd::CallerDisconnected;
 			}
+			_attempt.notes.callerTime += monotonicNow() - writeFrom;
 			by = std::min(_serving.plan.deadline, monotonicNow() + _times.maxEventGap);
 		}
 		if (state != ExchangeState::Ok)
@@ -251,6 +259,10 @@
 		recordFirstToken(_serving.router.upstreams, notes.upstream, notes.query, notes.prefillMs,
 						 notes.headAfter);
 		notes.prefillMs = 0.0;
+		if (code == status::kOk) // Errors are answered without reading the prompt.
+		{
+			noteFirstToken(_serving, notes);
+		}
 	}
 	if (_serving.plan.stream && code == status::kOk && !answer.notRun)
 	{
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -94,6 +94,7 @@
 	notes.tableAge = notes.begin - router.config.confirmedAt;
 	notes.tableRevision = router.view.revision;
 	notes.expectedMs = expectedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin);
+	notes.meanMs = _query.bySpeed ? meanFirstTokenMs(router.upstreams, _query, _upstream, notes.begin) : 0.0;
 	const FirstTokenEstimate head{notes.expectedMs,
 								  uncachedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin)};
 	const AttemptTimeouts times =
