--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 
+#include "spanplank/service_load.h"
+
 namespace spanplank
 {
 namespace
@@ -33,6 +35,9 @@
 constexpr double kMsPerTokenFall = 0.3;
 /// Part of a time to first token that does not depend on the prompt: network and decoding steps.
 constexpr double kFixedFirstTokenMs = 20.0;
+/// Times per output token up to this multiple of the fastest candidate's count as equal to it. Means of a few
+/// streams of alike engines differ by some 10 %, which for a long answer would outweigh cached parts.
+constexpr double kAlikeTokenTimes = 1.25;
 /// Shares of a prompt's shared tokens that the first upstreams of the hash order are presumed to have cached,
 /// even if this router has not sent them there lately. All routers prefer the first and use the next ones
 /// when it is loaded.
@@ -164,6 +169,93 @@
 	return _entry.prefillMs + _entry.others.prefillMs + kStreamMs * streams;
 }
 
+/// @returns The mean speeds of the upstreams of a query's service, if it uses speeds.
+SpeedPrior priorOf(const UpstreamTable& _table, const UpstreamQuery& _query, TimeUs _now)
+{
+	if (!_query.bySpeed)
+	{
+		return {};
+	}
+	std::vector<UpstreamKey> upstreams;
+	for (const auto& [idx, entry] : _table.entries)
+	{
+		if (entry.record.service == _query.service)
+		{
+			upstreams.push_back(entry.key);
+		}
+	}
+	return speedPrior(_table.speeds, upstreams, _now);
+}
+
+/// @returns Factor of an upstream's measured speed on times to first token; 1 if the query does not use it.
+double speedFactor(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+				   TimeUs _now, const SpeedPrior& _prior)
+{
+	return _query.bySpeed ? firstTokenFactor(_table.speeds, _entry.key, _now, _prior) : 1.0;
+}
+
+/// @returns Expected wait for a slot of an engine, in milliseconds: with as many running requests as slots,
+/// one ends each `slots`-th part of an answer's time.
+double slotWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+				  TimeUs _now)
+{
+	const double slots = _query.slots;
+	const double ahead = double(_entry.inFlight) + double(_entry.others.inFlight) + 1.0 - slots;
+	if (!_query.bySpeed || slots == 0.0 || ahead <= 0.0)
+	{
+		return 0.0;
+	}
+	const double tokenMs = tokenMsAt(_table.speeds, _entry.key, serviceModelKey(_query), _now);
+	return ahead / slots * _query.answerTokens * tokenMs;
+}
+
+/// @returns Time to first token at the measured speed. @param[in] _ms Prefill and waiting time at mean speed.
+double atMeasuredSpeed(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
+					   double _ms, TimeUs _now, const SpeedPrior& _prior)
+{
+	const double fixedMs = _query.bySpeed ? kFixedFirstTokenMs : 0.0;
+	return (_ms + fixedMs) * speedFactor(_table, _query, _entry, _now, _prior);
+}
+
+/// Time of the answer's tokens at each candidate beyond that at the fastest one.
+class DecodeCost
+{
+public:
+	DecodeCost(const UpstreamTable& _table, const std::vector<Candidate>& _candidates,
+			   const UpstreamQuery& _query, TimeUs _now, const SpeedPrior& _prior)
+		: m_table(_table), m_prior(_prior), m_now(_now)
+	{
+		if (!_query.bySpeed || _query.answerTokens <= 0.0)
+		{
+			return;
+		}
+		double fastest = 0.0;
+		for (const Candidate& candidate : _candidates)
+		{
+			const double factor = tokenFactor(_table.speeds, candidate.entry->key, _now, _prior);
+			fastest = fastest == 0.0 ? factor : std::min(fastest, factor);
+		}
+		m_free = fastest * kAlikeTokenTimes;
+		m_meanMs = _query.answerTokens * meanTokenMs(_table.speeds, serviceModelKey(_query));
+	}
+
+	double at(const UpstreamEntry& _entry) const
+	{
+		if (m_meanMs == 0.0)
+		{
+			return 0.0;
+		}
+		return m_meanMs * std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now, m_prior) - m_free);
+	}
+
+private:
+	const UpstreamTable& m_table;
+	SpeedPrior m_prior;
+	TimeUs m_now;
+	double m_free = 0.0;   ///< Factor up to which no time is added.
+	double m_meanMs = 0.0; ///< Time of all tokens at mean speed; 0: unknown.
+};
+
 /// Cost of a prompt at an upstream.
 struct PromptCost
 {
@@ -234,6 +326,9 @@
 	const HomeOrder order = homeOrder(_table, _candidates, _query);
 	const double perToken = msPerToken(_table, _query);
 	const double tokens = promptTokens(_query);
+	const double otherHallMs = kOtherHallMs * hallPriceShare(_query.hallLoad);
+	const SpeedPrior prior = priorOf(_table, _query, _now);
+	const DecodeCost decode(_table, _candidates, _query, _now, prior);
 	uint32_t best = kInvalidIdx;
 	PromptCost bestCost;
 	for (const Candidate& candidate : _candidates)
@@ -242,13 +337,16 @@
 		const double presumed = presumedShare(order, candidate.idx);
 		const double cached = cachedTokens(_table, _query, candidate.idx, presumed, _now);
 		const bool near = entry.record.hall == _query.hall || !_table.policies.hallPreference;
-		const double hall = near ? 0.0 : kOtherHallMs;
+		const double hall = near ? 0.0 : otherHallMs;
 		const double health = failureFactor(entry.health);
+		const double speed = speedFactor(_table, _query, entry, _now, prior);
 		const double prefillMs = perToken * (tokens - cached);
+		const double wait = waitMs(_table, entry) + slotWaitMs(_table, _query, entry, _now);
 		const double jitter = kJitterMs * nextUnit(_random);
 		PromptCost cost;
-		cost.firstTokenMs = (prefillMs + waitMs(_table, entry)) * health + jitter;
-		cost.cost = (kPrefillWeight * prefillMs + waitMs(_table, entry)) * health + hall + jitter;
+		cost.firstTokenMs =
+			atMeasuredSpeed(_table, _query, entry, prefillMs + wait, _now, prior) * health + jitter;
+		cost.cost = (kPrefillWeight * prefillMs + wait) * speed * health + decode.at(entry) + hall + jitter;
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
 		cost.end = outlookAt(_table, _query, candidate, model, cost.firstTokenMs, _now);
 		if (best == kInvalidIdx || isCheaper(cost, bestCost))
@@ -315,6 +413,18 @@
 		   (promptTokens(_query) - cachedTokens(_table, _query, _upstream.idx, presumed, _now));
 }
 
+double meanFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+						TimeUs _now)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	if (found == _table.entries.end() || _query.shared.empty())
+	{
+		return 0.0;
+	}
+	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) +
+		   slotWaitMs(_table, _query, found->second, _now) + kFixedFirstTokenMs;
+}
+
 double expectedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
 							TimeUs _now)
 {
@@ -323,17 +433,22 @@
 	{
 		return 0.0;
 	}
-	return prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second);
+	const double ms = prefillMsAt(_table, _query, _upstream, _now) + waitMs(_table, found->second) +
+					  slotWaitMs(_table, _query, found->second, _now);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now, priorOf(_table, _query, _now));
 }
 
-double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream)
+double uncachedFirstTokenMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+							TimeUs _now)
 {
 	const auto found = _table.entries.find(_upstream.idx);
 	if (found == _table.entries.end() || _query.shared.empty())
 	{
 		return 0.0;
 	}
-	return msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second);
+	const double ms = msPerToken(_table, _query) * promptTokens(_query) + waitMs(_table, found->second) +
+					  slotWaitMs(_table, _query, found->second, _now);
+	return atMeasuredSpeed(_table, _query, found->second, ms, _now, priorOf(_table, _query, _now));
 }
 
 double expectedWaitMs(const UpstreamTable& _table, UpstreamId _upstream)
@@ -341,4 +456,16 @@
 	const auto found = _table.entries.find(_upstream.idx);
 	return found == _table.entries.end() ? 0.0 : waitMs(_table, found->second);
 }
+
+double expectedWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, UpstreamId _upstream,
+					  TimeUs _now)
+{
+	const auto found = _table.entries.find(_upstream.idx);
+	if (found == _table.entries.end() || !_query.bySpeed)
+	{
+		return expectedWaitMs(_table, _upstream);
+	}
+	const double ms = waitMs(_table, found->second) + slotWaitMs(_table, _query, found->second, _now);
+	return ms * speedFactor(_table, _query, found->second, _now, priorOf(_table, _query, _now));
+}
 } // namespace spanplank
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -75,7 +75,8 @@
 	uint64_t noTime = 0;                ///< Requests refused as no upstream can finish them in time.
 	uint64_t secondRunsWithoutTime = 0; ///< Answers kept as the next model's would end after the deadline.
 	uint64_t lengthsIgnored = 0;        ///< Invalid estimates of answer lengths.
-	RatioHistogram streamEnd;           ///< Observed over expected time to the end of a stream.
+	RatioHistogram firstToken; ///< Observed over expected time to first token, where speeds are used.
+	RatioHistogram streamEnd;  ///< Observed over expected time to the end of a stream.
 };
 
 /// How far this router has read the store.
--- a/src/direct/load_control.cpp
+++ b/src/direct/load_control.cpp
@@ -38,6 +38,28 @@
 				  {"refused", std::to_string(change.refused)}});
 	}
 }
+
+/// Logs upstreams that have become slow, and those that are no longer.
+void logSpeedChanges(DirectRouter& _router, TimeUs _now)
+{
+	UpstreamTable& table = _router.upstreams;
+	for (const SpeedChange& change : takeSpeedChanges(table.speeds, _now))
+	{
+		const auto idx = table.idxOfKey.find(change.upstream);
+		const auto entry =
+			idx == table.idxOfKey.end() ? table.entries.end() : table.entries.find(idx->second);
+		if (entry == table.entries.end())
+		{
+			continue; // Known to other routers alone.
+		}
+		logEvent(change.slow ? "upstream_slow" : "upstream_speed_normal",
+				 {{"upstream", entry->second.record.id},
+				  {"service", entry->second.record.service},
+				  {"hall", entry->second.record.hall},
+				  {"first_token_factor", fmt::format("{:.2f}", change.firstToken)},
+				  {"token_factor", fmt::format("{:.2f}", change.token)}});
+	}
+}
 } // namespace
 
 bool sharesRetries(const DirectRouter& _router)
@@ -104,6 +126,7 @@
 {
 	_router.accounts.loads.isolated = _router.peers.loads.isolated;
 	refreshAccounts(_router.accounts, _now);
+	logSpeedChanges(_router, _now);
 	expireSpeeds(_router.upstreams.speeds, _now);
 	logBorrowing(_router, _now);
 }
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -99,8 +99,9 @@
 	const CompletionEstimate completion = completionAt(router.upstreams, _query, _upstream, notes.begin);
 	const bool endKnown = completion.tokens > 0.0 && completion.tokenMs > 0.0;
 	notes.expectedEndMs = endKnown ? lastTokenMs(completion) : 0.0;
+	notes.meanMs = _query.bySpeed ? meanFirstTokenMs(router.upstreams, _query, _upstream, notes.begin) : 0.0;
 	const FirstTokenEstimate head{notes.expectedMs,
-								  uncachedFirstTokenMs(router.upstreams, _query, _upstream)};
+								  uncachedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin)};
 	const AttemptTimeouts times =
 		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
