Tests' proxy listens on the address of its process alone

Cause: the proxy bound to all addresses, so a soak run beside another took that run's connections to the same port of its own loopback address.

--- a/tests/direct/fault_proxy.cpp
+++ b/tests/direct/fault_proxy.cpp
@@ -101,7 +101,8 @@
 void startProxy(FaultProxy& _proxy, const std::string& _target)
 {
 	_proxy.target = parseEndpoint(_target);
-	_proxy.acceptor = std::make_unique<tcp::acceptor>(testIo(), tcp::endpoint(tcp::v4(), 0));
+	_proxy.acceptor = std::make_unique<tcp::acceptor>(
+		testIo(), tcp::endpoint(boost::asio::ip::make_address(loopbackIp()), 0));
 	_proxy.address = loopback(_proxy.acceptor->local_endpoint().port());
 	spawnFiber([&_proxy] { acceptAll(_proxy); });
 }
