A call that reached a restarted upstream outlives the record of the restart

Change: a call goes on if its connection was opened after another one to that upstream was closed or refused (within 5 s), or a second after the start that the record states (clocks of boxes differ by less). A begun stream goes on too and ends as lost if nothing comes within a second and its own limit. All calls end if the address has changed; the rest ends at once, as before.

--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -56,6 +56,7 @@
 	request.body = caller.body();
 	request.idHeader = platform::kRequestIdHeader;
 	request.requestId = _serving.call.requestId;
+	request.stream = _serving.plan.stream;
 	request.freshOnly = !_serving.plan.repeatable;
 	return request;
 }
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -96,18 +96,34 @@
 	}
 }
 
-void logRestarted(const UpstreamRecord& _before, const UpstreamRecord& _record, size_t _calls,
+void logRestarted(const UpstreamRecord& _before, const UpstreamRecord& _record, const RestartedCalls& _calls,
 				  const ChangeSource& _source)
 {
 	logEvent("upstream_restarted", {{"upstream", _record.id},
 									{"born", std::to_string(_record.startedAtMs)},
 									{"born_before", std::to_string(_before.startedAtMs)},
-									{"calls_ended", std::to_string(_calls)},
+									{"calls_ended", std::to_string(_calls.ended)},
+									{"calls_kept", std::to_string(_calls.kept)},
 									{"way", name(_source.way)},
 									{"revision", std::to_string(_source.revision)}});
 }
 
-/// Takes a record. The requests at an upstream that has started again are told at once that they have ended.
+/// @returns What a record tells of a restart. Its start time is of another box's clock.
+UpstreamRestart restartBy(const UpstreamRecord& _record)
+{
+	constexpr int64_t kClocksDifferMs = 1000; ///< Far over what boxes with synchronized clocks differ.
+	constexpr int64_t kOldestMs = 60000;      ///< The clock of a box that names an older start may be wrong.
+	const int64_t age = wallNowMs() - int64_t(_record.startedAtMs);
+	UpstreamRestart restart{parseEndpoint(_record.address), std::nullopt};
+	if (age > kClocksDifferMs && age <= kOldestMs)
+	{
+		restart.startedBy = monotonicNow() - (age - kClocksDifferMs) * kMsToUs;
+	}
+	return restart;
+}
+
+/// Takes a record. The requests at the incarnation before the one that has started are told at once that they
+/// have ended; those that have reached the new one go on.
 void takeRecord(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
 {
 	UpstreamTable& table = _router.upstreams;
@@ -116,7 +132,7 @@
 	registerUpstream(table, _record, monotonicNow());
 	if (order == IncarnationOrder::Newer)
 	{
-		const size_t calls = endCalls(_router.pool, before);
+		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_record));
 		suspectBroken(_router, before);
 		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
 	}
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -20,6 +20,12 @@
 /// For bytes that arrived before a limit on a box that was not run: the loop's next turns read them.
 constexpr TimeUs kLookAgain = 10 * kMsToUs;
 constexpr int kMostSkipped = 3; ///< Answers to other requests on one connection before it is given up.
+/// A connection that an upstream closed tells of its restart if the record of that comes within this time; a
+/// store that is down for longer is rare.
+constexpr TimeUs kCloseTells = 5000 * kMsToUs;
+/// Longer than sound engines pause between two events: the connection of a begun stream that is silent for so
+/// long after the record of a restart belongs to the incarnation before.
+constexpr TimeUs kSilentAfterRestart = 1000 * kMsToUs;
 constexpr TimeUs kReachPatience = 300 * kMsToUs; ///< For a connection that only shows whether one is taken.
 constexpr unsigned kHttpVersion = 11;            ///< HTTP/1.1, as Beast counts.
 constexpr size_t kHeadLimit = 32u << 10;         ///< Bytes of an answer's head.
@@ -34,6 +40,19 @@
 	return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Notes that an upstream has closed or refused a connection, if an error tells so.
+void noteClosed(UpstreamPool& _pool, UpstreamId _upstream, const boost::system::error_code& _error)
+{
+	namespace error = boost::asio::error;
+	const bool closed = _error == error::eof || _error == error::connection_reset ||
+						_error == error::broken_pipe || _error == error::connection_refused ||
+						_error == http::error::end_of_stream || _error == http::error::partial_message;
+	if (closed)
+	{
+		_pool.closedAt[_upstream.idx] = monotonicNow();
+	}
+}
+
 bool isExpired(const UpstreamConnection& _connection, TimeUs _now)
 {
 	return _now - _connection.idleSince >= _connection.keepFor;
@@ -56,6 +75,10 @@
 		{
 			return connection;
 		}
+		if (!isQuiet(connection->socket))
+		{
+			_pool.closedAt[_request.upstream.idx] = _now;
+		}
 	}
 	return nullptr;
 }
@@ -78,13 +101,21 @@
 	for (auto at = _pool.idle.begin(); at != _pool.idle.end();)
 	{
 		std::vector<UpstreamConnectionPtr>& idle = at->second;
-		idle.erase(std::remove_if(idle.begin(), idle.end(),
-								  [_now](const UpstreamConnectionPtr& _connection) {
-									  return isExpired(*_connection, _now) || !isQuiet(_connection->socket);
-								  }),
-				   idle.end());
+		const auto isClosed = [&](const UpstreamConnectionPtr& _connection) {
+			const bool closed = !isQuiet(_connection->socket);
+			if (closed)
+			{
+				_pool.closedAt[at->first] = _now;
+			}
+			return closed || isExpired(*_connection, _now);
+		};
+		idle.erase(std::remove_if(idle.begin(), idle.end(), isClosed), idle.end());
 		at = idle.empty() ? _pool.idle.erase(at) : std::next(at);
 	}
+	for (auto at = _pool.closedAt.begin(); at != _pool.closedAt.end();)
+	{
+		at = _now - at->second > kCloseTells ? _pool.closedAt.erase(at) : std::next(at);
+	}
 }
 
 UpstreamReach tryConnection(UpstreamPool& _pool, UpstreamId _upstream, const Endpoint& _address)
@@ -97,25 +128,31 @@
 	++_pool.opened;
 	if (connected.error)
 	{
+		noteClosed(_pool, _upstream, connected.error);
 		const bool refused = connected.error == boost::asio::error::connection_refused;
 		return refused ? UpstreamReach::Refuses : UpstreamReach::Unknown;
 	}
 	auto connection = std::make_unique<UpstreamConnection>(*_pool.io);
 	connection->socket = stream.release_socket();
+	connection->openedAt = monotonicNow();
 	connection->socket.set_option(tcp::no_delay(true), error);
 	keepIdle(_pool, _upstream, std::move(connection), kIdleDefault);
 	return UpstreamReach::Accepts;
 }
 
-size_t endCalls(UpstreamPool& _pool, UpstreamId _upstream)
+RestartedCalls endCalls(UpstreamPool& _pool, UpstreamId _upstream, const UpstreamRestart& _restart)
 {
+	const auto closed = _pool.closedAt.find(_upstream.idx);
+	const bool lately = closed != _pool.closedAt.end() && monotonicNow() - closed->second <= kCloseTells;
+	const TimeUs closedAt = lately ? closed->second : 0;
 	_pool.idle.erase(_upstream.idx);
+	RestartedCalls calls;
 	const auto running = _pool.running.equal_range(_upstream.idx);
 	for (auto at = running.first; at != running.second; ++at)
 	{
-		at->second->lose();
+		++(at->second->outlives(_restart, closedAt) ? calls.kept : calls.ended);
 	}
-	return size_t(std::distance(running.first, running.second));
+	return calls;
 }
 
 UpstreamCall::UpstreamCall(UpstreamPool& _pool, const AttemptRequest& _request)
@@ -175,6 +212,7 @@
 	{
 		return result(connected.error);
 	}
+	m_connection->openedAt = monotonicNow();
 	m_connection->socket.set_option(tcp::no_delay(true), error);
 	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
@@ -270,6 +308,7 @@
 	{
 		return result(read.error);
 	}
+	m_silentUntil = 0;
 	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
 
@@ -300,10 +339,30 @@
 	closeConnection();
 }
 
+bool UpstreamCall::outlives(const UpstreamRestart& _restart, TimeUs _closedAt)
+{
+	const TimeUs openedAt = m_connection ? m_connection->openedAt : 0;
+	const bool same =
+		m_request.address.ip == _restart.address.ip && m_request.address.port == _restart.address.port;
+	const bool opened = same && openedAt != 0;
+	const bool isNew = opened && ((_closedAt != 0 && openedAt >= _closedAt) ||
+								  (_restart.startedBy && openedAt >= *_restart.startedBy));
+	const bool begun = opened && m_request.stream && m_parser && m_parser->is_header_done();
+	if (!isNew && !begun)
+	{
+		lose();
+		return false;
+	}
+	m_outlived = true;
+	m_silentUntil = isNew ? 0 : monotonicNow() + kSilentAfterRestart;
+	return true;
+}
+
 void UpstreamCall::release(std::optional<uint32_t> _keepAliveMs)
 {
 	const bool whole = done() && !m_parser->need_eof() && m_parser->get().keep_alive();
-	const bool clean = !m_lost && !m_writing && !m_writeFailed && !m_cancelled && !m_timedOut;
+	// A connection under the id of the incarnation before would not be used again.
+	const bool clean = !m_lost && !m_outlived && !m_writing && !m_writeFailed && !m_cancelled && !m_timedOut;
 	if (!whole || !clean || m_connection->buffer.size() != 0)
 	{
 		return; // The destructor closes it.
@@ -329,6 +388,10 @@
 	{
 		return ExchangeState::Cancelled;
 	}
+	if (!m_lost && !m_timedOut)
+	{
+		noteClosed(m_pool, m_request.upstream, _error);
+	}
 	return m_timedOut ? ExchangeState::TimedOut : ExchangeState::Broken;
 }
 
@@ -370,6 +433,11 @@
 		armTimer(monotonicNow() + kLookAgain);
 		return;
 	}
+	if (m_silentUntil != 0 && monotonicNow() >= m_silentUntil)
+	{
+		lose();
+		return;
+	}
 	// Asked before the close, not after it: what is closed can't be waited for any more.
 	const std::optional<TimeUs> later =
 		m_step == Step::Read && m_askLate ? m_askLate() : std::optional<TimeUs>();
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -30,6 +30,7 @@
 
 	boost::asio::ip::tcp::socket socket;
 	boost::beast::flat_buffer buffer;
+	TimeUs openedAt = 0;
 	TimeUs idleSince = 0;
 	TimeUs keepFor = 0; ///< Longest time that it may stay idle.
 };
@@ -44,6 +45,22 @@
 	std::map<uint32_t, std::vector<UpstreamConnectionPtr>> idle;
 	uint64_t opened = 0;                            ///< Connections made.
 	std::multimap<uint32_t, UpstreamCall*> running; ///< Calls under way, by upstream; each takes itself out.
+	/// When an upstream was last found to have closed or refused a connection.
+	std::map<uint32_t, TimeUs> closedAt;
+};
+
+/// What the record of a restart tells of the incarnation that has begun.
+struct UpstreamRestart
+{
+	Endpoint address;
+	/// On this router's clock, when it had started for certain; nothing: its record does not tell.
+	std::optional<TimeUs> startedBy;
+};
+
+struct RestartedCalls
+{
+	size_t ended = 0;
+	size_t kept = 0; ///< Calls that have, or may have, reached the new incarnation.
 };
 
 /// Closes connections that have been idle for too long or that the upstream has closed.
@@ -60,9 +77,10 @@
 /// Makes a connection to an upstream and keeps it for the next call.
 UpstreamReach tryConnection(UpstreamPool& _pool, UpstreamId _upstream, const Endpoint& _address);
 
-/// An upstream has ended for certain: its calls end as broken, its idle connections are closed.
-/// @returns The number of calls that were under way.
-size_t endCalls(UpstreamPool& _pool, UpstreamId _upstream);
+/// An upstream has started again, by a record that may come long after the start. Its idle connections are
+/// closed, and the calls that were at the incarnation before end as broken. A call goes on if its connection
+/// was opened after the restart. A begun stream goes on too, and ends only if it then stays silent.
+RestartedCalls endCalls(UpstreamPool& _pool, UpstreamId _upstream, const UpstreamRestart& _restart);
 
 struct AttemptRequest
 {
@@ -75,6 +93,7 @@
 	std::string_view body;
 	std::string_view idHeader;  ///< Name of the field that carries the request's id.
 	std::string_view requestId; ///< An answer with another id belongs to another request.
+	bool stream = false;        ///< Its answer comes event by event, with a limit on the time between events.
 	bool freshOnly = false; ///< Not on a connection that was idle for long: the request can't be repeated.
 };
 
@@ -134,6 +153,11 @@
 	/// Ends the attempt from another handler, as its upstream has ended; the running step returns `Broken`.
 	void lose();
 
+	/// Its upstream has started again by a record that has just come.
+	/// @param[in] _closedAt When the upstream was last found to have closed a connection; 0: not lately.
+	/// @returns Whether the attempt goes on; else it has ended by `lose`.
+	bool outlives(const UpstreamRestart& _restart, TimeUs _closedAt);
+
 	/// Gives the connection back for another request if its answer was read whole and it may be kept.
 	void release(std::optional<uint32_t> _keepAliveMs);
 
@@ -171,7 +195,10 @@
 	std::function<std::optional<TimeUs>()> m_askLate;
 	bool m_timedOut = false;
 	bool m_cancelled = false;
-	bool m_lost = false; ///< The upstream has ended.
+	bool m_lost = false;     ///< The upstream has ended.
+	bool m_outlived = false; ///< Its upstream has started again, and it went on.
+	/// Until when a begun stream may be silent after its upstream started again; 0: no doubt about it.
+	TimeUs m_silentUntil = 0;
 	bool m_writing = false;
 	bool m_writeFailed = false;
 	WaitSlot<IoResult> m_written;
--- a/tests/direct/restarted_upstream_test.cpp
+++ b/tests/direct/restarted_upstream_test.cpp
@@ -109,5 +109,83 @@
 	EXPECT_TRUE(logged("calls_ended=\"1\""));
 	EXPECT_LT(took, 5000 * kMsToUs) << system.log();
 }
+
+// A stream that was sent after its upstream had started again was ended by the record of that restart, which
+// came later (soak seeds 60012 and 60048).
+TEST_F(RestartedUpstream, ABegunStreamGoesOnWhenTheRecordOfTheRestartComesLater)
+{
+	constexpr int kLast = 20;
+	constexpr uint32_t kPauseMs = 50;
+	StandInUpstream& engine = system.addUpstream("u-engine", "engines");
+	engine.born = kBorn;
+	system.registerUpstream(engine);
+	ASSERT_TRUE(eventually([&] { return system.knownUpstreams() == 2; }));
+	engine.answer = [](StandInUpstream& _upstream, HttpExchange& _exchange) {
+		answerEvents(_upstream, _exchange, kLast, kPauseMs, false);
+	};
+	DirectAnswer answer;
+	together({[&] {
+				  answer = system.call("POST", "/chat/x", "", {{"Model", "*"}});
+			  },
+			  [&] {
+				  eventually([&] { return engine.open == 1; });
+				  sleepFor(4 * kPauseMs);
+				  engine.born = kBorn + 1000;
+				  system.registerUpstream(engine);
+			  }});
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_FALSE(answer.cut);
+	EXPECT_NE(answer.body.find(fmt::format("id: {}\n", kLast)), std::string::npos) << answer.body;
+	EXPECT_EQ(engine.requests.size(), 1u) << "the stream went on at the upstream that had begun it";
+	EXPECT_TRUE(logged("calls_ended=\"0\" calls_kept=\"1\""));
+}
+
+/// A request that must not run twice, and whose answer has not begun when the record of a restart comes.
+struct RequestBeforeTheRecord : RestartedUpstream
+{
+	/// Sends it, and registers the upstream anew once it has arrived.
+	DirectAnswer callAndRegister(uint64_t _born)
+	{
+		const size_t before = only.requests.size();
+		bool registered = false;
+		only.answer = [&](StandInUpstream& _upstream, HttpExchange& _exchange) {
+			eventually([&] { return registered; });
+			answerWell(_upstream, _exchange);
+		};
+		DirectAnswer answer;
+		together({[&] { answer = system.call("POST", "/once/x"); },
+				  [&] {
+					  eventually([&] { return only.requests.size() > before; });
+					  startAgain(_born);
+					  EXPECT_TRUE(logged("event=upstream_restarted"));
+					  registered = true;
+				  }});
+		return answer;
+	}
+};
+
+// It had reached the new incarnation by a connection opened after the router saw the old one's close, and its
+// caller got 502 for a request that ran.
+TEST_F(RequestBeforeTheRecord, GoesOnIfItsConnectionWasOpenedAfterAnotherWasClosed)
+{
+	only.answer = [](StandInUpstream&, HttpExchange& _exchange) {
+		_exchange.abort();
+	};
+	EXPECT_EQ(system.call("POST", "/once/end").status, 502);
+	EXPECT_EQ(callAndRegister(kBorn + 1000).status, 200) << system.log();
+}
+
+// The same without a connection that was closed, after a record that came seconds late.
+TEST_F(RequestBeforeTheRecord, GoesOnIfItsConnectionWasOpenedAfterTheStartThatTheRecordStates)
+{
+	constexpr int64_t kLateMs = 3000;
+	EXPECT_EQ(callAndRegister(uint64_t(wallNowMs() - kLateMs)).status, 200) << system.log();
+}
+
+// Nothing tells it from a request that was lost with the old incarnation: clocks of boxes differ by more.
+TEST_F(RequestBeforeTheRecord, EndsIfItMayHaveBeenAtTheOneBefore)
+{
+	EXPECT_EQ(callAndRegister(uint64_t(wallNowMs())).status, 502) << system.log();
+}
 } // namespace
 } // namespace spanplank
--- a/tests/direct/upstream_call_test.cpp
+++ b/tests/direct/upstream_call_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include "fiber_runtime_p.h"
 #include "harness.h"
@@ -129,6 +130,46 @@
 	EXPECT_EQ(state, ExchangeState::TimedOut) << call->error();
 }
 
+// A begun stream that stays silent after the record of its upstream's restart was at the incarnation before:
+// waiting for it until the deadline would lose the answer.
+TEST_F(OneCall, EndsAsLostIfItStaysSilentAfterARestart)
+{
+	request.stream = true;
+	openStream();
+	call->onLate([] { return monotonicNow() + 50 * kMsToUs; });
+	const RestartedCalls calls = endCalls(pool, request.upstream, {request.address, std::nullopt});
+	EXPECT_EQ(calls.kept, 1u);
+	EXPECT_EQ(calls.ended, 0u);
+	std::string piece;
+	EXPECT_EQ(next(piece, monotonicNow() + 50 * kMsToUs), ExchangeState::Broken);
+	EXPECT_TRUE(call->lost());
+}
+
+TEST_F(OneCall, WaitsOnAfterARestartOnceAnEventHasCome)
+{
+	request.stream = true;
+	openStream();
+	endCalls(pool, request.upstream, {request.address, std::nullopt});
+	send("5\r\nfirst\r\n");
+	std::string piece;
+	ASSERT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok);
+	sleepFor(uint32_t(kStall.count()));
+	call->onLate([&, asked = false]() mutable {
+		return std::exchange(asked, true) ? std::optional<TimeUs>() : monotonicNow() + 50 * kMsToUs;
+	});
+	EXPECT_EQ(next(piece, monotonicNow() + 50 * kMsToUs), ExchangeState::TimedOut);
+	EXPECT_FALSE(call->lost());
+}
+
+// An upstream that starts again at another address can't have been reached at the old one.
+TEST_F(OneCall, EndsIfItsUpstreamStartsAgainElsewhere)
+{
+	request.stream = true;
+	openStream();
+	EXPECT_EQ(endCalls(pool, request.upstream, {{"127.0.0.1", 1}, std::nullopt}).ended, 1u);
+	EXPECT_TRUE(call->lost());
+}
+
 TEST_F(OneCall, TimesOutWhenNothingCame)
 {
 	openStream();
