Soak: a series of leaving upstreams ends with the faults

Cause: leaveInSeries looked neither at the end of the soak nor at how long it had lasted; replacements joined the series, without end in a large service. Change: it stops at the end of the faults and after the time in which replacements come; a leaving later than that counts as a broken promise.

--- a/tests/soak/soak_planned.cpp
+++ b/tests/soak/soak_planned.cpp
@@ -108,8 +108,10 @@
 	const bool later = happens(_soak, 0.3);
 	const uint32_t most = later ? UINT32_MAX : 1 + below(_soak, 3);
 	const bool says = happens(_soak, 0.5);
+	// A replacement that comes meanwhile may leave too, but not without end, nor after the faults.
+	const TimeUs until = std::min(_soak.until, monotonicNow() + kLaterMs * kMsToUs);
 	uint32_t left = 0;
-	for (size_t ii = 0; ii < _soak.ends.size() && left < most; ++ii)
+	for (size_t ii = 0; ii < _soak.ends.size() && left < most && monotonicNow() < until; ++ii)
 	{
 		SoakUpstream& end = *_soak.ends[ii];
 		if (end.leaving.since != 0 || end.upstream->service != service)
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -23,7 +23,8 @@
 /// Longer than the share of the route's gap (500 ms) after which a router may ask another upstream.
 constexpr uint32_t kPauseLeastMs = 410;
 constexpr uint32_t kPauseSpreadMs = 240;
-constexpr uint32_t kLookMs = 20; ///< Between looks at whether a router has given up.
+constexpr TimeUs kEndSlack = 100 * kMsToUs; ///< After the faults' end, for one that has just been decided.
+constexpr uint32_t kLookMs = 20;            ///< Between looks at whether a router has given up.
 constexpr int kPausingLast = 3; ///< Last event of a stream that pauses: it ends within the caller's deadline.
 
 /// Counts an upstream as working on a request while it answers.
@@ -238,6 +239,10 @@
 void leave(Soak& _soak, SoakUpstream& _end, bool _says)
 {
 	constexpr uint32_t kServesOnMs = 3000; ///< Over the bound, before its entry goes.
+	if (monotonicNow() > _soak.until + kEndSlack)
+	{
+		breach(_soak, fmt::format("{} leaves after the faults have ended", _end.upstream->id));
+	}
 	note(_soak,
 		 fmt::format("{} {}", _end.upstream->id, _says ? "says that it leaves" : "is gone from the store"));
 	_end.leaving = noticeNow(_soak);
