Test loans of retries: reserve, age, relays, ranges, one router

The bound and the replay alone don't show how a loan ends, who may use the reserve and what a router without neighbours does. Adds tests for these and reports the first loan of a time of borrowing in its last log line. The test of messages of earlier versions in request_limit_test.cpp removed the last list of a pong, which is no longer that of the limits: it now removes everything that such a version doesn't send.

--- a/include/spanplank/retry_lending.h
+++ b/include/spanplank/retry_lending.h
@@ -64,7 +64,7 @@
 	bool borrowing = false;        ///< A loan for this router's own use came within the last few loan lives.
 	TimeUs borrowedAt = 0;         ///< When the last one came.
 	uint64_t borrowed = 0;         ///< Retries borrowed since the start.
-	uint64_t borrowedBefore = 0;   ///< `borrowed` when borrowing began.
+	uint64_t borrowedBefore = 0;   ///< `borrowed` when borrowing ended last.
 	uint64_t lapsedBefore = 0;     ///< `RetryWindow::lapsed` when borrowing began.
 	uint64_t refusedBefore = 0;    ///< `RetryWindow::refused` when borrowing began.
 };
--- a/src/core/retry_lending.cpp
+++ b/src/core/retry_lending.cpp
@@ -308,20 +308,20 @@
 			continue;
 		}
 		service.borrowing = borrowing;
+		BorrowingChange change{name, borrowing};
+		change.usedShare = usedShare(window, _now);
+		change.wanted = wantedRetries(window, kRetryLoanLife, _now);
 		if (!borrowing)
 		{
-			changes.push_back({name, false, service.borrowed - service.borrowedBefore,
-							   window.lapsed - service.lapsedBefore, window.refused - service.refusedBefore,
-							   usedShare(window, _now), wantedRetries(window, kRetryLoanLife, _now)});
+			change.borrowed = service.borrowed - service.borrowedBefore;
+			change.lapsed = window.lapsed - service.lapsedBefore;
+			change.refused = window.refused - service.refusedBefore;
+			service.borrowedBefore =
+				service.borrowed; // The first loan of the next time comes before its begin.
 		}
-		else
-		{
-			changes.push_back(
-				{name, true, 0, 0, 0, usedShare(window, _now), wantedRetries(window, kRetryLoanLife, _now)});
-		}
-		service.borrowedBefore = service.borrowed;
 		service.lapsedBefore = window.lapsed;
 		service.refusedBefore = window.refused;
+		changes.push_back(change);
 	}
 	return changes;
 }
--- a/tests/core/request_limit_test.cpp
+++ b/tests/core/request_limit_test.cpp
@@ -387,7 +387,11 @@
 	nlohmann::json wire = pong;
 	EXPECT_EQ(wire.get<PeerPong>().limits[0].limit.perSecond, std::nullopt);
 	EXPECT_EQ(wire.get<PeerPong>().limits[1].limit.perSecond, 1.4);
-	wire.erase(wire.size() - 1);
+	constexpr size_t kLimitsAt = 11; // Messages of earlier versions end before them.
+	while (wire.size() > kLimitsAt)
+	{
+		wire.erase(wire.size() - 1);
+	}
 	EXPECT_TRUE(wire.get<PeerPong>().limits.empty());
 }
 } // namespace
--- a/tests/core/retry_lending_test.cpp
+++ b/tests/core/retry_lending_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <memory>
 #include <rapidcheck/gtest.h>
 
 #include "spanplank/home_share.h"
@@ -414,6 +415,10 @@
 			++replay.poor;
 			RequestPlan plan;
 			const bool allowed = usedShareForEscalation(window, now) <= 0.9;
+			if (!allowed)
+			{
+				recordRefusedRetry(window, now);
+			}
 			replay.refused +=
 				allowed && acquireEscalation(plan, window, now, escalationGain(confidence, 5)) ? 0 : 1;
 		}
@@ -439,5 +444,222 @@
 	EXPECT_LT(after.refused, 60u);
 	EXPECT_LE(after.failuresRefused, before.failuresRefused);
 }
+
+constexpr TimeUs kNow = 5000 * kMs;
+constexpr uint32_t kChild = 4;
+constexpr uint32_t kOther = 5;
+
+/// A window of 100 allowed retries beyond the burst, of which some are used.
+RetryWindow windowOf(uint32_t _used)
+{
+	RetryWindow window;
+	window.ratio = 1.0;
+	window.shared = true;
+	for (int ii = 0; ii < 100; ++ii)
+	{
+		recordRequest(window, kNow - kRetryDemandSpan - kMs);
+	}
+	for (uint32_t ii = 0; ii < _used; ++ii)
+	{
+		EXPECT_TRUE(acquireRetry(window, kNow - kRetryDemandSpan - kMs));
+	}
+	return window;
+}
+
+/// A router with one service, and a row of a neighbour about it.
+struct Lone
+{
+	RetryWindows windows;
+	RetryLending lending;
+	ServiceKey key = serviceKeyOf(kService);
+
+	explicit Lone(uint32_t _used)
+	{
+		windows[kService] = windowOf(_used);
+	}
+
+	void apply(uint32_t _from, const RetryRow& _row, TimeUs _age = 0)
+	{
+		applyRetryRows(lending, _from, {_row}, windows, _age, kNow);
+	}
+
+	/// @returns What a message to the neighbour lends.
+	uint32_t lends(uint32_t _neighbour, TimeUs _now = kNow)
+	{
+		uint32_t lent = 0;
+		for (const RetryRow& row : retryRowsFor(lending, _neighbour, windows, _now))
+		{
+			lent += row.lent;
+		}
+		return lent;
+	}
+};
+
+// Guards against a router that has lent what its own failures need.
+TEST(RetryLending, LeavesAReserveForTheLendersOwnFailuresAndTheBurst)
+{
+	Lone router(20);
+	RetryWindow& window = router.windows[kService];
+	router.apply(kChild, {router.key, 1000, 0, 0});
+	EXPECT_EQ(router.lends(kChild), 50u) << "70 of 100, less the used ones; none of the burst";
+	EXPECT_EQ(router.lends(kChild), 0u) << "it has not asked again";
+	RequestPlan plan;
+	EXPECT_TRUE(acquireEscalation(plan, window, kNow, 0.0)) << "71 of 102 are within 0.7";
+	EXPECT_FALSE(acquireEscalation(plan, window, kNow, 0.0)) << "the reserve is for failures";
+	EXPECT_TRUE(acquireEscalation(plan, window, kNow, 1.0)) << "an answer without any confidence";
+	uint32_t failures = 0;
+	while (acquireRetry(window, kNow))
+	{
+		++failures;
+	}
+	EXPECT_EQ(failures, 30u) << "the reserve and the burst, less the second run";
+	const TimeUs until = kNow + kRetryLoanLife + window.length;
+	EXPECT_EQ(lendableRetries(window, kRetryLoanLife, until), 0u);
+	recordRequest(window, until);
+	EXPECT_NEAR(usedShare(window, until), 50.0 / 3.0, 0.01) << "the loan counts to the end of its last use";
+	EXPECT_EQ(usedShare(window, until + 1), 0.0);
+}
+
+// Guards against second runs that are refused by the state of the own window although a loan is there, and
+// against retries that come back after their loan.
+TEST(RetryLending, ALoanServesSecondRunsAndReturnsOnlyWhileItLives)
+{
+	RetryWindow window = windowOf(102);
+	EXPECT_GT(usedShareForEscalation(window, kNow), 0.9);
+	borrowRetries(window, {1, kNow + 100 * kMs});
+	EXPECT_EQ(usedShareForEscalation(window, kNow), 0.0);
+	RequestPlan plan;
+	EXPECT_TRUE(acquireEscalation(plan, window, kNow, 0.0));
+	EXPECT_FALSE(acquireEscalation(plan, window, kNow, 1.0));
+	releaseUnsentRetries(plan, window);
+	EXPECT_TRUE(allowsRetries(window, 1, kNow + 99 * kMs));
+	ASSERT_TRUE(acquireEscalation(plan, window, kNow + 99 * kMs, 0.0));
+	releaseUnsentRetries(plan, window);
+	EXPECT_FALSE(allowsRetries(window, 1, kNow + 100 * kMs));
+	EXPECT_EQ(window.retries.size(), 102u);
+	EXPECT_EQ(window.lapsed, 1u);
+}
+
+TEST(RetryLending, SecondRunsOfLessConfidentAnswersAndMoreUrgentRequestsComeFirst)
+{
+	EXPECT_EQ(escalationGain(0.0, 0), 1.0);
+	EXPECT_EQ(escalationGain(kMaxConfidenceLimit, 9), 0.0);
+	EXPECT_GT(escalationGain(10.0, 5), escalationGain(30.0, 5));
+	EXPECT_GT(escalationGain(30.0, 1), escalationGain(30.0, 5));
+	EXPECT_GT(escalationGain(5.0, 9), escalationGain(40.0, 3)) << "doubt comes first";
+}
+
+TEST(RetryLending, IgnoresAndCountsRowsOutOfRange)
+{
+	Lone router(102);
+	ASSERT_TRUE(!acquireRetry(router.windows[kService], kNow)) << "it wants to borrow";
+	router.apply(kChild, {router.key, UINT32_MAX, 0, 0});
+	router.apply(kChild, {router.key, 0, UINT32_MAX, 1000});
+	router.apply(kChild, {router.key, 0, 1, 1001});
+	EXPECT_EQ(router.lending.rejectedRows, 3u);
+	router.apply(kChild, {router.key, 0, 1, 0});
+	router.apply(kChild, {router.key, 0, 1, 1000}, kRetryLoanLife);
+	EXPECT_EQ(router.lending.borrowed, 0u) << "lapsed on the way";
+	router.apply(kChild, {router.key, 0, 1, 1000}, kRetryLoanLife - kMs);
+	EXPECT_EQ(router.lending.borrowed, 1u);
+}
+
+// Guards against a loan that is believed younger than it is: a pong that the next ping has overtaken was
+// compared with the time of that ping.
+TEST(RetryLending, TheAgeOfALoanIsCountedFromTheMessageThatItAnswers)
+{
+	RetryLending lending;
+	EXPECT_EQ(retryLoanAge(lending, kParentNeighbour, 0, kNow), kRetryLoanLife) << "a blank router";
+	recordRetryMessage(lending, kParentNeighbour, 1, kNow);
+	recordRetryMessage(lending, kParentNeighbour, 2, kNow + kPingEvery);
+	EXPECT_EQ(retryLoanAge(lending, kParentNeighbour, 1, kNow + 90 * kMs), 90 * kMs);
+	EXPECT_EQ(retryLoanAge(lending, kParentNeighbour, 3, kNow + 90 * kMs), kRetryLoanLife);
+	EXPECT_FALSE(hasRetryNeighbour(lending)) << "the parent has not answered yet";
+	applyRetryRows(lending, kParentNeighbour, {}, *std::make_unique<RetryWindows>(), 0, kNow);
+	EXPECT_TRUE(hasRetryNeighbour(lending));
+	forgetRetryNeighbour(lending, kParentNeighbour);
+	EXPECT_EQ(retryLoanAge(lending, kParentNeighbour, 2, kNow + 90 * kMs), kRetryLoanLife)
+		<< "numbers of another link say nothing";
+	EXPECT_FALSE(hasRetryNeighbour(lending));
+}
+
+// Guards against a loan that is passed on longer than it lives, or more than once.
+TEST(RetryLending, RelaysALoanOnceWithTheTimeLeftAlsoWhenTheParentChanges)
+{
+	Lone router(102); // It has nothing of its own to lend.
+	router.apply(kChild, {router.key, 3, 0, 0});
+	const std::vector<RetryRow> asked = retryRowsFor(router.lending, kParentNeighbour, router.windows, kNow);
+	ASSERT_EQ(asked.size(), 1u);
+	EXPECT_EQ(asked[0].wanted, 3u);
+	router.apply(kParentNeighbour, {router.key, 0, 3, 1000}, 40 * kMs);
+	forgetRetryNeighbour(router.lending, kParentNeighbour);
+	const TimeUs later = kNow + 60 * kMs;
+	const std::vector<RetryRow> lent = retryRowsFor(router.lending, kChild, router.windows, later);
+	ASSERT_EQ(lent.size(), 1u);
+	EXPECT_EQ(lent[0].lent, 3u);
+	EXPECT_EQ(lent[0].leftMs, 900u);
+	router.apply(kOther, {router.key, 3, 0, 0});
+	EXPECT_EQ(router.lends(kChild, later) + router.lends(kOther, later), 0u);
+}
+
+// Guards against loans to a link that has closed: its wants are not those of the next one.
+TEST(RetryLending, WantsOfAClosedLinkAreForgotten)
+{
+	Lone router(0);
+	router.apply(kChild, {router.key, 3, 0, 0});
+	forgetRetryNeighbour(router.lending, kChild);
+	EXPECT_EQ(router.lends(kChild), 0u);
+	EXPECT_EQ(router.lends(kParentNeighbour), 0u);
+}
+
+// A router without neighbours decides as it did before there were loans.
+TEST(RetryLending, ARouterAloneDecidesAsBefore)
+{
+	RetryWindow alone = windowOf(69);
+	alone.shared = false;
+	RequestPlan plan;
+	uint32_t escalations = 0;
+	while (acquireEscalation(plan, alone, kNow, 0.0))
+	{
+		++escalations;
+	}
+	EXPECT_EQ(escalations, 27u) << "up to 0.95 of 102 whatever the gain";
+	EXPECT_EQ(wantedRetries(alone, kRetryLoanLife, kNow), 0u);
+	EXPECT_TRUE(alone.demand.empty());
+	Fleet one(1, 1);
+	Fleet before(1, 1, false);
+	for (int ii = 0; ii < 2000; ++ii)
+	{
+		for (Fleet* fleet : {&one, &before})
+		{
+			fleet->exchange();
+			if (ii % 7 == 0)
+			{
+				fleet->request(0);
+			}
+		}
+		EXPECT_EQ(one.retry(0, 0.95), before.retry(0, 0.95));
+	}
+	EXPECT_EQ(one.tallies[0].retries, before.tallies[0].retries);
+}
+
+TEST(RetryLending, TheBeginAndTheEndOfBorrowingAreToldOnce)
+{
+	Lone router(102);
+	ASSERT_FALSE(acquireRetry(router.windows[kService], kNow));
+	EXPECT_TRUE(borrowingChanges(router.lending, router.windows, kNow).empty());
+	router.apply(kParentNeighbour, {router.key, 0, 1, 1000});
+	const auto begin = borrowingChanges(router.lending, router.windows, kNow);
+	ASSERT_EQ(begin.size(), 1u);
+	EXPECT_TRUE(begin[0].begins);
+	EXPECT_TRUE(borrowingChanges(router.lending, router.windows, kNow + 1000 * kMs).empty());
+	ASSERT_FALSE(router.windows[kService].loans.empty());
+	EXPECT_EQ(borrowedRetries(router.windows[kService], kNow + 1000 * kMs), 0u);
+	const auto end = borrowingChanges(router.lending, router.windows, kNow + 6000 * kMs);
+	ASSERT_EQ(end.size(), 1u);
+	EXPECT_FALSE(end[0].begins);
+	EXPECT_EQ(end[0].borrowed, 1u);
+	EXPECT_EQ(end[0].lapsed, 1u);
+}
 } // namespace
 } // namespace spanplank
