Completion in time: cheaper refusal, own counters, more tests

Cause: judging that no upstream can finish a request took 1.2 ms with 100 upstreams and two models, as prefill was estimated for answers that are too long without it; the counters stood where other parts add theirs. Change: prefill is estimated only where the tokens alone fit the time left; counters have their own struct and the expected end is added to queries in completion_time.cpp; tests of a resumed stream, released tokens and unchanged choices where all upstreams can end in time.

--- a/src/core/completion_choice.cpp
+++ b/src/core/completion_choice.cpp
@@ -2,6 +2,8 @@
 #include "spanplank/completion_choice.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "prompt_choice_p.h"
@@ -24,25 +26,39 @@
 									  TimeUs _now)
 {
 	std::optional<LateEnd> best;
+	std::pair<bool, double> bestRank;
 	for (size_t ii = 0; ii < _queries.size(); ++ii)
 	{
 		const UpstreamQuery& query = _queries[ii];
+		const std::string model = serviceModelKey(query);
 		for (const Candidate& candidate : candidatesFor(_table, query, _now, true))
 		{
-			const UpstreamId upstream{candidate.idx};
-			const CompletionEstimate estimate = completionAt(_table, query, upstream, _now);
+			const double tokenMs = tokenMsAt(_table.speeds, candidate.entry->key, model, _now);
+			CompletionEstimate estimate{0.0, query.answerTokens, tokenMs};
+			const bool tooLong = cannotEnd(estimate, query.leftMs);
+			if (!tooLong) // The time to the first token takes longer to compute and is not needed otherwise.
+			{
+				estimate = completionAt(_table, query, UpstreamId{candidate.idx}, _now);
+			}
 			if (!cannotEnd(estimate, query.leftMs))
 			{
 				return std::nullopt;
 			}
-			if (!best || earliestLastTokenMs(estimate) < earliestLastTokenMs(best->estimate))
+			const std::pair rank(tooLong, earliestLastTokenMs(estimate));
+			if (!best || rank < bestRank)
 			{
-				const double excessMs = earliestLastTokenMs(estimate) - query.leftMs;
-				const double waitMs = std::min(estimate.firstTokenMs, expectedWaitMs(_table, upstream));
-				best = LateEnd{upstream, ii, estimate, query.leftMs, excessMs <= waitMs ? excessMs : 0.0};
+				best = LateEnd{UpstreamId{candidate.idx}, ii, estimate, query.leftMs, 0.0};
+				bestRank = rank;
 			}
 		}
 	}
+	if (best)
+	{
+		best->estimate = completionAt(_table, _queries[best->query], best->upstream, _now);
+		const double excessMs = earliestLastTokenMs(best->estimate) - best->leftMs;
+		const double waitMs = std::min(best->estimate.firstTokenMs, expectedWaitMs(_table, best->upstream));
+		best->freeInMs = excessMs <= waitMs ? excessMs : 0.0;
+	}
 	return best;
 }
 } // namespace spanplank
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -21,7 +21,6 @@
 	TimeUs tableAge = 0;        ///< Of the newest proof of the table by which the upstream was chosen.
 	uint64_t tableRevision = 0; ///< Of the store, up to which that table knows all.
 	double expectedMs = 0.0;    ///< Until the head; 0: unknown.
-	double expectedEndMs = 0.0; ///< Until the end of the answer; 0: unknown.
 	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
@@ -37,6 +36,7 @@
 	bool lost = false;          ///< The upstream has started again, by its record.
 	bool waitedOn = false;      ///< A limit has passed, and the attempt was not given up.
 	TrialAttempt trial = {};    ///< Its part in the trial of a version of its service.
+	double expectedEndMs = 0.0; ///< Time until the end of the answer, expected at the begin; 0: unknown.
 };
 
 /// An attempt under way, as the request's other attempts see it.
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -2,9 +2,7 @@
 #include <algorithm>
 #include <set>
 
-#include "completion_time_p.h"
 #include "serving_p.h"
-#include "spanplank/completion_choice.h"
 #include "suspects_p.h"
 
 namespace spanplank
@@ -25,13 +23,11 @@
 	query.service = _serving.service;
 	query.hall = _serving.router.settings.hall;
 	query.model = _model;
+	addCompletion(_serving, query);
 	query.repeatable = _serving.plan.repeatable;
 	query.tried = &_serving.plan.tried;
 	query.limit = _serving.limit;
-	const TimeUs now = monotonicNow();
-	query.firstTokenTargetMs = firstTokenBudgetMs(_serving.plan, now);
-	query.leftMs = leftMsFor(_serving, now);
-	query.answerTokens = query.leftMs > 0.0 ? answerTokensLeft(_serving) : 0.0;
+	query.firstTokenTargetMs = firstTokenBudgetMs(_serving.plan, monotonicNow());
 	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
 	if (parts.empty())
 	{
@@ -102,13 +98,10 @@
 	const TimeUs now = monotonicNow();
 	const UpstreamQuery query = queryOf(_serving, _serving.plan.models[nextModel(_serving.plan)]);
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, now);
-	const CompletionEstimate end = completionAt(router.upstreams, query, upstream, now);
-	const bool endKnown = end.tokens > 0.0 && end.tokenMs > 0.0;
-	return {expectedFirstTokenMs(router.upstreams, query, upstream, now),
-			expectedWaitMs(router.upstreams, upstream),
-			router.pressure[_serving.service].share,
-			isValid(upstream),
-			endsInTime(end, query.leftMs),
-			endKnown ? lastTokenMs(end) : 0.0};
+	NextModelEstimate next{expectedFirstTokenMs(router.upstreams, query, upstream, now),
+						   expectedWaitMs(router.upstreams, upstream),
+						   router.pressure[_serving.service].share, isValid(upstream)};
+	addExpectedEnd(_serving, query, upstream, next);
+	return next;
 }
 } // namespace spanplank
--- a/src/direct/completion_time.cpp
+++ b/src/direct/completion_time.cpp
@@ -75,6 +75,17 @@
 						 {"left_ms", fmt::format("{:.0f}", _end.leftMs)},
 						 {"free_in_ms", fmt::format("{:.0f}", _end.freeInMs)}});
 }
+
+void noteEndRatio(CompletionStats& _stats, double _ratio)
+{
+	size_t bucket = 0;
+	while (bucket < kEndRatioBucketCount && _ratio > kEndRatioBuckets[bucket])
+	{
+		++bucket;
+	}
+	++_stats.endRatios[bucket];
+	_stats.endRatioSum += _ratio;
+}
 } // namespace
 
 void countInvalidLength(const Serving& _serving)
@@ -85,7 +96,7 @@
 	{
 		return;
 	}
-	++router.stats.lengthsIgnored;
+	++router.stats.completion.lengthsIgnored;
 	const TimeUs now = monotonicNow();
 	if (router.lengthLoggedAt == 0 || now - router.lengthLoggedAt >= kLengthLogPause)
 	{
@@ -97,24 +108,31 @@
 	}
 }
 
-double answerTokensLeft(const Serving& _serving)
+void addCompletion(const Serving& _serving, UpstreamQuery& _query)
 {
 	const ServiceInfo* service = serviceInfo(_serving.router, _serving.service);
-	if (service == nullptr)
+	if (service == nullptr || !loadControls(_serving.router, _serving.service).completionTime)
 	{
-		return 0.0;
+		return;
 	}
+	_query.leftMs = std::max(1.0, double(_serving.plan.deadline - monotonicNow()) / double(kMsToUs));
 	// An answer that is already longer than expected ends at an unknown time.
-	return std::max(0.0, answerTokens(_serving, *service) - tokensReceived(_serving, *service));
+	_query.answerTokens =
+		std::max(0.0, answerTokens(_serving, *service) - tokensReceived(_serving, *service));
 }
 
-double leftMsFor(const Serving& _serving, TimeUs _now)
+double expectedEndMs(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream)
 {
-	if (!loadControls(_serving.router, _serving.service).completionTime)
-	{
-		return 0.0;
-	}
-	return std::max(1.0, double(_serving.plan.deadline - _now) / double(kMsToUs));
+	const CompletionEstimate end = completionAt(_serving.router.upstreams, _query, _upstream, monotonicNow());
+	return end.tokens > 0.0 && end.tokenMs > 0.0 ? lastTokenMs(end) : 0.0;
+}
+
+void addExpectedEnd(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream,
+					NextModelEstimate& _next)
+{
+	const CompletionEstimate end = completionAt(_serving.router.upstreams, _query, _upstream, monotonicNow());
+	_next.endsInTime = endsInTime(end, _query.leftMs);
+	_next.lastTokenMs = expectedEndMs(_serving, _query, _upstream);
 }
 
 bool isTooLate(Serving& _serving, UpstreamId _picked, const UpstreamQuery& _query)
@@ -158,8 +176,8 @@
 	}
 	if (_notes.expectedEndMs > 0.0)
 	{
-		noteRatio(_serving.router.stats.streamEnd,
-				  double(_now - _notes.begin) / double(kMsToUs) / _notes.expectedEndMs);
+		noteEndRatio(_serving.router.stats.completion,
+					 double(_now - _notes.begin) / double(kMsToUs) / _notes.expectedEndMs);
 	}
 }
 
@@ -174,18 +192,7 @@
 	releaseTokens(m_table, m_upstream, m_tokens);
 }
 
-void noteRatio(RatioHistogram& _histogram, double _ratio)
-{
-	size_t bucket = 0;
-	while (bucket < kRatioBucketCount && _ratio > kRatioBuckets[bucket])
-	{
-		++bucket;
-	}
-	++_histogram.buckets[bucket];
-	_histogram.sum += _ratio;
-}
-
-void addCompletionMetrics(MetricsPage& _page, const DirectStats& _stats)
+void addCompletionMetrics(MetricsPage& _page, const CompletionStats& _stats)
 {
 	addCounter(_page, "no_time_refusals_total",
 			   "Requests refused as no upstream can finish the answer before the deadline.",
@@ -197,7 +204,7 @@
 			   "Callers' estimates of answer lengths that were ignored as they are invalid.",
 			   double(_stats.lengthsIgnored));
 	addHistogram(_page, "stream_end_ratio", "Observed over expected time to the end of a complete stream.",
-				 absl::MakeConstSpan(kRatioBuckets), absl::MakeConstSpan(_stats.streamEnd.buckets),
-				 _stats.streamEnd.sum);
+				 absl::MakeConstSpan(kEndRatioBuckets), absl::MakeConstSpan(_stats.endRatios),
+				 _stats.endRatioSum);
 }
 } // namespace spanplank
--- a/src/direct/completion_time_p.h
+++ b/src/direct/completion_time_p.h
@@ -11,11 +11,8 @@
 /// Counts an invalid estimate of the answer's length, which is ignored.
 void countInvalidLength(const Serving& _serving);
 
-/// @returns Expected output tokens that the caller does not have yet; 0 if unknown.
-double answerTokensLeft(const Serving& _serving);
-
-/// @returns Time until the caller's deadline for a query: 0 if the service's ends are not estimated.
-double leftMsFor(const Serving& _serving, TimeUs _now);
+/// @returns Expected time from now to the end of an answer at an upstream, in milliseconds; 0 if unknown.
+double expectedEndMs(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream);
 
 /// Judges whether a request that has not run is to be refused because no upstream with any of its models can
 /// finish it before the deadline; logs the inputs if so.
@@ -41,7 +38,7 @@
 	uint32_t m_tokens = 0;
 };
 
-void addCompletionMetrics(MetricsPage& _page, const DirectStats& _stats);
+void addCompletionMetrics(MetricsPage& _page, const CompletionStats& _stats);
 } // namespace spanplank
 
 #endif // SPANPLANK_COMPLETION_TIME_P_H_HEADER_GUARD
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -84,6 +84,7 @@
 	addGauge(page, "suspects_refused", "Those of them that are refused.",
 			 double(countRefusedSuspects(_router.suspects)));
 	addCounter(page, "escalations_total", "Answers dropped for the next model's.", double(stats.escalated));
+	addCompletionMetrics(page, stats.completion);
 	addCounters(page, "usage_reports_total", "Reports of usage to the platform, by their answers.", "answer",
 				stats.usageReports);
 	addGauge(page, "usage_duty_token", "Token under which this router reports usage; 0: another one does.",
@@ -123,7 +124,6 @@
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addNoticeMetrics(page, _router);
-	addCompletionMetrics(page, stats);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
 	addGauge(page, "followers", "Routers that follow this one.", double(followers(_router)));
 	addGauge(page, "following", "Whether another router keeps this one informed: 1 or 0.",
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "completion_stats_p.h"
 #include "http_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
@@ -42,16 +43,6 @@
 	double sumMs = 0.0;
 };
 
-/// Bounds of the buckets of ratios of observed to expected times.
-constexpr double kRatioBuckets[] = {0.1, 0.25, 0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 2.5, 4.0, 8.0, 25.0};
-constexpr size_t kRatioBucketCount = sizeof(kRatioBuckets) / sizeof(kRatioBuckets[0]);
-
-struct RatioHistogram
-{
-	uint64_t buckets[kRatioBucketCount + 1] = {};
-	double sum = 0.0;
-};
-
 struct DirectStats
 {
 	std::map<std::string, uint64_t> answers;  ///< Final answers, by `<kind of end>`.
@@ -61,6 +52,7 @@
 	uint64_t upstreamsEnded = 0;              ///< Upstreams that ended with requests of this router at work.
 	uint64_t suspectsRefused = 0;             ///< Suspects that came to be refused.
 	uint64_t suspectsCleared = 0;
+	CompletionStats completion;
 	uint64_t resumed = 0;                            ///< Streams that went on at another upstream.
 	uint64_t escalated = 0;                          ///< Answers dropped for the next model's.
 	uint64_t configs = 0;                            ///< Configurations taken.
@@ -72,10 +64,6 @@
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
 	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
 	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
-	uint64_t noTime = 0;                ///< Requests refused as no upstream can finish them in time.
-	uint64_t secondRunsWithoutTime = 0; ///< Answers kept as the next model's would end after the deadline.
-	uint64_t lengthsIgnored = 0;        ///< Invalid estimates of answer lengths.
-	RatioHistogram streamEnd;           ///< Observed over expected time to the end of a stream.
 };
 
 /// How far this router has read the store.
@@ -199,7 +187,6 @@
 std::string directMetrics(DirectRouter& _router);
 
 void noteLatency(LatencyHistogram& _histogram, TimeUs _latency);
-void noteRatio(RatioHistogram& _histogram, double _ratio);
 
 /// @returns Whether this router may take new callers.
 bool isReady(const DirectRouter& _router);
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -162,11 +162,11 @@
 		 {"subject",
 		  _notes.query.shared.empty() ? "" : fmt::format("{:x}", _notes.query.shared.back().hash & 0xffffff)},
 		 {"expected_ms", fmt::format("{:.0f}", _notes.expectedMs)},
-		 {"expected_end_ms", fmt::format("{:.0f}", _notes.expectedEndMs)},
-		 {"answer_tokens", fmt::format("{:.0f}", _notes.query.answerTokens)},
 		 {"own_tokens", std::to_string(_notes.query.ownTokens)},
 		 {"waiting_ms", fmt::format("{:.0f}", known ? entry->second.prefillMs : 0.0)},
 		 {"error", _notes.error},
+		 {"expected_end_ms", fmt::format("{:.0f}", _notes.expectedEndMs)},
+		 {"answer_tokens", fmt::format("{:.0f}", _notes.query.answerTokens)},
 		 {"table_revision", std::to_string(_notes.tableRevision)},
 		 {"table_age_ms", millisText(_notes.tableAge)},
 		 {"sent_ms", millisText(_notes.sentAfter)},
@@ -228,13 +228,13 @@
 		recordEnded(router.upstreams, _notes.upstream, _notes.prefillMs, signOf(_end), now);
 	logHealthChange(_serving, _notes.record, change, _end);
 	noteProbeEnd(router, _notes);
-	noteExposure(_serving, _notes, _end);
-	noteTrial(_serving, _notes, _end);
-	notePressure(_serving, _notes, _end, now);
 	if (_end == AttemptEnd::Complete)
 	{
 		recordStreamEnd(_serving, _notes, now);
 	}
+	noteExposure(_serving, _notes, _end);
+	noteTrial(_serving, _notes, _end);
+	notePressure(_serving, _notes, _end, now);
 	++router.stats.attempts[name(_end)];
 	logAttempt(_serving, _notes, name(_end), now);
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -208,7 +208,7 @@
 	NextModelEstimate unbound = next;
 	unbound.endsInTime = true;
 	const bool noTime = !next.endsInTime && _confidence < confidenceLimit(_serving.plan, used, unbound, now);
-	_serving.router.stats.secondRunsWithoutTime += noTime ? 1 : 0;
+	_serving.router.stats.completion.secondRunsWithoutTime += noTime ? 1 : 0;
 	logDoubtKept(_serving, _confidence, used, next, now);
 	return false;
 }
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -5,7 +5,6 @@
 #include "completion_time_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
-#include "spanplank/completion_choice.h"
 
 namespace spanplank
 {
@@ -96,15 +95,13 @@
 	notes.tableAge = notes.begin - router.config.confirmedAt;
 	notes.tableRevision = router.view.revision;
 	notes.expectedMs = expectedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin);
-	const CompletionEstimate completion = completionAt(router.upstreams, _query, _upstream, notes.begin);
-	const bool endKnown = completion.tokens > 0.0 && completion.tokenMs > 0.0;
-	notes.expectedEndMs = endKnown ? lastTokenMs(completion) : 0.0;
 	const FirstTokenEstimate head{notes.expectedMs,
 								  uncachedFirstTokenMs(router.upstreams, _query, _upstream)};
 	const AttemptTimeouts times =
 		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
 	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
+	notes.expectedEndMs = expectedEndMs(_serving, _query, _upstream);
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.asLimited = isLimited(router.upstreams, _upstream);
 	notes.prefillMs = recordSent(router.upstreams, _upstream, _query, notes.begin);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -191,7 +191,7 @@
 	{
 		if (isTooLate(_serving, upstream, query))
 		{
-			++_serving.router.stats.noTime;
+			++_serving.router.stats.completion.noTime;
 			return RetryDecision::Finish;
 		}
 		return afterResult(_serving, runAttempt(_serving, upstream, query), upstream, _turns);
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -106,6 +106,14 @@
 /// What the attempt needs of an upstream. The views in it last as long as the serving and the model's name.
 UpstreamQuery queryOf(const Serving& _serving, const std::string& _model);
 
+/// Adds the expected length of the answer and the time left, if the ends of the service's answers are
+/// estimated.
+void addCompletion(const Serving& _serving, UpstreamQuery& _query);
+
+/// Adds when the next model's answer is expected to end at an upstream.
+void addExpectedEnd(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream,
+					NextModelEstimate& _next);
+
 /// Picks an upstream within the versions allowed now; without one among them, any that may still get
 /// requests.
 /// @returns Invalid if none is left.
--- a/tests/core/completion_test.cpp
+++ b/tests/core/completion_test.cpp
@@ -227,6 +227,29 @@
 	RC_ASSERT(!lateEverywhere(table, {&withEnd, 1}, kStart));
 }
 
+// With spare capacity the part must not move prompts away from their cached parts.
+RC_GTEST_PROP(CompletionProperty, WhereAllUpstreamsCanEndInTimeNoChoiceChanges, ())
+{
+	UpstreamTable table;
+	for (int ii = 0; ii < 5; ++ii)
+	{
+		const UpstreamId id = registerUpstream(table, recordOf(fmt::format("u-{}", ii)), kStart);
+		UpstreamEntry& entry = table.entries.at(id.idx);
+		entry.prefillMs = *rc::gen::inRange(0, 2000);
+		entry.inFlight = uint32_t(*rc::gen::inRange(0, 9));
+		recordTokenTime(table.speeds, entry.key, kKind, *rc::gen::inRange(4, 60), kStart);
+	}
+	UpstreamQuery plain = promptQuery(0.0, 0.0);
+	plain.firstTokenTargetMs = *rc::gen::inRange(1, 2000);
+	UpstreamQuery withEnd = plain;
+	withEnd.answerTokens = *rc::gen::inRange(1, 100);
+	withEnd.leftMs = 20000.0;
+	Random one{7};
+	Random other{7};
+	RC_ASSERT(pickDirectUpstream(table, plain, kStart, one) ==
+			  pickDirectUpstream(table, withEnd, kStart, other));
+}
+
 RequestPlan streamPlan()
 {
 	Route route;
--- a/tests/direct/no_time_test.cpp
+++ b/tests/direct/no_time_test.cpp
@@ -127,7 +127,7 @@
 		return upstreams[0].requests.size() + upstreams[1].requests.size();
 	}
 
-	DirectAnswer call(const std::string& _length)
+	DirectAnswer call(const std::string& _length, const std::vector<HttpHeader>& _more = {})
 	{
 		HttpClient client;
 		client.io = &testIo();
@@ -143,6 +143,7 @@
 						   {"Model", "*"},
 						   {"Token-Counts", fmt::format("{},400000", kPromptTokens)},
 						   {"Length-Hint", _length}};
+		request.headers.insert(request.headers.end(), _more.begin(), _more.end());
 		DirectAnswer answer;
 		try
 		{
@@ -171,7 +172,7 @@
 	EXPECT_NE(answer.body.find("\"no_time\""), std::string::npos) << answer.body;
 	EXPECT_EQ(answer.header("Retry-After"), "") << "the answer is too long at any time";
 	EXPECT_EQ(arrivals(), 0u);
-	EXPECT_EQ(router.stats.noTime, 1u);
+	EXPECT_EQ(router.stats.completion.noTime, 1u);
 	EXPECT_EQ(router.stats.answers["no_time"], 1u);
 }
 
@@ -183,14 +184,14 @@
 	EXPECT_EQ(heldWhileRunning, kPromptTokens + 120);
 	EXPECT_TRUE(eventually([this] { return held() == 0; }));
 	EXPECT_EQ(router.answerLengths.routes["chat"].tokens, 6.0) << "six events of one token";
-	EXPECT_EQ(router.stats.noTime, 0u);
+	EXPECT_EQ(router.stats.completion.noTime, 0u);
 }
 
 // A router that has just started knows no speed and must refuse nothing.
 TEST_F(NoTime, WithoutKnownSpeedsNothingIsRefused)
 {
 	EXPECT_EQ(call("100000").status, 200);
-	EXPECT_EQ(router.stats.noTime, 0u);
+	EXPECT_EQ(router.stats.completion.noTime, 0u);
 }
 
 TEST_F(NoTime, WithThePolicyDisabledNothingIsRefused)
@@ -199,7 +200,7 @@
 	learn("small", 10.0);
 	learn("large", 20.0);
 	EXPECT_EQ(call("100000").status, 200);
-	EXPECT_EQ(router.stats.noTime, 0u);
+	EXPECT_EQ(router.stats.completion.noTime, 0u);
 }
 
 TEST_F(NoTime, InvalidEstimatesAreIgnoredAndCounted)
@@ -210,7 +211,7 @@
 	for (const char* length : {"-1", "many", "nan", "1e300", "0"})
 	{
 		EXPECT_EQ(call(length).status, 200) << length;
-		EXPECT_EQ(router.stats.lengthsIgnored, ++sent) << length;
+		EXPECT_EQ(router.stats.completion.lengthsIgnored, ++sent) << length;
 	}
 }
 
@@ -227,7 +228,7 @@
 	learn("large", 100.0);
 	EXPECT_EQ(call("200").status, 200);
 	EXPECT_EQ(arrivals(), 1u);
-	EXPECT_EQ(router.stats.secondRunsWithoutTime, 1u);
+	EXPECT_EQ(router.stats.completion.secondRunsWithoutTime, 1u);
 	EXPECT_EQ(router.stats.escalated, 0u);
 }
 
@@ -251,7 +252,18 @@
 	EXPECT_FALSE(answer.cut);
 	EXPECT_NE(answer.body.find("id: 5\n"), std::string::npos);
 	EXPECT_EQ(arrivals(), 2u);
-	EXPECT_EQ(router.stats.noTime, 0u);
+	EXPECT_EQ(router.stats.completion.noTime, 0u);
+	EXPECT_TRUE(eventually([this] { return held() == 0; })) << "one attempt broke, and one was whole";
+}
+
+// The part that the caller has was made by a run of the same request.
+TEST_F(NoTime, AStreamThatItsCallerResumesIsNotRefused)
+{
+	learn("small", 1000.0);
+	learn("large", 1000.0);
+	EXPECT_EQ(call("200", {{"Last-Event-Id", "2"}}).status, 200);
+	EXPECT_EQ(router.stats.completion.noTime, 0u);
+	EXPECT_EQ(call("200").status, 503);
 }
 } // namespace
 } // namespace spanplank
