--- a/src/direct/completion_time.cpp
+++ b/src/direct/completion_time.cpp
@@ -85,7 +85,7 @@
 	{
 		return;
 	}
-	++router.stats.lengthsIgnored;
+	++router.stats.completion.lengthsIgnored;
 	const TimeUs now = monotonicNow();
 	if (router.lengthLoggedAt == 0 || now - router.lengthLoggedAt >= kLengthLogPause)
 	{
@@ -97,24 +97,31 @@
 	}
 }
 
-double answerTokensLeft(const Serving& _serving)
+void addCompletion(const Serving& _serving, UpstreamQuery& _query)
 {
 	const ServiceInfo* service = serviceInfo(_serving.router, _serving.service);
-	if (service == nullptr)
+	if (service == nullptr || !loadControls(_serving.router, _serving.service).completionTime)
 	{
-		return 0.0;
+		return;
 	}
+	_query.leftMs = std::max(1.0, double(_serving.plan.deadline - monotonicNow()) / double(kMsToUs));
 	// An answer that is already longer than expected ends at an unknown time.
-	return std::max(0.0, answerTokens(_serving, *service) - tokensReceived(_serving, *service));
+	_query.answerTokens =
+		std::max(0.0, answerTokens(_serving, *service) - tokensReceived(_serving, *service));
 }
 
-double leftMsFor(const Serving& _serving, TimeUs _now)
+double expectedEndMs(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream)
 {
-	if (!loadControls(_serving.router, _serving.service).completionTime)
-	{
-		return 0.0;
-	}
-	return std::max(1.0, double(_serving.plan.deadline - _now) / double(kMsToUs));
+	const CompletionEstimate end = completionAt(_serving.router.upstreams, _query, _upstream, monotonicNow());
+	return end.tokens > 0.0 && end.tokenMs > 0.0 ? lastTokenMs(end) : 0.0;
+}
+
+void addExpectedEnd(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream,
+					NextModelEstimate& _next)
+{
+	const CompletionEstimate end = completionAt(_serving.router.upstreams, _query, _upstream, monotonicNow());
+	_next.endsInTime = endsInTime(end, _query.leftMs);
+	_next.lastTokenMs = expectedEndMs(_serving, _query, _upstream);
 }
 
 bool isTooLate(Serving& _serving, UpstreamId _picked, const UpstreamQuery& _query)
@@ -158,7 +165,7 @@
 	}
 	if (_notes.expectedEndMs > 0.0)
 	{
-		noteRatio(_serving.router.stats.streamEnd,
+		noteRatio(_serving.router.stats.completion.streamEnd,
 				  double(_now - _notes.begin) / double(kMsToUs) / _notes.expectedEndMs);
 	}
 }
@@ -174,18 +181,7 @@
 	releaseTokens(m_table, m_upstream, m_tokens);
 }
 
-void noteRatio(RatioHistogram& _histogram, double _ratio)
-{
-	size_t bucket = 0;
-	while (bucket < kRatioBucketCount && _ratio > kRatioBuckets[bucket])
-	{
-		++bucket;
-	}
-	++_histogram.buckets[bucket];
-	_histogram.sum += _ratio;
-}
-
-void addCompletionMetrics(MetricsPage& _page, const DirectStats& _stats)
+void addCompletionMetrics(MetricsPage& _page, const CompletionStats& _stats)
 {
 	addCounter(_page, "no_time_refusals_total",
 			   "Requests refused as no upstream can finish the answer before the deadline.",
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -24,6 +24,17 @@
 	_histogram.sumMs += ms;
 }
 
+void noteRatio(RatioHistogram& _histogram, double _ratio)
+{
+	size_t bucket = 0;
+	while (bucket < kRatioBucketCount && _ratio > kRatioBuckets[bucket])
+	{
+		++bucket;
+	}
+	++_histogram.buckets[bucket];
+	_histogram.sum += _ratio;
+}
+
 namespace
 {
 StoreStats sumOf(const StoreStats& _one, const StoreStats& _other)
@@ -135,6 +146,7 @@
 	addGauge(page, "suspects_refused", "Those of them that are refused.",
 			 double(countRefusedSuspects(_router.suspects)));
 	addCounter(page, "escalations_total", "Answers dropped for the next model's.", double(stats.escalated));
+	addCompletionMetrics(page, stats.completion);
 	addCounters(page, "usage_reports_total", "Reports of usage to the platform, by their answers.", "answer",
 				stats.usageReports);
 	addGauge(page, "usage_duty_token", "Token under which this router reports usage; 0: another one does.",
@@ -174,7 +186,6 @@
 									[now](const auto& _item) { return isCold(_item.second.cold, now); });
 	addGauge(page, "upstreams_cold", "Upstreams taken for cold.", double(cold));
 	addNoticeMetrics(page, _router);
-	addCompletionMetrics(page, stats);
 	addRetryMetrics(page, _router);
 	addLoadMetrics(page, _router);
 	addGauge(page, "peers", "Other routers registered.", double(_router.peers.tree.peers.size()));
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -201,13 +201,13 @@
 		 {"subject",
 		  _notes.query.shared.empty() ? "" : fmt::format("{:x}", _notes.query.shared.back().hash & 0xffffff)},
 		 {"expected_ms", fmt::format("{:.0f}", _notes.expectedMs)},
-		 {"expected_end_ms", fmt::format("{:.0f}", _notes.expectedEndMs)},
-		 {"answer_tokens", fmt::format("{:.0f}", _notes.query.answerTokens)},
 		 {"first_token_factor", fmt::format("{:.2f}", firstTokenFactor(speeds, upstreamKey(_notes), _now))},
 		 {"token_factor", fmt::format("{:.2f}", tokenFactor(speeds, upstreamKey(_notes), _now))},
 		 {"own_tokens", std::to_string(_notes.query.ownTokens)},
 		 {"waiting_ms", fmt::format("{:.0f}", known ? entry->second.prefillMs : 0.0)},
 		 {"error", _notes.error},
+		 {"expected_end_ms", fmt::format("{:.0f}", _notes.expectedEndMs)},
+		 {"answer_tokens", fmt::format("{:.0f}", _notes.query.answerTokens)},
 		 {"table_revision", std::to_string(_notes.tableRevision)},
 		 {"table_age_ms", millisText(_notes.tableAge)},
 		 {"sent_ms", millisText(_notes.sentAfter)},
@@ -307,14 +307,14 @@
 		recordEnded(router.upstreams, _notes.upstream, _notes.prefillMs, signOf(_end), now);
 	logHealthChange(_serving, _notes.record, change, _end);
 	noteProbeEnd(router, _notes);
-	noteExposure(_serving, _notes, _end);
-	noteTrial(_serving, _notes, _end);
-	notePressure(_serving, _notes, _end, now);
 	if (_end == AttemptEnd::Complete)
 	{
 		recordStreamEnd(_serving, _notes, now);
 	}
 	noteSpeed(_serving, _notes, _end, now);
+	noteExposure(_serving, _notes, _end);
+	noteTrial(_serving, _notes, _end);
+	notePressure(_serving, _notes, _end, now);
 	++router.stats.attempts[name(_end)];
 	logAttempt(_serving, _notes, name(_end), now);
 }
