Tests of samples, priors and recovery of engine speeds

Cause: an engine that was slow got no requests for long, and nothing showed which answers count as samples.

--- a/tests/core/engine_speed_test.cpp
+++ b/tests/core/engine_speed_test.cpp
@@ -190,6 +190,25 @@
 	EXPECT_GE(tokenFactor(table, kEngine, kNow), 1.0 / kMaxSpeedRatio);
 }
 
+// Guards against an upstream that is avoided since it has no samples, while the estimates are twice as long
+// as all observed times.
+TEST(EngineSpeed, WithAPriorAnUpstreamWithoutSamplesCountsAsAUsualOne)
+{
+	EngineSpeedTable table;
+	const std::vector<UpstreamKey> upstreams = {1, 2, 3, 4};
+	EXPECT_EQ(firstTokenFactor(table, 4, kNow, speedPrior(table, upstreams, kNow)), 1.0);
+	for (int ii = 0; ii < 30; ++ii)
+	{
+		recordFirstTokenRatio(table, upstreams[size_t(ii % 3)], 100.0, 50.0, kNow);
+	}
+	const SpeedPrior prior = speedPrior(table, upstreams, kNow);
+	EXPECT_NEAR(firstTokenFactor(table, 1, kNow, prior), 0.5, 0.05);
+	EXPECT_NEAR(firstTokenFactor(table, 4, kNow, prior), 0.5, 0.05);
+	EXPECT_EQ(tokenFactor(table, 4, kNow, prior), 1.0);
+	const SpeedPrior later = speedPrior(table, upstreams, kNow + 20 * kSecond);
+	EXPECT_NEAR(firstTokenFactor(table, 4, kNow + 20 * kSecond, later), 1.0, 0.01);
+}
+
 TEST(EngineSpeed, TimesPerTokenAreRelativeToTheModel)
 {
 	EngineSpeedTable table;
