Soak: uneven engines, a large client account and the bound on retries

Cause: the soak had neither the load of the deployments that join nor a check of the retry budget over all routers.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -12,6 +12,7 @@
 #include "soak_callers.h"
 #include "soak_endings.h"
 #include "soak_faults.h"
+#include "soak_load.h"
 #include "soak_notices.h"
 #include "soak_rollouts.h"
 #include "soak_state.h"
@@ -26,6 +27,8 @@
 /// For each body that signals, beyond the first: stops of more routers overlap more.
 constexpr uint32_t kRoutersOfSignaller = 4;
 constexpr uint32_t kHarmers = 2;        ///< Bodies that do harm: faults overlap.
+constexpr double kManyRetries = 5.0;    ///< Of a mutant.
+constexpr double kDefaultRetries = 0.9; ///< The routers' default ratio.
 constexpr double kScarceRetries = 0.05; ///< Retry ratio of every second router: its window is used up.
 
 void startRouters(Soak& _soak)
@@ -37,7 +40,9 @@
 		startProxy(router.toStore, _soak.storeAddress);
 		const std::string link = loopback(freePort());
 		startProxy(router.toLink, link);
-		const std::string retries = ii % 2 == 1 ? fmt::format("retryRatio: {}\n", kScarceRetries) : "";
+		router.retryRatio = ii % 2 == 1 ? kScarceRetries : kDefaultRetries;
+		const double ratio = isMutant("retries") ? kManyRetries : router.retryRatio;
+		const std::string retries = fmt::format("retryRatio: {}\n", ratio);
 		router.process = std::make_unique<RouterProcess>(
 			_soak.dir, fmt::format("router-{}", ii), router.toStore.address,
 			fmt::format("graceSeconds: {}\nrevokeMs: {}\nleaveMs: {}\nlink: {}\nlinkAnnounced: {}\n{}",
@@ -55,6 +60,7 @@
 void startAll(Soak& _soak)
 {
 	_soak.config = basicConfig(kKeptKey);
+	addLargeAccount(_soak);
 	writeConfig(_soak);
 	_soak.store.http.handler = [&_soak](HttpExchange& _exchange) {
 		answerStoreCall(_soak.store, _exchange);
@@ -107,7 +113,7 @@
 void runAll(Soak& _soak)
 {
 	std::vector<std::function<void()>> bodies;
-	const uint32_t callers = absl::GetFlag(FLAGS_callers);
+	const uint32_t callers = absl::GetFlag(FLAGS_callers) + absl::GetFlag(FLAGS_large);
 	for (uint32_t ii = 0; ii < callers + absl::GetFlag(FLAGS_keepers); ++ii)
 	{
 		bodies.emplace_back(
@@ -161,6 +167,7 @@
 	runAll(soak);
 	checkRecovery(soak);
 	checkLastRollout(soak);
+	checkRetries(soak);
 	printResult(soak);
 	for (const auto& router : soak.routers)
 	{
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "soak_checks.h"
+#include "soak_load.h"
 
 namespace spanplank
 {
@@ -31,8 +32,8 @@
 {
 	const uint32_t kind = below(_soak, 3);
 	_record.path = kind == 0 ? "/plain/" : kind == 1 ? "/once/" : "/chat/";
-	_record.key = kKeptKey;
-	if (happens(_soak, kNewKeyChance) && _soak.config["tenants"][0]["api_keys"].size() > 1)
+	if (happens(_soak, kNewKeyChance) && _record.key == kKeptKey &&
+		_soak.config["tenants"][0]["api_keys"].size() > 1)
 	{
 		_record.key = _soak.config["tenants"][0]["api_keys"].back();
 	}
@@ -76,10 +77,15 @@
 	record.router = &_router;
 	record.allowed = _allowed;
 	record.chosenAt = _chosenAt;
+	const uint32_t others = absl::GetFlag(FLAGS_callers);
+	const bool large = _caller >= others && _caller < others + absl::GetFlag(FLAGS_large);
+	record.key = large ? kLargeKey : kKeptKey;
 	const HttpCall request = requestFor(_soak, id, record);
 	_connection.deaf = isMutant("lost") && happens(_soak, kDeafChance);
 	const CallResult result = sendOn(_connection, request);
-	++_soak.outcomes[result.end == CallEnd::Whole ? std::to_string(result.answer.status) : name(result.end)];
+	++_soak
+		  .outcomes[(large ? "large " : "") +
+					(result.end == CallEnd::Whole ? std::to_string(result.answer.status) : name(result.end))];
 	if (result.end != CallEnd::NotSent)
 	{
 		checkEnd(_soak, id, record, result);
--- a/tests/soak/soak_planned.cpp
+++ b/tests/soak/soak_planned.cpp
@@ -30,6 +30,7 @@
 {
 	_router.process->start();
 	_router.renewedAt = monotonicNow();
+	_router.starts.push_back(_router.renewedAt);
 	_router.up = eventually([&] { return _router.process->isReady(); });
 	_router.disturbedAt = std::max(_router.disturbedAt, monotonicNow());
 }
--- a/tests/soak/soak_state.cpp
+++ b/tests/soak/soak_state.cpp
@@ -12,6 +12,8 @@
 ABSL_FLAG(uint32_t, routers, 3, "router processes");
 ABSL_FLAG(uint32_t, callers, 8, "callers, each with one kept connection");
 ABSL_FLAG(uint32_t, keepers, 32, "callers that keep a connection through pauses");
+ABSL_FLAG(uint32_t, large, 0, "more callers, all of one client account of their own");
+ABSL_FLAG(bool, uneven, false, "A third of the engines are several times slower than the others.");
 ABSL_FLAG(bool, rollouts, true, "Roll out good and bad versions meanwhile.");
 ABSL_FLAG(bool, notices, false,
 		  "Upstreams state limits, say that they leave and ask for rest in their answers.");
@@ -27,7 +29,9 @@
 	"`idle` lets them overstay, `cut` lets upstreams cut streams unseen, `drain` keeps leavings from the "
 	"store, `evacuation` does so with orders, `ends` kills routers unseen, `unlike` gives each copy of a "
 	"request that ends upstreams a body of its own, `alike` gives it the path of a harmless one, `limit`, "
-	"`leaving` and `rest` keep what upstreams say of that from their answers");
+	"`leaving` and `rest` keep what upstreams say of that from their answers, `retries` lets routers retry "
+	"more "
+	"often than the check knows");
 
 namespace spanplank
 {
@@ -181,6 +185,7 @@
 			{
 				breach(_soak, fmt::format("router {} ended by itself", router->process->listen()));
 				router->up = false;
+				router->starts.push_back(monotonicNow());
 				router->process->start();
 				router->up = eventually([&] { return router->process->isReady(); });
 			}
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -23,6 +23,8 @@
 ABSL_DECLARE_FLAG(uint32_t, routers);
 ABSL_DECLARE_FLAG(uint32_t, callers);
 ABSL_DECLARE_FLAG(uint32_t, keepers);
+ABSL_DECLARE_FLAG(uint32_t, large);
+ABSL_DECLARE_FLAG(bool, uneven);
 ABSL_DECLARE_FLAG(bool, planned);
 ABSL_DECLARE_FLAG(bool, rollouts);
 ABSL_DECLARE_FLAG(bool, notices);
@@ -96,6 +98,8 @@
 struct SoakRouter
 {
 	std::unique_ptr<RouterProcess> process;
+	double retryRatio = 0.0;    ///< Of its settings.
+	std::vector<TimeUs> starts; ///< Of processes after the first.
 	FaultProxy toStore;
 	FaultProxy toLink; ///< Before its links: the other routers come through it.
 	TimeUs disturbedAt =
@@ -110,6 +114,13 @@
 	bool up = false;      ///< It has been ready since its start, so that it heeds signals.
 };
 
+/// An arrival of a request at an upstream, beyond its first one.
+struct SoakRetry
+{
+	TimeUs at = 0;
+	TimeUs heldUp = 0; ///< `Soak::heldUp` then.
+};
+
 /// What became of one request, from both ends.
 struct RequestRecord
 {
@@ -165,6 +176,7 @@
 	std::vector<std::unique_ptr<SoakUpstream>> ends;
 	std::vector<std::unique_ptr<SoakRouter>> routers;
 	std::map<std::string, RequestRecord> requests;
+	std::vector<SoakRetry> retries[2]; ///< Of `app` and of `engines`.
 	std::map<std::string, TimeUs> revokedAt;
 	std::map<std::string, Notice> evacuated;             ///< By hall.
 	std::vector<std::pair<TimeUs, uint32_t>> idleLimits; ///< When the store took each, and its milliseconds.
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -7,6 +7,7 @@
 #include "ports.h"
 #include "soak_checks.h"
 #include "soak_endings.h"
+#include "soak_load.h"
 #include "soak_notices.h"
 #include "soak_rollouts.h"
 
@@ -79,7 +80,7 @@
 	const bool cut = happens(_soak, kCutEventsChance);
 	const double confidence = double(below(_soak, 101));
 	const bool pauses = happens(_soak, kPauseChance);
-	const uint32_t firstMs = 1 + below(_soak, 15);
+	const uint32_t firstMs = (1 + below(_soak, 15)) * slownessOf(_end);
 	const int last = pauses ? kPausingLast : int(5 + below(_soak, 20));
 	const uint32_t pauseMs = pauses ? kPauseLeastMs + below(_soak, kPauseSpreadMs) : firstMs;
 	const StreamMark mark(_record, _exchange);
@@ -125,6 +126,7 @@
 	}
 	RequestRecord& record = found->second;
 	drawAs(_soak, "answers to " + id, record.arrivals++);
+	noteRetry(_soak, record);
 	checkArrival(_soak, _end, record);
 	checkNotices(_soak, _end, record);
 	noteTrialArrival(_soak, _end, record);
