Test that retries are not lent in a ring or without the policy

Both are decided where the messages are made, so the core tests don't reach them: a loan in a ring of routers could come back to its lender.

--- a/tests/core/retry_lending_test.cpp
+++ b/tests/core/retry_lending_test.cpp
@@ -271,10 +271,7 @@
 			return;
 		}
 		const uint32_t part = _fleet.below(5);
-		for (size_t ii = 0; ii < active.size(); ++ii)
-		{
-			active[ii] = _fleet.below(4) < part;
-		}
+		std::generate(active.begin(), active.end(), [&] { return _fleet.below(4) < part; });
 	}
 
 	void retry(Fleet& _fleet) const
@@ -357,7 +354,8 @@
 	double allowed = 2.0 * double(fleet.routers.size());
 	for (const TimeUs each : spacing)
 	{
-		allowed += fleet.ratio * double(fleet.length / each);
+		const TimeUs requests = fleet.length / each;
+		allowed += fleet.ratio * double(requests);
 	}
 	while (fleet.now < 8000 * kMs)
 	{
--- a/tests/direct/retry_loans_test.cpp
+++ b/tests/direct/retry_loans_test.cpp
@@ -4,11 +4,58 @@
 
 #include "fiber_runtime_p.h"
 #include "fleet_fixture.h"
+#include "load_control_p.h"
 
 namespace spanplank
 {
 namespace
 {
+constexpr uint32_t kChild = 4;
+
+/// A router without network that has requests, and a child that asks for retries.
+struct AskedRouter : testing::Test
+{
+	DirectRouter router{"", DirectSettings()};
+
+	/// @returns How many rows the child is sent. @param[in] _lent What it lends.
+	size_t rows(uint32_t _lent = 0)
+	{
+		RetryWindow& window = router.retries["app"];
+		for (int ii = 0; ii < 100; ++ii)
+		{
+			recordRequest(window, monotonicNow());
+		}
+		std::vector<SpeedRow> speeds;
+		std::vector<LoadChange> accounts;
+		std::vector<RetryRow> retries;
+		takeLoadControl(router, kChild, {}, {}, {{serviceKeyOf("app"), 5, _lent, 1000}}, 0);
+		addLoadControl(router, kChild, speeds, accounts, retries);
+		return retries.size();
+	}
+};
+
+TEST_F(AskedRouter, Lends)
+{
+	EXPECT_EQ(rows(), 1u);
+	EXPECT_TRUE(retryWindow(router, "app").shared);
+}
+
+// Guards against loans that come back to their lender in a ring.
+TEST_F(AskedRouter, NeitherLendsNorBorrowsInARing)
+{
+	router.peers.loads.isolated = true;
+	EXPECT_EQ(rows(3), 0u);
+	EXPECT_TRUE(router.lending.services.empty()) << "what the child lent is not taken";
+	EXPECT_FALSE(retryWindow(router, "app").shared);
+}
+
+TEST_F(AskedRouter, NeitherLendsNorBorrowsWithoutThePolicy)
+{
+	router.settings.policies.retryLending = false;
+	EXPECT_EQ(rows(3), 0u);
+	EXPECT_FALSE(retryWindow(router, "app").shared);
+}
+
 struct RetryLoans : FleetTest
 {
 	StandInUpstream second;
