--- a/include/spanplank/service_load.h
+++ b/include/spanplank/service_load.h
@@ -23,6 +23,9 @@
 	double slots = 0.0;     ///< Running requests as a share of all places.
 	double tokens = 0.0;    ///< Held tokens as a share of all memory.
 	double queueMs = 0.0;   ///< Mean queued prefill time of an upstream, by its measured speed.
+	/// Queued prefill time that a quarter of the upstreams does not exceed. New requests go to these, so it
+	/// is what they wait while others queue at busier upstreams.
+	double leastQueueMs = 0.0;
 };
 
 /// @returns The load of a service, from this router's own counts and those that the others reported.
--- a/src/core/service_load.cpp
+++ b/src/core/service_load.cpp
@@ -2,6 +2,7 @@
 #include "spanplank/service_load.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace spanplank
 {
@@ -16,6 +17,8 @@
 /// wait for about an eighth of an answer's duration, and only poor answers are worth a second run.
 constexpr double kOverloadPressure = 2.5;
 
+constexpr size_t kLeastLoadedPart = 4; ///< See `ServiceLoad::leastQueueMs`.
+
 bool counts(const UpstreamTable& _table, const UpstreamEntry& _entry, std::string_view _service,
 			std::string_view _hall, TimeUs _now)
 {
@@ -32,6 +35,7 @@
 	double running = 0.0;
 	double slots = 0.0;
 	double held = 0.0;
+	std::vector<double> queues;
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (!counts(_table, entry, _service, _hall, _now))
@@ -42,8 +46,9 @@
 		running += double(entry.inFlight) + double(entry.others.inFlight);
 		slots += double(std::max(1u, _capacity.slots != 0 ? _capacity.slots : entry.record.slots));
 		held += double(entry.heldTokens) + double(entry.others.tokens);
-		load.queueMs +=
-			(entry.prefillMs + entry.others.prefillMs) * firstTokenFactor(_table.speeds, entry.key, _now);
+		queues.push_back((entry.prefillMs + entry.others.prefillMs) *
+						 firstTokenFactor(_table.speeds, entry.key, _now));
+		load.queueMs += queues.back();
 	}
 	if (load.upstreams == 0)
 	{
@@ -52,6 +57,9 @@
 	load.slots = running / slots;
 	load.tokens = _capacity.kvTokens == 0 ? 0.0 : held / (double(_capacity.kvTokens) * load.upstreams);
 	load.queueMs /= double(load.upstreams);
+	const auto least = queues.begin() + std::ptrdiff_t(queues.size() / kLeastLoadedPart);
+	std::nth_element(queues.begin(), least, queues.end());
+	load.leastQueueMs = *least;
 	return load;
 }
 
@@ -67,7 +75,7 @@
 
 double loadPressureOf(const ServiceLoad& _load, double _targetMs)
 {
-	const double queue = _targetMs > 0.0 ? std::max(0.0, _load.queueMs) / _targetMs : 0.0;
+	const double queue = _targetMs > 0.0 ? std::max(0.0, _load.leastQueueMs) / _targetMs : 0.0;
 	const double overload = std::max(_load.slots, _load.tokens) - 1.0;
 	return std::clamp(std::max(queue, kOverloadPressure * overload), 0.0, 1.0);
 }
