Pressure on the confidence limit is what new requests wait for

Cause: the pressure was the mean queue of all upstreams. Change: the pressure is the queue that a quarter of the upstreams does not exceed, since new requests go there.

--- a/tests/core/service_load_test.cpp
+++ b/tests/core/service_load_test.cpp
@@ -189,12 +189,29 @@
 
 TEST(ServiceLoad, PressureBeginsWhenRequestsWait)
 {
-	EXPECT_EQ(loadPressureOf({2, 0.0, 0.0, 0.0}, kTargetMs), 0.0);
-	EXPECT_EQ(loadPressureOf({2, 0.95, 0.9, 0.0}, kTargetMs), 0.0) << "slots are left";
-	EXPECT_DOUBLE_EQ(loadPressureOf({2, 0.5, 0.5, 200.0}, kTargetMs), 0.2);
-	EXPECT_GT(loadPressureOf({2, 1.2, 0.5, 0.0}, kTargetMs), 0.3);
-	EXPECT_EQ(loadPressureOf({2, 9.0, 9.0, 1e9}, kTargetMs), 1.0);
-	EXPECT_EQ(loadPressureOf({2, 0.0, 0.0, 50.0}, 0.0), 0.0) << "no objective";
+	EXPECT_EQ(loadPressureOf({2, 0.0, 0.0, 0.0, 0.0}, kTargetMs), 0.0);
+	EXPECT_EQ(loadPressureOf({2, 0.95, 0.9, 0.0, 0.0}, kTargetMs), 0.0) << "slots are left";
+	EXPECT_DOUBLE_EQ(loadPressureOf({2, 0.5, 0.5, 200.0, 200.0}, kTargetMs), 0.2);
+	EXPECT_GT(loadPressureOf({2, 1.2, 0.5, 0.0, 0.0}, kTargetMs), 0.3);
+	EXPECT_EQ(loadPressureOf({2, 9.0, 9.0, 1e9, 1e9}, kTargetMs), 1.0);
+	EXPECT_EQ(loadPressureOf({2, 0.0, 0.0, 50.0, 50.0}, 0.0), 0.0) << "no objective";
+}
+
+// Guards against poor answers that are kept because some upstreams queue while others are idle: on a calm day
+// the mean queue was a fifth of the objective, and new requests waited for 3 ms.
+TEST(ServiceLoad, PressureIsWhatNewRequestsWaitForAndNotTheMeanQueue)
+{
+	UpstreamTable table = tableOf({"a", "a", "a", "a"});
+	table.entries.at(0).prefillMs = 2000.0;
+	table.entries.at(1).prefillMs = 2000.0;
+	const ServiceLoad uneven = serviceLoad(table, "llm", "", kCapacity, kNow);
+	EXPECT_DOUBLE_EQ(uneven.queueMs, 1000.0);
+	EXPECT_EQ(loadPressureOf(uneven, kTargetMs), 0.0);
+	for (auto& [idx, entry] : table.entries)
+	{
+		entry.prefillMs = 500.0;
+	}
+	EXPECT_DOUBLE_EQ(loadPressureOf(serviceLoad(table, "llm", "", kCapacity, kNow), kTargetMs), 0.5);
 }
 
 // Guards against fewer second runs than before at the same load: over a steady load, the confidence limit by
