--- a/include/spanplank/load_share.h
+++ b/include/spanplank/load_share.h
@@ -69,6 +69,15 @@
 /// Updates this router's own load from its upstreams.
 void updateOwnLoad(LoadShare& _share, const UpstreamTable& _table);
 
+/// Replaces this router's own load.
+void setOwnLoads(LoadShare& _share, const LoadTable& _loads);
+
+/// Excludes outdated reports of neighbours from the sum.
+void expireLoads(LoadShare& _share, TimeUs _now);
+
+/// Removes rows without load from the sum once it holds many more than are in use.
+void pruneLoads(LoadShare& _share, size_t _inUse);
+
 /// Applies changes received from a neighbour.
 void applyLoads(LoadShare& _share, NeighbourLoad& _neighbour, absl::Span<const LoadChange> _changes,
 				TimeUs _now);
--- a/src/core/load_share.cpp
+++ b/src/core/load_share.cpp
@@ -110,9 +110,40 @@
 	return _share.parent.sent.count(_upstream) == 0;
 }
 
-void pruneIdle(LoadShare& _share, const UpstreamTable& _table)
+} // namespace
+
+int32_t tokenUnitsOf(uint64_t _tokens)
+{
+	return int32_t((_tokens + kTokensPerUnit / 2) / kTokensPerUnit);
+}
+
+void setOwnLoads(LoadShare& _share, const LoadTable& _loads)
 {
-	if (_share.sum.size() < kMinPruneSize + 2 * _table.entries.size())
+	_share.own.counted = true;
+	LoadTable ended = _share.own.loads; // What remains after the loop has no load any more.
+	for (const auto& [key, load] : _loads)
+	{
+		setLoad(_share, _share.own, key, load);
+		ended.erase(key);
+	}
+	for (const auto& [key, load] : ended)
+	{
+		setLoad(_share, _share.own, key, {});
+	}
+}
+
+void expireLoads(LoadShare& _share, TimeUs _now)
+{
+	for (auto& [link, child] : _share.children)
+	{
+		setCounted(_share, child, isFresh(child, _now));
+	}
+	setCounted(_share, _share.parent, isFresh(_share.parent, _now));
+}
+
+void pruneLoads(LoadShare& _share, size_t _inUse)
+{
+	if (_share.sum.size() < kMinPruneSize + 2 * _inUse)
 	{
 		return;
 	}
@@ -122,31 +153,19 @@
 		at = idle ? _share.sum.erase(at) : std::next(at);
 	}
 }
-} // namespace
-
-int32_t tokenUnitsOf(uint64_t _tokens)
-{
-	return int32_t((_tokens + kTokensPerUnit / 2) / kTokensPerUnit);
-}
 
 void updateOwnLoad(LoadShare& _share, const UpstreamTable& _table)
 {
-	_share.own.counted = true;
-	LoadTable ended = _share.own.loads; // What remains after the loop has no entry or nothing in flight.
+	LoadTable own;
 	for (const auto& [idx, entry] : _table.entries)
 	{
 		if (entry.inFlight > 0)
 		{
-			const LoadCount load{int32_t(std::lround(entry.prefillMs)), int32_t(entry.inFlight),
-								 tokenUnitsOf(entry.heldTokens)};
-			setLoad(_share, _share.own, entry.key, load);
-			ended.erase(entry.key);
+			own[entry.key] = {int32_t(std::lround(entry.prefillMs)), int32_t(entry.inFlight),
+							  tokenUnitsOf(entry.heldTokens)};
 		}
 	}
-	for (const auto& [upstream, load] : ended)
-	{
-		setLoad(_share, _share.own, upstream, {});
-	}
+	setOwnLoads(_share, own);
 }
 
 void applyLoads(LoadShare& _share, NeighbourLoad& _neighbour, absl::Span<const LoadChange> _changes,
@@ -183,11 +202,7 @@
 
 void applyPeerLoads(LoadShare& _share, UpstreamTable& _table, TimeUs _now)
 {
-	for (auto& [link, child] : _share.children)
-	{
-		setCounted(_share, child, isFresh(child, _now));
-	}
-	setCounted(_share, _share.parent, isFresh(_share.parent, _now));
+	expireLoads(_share, _now);
 	updateOwnLoad(_share, _table);
 	_table.receivesPeerUpdates = !_share.children.empty() || _share.parent.receivedAt != 0;
 	for (auto& [idx, entry] : _table.entries)
@@ -197,6 +212,6 @@
 		entry.others = {double(others.prefillMs), uint32_t(std::max(0, others.inFlight)),
 						uint32_t(std::max(0, others.tokenUnits)) * kTokensPerUnit};
 	}
-	pruneIdle(_share, _table);
+	pruneLoads(_share, _table.entries.size());
 }
 } // namespace spanplank
--- a/tests/core/request_limit_test.cpp
+++ b/tests/core/request_limit_test.cpp
@@ -299,7 +299,9 @@
 
 	void tell(size_t _from, size_t _to, TimeUs _now)
 	{
-		const PeerPing ping{1, {}, {}, {}, {}, {}, {}, limitUpdatesFor(routers[_from], sent[{_from, _to}])};
+		PeerPing ping;
+		ping.seq = 1;
+		ping.limits = limitUpdatesFor(routers[_from], sent[{_from, _to}]);
 		const std::vector<uint8_t> wire = nlohmann::json::to_cbor(nlohmann::json(ping));
 		applyLimitUpdates(routers[_to], nlohmann::json::from_cbor(wire).get<PeerPing>().limits, _now);
 	}
