Account shares: requests of accounts within their part get a pace of their own

As an overload began, each router took itself for the only one with waiting requests, and engines got 290 requests for 192 slots. Change: max-min parts of the running requests over all routers; what waits of accounts above their part is known from the reports, and the two kinds are let in at separate paces. A router's part of the pace is bounded by its part of all running and waiting requests.

--- a/include/spanplank/account_share.h
+++ b/include/spanplank/account_share.h
@@ -12,6 +12,7 @@
 #include "spanplank/load_share.h"
 #include "spanplank/types.h"
 #include "spanplank/upstream_table.h"
+#include "spanplank/waiting_room.h"
 
 namespace spanplank
 {
@@ -39,6 +40,7 @@
 	std::vector<double> requests; ///< By account, in no order.
 	std::vector<double> tokenUnits;
 	double requestsElsewhere = 0.0; ///< Of the other routers.
+	double requestsHere = 0.0;
 };
 
 /// Requests and tokens by account: of this router, and in the form in which `LoadShare` sums them over
@@ -80,8 +82,8 @@
 double accountExcess(const AccountShares& _shares, AccountKey _account, const ServiceUse& _use,
 					 bool _byTokens);
 
-/// @returns Requests of a service that wait at other routers, by their last reports.
-double waitingElsewhere(const AccountShares& _shares, AccountKey _service, const ServiceUse& _use);
+/// @returns The requests of a service that wait at other routers, by their last reports.
+WaitingElsewhere waitingElsewhere(const AccountShares& _shares, AccountKey _service, const ServiceUse& _use);
 } // namespace spanplank
 
 #endif // SPANPLANK_ACCOUNT_SHARE_H_HEADER_GUARD
--- a/include/spanplank/waiting_room.h
+++ b/include/spanplank/waiting_room.h
@@ -3,6 +3,7 @@
 #ifndef SPANPLANK_WAITING_ROOM_H_HEADER_GUARD
 #define SPANPLANK_WAITING_ROOM_H_HEADER_GUARD
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -20,6 +21,10 @@
 /// Maximum wait, as a share of the latency objective.
 constexpr double kMaxRoomWaitShare = 0.25;
 
+/// Up to this excess an account counts as within its part, and accounts with less difference as equal: counts
+/// change by so much between two reports.
+constexpr double kMaxExcess = 1.25;
+
 /// A request that waits.
 struct WaitingRequest
 {
@@ -35,8 +40,12 @@
 	uint64_t nextId = 1;
 	double workMs = 0.0; ///< Mean time of a request at an upstream, without its queue; 0: no answer yet.
 	uint32_t samples = 0;
-	double credit = 0.0;         ///< Waiting requests that may be let in at the router's pace.
-	TimeUs creditAt = 0;         ///< When `credit` was updated last.
+	/// Waiting requests that may be let in at the router's pace: of accounts within their part, and of
+	/// others.
+	std::array<double, 2> credits = {};
+	TimeUs creditAt = 0;         ///< When `credits` were updated last.
+	TimeUs waitsSince = 0;       ///< Since when requests have waited, without a longer pause.
+	TimeUs waitsLast = 0;        ///< When one waited last.
 	uint32_t refusedUrgency = 0; ///< Least urgent of the requests that found no room lately.
 	TimeUs refusedAt = 0;        ///< When that was last; 0: never.
 };
@@ -73,21 +82,29 @@
 	bool slotsFull = false; ///< Without room by its slots, whatever its memory.
 };
 
+/// Requests that wait at other routers, as last reported.
+struct WaitingElsewhere
+{
+	double all = 0.0;
+	double abovePart = 0.0;        ///< Of accounts that use more than their fair part.
+	double runningAbovePart = 0.0; ///< Share of such accounts in the running requests of all routers.
+};
+
 /// The upstreams that may receive a request, from this router's counts and the other routers' reports.
 struct ServiceRoom
 {
 	std::vector<UpstreamPlaces> upstreams;
 	size_t withRoom = 0;
 	double running = 0.0;
-	double slots = 0.0; ///< Requests that run at once.
-	double limit = 0.0; ///< Requests that the upstreams take.
-	/// Requests that wait at other routers, as last reported.
-	double waitingElsewhere = 0.0;
+	double ownRunning = 0.0; ///< Of this router.
+	double slots = 0.0;      ///< Requests that run at once.
+	double limit = 0.0;      ///< Requests that the upstreams take.
+	WaitingElsewhere elsewhere;
 };
 
-/// @param[in] _waitingElsewhere Requests of the service that wait at other routers.
 ServiceRoom serviceRoom(const WaitingRoom& _room, const UpstreamTable& _table, const UpstreamQuery& _query,
-						const UpstreamRoom& _limits, uint32_t _tokens, double _waitingElsewhere, TimeUs _now);
+						const UpstreamRoom& _limits, uint32_t _tokens, const WaitingElsewhere& _elsewhere,
+						TimeUs _now);
 
 /// @returns Whether so much is free that no request of the service waits or is refused.
 bool isFree(const ServiceRoom& _places);
@@ -106,7 +123,8 @@
 /// @returns Whether a request still waits; one that was displaced by a more urgent one does not.
 bool isWaiting(const WaitingRoom& _room, uint64_t _id);
 
-/// @returns Whether no other waiting request goes before this one.
+/// @returns Whether no other waiting request of the same kind goes before this one: of accounts within their
+/// part, or of others.
 bool isNext(const WaitingRoom& _room, uint64_t _id);
 
 /// What becomes of a waiting request.
--- a/src/core/account_share.cpp
+++ b/src/core/account_share.cpp
@@ -16,13 +16,14 @@
 double maxMinPart(std::vector<double> _demands, double _capacity)
 {
 	std::sort(_demands.begin(), _demands.end());
+	const double least = _demands.empty() ? 0.0 : _demands.front();
 	double left = _capacity;
 	for (size_t ii = 0; ii < _demands.size(); ++ii)
 	{
 		const double equal = left / double(_demands.size() - ii);
 		if (_demands[ii] >= equal)
 		{
-			return equal;
+			return std::max(equal, least); // Where all are above their part, none goes before another.
 		}
 		left -= _demands[ii];
 	}
@@ -96,6 +97,7 @@
 	}
 	for (const auto& [account, load] : _shares.loads.own.loads)
 	{
+		_shares.demands[account & ~kAccountMask].requestsHere += load.inFlight;
 		_shares.demands[account & ~kAccountMask].requestsElsewhere -= load.inFlight;
 	}
 }
@@ -130,10 +132,29 @@
 	return part > 0.0 ? own / part : 0.0;
 }
 
-double waitingElsewhere(const AccountShares& _shares, AccountKey _service, const ServiceUse& _use)
+WaitingElsewhere waitingElsewhere(const AccountShares& _shares, AccountKey _service, const ServiceUse& _use)
 {
+	WaitingElsewhere result;
 	const auto found = _shares.demands.find(_service);
-	const double demand = found == _shares.demands.end() ? 0.0 : found->second.requestsElsewhere;
-	return std::max(0.0, demand - _use.requestsElsewhere);
+	if (found == _shares.demands.end())
+	{
+		return result;
+	}
+	const ServiceDemand& demand = found->second;
+	result.all = std::max(0.0, demand.requestsElsewhere - _use.requestsElsewhere);
+	const double part = maxMinPart(demand.requests, _use.requests);
+	double waiting = 0.0; // Of accounts above their part, which run as many requests as that.
+	double running = 0.0;
+	for (const double requests : demand.requests)
+	{
+		const bool above = requests >= part * kMaxExcess;
+		waiting += above ? requests - part : 0.0;
+		running += above ? part : 0.0;
+	}
+	const double elsewhere =
+		demand.requestsElsewhere / std::max(1.0, demand.requestsElsewhere + demand.requestsHere);
+	result.abovePart = std::min(result.all, waiting * elsewhere);
+	result.runningAbovePart = _use.requests > 0.0 ? std::min(1.0, running / _use.requests) : 0.0;
+	return result;
 }
 } // namespace spanplank
--- a/src/core/waiting_room.cpp
+++ b/src/core/waiting_room.cpp
@@ -25,30 +25,37 @@
 constexpr double kFreeShare = 0.75;
 /// Time over which a difference between running requests and the limit is corrected. A longer time lets more
 /// requests queue and be late, a shorter one leaves more slots free, as reports are up to 200 ms old.
-constexpr double kCorrectionMs = 150.0;
+constexpr double kCorrectionMs = 250.0;
 /// The same at least as a share of the work on a request. With 150 ms engines that work for a second got too
 /// few requests after each surplus.
 constexpr double kCorrectionWorkShare = 0.5;
 constexpr double kMaxCredit = 2.0; ///< Waiting requests that a router lets in at once.
-/// Time of its part of the completions that a router may use in advance for a request that is more urgent
-/// than one that it refused lately. Less urgent ones then make up for it; without this, an urgent request
-/// that waits alone at its router gets no more than its part among all that wait.
-constexpr double kAdvanceMs = 150.0;
+/// Requests that a router may let in ahead of its pace if they are more urgent than one that it refused
+/// lately. The others then make up for it; without this, an urgent request that waits alone at its router
+/// gets no more than its part among all that wait.
+constexpr double kAdvance = 1.0;
 constexpr TimeUs kRefusalMemory = 1000 * kMsToUs; ///< A refusal shows that less urgent requests can give way.
 /// Below this share of the running requests none count as waiting elsewhere: those between two attempts are
 /// reported like those that wait.
 constexpr double kNoWaitingShare = 0.02;
+/// Time in which the other routers' first waiting requests are reported. Without regard to it each router
+/// took itself for the only one, and engines got 290 requests for 192 slots as an overload began.
+constexpr TimeUs kFirstReports = 250 * kMsToUs;
+/// Largest part of a router in what waits, as a multiple of its part in all running and waiting requests.
+/// Waits are shorter than the age of reports, so that several routers may take themselves for the only one.
+constexpr double kMaxPart = 4.0;
+/// After a longer time without waiting requests an overload begins anew; a router with few requests has some
+/// that wait about once in a second.
+constexpr TimeUs kWaitPause = 3000 * kMsToUs;
 constexpr TimeUs kMinLook = 2 * kMsToUs;
 constexpr TimeUs kMaxLook = 10 * kMsToUs; ///< New reports and ended requests change the pace.
 /// Upstreams among which a request of a contended service chooses, so that it can prefer one that has parts
 /// of its prompt cached.
 constexpr size_t kDrawnUpstreams = 2;
 /// Weight of an upstream at its limit in the draw: some of its requests have ended since the last report.
-constexpr double kFullDrawWeight = 0.05;
+constexpr double kFullDrawWeight = 0.02;
 constexpr uint32_t kMinRetryAfterMs = 100;
 constexpr uint32_t kMaxRetryAfterMs = 2000;
-/// Accounts with less difference in their use than this factor count as equal.
-constexpr double kExcessStep = 1.25;
 
 double runningAt(const UpstreamEntry& _entry)
 {
@@ -87,25 +94,39 @@
 	return held / (kMemoryShare * double(_limits.kvTokens));
 }
 
-/// Order in which requests are let in.
-std::tuple<uint32_t, int, TimeUs, uint64_t> rankOf(uint64_t _id, const WaitingRequest& _request)
+/// Urgency and account share of a request; lower goes first.
+std::pair<uint32_t, int> priorityOf(const WaitingRequest& _request)
 {
 	const double excess = std::max(1.0, _request.accountExcess);
-	const int step = int(std::floor(std::log(excess) / std::log(kExcessStep)));
-	return {_request.urgency, step, _request.deadline, _id};
+	return {_request.urgency, int(std::floor(std::log(excess) / std::log(kMaxExcess)))};
+}
+
+/// Order in which requests are let in.
+std::tuple<std::pair<uint32_t, int>, TimeUs, uint64_t> rankOf(uint64_t _id, const WaitingRequest& _request)
+{
+	return {priorityOf(_request), _request.deadline, _id};
+}
+
+/// @returns Index in `WaitingRoom::credits`.
+size_t kindOf(const WaitingRequest& _request)
+{
+	return priorityOf(_request).second > 0 ? 1 : 0;
 }
 
-/// @returns The waiting request that goes first, or last.
-uint64_t endOfLine(const WaitingRoom& _room, bool _last)
+double countOf(const WaitingRoom& _room, size_t _kind)
 {
-	const auto goesBefore = [](const auto& _one, const auto& _other) {
-		return rankOf(_one.first, _one.second) < rankOf(_other.first, _other.second);
-	};
-	const auto begin = _room.waiting.begin();
-	const auto end = _room.waiting.end();
-	const auto found =
-		_last ? std::max_element(begin, end, goesBefore) : std::min_element(begin, end, goesBefore);
-	return found == end ? 0 : found->first;
+	return double(std::count_if(_room.waiting.begin(), _room.waiting.end(),
+								[_kind](const auto& _at) { return kindOf(_at.second) == _kind; }));
+}
+
+/// @returns The waiting request that goes last.
+uint64_t lastInLine(const WaitingRoom& _room)
+{
+	const auto last = std::max_element(
+		_room.waiting.begin(), _room.waiting.end(), [](const auto& _one, const auto& _other) {
+			return rankOf(_one.first, _one.second) < rankOf(_other.first, _other.second);
+		});
+	return last == _room.waiting.end() ? 0 : last->first;
 }
 
 /// @returns Requests that the upstreams complete in a millisecond while they are full.
@@ -119,20 +140,28 @@
 	return std::max(kCorrectionMs, kCorrectionWorkShare * _room.workMs);
 }
 
-/// @returns This router's part of the requests that wait at all routers.
-double ownPart(const WaitingRoom& _room, const ServiceRoom& _places)
+/// @returns This router's part of the requests of a kind that wait at all routers, bounded by its part of all
+/// running and waiting requests.
+double ownPart(const WaitingRoom& _room, const ServiceRoom& _places, size_t _kind)
 {
-	const double own = std::max(1.0, double(_room.waiting.size()));
-	return own / (own + _places.waitingElsewhere);
+	const WaitingElsewhere& elsewhere = _places.elsewhere;
+	const double own = std::max(1.0, countOf(_room, _kind));
+	const double others = _kind == 0 ? elsewhere.all - elsewhere.abovePart : elsewhere.abovePart;
+	const double ofWaiting = own / (own + others);
+	const double ofAll = (own + _places.ownRunning) / (own + _places.running + elsewhere.all);
+	const bool reported = _room.waitsLast - _room.waitsSince >= kFirstReports;
+	return std::min(ofWaiting, reported ? kMaxPart * ofAll : ofAll);
 }
 
-/// @returns Waiting requests that this router lets in within a millisecond: its part of what all routers let
-/// in, by the requests that wait.
-double pacePerMs(const WaitingRoom& _room, const ServiceRoom& _places)
+/// @returns Waiting requests of a kind that this router lets in within a millisecond. Those of accounts
+/// within their part get all of the pace that they need, which is about their share of the running requests;
+/// those of other accounts get the rest and what is free.
+double pacePerMs(const WaitingRoom& _room, const ServiceRoom& _places, size_t _kind)
 {
+	const double share = _kind == 0 ? 1.0 : _places.elsewhere.runningAbovePart;
 	const double all =
-		completionsPerMs(_room, _places) + (_places.limit - _places.running) / correctionMs(_room);
-	return std::max(0.0, all) * ownPart(_room, _places);
+		share * completionsPerMs(_room, _places) + (_places.limit - _places.running) / correctionMs(_room);
+	return std::max(0.0, all) * ownPart(_room, _places, _kind);
 }
 
 bool refusedLately(const WaitingRoom& _room, TimeUs _now)
@@ -141,14 +170,13 @@
 }
 
 /// @returns The credit from which a request may be let in; the credit itself falls by 1 then.
-double neededCredit(const WaitingRoom& _room, const WaitingRequest& _request, const ServiceRoom& _places,
-					TimeUs _now)
+double neededCredit(const WaitingRoom& _room, const WaitingRequest& _request, TimeUs _now)
 {
 	if (!refusedLately(_room, _now) || _request.urgency >= _room.refusedUrgency)
 	{
 		return 1.0;
 	}
-	return 1.0 - kAdvanceMs * completionsPerMs(_room, _places) * ownPart(_room, _places);
+	return 1.0 - kAdvance;
 }
 
 void recordRefusal(WaitingRoom& _room, uint32_t _urgency, TimeUs _now)
@@ -163,8 +191,14 @@
 
 void updateCredit(WaitingRoom& _room, const ServiceRoom& _places, TimeUs _now)
 {
+	_room.waitsSince = _now - _room.waitsLast > kWaitPause ? _now : _room.waitsSince;
+	_room.waitsLast = _now;
 	const double passedMs = double(std::max<TimeUs>(0, _now - _room.creditAt)) / double(kMsToUs);
-	_room.credit = std::min(kMaxCredit, _room.credit + passedMs * pacePerMs(_room, _places));
+	for (size_t kind = 0; kind < _room.credits.size(); ++kind)
+	{
+		double& credit = _room.credits[kind];
+		credit = std::min(kMaxCredit, credit + passedMs * pacePerMs(_room, _places, kind));
+	}
 	_room.creditAt = _now;
 }
 } // namespace
@@ -190,10 +224,11 @@
 }
 
 ServiceRoom serviceRoom(const WaitingRoom& _room, const UpstreamTable& _table, const UpstreamQuery& _query,
-						const UpstreamRoom& _limits, uint32_t _tokens, double _waitingElsewhere, TimeUs _now)
+						const UpstreamRoom& _limits, uint32_t _tokens, const WaitingElsewhere& _elsewhere,
+						TimeUs _now)
 {
 	ServiceRoom places;
-	places.waitingElsewhere = _waitingElsewhere;
+	places.elsewhere = _elsewhere;
 	for (const Candidate& candidate : candidatesFor(_table, _query, _now))
 	{
 		const UpstreamEntry& entry = *candidate.entry;
@@ -204,6 +239,7 @@
 		place.limit = memory > 1.0 ? std::min(place.limit, place.running / memory) : place.limit;
 		places.withRoom += place.room ? 1 : 0;
 		places.running += place.running;
+		places.ownRunning += double(entry.inFlight);
 		places.slots += slotsOf(entry, _limits);
 		places.limit += place.limit;
 		places.upstreams.push_back(place);
@@ -221,23 +257,24 @@
 bool goesAtOnce(const WaitingRoom& _room, const ServiceRoom& _places)
 {
 	const double noWaiting = 1.0 + kNoWaitingShare * _places.running;
-	const bool nobodyWaits = _room.waiting.empty() && _places.waitingElsewhere < noWaiting;
+	const bool nobodyWaits = _room.waiting.empty() && _places.elsewhere.all < noWaiting;
 	return isFree(_places) || (_places.withRoom > 0 && nobodyWaits);
 }
 
 std::optional<uint64_t> enterWaitingRoom(WaitingRoom& _room, const WaitingRequest& _request,
 										 const ServiceRoom& _places, double _phase, TimeUs _now)
 {
-	if (_room.waiting.empty())
+	const size_t kind = kindOf(_request);
+	if (countOf(_room, kind) == 0.0)
 	{
 		updateCredit(_room, _places, _now); // Repays what was used in advance.
-		_room.credit = std::min(_room.credit, _phase);
+		_room.credits[kind] = std::min(_room.credits[kind], _phase);
 	}
 	const uint64_t id = _room.nextId++;
 	_room.waiting.emplace(id, _request);
 	if (_room.waiting.size() > kMaxWaitingRequests)
 	{
-		const auto last = _room.waiting.find(endOfLine(_room, true));
+		const auto last = _room.waiting.find(lastInLine(_room));
 		recordRefusal(_room, last->second.urgency, _now);
 		_room.waiting.erase(last);
 	}
@@ -256,7 +293,12 @@
 
 bool isNext(const WaitingRoom& _room, uint64_t _id)
 {
-	return endOfLine(_room, false) == _id;
+	const auto own = _room.waiting.find(_id);
+	return own != _room.waiting.end() &&
+		   std::none_of(_room.waiting.begin(), _room.waiting.end(), [&](const auto& _other) {
+			   return kindOf(_other.second) == kindOf(own->second) &&
+					  rankOf(_other.first, _other.second) < rankOf(_id, own->second);
+		   });
 }
 
 RoomDecision decideWaiting(WaitingRoom& _room, uint64_t _id, const ServiceRoom& _places, TimeUs _now)
@@ -267,11 +309,12 @@
 		return RoomDecision::Refuse;
 	}
 	updateCredit(_room, _places, _now);
-	const double needed = neededCredit(_room, found->second, _places, _now);
-	const bool paced = _room.credit >= needed && isNext(_room, _id);
+	const double needed = neededCredit(_room, found->second, _now);
+	double& credit = _room.credits[kindOf(found->second)];
+	const bool paced = credit >= needed && isNext(_room, _id);
 	if (paced || isFree(_places))
 	{
-		_room.credit -= paced ? 1.0 : 0.0;
+		credit -= paced ? 1.0 : 0.0;
 		leaveWaitingRoom(_room, _id);
 		return RoomDecision::Enter;
 	}
@@ -286,10 +329,14 @@
 
 TimeUs nextLook(const WaitingRoom& _room, const ServiceRoom& _places)
 {
-	const double pace = pacePerMs(_room, _places);
-	const double missing = std::max(0.0, 1.0 - _room.credit);
-	const double inMs = pace > 0.0 ? missing / pace : double(kMaxLook);
-	return std::clamp(TimeUs(std::min(inMs, double(kMaxLook)) * double(kMsToUs)), kMinLook, kMaxLook);
+	double inMs = double(kMaxLook) / double(kMsToUs);
+	for (size_t kind = 0; kind < _room.credits.size(); ++kind)
+	{
+		const double pace = pacePerMs(_room, _places, kind);
+		const double missing = std::max(0.0, 1.0 - _room.credits[kind]);
+		inMs = pace > 0.0 && countOf(_room, kind) > 0.0 ? std::min(inMs, missing / pace) : inMs;
+	}
+	return std::clamp(TimeUs(inMs * double(kMsToUs)), kMinLook, kMaxLook);
 }
 
 bool endsLate(const WaitingRoom& _room, TimeUs _deadline, TimeUs _now)
@@ -329,7 +376,7 @@
 
 uint32_t retryAfterRefusalMs(const WaitingRoom& _room, const ServiceRoom& _places, double _jitter)
 {
-	const double waiting = double(_room.waiting.size()) + _places.waitingElsewhere + 1.0;
+	const double waiting = double(_room.waiting.size()) + _places.elsewhere.all + 1.0;
 	const double ahead = waiting + std::max(0.0, _places.running - _places.limit);
 	const double perMs = completionsPerMs(_room, _places);
 	const double expectedMs = perMs > 0.0 ? ahead / perMs : 0.0;
--- a/tests/core/room_fleet.h
+++ b/tests/core/room_fleet.h
@@ -125,8 +125,9 @@
 
 	ServiceRoom placesFor(SimRouter& _router, const SimRequest& _request)
 	{
-		const double elsewhere =
+		WaitingElsewhere elsewhere =
 			waitingElsewhere(_router.accounts, service, serviceUse(_router.table, "app"));
+		elsewhere.abovePart = sharesOn ? elsewhere.abovePart : 0.0;
 		return serviceRoom(_router.room, _router.table, queryFor(_request), limits(), _request.tokens,
 						   elsewhere, now);
 	}
--- a/tests/core/waiting_room_test.cpp
+++ b/tests/core/waiting_room_test.cpp
@@ -81,6 +81,15 @@
 	}
 }
 
+// Reports are older than the work on a request: half of the slots may be free by the time of a refusal.
+TEST(WaitingRoomReplay, APlainServiceRefusesNothingWhileHalfOfItsSlotsAreFree)
+{
+	for (uint64_t seed = 1; seed <= 5; ++seed)
+	{
+		EXPECT_EQ(runPlain(true, seed).refusedBesideFree, 0u) << "seed " << seed;
+	}
+}
+
 TEST(WaitingRoomReplay, WithoutTheRoomMostRequestsOfAPlainServiceAreLate)
 {
 	const PlainResult result = runPlain(false, 1);
@@ -176,5 +185,155 @@
 	EXPECT_EQ(result.waited, 0u);
 	EXPECT_EQ(result.refused, 0u);
 }
+
+constexpr TimeUs kNow = 5000 * kMsToUs;
+
+/// A router before one upstream with two slots, each 50 ms at work on a request.
+struct OneUpstream : testing::Test
+{
+	UpstreamTable table;
+	WaitingRoom room;
+	const UpstreamRoom limits{0, 0, 100.0};
+
+	OneUpstream()
+	{
+		registerUpstream(table, record(1));
+		for (int ii = 0; ii < 20; ++ii)
+		{
+			recordWorkTime(room, 50.0);
+		}
+	}
+
+	static UpstreamRecord record(uint64_t _startedAtMs)
+	{
+		UpstreamRecord upstream;
+		upstream.id = "u";
+		upstream.service = "app";
+		upstream.hall = "a";
+		upstream.slots = 2;
+		upstream.startedAtMs = _startedAtMs;
+		return upstream;
+	}
+
+	ServiceRoom places(double _elsewhere = 0.0)
+	{
+		UpstreamQuery query;
+		query.service = "app";
+		return serviceRoom(room, table, query, limits, 0, {_elsewhere, 0.0, 0.0}, kNow);
+	}
+
+	UpstreamEntry& entry()
+	{
+		return table.entries.at(currentIncarnation(table, "u").idx);
+	}
+
+	uint64_t enter(const WaitingRequest& _request)
+	{
+		return enterWaitingRoom(room, _request, places(), 0.0, kNow).value_or(0);
+	}
+};
+
+TEST_F(OneUpstream, ThatIsFullOverAllRoutersHasNoRoom)
+{
+	entry().others.inFlight = 1;
+	EXPECT_TRUE(goesAtOnce(room, places()));
+	entry().others.inFlight = 4;
+	EXPECT_FALSE(goesAtOnce(room, places()));
+}
+
+TEST_F(OneUpstream, QueuesOnlyWhatStartsInTime)
+{
+	// 100 ms to queue, less 75 ms for a slow answer, let one request queue for each two slots.
+	entry().inFlight = 2;
+	EXPECT_TRUE(hasRoom(room, entry(), limits, 0));
+	entry().inFlight = 3;
+	EXPECT_FALSE(hasRoom(room, entry(), limits, 0));
+}
+
+// A router that has started blank behaves as before until it has seen answers.
+TEST_F(OneUpstream, IsNotLimitedBeforeItsWorkTimeIsKnown)
+{
+	room = {};
+	entry().inFlight = 50;
+	EXPECT_TRUE(goesAtOnce(room, places(10.0)));
+}
+
+// The loads of a lost router, and of all others at one that is cut off, leave the sums after a second.
+TEST_F(OneUpstream, HasRoomAgainWhenTheReportsOfOthersAreOutdated)
+{
+	LoadShare loads;
+	applyLoads(loads, loads.parent, {LoadChange{entry().key, {0, 9, 0}}}, kNow);
+	applyPeerLoads(loads, table, kNow);
+	EXPECT_FALSE(goesAtOnce(room, places()));
+	applyPeerLoads(loads, table, kNow + kLoadLifetime);
+	EXPECT_TRUE(goesAtOnce(room, places()));
+}
+
+TEST_F(OneUpstream, HasRoomAfterARestart)
+{
+	entry().inFlight = 9;
+	EXPECT_FALSE(goesAtOnce(room, places()));
+	registerUpstream(table, record(2));
+	EXPECT_TRUE(goesAtOnce(room, places()));
+}
+
+TEST_F(OneUpstream, IsLeftToTheUrgentThenToAccountsWithinTheirPartThenToTheFirstDeadline)
+{
+	entry().inFlight = 9;
+	const uint64_t large = enter({1, 3.0, kNow + 10, kNow + 100});
+	const uint64_t late = enter({1, 0.5, kNow + 90, kNow + 100});
+	const uint64_t soon = enter({1, 0.9, kNow + 50, kNow + 100});
+	const uint64_t urgent = enter({0, 0.5, kNow + 90, kNow + 100});
+	for (const uint64_t id : {urgent, soon, late})
+	{
+		EXPECT_TRUE(isNext(room, id));
+		leaveWaitingRoom(room, id);
+	}
+	EXPECT_TRUE(isNext(room, large));
+}
+
+TEST_F(OneUpstream, HoldsNoMoreThan64AndTheLastGivesWay)
+{
+	entry().inFlight = 9;
+	const uint64_t first = enter({5, 0.0, kNow, kNow + 100});
+	for (size_t ii = 1; ii < kMaxWaitingRequests; ++ii)
+	{
+		EXPECT_NE(enter({3, 0.0, kNow, kNow + 100}), 0u);
+	}
+	EXPECT_EQ(enter({7, 0.0, kNow, kNow + 100}), 0u) << "it would be the last";
+	EXPECT_NE(enter({1, 0.0, kNow, kNow + 100}), 0u);
+	EXPECT_FALSE(isWaiting(room, first));
+	EXPECT_EQ(room.waiting.size(), kMaxWaitingRequests);
+}
+
+// A refusal while half of the slots are free is a fault, whatever waits elsewhere.
+TEST_F(OneUpstream, RefusesNothingWhileHalfOfItIsFree)
+{
+	entry().inFlight = 9;
+	const uint64_t id = enter({1, 0.0, kNow - 1, kNow - 1});
+	entry().inFlight = 1;
+	EXPECT_EQ(decideWaiting(room, id, places(50.0), kNow), RoomDecision::Enter);
+}
+
+TEST_F(OneUpstream, SpreadsTheReturnOfRefusedCallersOverTwiceTheExpectedTime)
+{
+	entry().inFlight = 2;
+	// 10 wait elsewhere and this one: 11 requests, of which one ends each 25 ms.
+	EXPECT_EQ(retryAfterRefusalMs(room, places(10.0), 0.0), 275u);
+	EXPECT_EQ(retryAfterRefusalMs(room, places(10.0), 1.0), 550u);
+}
+
+TEST_F(OneUpstream, OfAnEngineTakesNoMoreThanItsMemory)
+{
+	const UpstreamRoom engine{8, 100000, 0.0};
+	entry().inFlight = 3;
+	entry().heldTokens = 30000;
+	entry().others.tokens = 60000;
+	EXPECT_TRUE(hasRoom(room, entry(), engine, 5000));
+	EXPECT_FALSE(hasRoom(room, entry(), engine, 5001)) << "5 of 100 are for what is not reported yet";
+	entry().inFlight = 0;
+	entry().heldTokens = 0;
+	EXPECT_TRUE(hasRoom(room, entry(), engine, 500000)) << "an empty engine takes any request";
+}
 } // namespace
 } // namespace spanplank
