Direct mode: first attempts wait for room, by urgency, account share and deadline

Cause: routers sent each request to an upstream at once, however full it was over all routers, and refused none. Change: a first attempt without room waits in its fiber for at most a quarter of the latency objective, 64 a service, and is refused with 503 no_room otherwise; upstreams without room are left out while another has room, within the versions and halls that the request may use. Paced upstreams keep their rules. Tokens of running requests and requests by account are counted also if an attempt ends by an exception. The log event request_waited, counters, a gauge and a histogram show the waits.

--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -36,6 +36,21 @@
 	_page.families.back().metric[0].gauge.value = _value;
 }
 
+void addGauges(MetricsPage& _page, const std::string& _name, const std::string& _help,
+			   const std::string& _label, const std::map<std::string, uint64_t>& _values)
+{
+	prometheus::MetricFamily gauges = family(_name, _help, prometheus::MetricType::Gauge);
+	gauges.metric.clear();
+	for (const auto& [value, count] : _values)
+	{
+		prometheus::ClientMetric metric;
+		metric.label.push_back({_label, value});
+		metric.gauge.value = double(count);
+		gauges.metric.push_back(std::move(metric));
+	}
+	_page.families.push_back(std::move(gauges));
+}
+
 void addCounters(MetricsPage& _page, const std::string& _name, const std::string& _help,
 				 const std::string& _label, const std::map<std::string, uint64_t>& _values)
 {
--- a/src/adapters/metrics_p.h
+++ b/src/adapters/metrics_p.h
@@ -19,6 +19,10 @@
 void addCounter(MetricsPage& _page, const std::string& _name, const std::string& _help, double _value);
 void addGauge(MetricsPage& _page, const std::string& _name, const std::string& _help, double _value);
 
+/// Gauges that differ in one label. @param[in] _values By the label's value.
+void addGauges(MetricsPage& _page, const std::string& _name, const std::string& _help,
+			   const std::string& _label, const std::map<std::string, uint64_t>& _values);
+
 /// Counters that differ in one label. @param[in] _values By the label's value.
 void addCounters(MetricsPage& _page, const std::string& _name, const std::string& _help,
 				 const std::string& _label, const std::map<std::string, uint64_t>& _values);
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -23,6 +23,7 @@
 	double expectedMs = 0.0;    ///< Until the head; 0: unknown.
 	TimeUs sentAfter = 0;       ///< Time from the choice to the first byte sent; 0: none was.
 	TimeUs headAfter = 0;       ///< Time until the head came; 0: none did.
+	double queueFactor = 1.0;   ///< Of the upstream when it was chosen, see `queueFactor`.
 	double prefillMs = 0.0;     ///< Still counted at the upstream.
 	bool asCold = false;        ///< The upstream was cold when it was chosen.
 	bool asRestProbe = false;   ///< It shows whether the upstream accepts requests again after a rest.
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -2,6 +2,8 @@
 #include <algorithm>
 #include <set>
 
+#include "await_room_p.h"
+#include "load_control_p.h"
 #include "serving_p.h"
 #include "suspects_p.h"
 
@@ -56,13 +58,53 @@
 }
 } // namespace
 
-UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now)
+UpstreamQuery versionedQuery(const Serving& _serving, UpstreamQuery _query, TimeUs _now)
 {
-	DirectRouter& router = _serving.router;
 	const TrialRequest subject{sessionHash(_serving), !_serving.call.session.empty(), trialUse(_serving)};
-	const VersionChoice version = chooseVersion(router.trials, _serving.service, subject, _now);
+	const VersionChoice version = chooseVersion(_serving.router.trials, _serving.service, subject, _now);
 	_query.version = version.only;
 	_query.notVersion = version.excluded;
+	return _query;
+}
+
+namespace
+{
+/// @returns The upstreams that a request has tried or should leave to others, as they have no room.
+std::set<uint32_t> withoutRoom(Serving& _serving, const UpstreamQuery& _query, TimeUs _now)
+{
+	if (!loadControls(_serving.router, _serving.service).waitingRoom)
+	{
+		return {};
+	}
+	const bool draws = _serving.drawsUpstream && _serving.plan.sentAttempts == 0;
+	const ServiceRoom places = placesFor(_serving, _query, _now);
+	return upstreamsLeftOut(places, draws, _serving.router.random);
+}
+
+/// Picks an upstream with room; without one, any.
+UpstreamId pickWithRoom(Serving& _serving, const UpstreamQuery& _query, TimeUs _now)
+{
+	DirectRouter& router = _serving.router;
+	std::set<uint32_t> out = withoutRoom(_serving, _query, _now);
+	if (out.empty())
+	{
+		return pickDirectUpstream(router.upstreams, _query, _now, router.random);
+	}
+	if (_query.tried != nullptr)
+	{
+		out.insert(_query.tried->begin(), _query.tried->end());
+	}
+	UpstreamQuery others = _query;
+	others.tried = &out;
+	const UpstreamId picked = pickDirectUpstream(router.upstreams, others, _now, router.random);
+	return isValid(picked) ? picked : pickDirectUpstream(router.upstreams, _query, _now, router.random);
+}
+} // namespace
+
+UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now)
+{
+	DirectRouter& router = _serving.router;
+	_query = versionedQuery(_serving, _query, _now);
 	const std::set<uint32_t> apart =
 		_serving.suspected ? upstreamsOfSuspects(_serving) : std::set<uint32_t>();
 	if (!apart.empty())
@@ -76,7 +118,7 @@
 			return free;
 		}
 	}
-	const UpstreamId picked = pickDirectUpstream(router.upstreams, _query, _now, router.random);
+	const UpstreamId picked = pickWithRoom(_serving, _query, _now);
 	if (isValid(picked))
 	{
 		return picked;
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <sys/resource.h>
 
+#include "await_room_p.h"
 #include "direct_router_p.h"
 #include "log_p.h"
 #include "metrics_p.h"
@@ -56,6 +57,21 @@
 				"Fields of upstreams' answers that were ignored as their values are invalid, by name.",
 				"field", stats.answerFieldsIgnored);
 }
+
+/// Requests that wait for room at the upstreams of a service.
+void addRoomMetrics(MetricsPage& _page, const DirectRouter& _router)
+{
+	const DirectStats& stats = _router.stats;
+	addGauges(_page, "room_waiting", "Requests that wait for room, by service.", "service",
+			  waitingByService(_router));
+	addCounters(_page, "room_waited_total", "Requests that waited for room, by service.", "service",
+				stats.waited);
+	addCounters(_page, "room_refused_total", "Requests refused for lack of room, by service.", "service",
+				stats.refusedForRoom);
+	addHistogram(_page, "room_wait_ms", "How long requests waited for room, admitted or not.",
+				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(stats.roomWait.buckets),
+				 stats.roomWait.sumMs);
+}
 } // namespace
 
 std::string directMetrics(DirectRouter& _router)
@@ -63,6 +79,7 @@
 	MetricsPage page;
 	const DirectStats& stats = _router.stats;
 	addCounters(page, "answers_total", "Final answers to callers, by what they were.", "kind", stats.answers);
+	addRoomMetrics(page, _router);
 	addCounters(page, "attempts_total", "Attempts at upstreams, by how they ended.", "end", stats.attempts);
 	addHistogram(page, "first_byte_ms", "From a request's arrival to the first byte of its answer.",
 				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(stats.firstByte.buckets),
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
@@ -62,6 +63,9 @@
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
 	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
 	std::map<std::string, uint64_t> limitChanges;        ///< Changes of limits that upstreams state, by kind.
+	std::map<std::string, uint64_t> waited;              ///< Requests that waited for room, by service.
+	std::map<std::string, uint64_t> refusedForRoom;      ///< Requests refused for lack of room, by service.
+	LatencyHistogram roomWait;                           ///< How long requests waited for room.
 };
 
 /// How far this router has read the store.
@@ -131,6 +135,8 @@
 	std::map<std::string, FirstTokenPressure> pressure; ///< By service.
 	std::map<std::string, PacedWaits> pacedWaits;       ///< By service.
 	std::map<std::string, WaitingRoom> waitingRooms;    ///< By service.
+	/// Alarms of the requests that wait in them, by service and id.
+	std::map<std::string, std::map<uint64_t, FiberAlarm*>> roomWaiters;
 	RetryLending lending;
 	AccountShares accounts;
 	AnswerLengths answerLengths;
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -70,6 +70,12 @@
 		refuseSuspect(_serving);
 		return;
 	}
+	if (_serving.roomRetryAfterMs > 0)
+	{
+		refuse(_serving, status::kUnavailable, "no_room", "all upstreams are full; it has not run",
+			   _serving.roomRetryAfterMs);
+		return;
+	}
 	if (_serving.last == AttemptEnd::Failed && !promisesNotRun(_serving.failedStatus))
 	{
 		passFailureOn(_serving, _now);
--- a/src/direct/load_control.cpp
+++ b/src/direct/load_control.cpp
@@ -45,6 +45,8 @@
 {
 	const TimeUs now = monotonicNow();
 	_speeds = speedRowsFor(_router.upstreams.speeds, _neighbour, now);
+	// Together with the loads, which are up to date: the difference of the two is what waits.
+	updateOwnAccounts(_router.accounts);
 	_accounts = loadChangesFor(_router.accounts.loads, accountNeighbour(_router, _neighbour));
 	if (!_router.peers.loads.isolated)
 	{
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "attempt_p.h"
+#include "await_room_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 
@@ -225,6 +226,10 @@
 		recordEnded(router.upstreams, _notes.upstream, _notes.prefillMs, signOf(_end), now);
 	logHealthChange(_serving, _notes.record, change, _end);
 	noteProbeEnd(router, _notes);
+	if (_end == AttemptEnd::Complete)
+	{
+		noteWorkTime(_serving, _notes, now);
+	}
 	noteExposure(_serving, _notes, _end);
 	noteTrial(_serving, _notes, _end);
 	notePressure(_serving, _notes, _end, now);
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "attempt_p.h"
+#include "await_room_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
 
@@ -102,6 +103,8 @@
 	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.asLimited = isLimited(router.upstreams, _upstream);
+	notes.queueFactor = queueFactorAt(_serving, _upstream);
+	const TokenMark tokens(_serving, _upstream);
 	notes.prefillMs = recordSent(router.upstreams, _upstream, _query, notes.begin);
 	notes.asRestProbe = router.upstreams.entries.at(_upstream.idx).rest.probing;
 	notes.trial = recordTrialChosen(router.trials, _serving.service, upstream.version);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "attempt_p.h"
+#include "await_room_p.h"
 #include "fiber_runtime_p.h"
 #include "platform/headers_p.h"
 #include "serving_p.h"
@@ -183,6 +184,10 @@
 	const UpstreamTable& table = _serving.router.upstreams;
 	const std::string model = modelOf(_serving);
 	const UpstreamQuery query = queryOf(_serving, model);
+	if (!awaitRoom(_serving, query))
+	{
+		return RetryDecision::Finish;
+	}
 	// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
 	const bool leftToUrgent = isValid(upstream) && isLeftToUrgent(_serving, upstream);
@@ -264,6 +269,7 @@
 	{
 		const InFlightMark inFlight(serving);
 		const TryMark trying(serving);
+		const AccountMark account(serving);
 		const SearchJoin join(serving);
 		recordRequest(retryWindow(_router, serving.service), serving.plan.arrivedAt);
 		runAttempts(serving, RetryDecision::Retry);
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -62,8 +62,11 @@
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
 	TimeUs acceptsAt = 0;        ///< When an upstream accepted a request again, as known then; 0: not known.
 	bool countedAsBegun = false; ///< An upstream has begun to answer it.
-	bool failedOnTrial = false;  ///< A version on trial answered an attempt with a failure.
-	TimeUs firstByteAt = 0;      ///< When the caller was sent the first byte of an answer; 0: not yet.
+	bool hasRoom = false;        ///< It was admitted to the upstreams of its service, see `awaitRoom`.
+	bool drawsUpstream = false;  ///< It has waited: routers that let requests in together spread them.
+	uint32_t roomRetryAfterMs = 0; ///< It was refused as no upstream had room; 0: it was not.
+	bool failedOnTrial = false;    ///< A version on trial answered an attempt with a failure.
+	TimeUs firstByteAt = 0;        ///< When the caller was sent the first byte of an answer; 0: not yet.
 	// Of the answer that is passed on as it is, if the last upstream failed by its own word.
 	int failedStatus = 0;
 	HttpExchange::Fields failedHead;
@@ -106,8 +109,11 @@
 /// What the attempt needs of an upstream. The views in it last as long as the serving and the model's name.
 UpstreamQuery queryOf(const Serving& _serving, const std::string& _model);
 
-/// Picks an upstream within the versions allowed now; without one among them, any that may still get
-/// requests.
+/// @returns A query with the versions that the request may use now.
+UpstreamQuery versionedQuery(const Serving& _serving, UpstreamQuery _query, TimeUs _now);
+
+/// Picks an upstream with room within the versions allowed now; without one among them, any that may still
+/// get requests.
 /// @returns Invalid if none is left.
 UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now);
 
