--- a/src/direct/completion_time.cpp
+++ b/src/direct/completion_time.cpp
@@ -49,17 +49,6 @@
 								_service.kvTokens == 0 ? 0 : uint32_t(room));
 }
 
-uint32_t heldTokens(const Serving& _serving)
-{
-	const ServiceInfo* service = serviceInfo(_serving.router, _serving.service);
-	if (service == nullptr || service->kvTokens == 0)
-	{
-		return 0; // Not an engine.
-	}
-	const double answer = std::max(answerTokens(_serving, *service), tokensReceived(_serving, *service));
-	return uint32_t(std::min(promptTokens(_serving) + answer, double(service->kvTokens)));
-}
-
 void logTooLate(const Serving& _serving, const LateEnd& _end, const std::string& _model)
 {
 	const auto& entries = _serving.router.upstreams.entries;
@@ -77,6 +66,17 @@
 }
 } // namespace
 
+uint32_t heldTokens(const Serving& _serving)
+{
+	const ServiceInfo* service = serviceInfo(_serving.router, _serving.service);
+	if (service == nullptr || service->kvTokens == 0)
+	{
+		return 0; // Not an engine.
+	}
+	const double answer = std::max(answerTokens(_serving, *service), tokensReceived(_serving, *service));
+	return uint32_t(std::min(promptTokens(_serving) + answer, double(service->kvTokens)));
+}
+
 void countInvalidLength(const Serving& _serving)
 {
 	const bool invalid = _serving.call.invalidLength || _serving.call.lengthEstimate == 0u;
--- a/src/direct/completion_time_p.h
+++ b/src/direct/completion_time_p.h
@@ -11,6 +11,10 @@
 /// Counts an invalid estimate of the answer's length, which is ignored.
 void countInvalidLength(const Serving& _serving);
 
+/// @returns Tokens that a request holds in an engine's memory while it runs: its prompt and the expected
+/// answer; 0 for plain services.
+uint32_t heldTokens(const Serving& _serving);
+
 /// @returns Expected time from now to the end of an answer at an upstream, in milliseconds; 0 if unknown.
 double expectedEndMs(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream);
 
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "attempt_p.h"
+#include "await_room_p.h"
 #include "completion_time_p.h"
 #include "fiber_runtime_p.h"
 #include "load_control_p.h"
@@ -310,6 +311,7 @@
 	if (_end == AttemptEnd::Complete)
 	{
 		recordStreamEnd(_serving, _notes, now);
+		noteWorkTime(_serving, _notes, now);
 	}
 	noteSpeed(_serving, _notes, _end, now);
 	noteExposure(_serving, _notes, _end);
