Pressure of recent first tokens is bounded by the load over all routers

Change: boundedPressure keeps the mean of recent first tokens within the waits at the least loaded upstreams and the mean wait, so it rises and falls with the load at once.

--- a/include/spanplank/service_load.h
+++ b/include/spanplank/service_load.h
@@ -42,6 +42,12 @@
 /// capacity, since they delay no first token before.
 double loadPressureOf(const ServiceLoad& _load, double _targetMs);
 
+/// @returns The pressure that recent first tokens of this router show, within what the load over all routers
+/// allows: at least the wait at the least loaded upstreams, so that it rises at once, and at most the mean
+/// wait, so that it falls at once after a peak.
+/// @param[in] _recent `FirstTokenPressure::share`.
+double boundedPressure(double _recent, const ServiceLoad& _load, double _targetMs);
+
 /// @returns The share of the price of another hall that applies at a load of the router's own hall: 1 while
 /// the hall has capacity, 0 while it is overloaded.
 double hallPriceShare(double _hallLoad);
--- a/src/core/service_load.cpp
+++ b/src/core/service_load.cpp
@@ -80,6 +80,13 @@
 	return std::clamp(std::max(queue, kOverloadPressure * overload), 0.0, 1.0);
 }
 
+double boundedPressure(double _recent, const ServiceLoad& _load, double _targetMs)
+{
+	const double least = loadPressureOf(_load, _targetMs);
+	const double mean = _targetMs > 0.0 ? std::min(1.0, std::max(0.0, _load.queueMs) / _targetMs) : 0.0;
+	return std::clamp(_recent, least, std::max(least, mean));
+}
+
 double hallPriceShare(double _hallLoad)
 {
 	return std::clamp((kHallFullTo - _hallLoad) / (kHallFullTo - kHallFullFrom), 0.0, 1.0);
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -48,9 +48,10 @@
 double pressureOf(const Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
+	const double recent = router.pressure[_serving.service].share;
 	return loadControls(router, _serving.service).serviceLoad
-			   ? loadPressureOf(loadOf(_serving, ""), double(_serving.plan.targetMs))
-			   : router.pressure[_serving.service].share;
+			   ? boundedPressure(recent, loadOf(_serving, ""), double(_serving.plan.targetMs))
+			   : recent;
 }
 } // namespace
 
--- a/tests/core/service_load_test.cpp
+++ b/tests/core/service_load_test.cpp
@@ -214,6 +214,16 @@
 	EXPECT_DOUBLE_EQ(loadPressureOf(serviceLoad(table, "llm", "", kCapacity, kNow), kTargetMs), 0.5);
 }
 
+// Guards against pressure that is felt and forgotten late, and against a calm service that is taken for a
+// busy one because some upstreams queue.
+TEST(ServiceLoad, PressureOfRecentFirstTokensIsBoundedByTheLoad)
+{
+	EXPECT_DOUBLE_EQ(boundedPressure(0.4, {2, 0.0, 0.0, 0.0, 0.0}, kTargetMs), 0.0) << "the peak is over";
+	EXPECT_DOUBLE_EQ(boundedPressure(0.0, {2, 0.5, 0.5, 500.0, 300.0}, kTargetMs), 0.3) << "it has begun";
+	EXPECT_DOUBLE_EQ(boundedPressure(0.05, {2, 0.2, 0.2, 210.0, 3.0}, kTargetMs), 0.05) << "some queue";
+	EXPECT_DOUBLE_EQ(boundedPressure(0.4, {2, 1.4, 0.5, 0.0, 0.0}, kTargetMs), 1.0) << "slots are taken";
+}
+
 // Guards against fewer second runs than before at the same load: over a steady load, the confidence limit by
 // the service's load is not below that by the first tokens of each router.
 TEST(ServiceLoadReplay, TheConfidenceLimitIsNoLowerAtEqualLoad)
