A query's versions live as long as the query

Cause: the query of a request viewed the versions of a choice that had ended with its function. Change: the caller keeps the choice; a temporary one is rejected by the compiler.

--- a/src/direct/await_room.cpp
+++ b/src/direct/await_room.cpp
@@ -146,7 +146,8 @@
 		{
 			return false;
 		}
-		const ServiceRoom places = placesFor(_serving, versionedQuery(_serving, _query, now), now);
+		const VersionChoice versions = versionsFor(_serving, now);
+		const ServiceRoom places = placesFor(_serving, withVersions(_query, versions), now);
 		// Without any that accept requests, the rules for paced and missing upstreams decide.
 		const RoomDecision decision =
 			places.upstreams.empty() ? RoomDecision::Enter : decideWaiting(room, _id, places, now);
@@ -202,7 +203,8 @@
 		return true;
 	}
 	const TimeUs now = monotonicNow();
-	const ServiceRoom places = placesFor(_serving, versionedQuery(_serving, _query, now), now);
+	const VersionChoice versions = versionsFor(_serving, now);
+	const ServiceRoom places = placesFor(_serving, withVersions(_query, versions), now);
 	if (places.upstreams.empty())
 	{
 		return true; // The rules for paced and missing upstreams decide.
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -96,12 +96,16 @@
 }
 } // namespace
 
-UpstreamQuery versionedQuery(const Serving& _serving, UpstreamQuery _query, TimeUs _now)
+VersionChoice versionsFor(const Serving& _serving, TimeUs _now)
 {
 	const TrialRequest subject{sessionHash(_serving), !_serving.call.session.empty(), trialUse(_serving)};
-	const VersionChoice version = chooseVersion(_serving.router.trials, _serving.service, subject, _now);
-	_query.version = version.only;
-	_query.notVersion = version.excluded;
+	return chooseVersion(_serving.router.trials, _serving.service, subject, _now);
+}
+
+UpstreamQuery withVersions(UpstreamQuery _query, const VersionChoice& _versions)
+{
+	_query.version = _versions.only;
+	_query.notVersion = _versions.excluded;
 	return _query;
 }
 
@@ -142,7 +146,8 @@
 UpstreamId pickUpstreamFor(Serving& _serving, UpstreamQuery _query, TimeUs _now)
 {
 	DirectRouter& router = _serving.router;
-	_query = versionedQuery(_serving, _query, _now);
+	const VersionChoice versions = versionsFor(_serving, _now);
+	_query = withVersions(_query, versions);
 	const std::set<uint32_t> apart =
 		_serving.suspected ? upstreamsOfSuspects(_serving) : std::set<uint32_t>();
 	if (!apart.empty())
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -117,8 +117,12 @@
 void addExpectedEnd(const Serving& _serving, const UpstreamQuery& _query, UpstreamId _upstream,
 					NextModelEstimate& _next);
 
-/// @returns A query with the versions that the request may use now.
-UpstreamQuery versionedQuery(const Serving& _serving, UpstreamQuery _query, TimeUs _now);
+/// @returns The versions that the request may use now.
+VersionChoice versionsFor(const Serving& _serving, TimeUs _now);
+
+/// @returns A query limited to versions, as long as `_versions` lives: the query only views them.
+UpstreamQuery withVersions(UpstreamQuery _query, const VersionChoice& _versions);
+UpstreamQuery withVersions(UpstreamQuery _query, VersionChoice&& _versions) = delete;
 
 /// Picks an upstream with room within the versions allowed now; without one among them, any that may still
 /// get requests.
