Waiting room: findings of a review

Cause: one request without room held up others that had room; waiting requests of other halls and versions were counted; error answers counted as work time; the draw of upstreams also applied to second runs; the query was older than the wait; a silent stream at a restarted upstream was found only at its own limit. Change: blocked requests are passed; reports of other routers are left out where they don't fit the query; only successes are samples; the draw ends with the first attempt; the query is built after the wait; the timer of a stream is armed.

--- a/include/spanplank/waiting_room.h
+++ b/include/spanplank/waiting_room.h
@@ -32,6 +32,8 @@
 	double accountExcess = 0.0; ///< Above 1 the account uses more than its fair part; see `account_share.h`.
 	TimeUs deadline = 0;        ///< Until when the caller takes an answer.
 	TimeUs waitsUntil = 0;      ///< It is refused if no room was found by then.
+	/// No upstream that it may use had room at the last look. Others that have room pass it.
+	bool blocked = false;
 };
 
 struct WaitingRoom
--- a/src/core/waiting_room.cpp
+++ b/src/core/waiting_room.cpp
@@ -102,9 +102,10 @@
 }
 
 /// Order in which requests are let in.
-std::tuple<std::pair<uint32_t, int>, TimeUs, uint64_t> rankOf(uint64_t _id, const WaitingRequest& _request)
+std::tuple<bool, std::pair<uint32_t, int>, TimeUs, uint64_t> rankOf(uint64_t _id,
+																	const WaitingRequest& _request)
 {
-	return {priorityOf(_request), _request.deadline, _id};
+	return {_request.blocked, priorityOf(_request), _request.deadline, _id};
 }
 
 /// @returns Index in `WaitingRoom::credits`.
@@ -257,7 +258,9 @@
 bool goesAtOnce(const WaitingRoom& _room, const ServiceRoom& _places)
 {
 	const double noWaiting = 1.0 + kNoWaitingShare * _places.running;
-	const bool nobodyWaits = _room.waiting.empty() && _places.elsewhere.all < noWaiting;
+	const bool nobodyHere = std::all_of(_room.waiting.begin(), _room.waiting.end(),
+										[](const auto& _at) { return _at.second.blocked; });
+	const bool nobodyWaits = nobodyHere && _places.elsewhere.all < noWaiting;
 	return isFree(_places) || (_places.withRoom > 0 && nobodyWaits);
 }
 
@@ -308,6 +311,7 @@
 	{
 		return RoomDecision::Refuse;
 	}
+	found->second.blocked = _places.withRoom == 0;
 	updateCredit(_room, _places, _now);
 	const double needed = neededCredit(_room, found->second, _now);
 	double& credit = _room.credits[kindOf(found->second)];
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -30,6 +30,7 @@
 	bool asRestProbe = false; ///< It shows whether the upstream accepts requests again after a rest.
 	bool asLimited = false;   ///< The upstream stated a limit when it was chosen.
 	bool withdrawn = false;   ///< The upstream left before anything was sent.
+	int status = 0;           ///< Of the answer; 0: no head came.
 	double confidence = -1.0; ///< The model's own; -1: it told none.
 	TimeUs firstEventsAt = 0; ///< When the first events of this attempt came; 0: none did.
 	TimeUs lastEventsAt = 0;
--- a/src/direct/await_room.cpp
+++ b/src/direct/await_room.cpp
@@ -10,11 +10,14 @@
 #include "fiber_runtime_p.h"
 #include "load_control_p.h"
 #include "log_p.h"
+#include "spanplank/http_status.h"
 
 namespace spanplank
 {
 namespace
 {
+constexpr int kFirstNoSuccess = 300; ///< Status codes from here on are no successes.
+
 AccountKey accountOf(const Serving& _serving)
 {
 	return accountKeyOf(_serving.service, _serving.account != nullptr ? _serving.account->name : "");
@@ -185,6 +188,11 @@
 	DirectRouter& router = _serving.router;
 	WaitingElsewhere elsewhere = waitingElsewhere(router.accounts, serviceAccountsKey(_serving.service),
 												  serviceUse(router.upstreams, _serving.service));
+	const bool limited = _query.limit.limited || !_query.version.empty();
+	if (limited || !router.settings.policies.loadSharing)
+	{
+		elsewhere = {}; // Others report what waits for the service, not for which of its upstreams.
+	}
 	if (!loadControls(router, _serving.service).accountShares)
 	{
 		elsewhere.abovePart = 0.0; // All requests are let in at one pace.
@@ -193,7 +201,7 @@
 					   limitsFor(_serving, _now), heldTokens(_serving), elsewhere, _now);
 }
 
-bool awaitRoom(Serving& _serving, const UpstreamQuery& _query)
+bool awaitRoom(Serving& _serving, const std::string& _model)
 {
 	DirectRouter& router = _serving.router;
 	const RequestPlan& plan = _serving.plan;
@@ -203,8 +211,9 @@
 		return true;
 	}
 	const TimeUs now = monotonicNow();
+	const UpstreamQuery query = queryOf(_serving, _model);
 	const VersionChoice versions = versionsFor(_serving, now);
-	const ServiceRoom places = placesFor(_serving, withVersions(_query, versions), now);
+	const ServiceRoom places = placesFor(_serving, withVersions(query, versions), now);
 	if (places.upstreams.empty())
 	{
 		return true; // The rules for paced and missing upstreams decide.
@@ -226,7 +235,7 @@
 	{
 		return refuseRoom(_serving, places);
 	}
-	_serving.hasRoom = waitInRoom(_serving, _query, places, *id);
+	_serving.hasRoom = waitInRoom(_serving, query, places, *id);
 	_serving.drawsUpstream = _serving.hasRoom;
 	return _serving.hasRoom;
 }
@@ -240,6 +249,10 @@
 
 void noteWorkTime(const Serving& _serving, const AttemptNotes& _notes, TimeUs _now)
 {
+	if (_notes.status < status::kOk || _notes.status >= kFirstNoSuccess)
+	{
+		return; // Errors are answered without the work.
+	}
 	const double ms = double(_now - _notes.begin - _notes.sentAfter) / double(kMsToUs);
 	recordWorkTime(_serving.router.waitingRooms[_serving.service], ms, _notes.queueFactor);
 }
--- a/src/direct/await_room_p.h
+++ b/src/direct/await_room_p.h
@@ -33,7 +33,7 @@
 
 /// Waits until an upstream has room for the first attempt of a request.
 /// @returns Whether the request may be sent; otherwise it was refused a place, or its caller has left.
-bool awaitRoom(Serving& _serving, const UpstreamQuery& _query);
+bool awaitRoom(Serving& _serving, const std::string& _model);
 
 /// @returns By how much the requests at an upstream lengthen the time of one more.
 double queueFactorAt(const Serving& _serving, UpstreamId _upstream);
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -72,7 +72,7 @@
 	}
 	if (_serving.roomRetryAfterMs > 0)
 	{
-		refuse(_serving, status::kUnavailable, "no_room", "all upstreams are full; it has not run",
+		refuse(_serving, status::kUnavailable, "no_room", "no room for the request in time; it has not run",
 			   _serving.roomRetryAfterMs);
 		return;
 	}
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -264,6 +264,7 @@
 	const int code = int(call.head().result_int());
 	const platform::AnswerHeaders answer = platform::readAnswerHeaders(call.head(), code);
 	AttemptEnd end = AttemptEnd::Aborted;
+	notes.status = code;
 	notes.confidence = answer.confidence.value_or(-1.0);
 	recordNotices(_serving, notes, answer, code);
 	if (!answer.notRun)
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -90,6 +90,7 @@
 AttemptResult runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
 {
 	DirectRouter& router = _serving.router;
+	_serving.drawsUpstream = false; // It was for the choice of this upstream.
 	const UpstreamRecord upstream = router.upstreams.entries.at(_upstream.idx).record;
 	AttemptNotes notes{_upstream, upstream, _query, ""};
 	notes.begin = monotonicNow();
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -184,11 +184,11 @@
 {
 	const UpstreamTable& table = _serving.router.upstreams;
 	const std::string model = modelOf(_serving);
-	const UpstreamQuery query = queryOf(_serving, model);
-	if (!awaitRoom(_serving, query))
+	if (!awaitRoom(_serving, model))
 	{
 		return RetryDecision::Finish;
 	}
+	const UpstreamQuery query = queryOf(_serving, model); // After the wait, which takes from the time left.
 	// Chosen anew for each attempt: a roll-out may have begun, or been halted, since the last.
 	const UpstreamId upstream = pickUpstreamFor(_serving, query, monotonicNow());
 	const bool leftToUrgent = isValid(upstream) && isLeftToUrgent(_serving, upstream);
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -355,6 +355,10 @@
 	}
 	m_outlived = true;
 	m_silentUntil = isNew ? 0 : monotonicNow() + kSilentAfterRestart;
+	if (m_silentUntil != 0 && m_step == Step::Read)
+	{
+		armTimer(std::min(m_expiry, m_silentUntil));
+	}
 	return true;
 }
 
