Choice of an upstream: only slow engines weigh by their speed, answers' time weighs a tenth

Change: the speed counts in the cost from a factor of 3 on, and the time of an answer's tokens with a weight of 0.1.

--- a/src/core/prompt_choice.cpp
+++ b/src/core/prompt_choice.cpp
@@ -38,6 +38,10 @@
 /// Times per output token up to this multiple of the fastest candidate's count as equal to it. Means of a few
 /// streams of alike engines differ by some 10 %, which for a long answer would outweigh cached parts.
 constexpr double kAlikeTokenTimes = 1.25;
+/// Weight of the answer's time in the cost. It delays only its own caller, whose objectives are the first
+/// token and the pauses; whether it ends before the deadline is judged apart. With a weight of 1 all routers
+/// sent long answers to the same few fast engines, which then were no longer fast.
+constexpr double kDecodeWeight = 0.1;
 /// Shares of a prompt's shared tokens that the first upstreams of the hash order are presumed to have cached,
 /// even if this router has not sent them there lately. All routers prefer the first and use the next ones
 /// when it is loaded.
@@ -194,6 +198,14 @@
 	return _query.bySpeed ? firstTokenFactor(_table.speeds, _entry.key, _now, _prior) : 1.0;
 }
 
+/// @returns The same for the choice: 1 unless the upstream is slow. Differences between sound engines follow
+/// their load, which all routers see; if they also changed the choice, all routers would move to the same
+/// upstreams at once.
+double slowFactor(double _speed)
+{
+	return _speed < kSlowFactor ? 1.0 : _speed;
+}
+
 /// @returns Expected wait for a slot of an engine, in milliseconds: with as many running requests as slots,
 /// one ends each `slots`-th part of an answer's time.
 double slotWaitMs(const UpstreamTable& _table, const UpstreamQuery& _query, const UpstreamEntry& _entry,
@@ -245,7 +257,8 @@
 		{
 			return 0.0;
 		}
-		return m_meanMs * std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now, m_prior) - m_free);
+		return kDecodeWeight * m_meanMs *
+			   std::max(0.0, tokenFactor(m_table.speeds, _entry.key, m_now, m_prior) - m_free);
 	}
 
 private:
@@ -339,13 +352,12 @@
 		const bool near = entry.record.hall == _query.hall || !_table.policies.hallPreference;
 		const double hall = near ? 0.0 : otherHallMs;
 		const double health = failureFactor(entry.health);
-		const double speed = speedFactor(_table, _query, entry, _now, prior);
+		const double speed = slowFactor(speedFactor(_table, _query, entry, _now, prior));
 		const double prefillMs = perToken * (tokens - cached);
 		const double wait = waitMs(_table, entry) + slotWaitMs(_table, _query, entry, _now);
 		const double jitter = kJitterMs * nextUnit(_random);
 		PromptCost cost;
-		cost.firstTokenMs =
-			atMeasuredSpeed(_table, _query, entry, prefillMs + wait, _now, prior) * health + jitter;
+		cost.firstTokenMs = (prefillMs + wait) * speed * health + jitter;
 		cost.cost = (kPrefillWeight * prefillMs + wait) * speed * health + decode.at(entry) + hall + jitter;
 		cost.timely = _query.firstTokenTargetMs == 0.0 || cost.firstTokenMs < _query.firstTokenTargetMs;
 		cost.end = outlookAt(_table, _query, candidate, model, cost.firstTokenMs, _now);
