--- a/tests/core/engine_speed_test.cpp
+++ b/tests/core/engine_speed_test.cpp
@@ -428,6 +428,8 @@
 	query.answerTokens = 5.0;
 	EXPECT_EQ(pick(), "slow") << "the answer is short";
 	query.answerTokens = 300.0;
+	EXPECT_EQ(pick(), "slow") << "all routers would move to the fast engine";
+	query.answerTokens = 3000.0;
 	EXPECT_EQ(pick(), "fast");
 	query.bySpeed = false;
 	EXPECT_EQ(pick(), "slow");
