--- a/tests/direct/full_upstream_test.cpp
+++ b/tests/direct/full_upstream_test.cpp
@@ -44,7 +44,10 @@
 TEST_F(FullFleet, RequestsWaitOrAreRefusedWithATimeToComeBackAndTheUpstreamStaysBusy)
 {
 	constexpr uint32_t kMs = 5000;
-	together({[&] { load(kMs); }, [&] { load(kMs); }});
+	together({[&] { load(kMs); },
+			  [&] {
+				  load(kMs);
+			  }});
 	EXPECT_GT(refused(), 0u);
 	EXPECT_EQ(refusedWithoutTime, 0u);
 	EXPECT_EQ(refused() + served(), [this] {
