Read-through: kept answers in a function of their own, names of the wait

Cause: isDropped decided and noted; hasRoom was a function and a member, and the alarm of pauses also ends the wait for room. Change: noteKeptAnswer; Serving::admitted and wakeUp; comments on credits and reports.

--- a/include/spanplank/waiting_room.h
+++ b/include/spanplank/waiting_room.h
@@ -87,9 +87,9 @@
 /// Requests that wait at other routers, as last reported.
 struct WaitingElsewhere
 {
-	double all = 0.0;
+	double all = 0.0;              ///< Requests between arrival and end that run at no upstream.
 	double abovePart = 0.0;        ///< Of accounts that use more than their fair part.
-	double runningAbovePart = 0.0; ///< Share of such accounts in the running requests of all routers.
+	double runningAbovePart = 0.0; ///< Share of such accounts in the running requests of all routers, 0 to 1.
 };
 
 /// The upstreams that may receive a request, from this router's counts and the other routers' reports.
--- a/src/core/waiting_room.cpp
+++ b/src/core/waiting_room.cpp
@@ -32,7 +32,7 @@
 constexpr double kMaxCredit = 2.0; ///< Waiting requests that a router lets in at once.
 /// Requests that a router may let in ahead of its pace if they are more urgent than one that it refused
 /// lately. The others then make up for it; without this, an urgent request that waits alone at its router
-/// gets no more than its part among all that wait.
+/// gets no more than its part among all that wait. The credit falls to `-kAdvance` at the least.
 constexpr double kAdvance = 1.0;
 constexpr TimeUs kRefusalMemory = 1000 * kMsToUs; ///< A refusal shows that less urgent requests can give way.
 /// Below this share of the running requests none count as waiting elsewhere: those between two attempts are
--- a/src/direct/await_room.cpp
+++ b/src/direct/await_room.cpp
@@ -53,7 +53,7 @@
 		: m_room(_serving.router.waitingRooms[_serving.service]),
 		  m_waiters(_serving.router.roomWaiters[_serving.service]), m_id(_id)
 	{
-		m_waiters.emplace(m_id, &_serving.pauseEnds);
+		m_waiters.emplace(m_id, &_serving.wakeUp);
 		wakeNext();
 	}
 
@@ -160,7 +160,7 @@
 			return decision == RoomDecision::Enter || refuseRoom(_serving, places);
 		}
 		const TimeUs next = isNext(room, _id) ? now + nextLook(room, places) : until;
-		_serving.pauseEnds.wait(uint32_t((std::min(next, until) - now) / kMsToUs + 1));
+		_serving.wakeUp.wait(uint32_t((std::min(next, until) - now) / kMsToUs + 1));
 	}
 }
 } // namespace
@@ -205,7 +205,7 @@
 {
 	DirectRouter& router = _serving.router;
 	const RequestPlan& plan = _serving.plan;
-	const bool first = plan.sentAttempts == 0 && _serving.lastEventId < 0 && !_serving.hasRoom;
+	const bool first = plan.sentAttempts == 0 && _serving.lastEventId < 0 && !_serving.admitted;
 	if (!first || !loadControls(router, _serving.service).waitingRoom)
 	{
 		return true;
@@ -219,8 +219,8 @@
 		return true; // The rules for paced and missing upstreams decide.
 	}
 	WaitingRoom& room = router.waitingRooms[_serving.service];
-	_serving.hasRoom = goesAtOnce(room, places);
-	if (_serving.hasRoom)
+	_serving.admitted = goesAtOnce(room, places);
+	if (_serving.admitted)
 	{
 		return true;
 	}
@@ -235,9 +235,9 @@
 	{
 		return refuseRoom(_serving, places);
 	}
-	_serving.hasRoom = waitInRoom(_serving, query, places, *id);
-	_serving.drawsUpstream = _serving.hasRoom;
-	return _serving.hasRoom;
+	_serving.admitted = waitInRoom(_serving, query, places, *id);
+	_serving.drawsUpstream = _serving.admitted;
+	return _serving.admitted;
 }
 
 double queueFactorAt(const Serving& _serving, UpstreamId _upstream)
--- a/src/direct/keep_attempt.cpp
+++ b/src/direct/keep_attempt.cpp
@@ -12,7 +12,7 @@
 		return;
 	}
 	++_serving.turns;
-	_serving.pauseEnds.ring();
+	_serving.wakeUp.ring();
 	for (LiveAttempt* other : _serving.live)
 	{
 		if (other != &_attempt)
@@ -57,7 +57,7 @@
 
 void cancelAttempts(Serving& _serving)
 {
-	_serving.pauseEnds.ring();
+	_serving.wakeUp.ring();
 	for (LiveAttempt* attempt : _serving.live)
 	{
 		attempt->call.cancel();
--- a/src/direct/load_control.cpp
+++ b/src/direct/load_control.cpp
@@ -12,7 +12,7 @@
 {
 namespace
 {
-/// Callers come and go with links; the map of children is created by the first message of a child.
+/// @returns What a neighbour reported of client accounts. The first message of a child adds it.
 NeighbourLoad& accountNeighbour(DirectRouter& _router, uint32_t _neighbour)
 {
 	LoadShare& loads = _router.accounts.loads;
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -195,6 +195,26 @@
 							{"after_ms", millisText(_now - _serving.plan.arrivedAt)}});
 }
 
+/// Counts and logs a doubted answer that is kept.
+/// @param[in] _allowed The confidence limit allowed a second run, but the retry window did not.
+void noteKeptAnswer(Serving& _serving, double _confidence, const NextModelEstimate& _next, bool _allowed,
+					TimeUs _now)
+{
+	const RequestPlan& plan = _serving.plan;
+	RetryWindow& window = retryWindow(_serving.router, _serving.service);
+	NextModelEstimate unbound = _next;
+	unbound.endsInTime = true;
+	const double used = usedShareForEscalation(window, _now);
+	const bool noTime = !_next.endsInTime && _confidence < confidenceLimit(plan, used, unbound, _now);
+	_serving.router.stats.completion.secondRunsWithoutTime += noTime ? 1 : 0;
+	const bool noRetry = _confidence < confidenceLimit(plan, 0.0, _next, _now);
+	if (noRetry && !_allowed)
+	{
+		recordRefusedRetry(window, _now);
+	}
+	logDoubtKept(_serving, _confidence, usedShare(window, _now), noRetry, _next, _now);
+}
+
 /// @returns Whether an answer is dropped and the next model asked. A doubted answer that is kept is logged
 /// with why.
 bool isDropped(Serving& _serving, double _confidence)
@@ -215,16 +235,7 @@
 	{
 		return true;
 	}
-	NextModelEstimate unbound = next;
-	unbound.endsInTime = true;
-	const bool noTime = !next.endsInTime && _confidence < confidenceLimit(_serving.plan, used, unbound, now);
-	_serving.router.stats.completion.secondRunsWithoutTime += noTime ? 1 : 0;
-	const bool noRetry = _confidence < confidenceLimit(_serving.plan, 0.0, next, now);
-	if (noRetry && !allowed)
-	{
-		recordRefusedRetry(window, now);
-	}
-	logDoubtKept(_serving, _confidence, usedShare(window, now), noRetry, next, now);
+	noteKeptAnswer(_serving, _confidence, next, allowed, now);
 	return false;
 }
 
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -173,7 +173,7 @@
 {
 	if (!_serving.callerGone && _turns == _serving.turns)
 	{
-		_serving.pauseEnds.wait(kLaterMs);
+		_serving.wakeUp.wait(kLaterMs);
 	}
 	return _turns == _serving.turns;
 }
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -32,7 +32,7 @@
 struct Serving
 {
 	Serving(DirectRouter& _router, HttpExchange& _exchange)
-		: router(_router), exchange(_exchange), pauseEnds(_router.io)
+		: router(_router), exchange(_exchange), wakeUp(_router.io)
 	{
 	}
 
@@ -51,7 +51,7 @@
 	std::list<boost::fibers::fiber> searches; ///< Fibers that make attempts beside a kept one.
 	bool searching = false; ///< One of them looks for an upstream, or waits for one that is not kept.
 	uint32_t search = 0;    ///< Number of the newest of them.
-	FiberAlarm pauseEnds;   ///< Of a fiber that pauses before it asks upstreams again.
+	FiberAlarm wakeUp;      ///< Of a fiber that pauses between attempts or waits for room.
 	std::optional<RequestDigest> digest; ///< Made when it is asked for first.
 	bool suspected = false;              ///< Upstreams ended while it, or a copy of it, was at work there.
 	bool endsUpstreams = false;          ///< Found out while it was under way: no attempt follows.
@@ -62,7 +62,7 @@
 	NoUpstream noUpstream = NoUpstream::None; ///< Why none was left to ask, when that was so last.
 	TimeUs acceptsAt = 0;        ///< When an upstream accepted a request again, as known then; 0: not known.
 	bool countedAsBegun = false; ///< An upstream has begun to answer it.
-	bool hasRoom = false;        ///< It was admitted to the upstreams of its service, see `awaitRoom`.
+	bool admitted = false;       ///< It was let in to the upstreams of its service, see `awaitRoom`.
 	bool drawsUpstream = false;  ///< It has waited: routers that let requests in together spread them.
 	uint32_t roomRetryAfterMs = 0; ///< It was refused as no upstream had room; 0: it was not.
 	bool failedOnTrial = false;    ///< A version on trial answered an attempt with a failure.
