Tests: answers by the number of the arrival in a header of their own

Cause: the tests of restarts need upstreams that answer by the number of the arrival, as those of paused streams have. Change: Arrivals of paused_stream_test.cpp moves to scripted_arrivals.h as ScriptedArrivals, with the service as a parameter; no check changes.

--- a/tests/direct/paused_stream_test.cpp
+++ b/tests/direct/paused_stream_test.cpp
@@ -1,12 +1,11 @@
 /// Answers that come late or pause for long: an upstream at work is left only for another one that may and
 /// can take the request.
-#include <algorithm>
-#include <functional>
 #include <gtest/gtest.h>
 
 #include "direct_harness.h"
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "scripted_arrivals.h"
 
 namespace spanplank
 {
@@ -245,29 +244,6 @@
 	EXPECT_EQ(system.log().find("event=answer_broken"), std::string::npos);
 }
 
-/// Says which upstream a caller's first attempt went to, and answers by the number of the arrival.
-struct Arrivals
-{
-	using Answer = std::function<void(Upstream&, Exchange&)>;
-
-	/// @param[in] _answers By arrival; the last one answers all that follow.
-	void serveBy(DirectSystem& _system, const std::vector<std::string>& _ids, std::vector<Answer> _answers)
-	{
-		answers = std::move(_answers);
-		for (const std::string& id : _ids)
-		{
-			_system.addUpstream(id, "engines").answer = [this](Upstream& _upstream, Exchange& _exchange) {
-				const size_t number = std::min(askedAt.size(), answers.size() - 1);
-				askedAt.push_back(_upstream.id);
-				answers[number](_upstream, _exchange);
-			};
-		}
-	}
-
-	std::vector<Answer> answers;
-	std::vector<std::string> askedAt; ///< Upstreams in the order of the arrivals.
-};
-
 /// A reset as by a path that fails: no byte of an answer.
 void resetOnce(Upstream& /*_upstream*/, Exchange& _exchange)
 {
@@ -304,8 +280,8 @@
 TEST(PausedStream, GoesOnAtItsUpstreamAfterThePauseIfTheOthersBreakIt)
 {
 	DirectSystem system;
-	Arrivals arrivals;
-	arrivals.serveBy(system, {"e-one", "e-two"}, {pauseForLong, resetOnce});
+	ScriptedArrivals arrivals;
+	arrivals.serveBy(system, "engines", {"e-one", "e-two"}, {pauseForLong, resetOnce});
 	system.startReady(2);
 	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
 	EXPECT_EQ(got.status, 200);
@@ -321,8 +297,8 @@
 TEST(PausedStream, GoesOnAtItsUpstreamAlsoAfterItsLastAttempt)
 {
 	DirectSystem system;
-	Arrivals arrivals;
-	arrivals.serveBy(system, {"e-one", "e-two", "e-three"}, {pauseForLong, resetOnce});
+	ScriptedArrivals arrivals;
+	arrivals.serveBy(system, "engines", {"e-one", "e-two", "e-three"}, {pauseForLong, resetOnce});
 	system.startReady(3);
 	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
 	EXPECT_FALSE(got.cut) << logOf(system);
@@ -335,7 +311,7 @@
 TEST(PausedStream, EndsAtThePausingUpstreamOnceAnotherHasGoneOn)
 {
 	DirectSystem system;
-	Arrivals arrivals;
+	ScriptedArrivals arrivals;
 	bool ended = false;
 	const auto pauseUntilLeft = [&ended](Upstream& _upstream, Exchange& _exchange) {
 		startEvents(_upstream, _exchange);
@@ -345,7 +321,7 @@
 	const auto goOn = [](Upstream& _upstream, Exchange& _exchange) {
 		answerEvents(_upstream, _exchange, 3, 20, false);
 	};
-	arrivals.serveBy(system, {"e-one", "e-two"}, {pauseUntilLeft, goOn});
+	arrivals.serveBy(system, "engines", {"e-one", "e-two"}, {pauseUntilLeft, goOn});
 	system.startReady(2);
 	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
 	EXPECT_FALSE(got.cut) << logOf(system);
@@ -359,12 +335,12 @@
 TEST(PausedStream, EndsAtTheOtherUpstreamOnceThePausingOneHasGoneOn)
 {
 	DirectSystem system;
-	Arrivals arrivals;
+	ScriptedArrivals arrivals;
 	bool ended = false;
 	const auto waitUntilLeft = [&ended](Upstream& /*_upstream*/, Exchange& _exchange) {
 		ended = eventually([&_exchange] { return _exchange.callerGone(); });
 	};
-	arrivals.serveBy(system, {"e-one", "e-two"}, {pauseForLong, waitUntilLeft});
+	arrivals.serveBy(system, "engines", {"e-one", "e-two"}, {pauseForLong, waitUntilLeft});
 	system.startReady(2);
 	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
 	EXPECT_FALSE(got.cut) << logOf(system);
@@ -378,7 +354,7 @@
 TEST(PausedStream, EndsAtBothUpstreamsWhenItsCallerLeaves)
 {
 	DirectSystem system;
-	Arrivals arrivals;
+	ScriptedArrivals arrivals;
 	uint32_t ended = 0;
 	const auto pauseUntilLeft = [&ended](Upstream& _upstream, Exchange& _exchange) {
 		startEvents(_upstream, _exchange);
@@ -388,7 +364,7 @@
 	const auto waitUntilLeft = [&ended](Upstream& /*_upstream*/, Exchange& _exchange) {
 		ended += eventually([&_exchange] { return _exchange.callerGone(); }) ? 1 : 0;
 	};
-	arrivals.serveBy(system, {"e-one", "e-two"}, {pauseUntilLeft, waitUntilLeft});
+	arrivals.serveBy(system, "engines", {"e-one", "e-two"}, {pauseUntilLeft, waitUntilLeft});
 	system.startReady(2);
 	HttpCancel cancel;
 	together({[&] { system.call("POST", "/chat/x", "prompt", kPrompt, &cancel); },
@@ -405,7 +381,7 @@
 TEST(PausedStream, GoesOnAtTheOtherUpstreamIfThePausingOneBreaks)
 {
 	DirectSystem system;
-	Arrivals arrivals;
+	ScriptedArrivals arrivals;
 	const auto pauseAndBreak = [](Upstream& _upstream, Exchange& _exchange) {
 		startEvents(_upstream, _exchange);
 		_exchange.write("id: 0\ndata: first\n\n");
@@ -415,7 +391,7 @@
 	const auto goOnLate = [](Upstream& _upstream, Exchange& _exchange) {
 		answerEvents(_upstream, _exchange, 2, 0, false, 100.0, kLongPauseMs / 2);
 	};
-	arrivals.serveBy(system, {"e-one", "e-two"}, {pauseAndBreak, goOnLate});
+	arrivals.serveBy(system, "engines", {"e-one", "e-two"}, {pauseAndBreak, goOnLate});
 	system.startReady(2);
 	const DirectAnswer got = system.call("POST", "/chat/x", "prompt", kPrompt);
 	EXPECT_FALSE(got.cut) << logOf(system);
