Logs: a line for each call that meets the record of a restart, with the evidence

Cause: upstream_restarted counts calls and names neither a request nor why it ended or went on, so that the logs could not tell a call lost with the previous incarnation from one that had reached the new one. Change: restart_met_call with request, verdict, evidence, age of the connection and whether the head had come; age_ms of upstream_restarted; counter restarted_calls_total.

--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -174,6 +174,9 @@
 	addCounter(page, "configs_total", "Configurations taken.", double(stats.configs));
 	addCounters(page, "records_rejected_total", "Records of the store that can't be used, by what is wrong.",
 				"fault", stats.recordsRejected);
+	addCounters(page, "restarted_calls_total",
+				"Calls that were at an upstream when its restart became known, by what became of them.",
+				"verdict", stats.restartedCalls);
 	addCounter(page, "store_items_skipped_total", "Items of the store without a key that can be read.",
 			   double(stats.itemsSkipped));
 	addCounter(page, "store_returns_total", "Times that the store came back from an older copy.",
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -58,6 +58,7 @@
 	uint64_t escalated = 0;                          ///< Answers dropped for the next model's.
 	uint64_t configs = 0;                            ///< Configurations taken.
 	std::map<std::string, uint64_t> recordsRejected; ///< Records that can't be used, by what is wrong.
+	std::map<std::string, uint64_t> restartedCalls;  ///< Calls at upstreams that started again, by verdict.
 	uint64_t itemsSkipped = 0;                       ///< Items of the store without a key that can be read.
 	uint64_t storeReturns = 0;                       ///< How often the store came back from an older copy.
 	std::map<std::string, uint64_t> usageReports;    ///< Reports to the platform, by their answers.
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -104,10 +104,29 @@
 									{"born_before", std::to_string(_before.startedAtMs)},
 									{"calls_ended", std::to_string(_calls.ended)},
 									{"calls_kept", std::to_string(_calls.kept)},
+									{"age_ms", std::to_string(wallNowMs() - int64_t(_record.startedAtMs))},
 									{"way", name(_source.way)},
 									{"revision", std::to_string(_source.revision)}});
 }
 
+/// Counts and logs each call that was at an upstream when its restart became known.
+void noteRestartedCalls(DirectRouter& _router, const UpstreamRecord& _record, const RestartedCalls& _calls,
+						const ChangeSource& _source)
+{
+	for (const RestartedCall& call : _calls.calls)
+	{
+		++_router.stats.restartedCalls[name(call.verdict)];
+		logEvent("restart_met_call", {{"request", call.requestId},
+									  {"upstream", _record.id},
+									  {"born", std::to_string(_record.startedAtMs)},
+									  {"verdict", name(call.verdict)},
+									  {"evidence", name(call.evidence)},
+									  {"open_ms", std::to_string(call.openFor / kMsToUs)},
+									  {"answered", call.answered ? "1" : "0"},
+									  {"way", name(_source.way)}});
+	}
+}
+
 /// @returns What a record tells of a restart. Its start time is of another box's clock.
 UpstreamRestart restartBy(const UpstreamRecord& _record)
 {
@@ -135,6 +154,7 @@
 		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_record));
 		suspectBroken(_router, before);
 		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
+		noteRestartedCalls(_router, _record, calls, _source);
 	}
 	else if (order == IncarnationOrder::Older)
 	{
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -150,7 +150,8 @@
 	const auto running = _pool.running.equal_range(_upstream.idx);
 	for (auto at = running.first; at != running.second; ++at)
 	{
-		++(at->second->outlives(_restart, closedAt) ? calls.kept : calls.ended);
+		calls.calls.push_back(at->second->meetRestart(_restart, closedAt));
+		++(calls.calls.back().verdict == RestartVerdict::Ended ? calls.ended : calls.kept);
 	}
 	return calls;
 }
@@ -339,19 +340,27 @@
 	closeConnection();
 }
 
-bool UpstreamCall::outlives(const UpstreamRestart& _restart, TimeUs _closedAt)
+RestartedCall UpstreamCall::meetRestart(const UpstreamRestart& _restart, TimeUs _closedAt)
 {
-	const TimeUs openedAt = m_connection ? m_connection->openedAt : 0;
-	const bool same =
+	CallAtRestart call;
+	call.sameAddress =
 		m_request.address.ip == _restart.address.ip && m_request.address.port == _restart.address.port;
-	const bool opened = same && openedAt != 0;
-	const bool isNew = opened && ((_closedAt != 0 && openedAt >= _closedAt) ||
-								  (_restart.startedBy && openedAt >= *_restart.startedBy));
-	const bool begun = opened && m_request.stream && m_parser && m_parser->is_header_done();
-	if (!isNew && !begun)
+	call.openedAt = m_connection ? m_connection->openedAt : 0;
+	call.closedAt = _closedAt;
+	call.startedBy = _restart.startedBy;
+	RestartedCall met;
+	met.requestId = m_request.requestId;
+	met.evidence = evidenceOf(call);
+	met.openFor = call.openedAt != 0 ? monotonicNow() - call.openedAt : 0;
+	met.answered = m_parser && m_parser->is_header_done();
+	const bool isNew = met.evidence == RestartEvidence::OpenedAfterStart ||
+					   met.evidence == RestartEvidence::OpenedAfterClose;
+	const bool begun = met.evidence == RestartEvidence::None && m_request.stream && met.answered;
+	met.verdict = isNew ? RestartVerdict::Kept : begun ? RestartVerdict::Doubted : RestartVerdict::Ended;
+	if (met.verdict == RestartVerdict::Ended)
 	{
 		lose();
-		return false;
+		return met;
 	}
 	m_outlived = true;
 	m_silentUntil = isNew ? 0 : monotonicNow() + kSilentAfterRestart;
@@ -359,7 +368,7 @@
 	{
 		armTimer(std::min(m_expiry, m_silentUntil));
 	}
-	return true;
+	return met;
 }
 
 void UpstreamCall::release(std::optional<uint32_t> _keepAliveMs)
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -18,6 +18,7 @@
 #include "fiber_runtime_p.h"
 #include "http_p.h"
 #include "spanplank/types.h"
+#include "spanplank/upstream_restart.h"
 
 namespace spanplank
 {
@@ -57,10 +58,21 @@
 	std::optional<TimeUs> startedBy;
 };
 
+/// A call under way when the record of its upstream's restart came.
+struct RestartedCall
+{
+	std::string requestId;
+	RestartVerdict verdict = RestartVerdict::Ended;
+	RestartEvidence evidence = RestartEvidence::None;
+	TimeUs openFor = 0;    ///< Age of its connection; 0: it is not open.
+	bool answered = false; ///< The head of its answer has come.
+};
+
 struct RestartedCalls
 {
 	size_t ended = 0;
 	size_t kept = 0; ///< Calls that have, or may have, reached the new incarnation.
+	std::vector<RestartedCall> calls;
 };
 
 /// Closes connections that have been idle for too long or that the upstream has closed.
@@ -155,8 +167,8 @@
 
 	/// Its upstream has started again by a record that has just come.
 	/// @param[in] _closedAt When the upstream was last found to have closed a connection; 0: not lately.
-	/// @returns Whether the attempt goes on; else it has ended by `lose`.
-	bool outlives(const UpstreamRestart& _restart, TimeUs _closedAt);
+	/// @returns What becomes of the attempt. One that does not go on has ended by `lose`.
+	RestartedCall meetRestart(const UpstreamRestart& _restart, TimeUs _closedAt);
 
 	/// Gives the connection back for another request if its answer was read whole and it may be kept.
 	void release(std::optional<uint32_t> _keepAliveMs);
