A call of unknown incarnation is not ended in vain by the record of a restart

Cause: the record of an upstream's restart ended all calls that were not shown to be at the new incarnation, also where no other attempt was allowed; a stream that had begun at another upstream and waited for the head of its second one was among them, and so were requests that must not run twice. Evidence: restart_met_call verdict=ended evidence=none open_ms=26 of a call that the stand-in answered, in a forced order of events; answer_broken with window_room=0 0.1 ms later. Change: such a call is ended only if its caller has nothing of an answer and another attempt has been taken from the retry window; else it goes on, and ends as lost if nothing comes for a second and until its answer is late. This works as what arrives shows that the sender lives, and silence is bounded.

--- a/include/spanplank/upstream_restart.h
+++ b/include/spanplank/upstream_restart.h
@@ -28,7 +28,7 @@
 {
 	Ended,   ///< It ends as broken.
 	Kept,    ///< It goes on.
-	Doubted, ///< It goes on unless it then stays silent.
+	Doubted, ///< Nothing shows where it is: it goes on unless it then stays silent.
 };
 
 /// @returns Name used in logs.
@@ -45,6 +45,18 @@
 
 /// @returns The evidence of where a call is.
 RestartEvidence evidenceOf(const CallAtRestart& _call);
+
+/// Decides what becomes of a call. One that may have reached the new incarnation is ended only if that costs
+/// its caller nothing.
+/// @param[in] _replaced Another attempt of its request has been allowed in its place.
+RestartVerdict verdictOn(RestartEvidence _evidence, bool _replaced);
+
+/// Longer than sound engines pause between two events.
+constexpr TimeUs kSilenceAfterRestart = 1000 * kMsToUs;
+
+/// @returns Until when a doubted call may stay silent before it ends as lost with the previous incarnation.
+/// @param[in] _answerDueBy When the answer of a sound upstream would be late; 0 if the answer has begun.
+TimeUs silenceLimit(TimeUs _answerDueBy, TimeUs _now);
 } // namespace spanplank
 
 #endif // SPANPLANK_UPSTREAM_RESTART_H_HEADER_GUARD
--- a/src/core/upstream_restart.cpp
+++ b/src/core/upstream_restart.cpp
@@ -1,6 +1,8 @@
 /// Evidence of which incarnation of an upstream a call was sent to.
 #include "spanplank/upstream_restart.h"
 
+#include <algorithm>
+
 namespace spanplank
 {
 const char* name(RestartEvidence _evidence)
@@ -33,4 +35,25 @@
 	const bool afterClose = _call.closedAt != 0 && _call.openedAt >= _call.closedAt;
 	return afterClose ? RestartEvidence::OpenedAfterClose : RestartEvidence::None;
 }
+
+RestartVerdict verdictOn(RestartEvidence _evidence, bool _replaced)
+{
+	switch (_evidence)
+	{
+	case RestartEvidence::OtherAddress:
+	case RestartEvidence::NotConnected:
+		return RestartVerdict::Ended;
+	case RestartEvidence::OpenedAfterStart:
+	case RestartEvidence::OpenedAfterClose:
+		return RestartVerdict::Kept;
+	case RestartEvidence::None:
+		break;
+	}
+	return _replaced ? RestartVerdict::Ended : RestartVerdict::Doubted;
+}
+
+TimeUs silenceLimit(TimeUs _answerDueBy, TimeUs _now)
+{
+	return std::max(_answerDueBy, _now + kSilenceAfterRestart);
+}
 } // namespace spanplank
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -107,6 +107,11 @@
 /// @returns Until when the wait goes on; nothing: the attempt is given up.
 std::optional<TimeUs> whenLate(Serving& _serving, LiveAttempt& _attempt);
 
+/// Allows another attempt in place of one whose upstream has started again, if the caller has nothing of an
+/// answer yet. It is taken from the retry window at the same time.
+/// @returns Whether it is allowed, so that the attempt under way may end.
+bool replaceAfterRestart(Serving& _serving, const LiveAttempt& _attempt);
+
 /// An attempt broke: looks whether its upstream has ended rather than its connection alone, and takes note
 /// under which request it was. Waits for a connection.
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes);
--- a/src/direct/late_answer.cpp
+++ b/src/direct/late_answer.cpp
@@ -45,6 +45,16 @@
 }
 } // namespace
 
+bool replaceAfterRestart(Serving& _serving, const LiveAttempt& _attempt)
+{
+	const TimeUs now = monotonicNow();
+	// A begun answer is lost if the attempt in its place breaks; one that has not begun can be repeated.
+	const bool another = !_serving.plan.started && allowsFurtherAttempt(_serving.plan, _attempt.kept) &&
+						 anotherCanTake(_serving, _attempt, now);
+	return another &&
+		   !extendTimeout(_serving.plan, retryWindow(_serving.router, _serving.service), another, now);
+}
+
 std::optional<TimeUs> whenLate(Serving& _serving, LiveAttempt& _attempt)
 {
 	const TimeUs now = monotonicNow();
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -255,6 +255,7 @@
 	UpstreamCall& call = _attempt.call;
 	AttemptNotes& notes = _attempt.notes;
 	call.onLate([&] { return whenLate(_serving, _attempt); });
+	call.onRestart([&] { return replaceAfterRestart(_serving, _attempt); });
 	ExchangeState state = call.connect(_times.connectDeadline);
 	notes.withdrawn = state == ExchangeState::Ok && !isStillAllowed(_serving.router, notes);
 	if (notes.withdrawn)
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -104,7 +104,8 @@
 	const AttemptTimeouts times =
 		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), head, notes.begin);
 	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
-	const AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
+	AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
+	request.answerDueBy = attemptTimeouts(_serving.plan, true, head, notes.begin).responseStartDeadline;
 	notes.expectedEndMs = expectedEndMs(_serving, _query, _upstream);
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.asLimited = isLimited(router.upstreams, _upstream);
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -123,6 +123,7 @@
 									  {"evidence", name(call.evidence)},
 									  {"open_ms", std::to_string(call.openFor / kMsToUs)},
 									  {"answered", call.answered ? "1" : "0"},
+									  {"replaced", call.replaced ? "1" : "0"},
 									  {"way", name(_source.way)}});
 	}
 }
@@ -141,8 +142,8 @@
 	return restart;
 }
 
-/// Takes a record. The requests at the incarnation before the one that has started are told at once that they
-/// have ended; those that have reached the new one go on.
+/// Takes a record. The calls at the incarnation before the one that has started end, as far as that is known;
+/// those that have reached the new one go on.
 void takeRecord(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
 {
 	UpstreamTable& table = _router.upstreams;
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -23,9 +23,6 @@
 /// A connection that an upstream closed tells of its restart if the record of that comes within this time; a
 /// store that is down for longer is rare.
 constexpr TimeUs kCloseTells = 5000 * kMsToUs;
-/// Longer than sound engines pause between two events: the connection of a begun stream that is silent for so
-/// long after the record of a restart belongs to the incarnation before.
-constexpr TimeUs kSilentAfterRestart = 1000 * kMsToUs;
 constexpr TimeUs kReachPatience = 300 * kMsToUs; ///< For a connection that only shows whether one is taken.
 constexpr unsigned kHttpVersion = 11;            ///< HTTP/1.1, as Beast counts.
 constexpr size_t kHeadLimit = 32u << 10;         ///< Bytes of an answer's head.
@@ -257,6 +254,7 @@
 		}
 		const boost::beast::string_view id =
 			m_parser->get()[boost::beast::string_view(m_request.idHeader.data(), m_request.idHeader.size())];
+		m_silentUntil = 0;
 		if (std::string_view(id.data(), id.size()) == m_request.requestId || id.empty())
 		{
 			return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
@@ -353,20 +351,22 @@
 	met.evidence = evidenceOf(call);
 	met.openFor = call.openedAt != 0 ? monotonicNow() - call.openedAt : 0;
 	met.answered = m_parser && m_parser->is_header_done();
-	const bool isNew = met.evidence == RestartEvidence::OpenedAfterStart ||
-					   met.evidence == RestartEvidence::OpenedAfterClose;
-	const bool begun = met.evidence == RestartEvidence::None && m_request.stream && met.answered;
-	met.verdict = isNew ? RestartVerdict::Kept : begun ? RestartVerdict::Doubted : RestartVerdict::Ended;
+	const bool begun = m_request.stream && met.answered;
+	const bool isSilent = m_step == Step::Read && isQuiet(m_connection->socket);
+	const bool mayBeReplaced = met.evidence == RestartEvidence::None && !begun && isSilent;
+	met.replaced = mayBeReplaced && m_askReplaced && m_askReplaced();
+	met.verdict = verdictOn(met.evidence, met.replaced);
 	if (met.verdict == RestartVerdict::Ended)
 	{
 		lose();
 		return met;
 	}
 	m_outlived = true;
-	m_silentUntil = isNew ? 0 : monotonicNow() + kSilentAfterRestart;
-	if (m_silentUntil != 0 && m_step == Step::Read)
+	m_silentUntil = 0;
+	if (met.verdict == RestartVerdict::Doubted)
 	{
-		armTimer(std::min(m_expiry, m_silentUntil));
+		m_silentUntil = silenceLimit(met.answered ? 0 : m_request.answerDueBy, monotonicNow());
+		startTimer();
 	}
 	return met;
 }
@@ -389,6 +389,11 @@
 	m_askLate = std::move(_ask);
 }
 
+void UpstreamCall::onRestart(std::function<bool()> _ask)
+{
+	m_askReplaced = std::move(_ask);
+}
+
 const std::string& UpstreamCall::error() const
 {
 	return m_error;
@@ -396,7 +401,9 @@
 
 ExchangeState UpstreamCall::result(const boost::system::error_code& _error)
 {
-	m_error = m_lost ? "the upstream has started again" : _error.message();
+	const char* const lost = m_stayedSilent ? "the upstream has started again and stayed silent"
+											: "the upstream has started again";
+	m_error = m_lost ? lost : _error.message();
 	if (m_cancelled)
 	{
 		return ExchangeState::Cancelled;
@@ -411,13 +418,24 @@
 void UpstreamCall::armTimer(TimeUs _by)
 {
 	m_expiry = _by;
-	if (m_timerRuns && _by >= m_armedFor)
+	startTimer();
+}
+
+TimeUs UpstreamCall::limit() const
+{
+	return m_silentUntil != 0 ? std::min(m_expiry, m_silentUntil) : m_expiry;
+}
+
+void UpstreamCall::startTimer()
+{
+	const TimeUs by = limit();
+	if (m_timerRuns && by >= m_armedFor)
 	{
 		return; // When it fires, it sees that the limit has moved and goes on.
 	}
 	m_timerRuns = true;
-	m_armedFor = _by;
-	m_timer.expires_after(std::chrono::microseconds(std::max<TimeUs>(0, _by - monotonicNow())));
+	m_armedFor = by;
+	m_timer.expires_after(std::chrono::microseconds(std::max<TimeUs>(0, by - monotonicNow())));
 	const std::shared_ptr<bool> alive = m_alive;
 	m_timer.async_wait([this, alive](boost::system::error_code _error) {
 		if (!*alive || _error)
@@ -425,9 +443,9 @@
 			return;
 		}
 		m_timerRuns = false;
-		if (monotonicNow() < m_expiry)
+		if (monotonicNow() < limit())
 		{
-			armTimer(m_expiry);
+			startTimer();
 			return;
 		}
 		limitPassed();
@@ -443,11 +461,14 @@
 	if (m_step == Step::Read && !m_looked && !isQuiet(m_connection->socket))
 	{
 		m_looked = true;
-		armTimer(monotonicNow() + kLookAgain);
+		const TimeUs again = monotonicNow() + kLookAgain;
+		m_silentUntil = m_silentUntil != 0 ? std::max(m_silentUntil, again) : 0;
+		armTimer(again);
 		return;
 	}
 	if (m_silentUntil != 0 && monotonicNow() >= m_silentUntil)
 	{
+		m_stayedSilent = true;
 		lose();
 		return;
 	}
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -66,6 +66,7 @@
 	RestartEvidence evidence = RestartEvidence::None;
 	TimeUs openFor = 0;    ///< Age of its connection; 0: it is not open.
 	bool answered = false; ///< The head of its answer has come.
+	bool replaced = false; ///< Another attempt of its request has been allowed in its place.
 };
 
 struct RestartedCalls
@@ -91,7 +92,8 @@
 
 /// An upstream has started again, by a record that may come long after the start. Its idle connections are
 /// closed, and the calls that were at the incarnation before end as broken. A call goes on if its connection
-/// was opened after the restart. A begun stream goes on too, and ends only if it then stays silent.
+/// was opened after the restart. One that may be at either incarnation goes on unless another attempt takes
+/// its place at once, and ends only if it then stays silent.
 RestartedCalls endCalls(UpstreamPool& _pool, UpstreamId _upstream, const UpstreamRestart& _restart);
 
 struct AttemptRequest
@@ -106,6 +108,7 @@
 	std::string_view idHeader;  ///< Name of the field that carries the request's id.
 	std::string_view requestId; ///< An answer with another id belongs to another request.
 	bool stream = false;        ///< Its answer comes event by event, with a limit on the time between events.
+	TimeUs answerDueBy = 0;     ///< When an answer that has not begun is late; 0: unknown.
 	bool freshOnly = false; ///< Not on a connection that was idle for long: the request can't be repeated.
 };
 
@@ -153,6 +156,10 @@
 	/// @param[in] _ask Must not wait. Returns until when to wait on; nothing: the step ends as `TimedOut`.
 	void onLate(std::function<std::optional<TimeUs>()> _ask);
 
+	/// Asked when the record of a restart leaves it open where the call is, before its answer has begun.
+	/// @param[in] _ask Must not wait. Returns whether another attempt has been allowed in place of this one.
+	void onRestart(std::function<bool()> _ask);
+
 	/// What the last failed step met, for logs; empty: nothing.
 	const std::string& error() const;
 
@@ -190,6 +197,9 @@
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
 	void armTimer(TimeUs _by);
+	void startTimer();
+	/// @returns When the step under way ends: by its own limit, or by that of a doubted call's silence.
+	TimeUs limit() const;
 	void limitPassed();
 	void closeConnection();
 	void awaitWrite();
@@ -205,11 +215,13 @@
 	Step m_step = Step::None;
 	bool m_looked = false; ///< The limit has passed, and what had arrived by then has been given time.
 	std::function<std::optional<TimeUs>()> m_askLate;
+	std::function<bool()> m_askReplaced;
 	bool m_timedOut = false;
 	bool m_cancelled = false;
-	bool m_lost = false;     ///< The upstream has ended.
-	bool m_outlived = false; ///< Its upstream has started again, and it went on.
-	/// Until when a begun stream may be silent after its upstream started again; 0: no doubt about it.
+	bool m_lost = false;         ///< The upstream has ended.
+	bool m_outlived = false;     ///< Its upstream has started again, and it went on.
+	bool m_stayedSilent = false; ///< It went on, and nothing came until it ended for that.
+	/// Until when a doubted call may be silent after its upstream started again; 0: no doubt about it.
 	TimeUs m_silentUntil = 0;
 	bool m_writing = false;
 	bool m_writeFailed = false;
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -174,6 +174,10 @@
 
 	StandInUpstream& addUpstream(const std::string& _id, const std::string& _service);
 	void registerUpstream(const StandInUpstream& _upstream, bool _leaving = false);
+	const std::vector<std::unique_ptr<StandInUpstream>>& upstreams() const
+	{
+		return m_upstreams;
+	}
 	/// Writes the configuration with its version raised by two.
 	void writeConfig();
 	void startRouter();
