Only a refused connection shows that an upstream has ended, not a closed one

Cause: any connection that an upstream closed within 5 s was taken for the end of an incarnation, so that a call opened after that counted as one at the new incarnation; upstreams that go on break answers off and close idle connections too. Evidence: restart_met_call verdict=kept evidence=opened_after_close of a call at the previous incarnation. Change: refused connections alone are noted, for a minute, as records may be so late. A call that was opened after one is not repeated at once; it may be at an incarnation in between, so that its silence is limited like that of other calls.

--- a/include/spanplank/upstream_restart.h
+++ b/include/spanplank/upstream_restart.h
@@ -14,10 +14,10 @@
 enum class RestartEvidence : uint8_t
 {
 	None,
-	NotConnected,     ///< Its connection isn't open yet.
-	OtherAddress,     ///< The new incarnation has another address: the call is at the previous one.
-	OpenedAfterStart, ///< Its connection was opened after the new incarnation had started.
-	OpenedAfterClose, ///< Its connection was opened after the upstream had closed or refused another one.
+	NotConnected,       ///< Its connection isn't open yet.
+	OtherAddress,       ///< The new incarnation has another address: the call is at the previous one.
+	OpenedAfterStart,   ///< Its connection was opened after the new incarnation had started.
+	OpenedAfterRefusal, ///< Its connection was opened after the address had refused another one.
 };
 
 /// @returns Name used in logs.
@@ -28,7 +28,7 @@
 {
 	Ended,   ///< It ends as broken.
 	Kept,    ///< It goes on.
-	Doubted, ///< Nothing shows where it is: it goes on unless it then stays silent.
+	Doubted, ///< Nothing shows that it is at the new one: it goes on unless it then stays silent.
 };
 
 /// @returns Name used in logs.
@@ -37,9 +37,9 @@
 /// What a router knows of a call when the record of its upstream's restart arrives.
 struct CallAtRestart
 {
-	bool sameAddress = false; ///< The new incarnation has the address that the call was sent to.
-	TimeUs openedAt = 0;      ///< When its connection was opened; 0 if it isn't open yet.
-	TimeUs closedAt = 0; ///< When the upstream was last found to have closed a connection; 0 if not lately.
+	bool sameAddress = false;        ///< The new incarnation has the address that the call was sent to.
+	TimeUs openedAt = 0;             ///< When its connection was opened; 0 if it isn't open yet.
+	TimeUs refusedAt = 0;            ///< When the address last refused a connection; 0 if not lately.
 	std::optional<TimeUs> startedBy; ///< When the new incarnation had certainly started, if its record tells.
 };
 
--- a/src/core/upstream_restart.cpp
+++ b/src/core/upstream_restart.cpp
@@ -8,7 +8,7 @@
 const char* name(RestartEvidence _evidence)
 {
 	constexpr const char* kNames[] = {"none", "not_connected", "other_address", "opened_after_start",
-									  "opened_after_close"};
+									  "opened_after_refusal"};
 	return kNames[size_t(_evidence)];
 }
 
@@ -32,8 +32,9 @@
 	{
 		return RestartEvidence::OpenedAfterStart;
 	}
-	const bool afterClose = _call.closedAt != 0 && _call.openedAt >= _call.closedAt;
-	return afterClose ? RestartEvidence::OpenedAfterClose : RestartEvidence::None;
+	// An upstream that is at work closes connections too: only one that accepts none has ended.
+	const bool afterRefusal = _call.refusedAt != 0 && _call.openedAt >= _call.refusedAt;
+	return afterRefusal ? RestartEvidence::OpenedAfterRefusal : RestartEvidence::None;
 }
 
 RestartVerdict verdictOn(RestartEvidence _evidence, bool _replaced)
@@ -44,8 +45,9 @@
 	case RestartEvidence::NotConnected:
 		return RestartVerdict::Ended;
 	case RestartEvidence::OpenedAfterStart:
-	case RestartEvidence::OpenedAfterClose:
 		return RestartVerdict::Kept;
+	// The call may be at an incarnation in between, whose record was not seen.
+	case RestartEvidence::OpenedAfterRefusal:
 	case RestartEvidence::None:
 		break;
 	}
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -20,9 +20,8 @@
 /// For bytes that arrived before a limit on a box that was not run: the loop's next turns read them.
 constexpr TimeUs kLookAgain = 10 * kMsToUs;
 constexpr int kMostSkipped = 3; ///< Answers to other requests on one connection before it is given up.
-/// A connection that an upstream closed tells of its restart if the record of that comes within this time; a
-/// store that is down for longer is rare.
-constexpr TimeUs kCloseTells = 5000 * kMsToUs;
+/// A refused connection tells of the restart whose record comes within this time.
+constexpr TimeUs kRefusalTells = 60000 * kMsToUs;
 constexpr TimeUs kReachPatience = 300 * kMsToUs; ///< For a connection that only shows whether one is taken.
 constexpr unsigned kHttpVersion = 11;            ///< HTTP/1.1, as Beast counts.
 constexpr size_t kHeadLimit = 32u << 10;         ///< Bytes of an answer's head.
@@ -37,16 +36,12 @@
 	return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/// Notes that an upstream has closed or refused a connection, if an error tells so.
-void noteClosed(UpstreamPool& _pool, UpstreamId _upstream, const boost::system::error_code& _error)
+/// Notes that an upstream's address has refused a connection, if an error tells so.
+void noteRefused(UpstreamPool& _pool, UpstreamId _upstream, const boost::system::error_code& _error)
 {
-	namespace error = boost::asio::error;
-	const bool closed = _error == error::eof || _error == error::connection_reset ||
-						_error == error::broken_pipe || _error == error::connection_refused ||
-						_error == http::error::end_of_stream || _error == http::error::partial_message;
-	if (closed)
+	if (_error == boost::asio::error::connection_refused)
 	{
-		_pool.closedAt[_upstream.idx] = monotonicNow();
+		_pool.refusedAt[_upstream.idx] = monotonicNow();
 	}
 }
 
@@ -72,10 +67,6 @@
 		{
 			return connection;
 		}
-		if (!isQuiet(connection->socket))
-		{
-			_pool.closedAt[_request.upstream.idx] = _now;
-		}
 	}
 	return nullptr;
 }
@@ -98,20 +89,16 @@
 	for (auto at = _pool.idle.begin(); at != _pool.idle.end();)
 	{
 		std::vector<UpstreamConnectionPtr>& idle = at->second;
-		const auto isClosed = [&](const UpstreamConnectionPtr& _connection) {
-			const bool closed = !isQuiet(_connection->socket);
-			if (closed)
-			{
-				_pool.closedAt[at->first] = _now;
-			}
-			return closed || isExpired(*_connection, _now);
-		};
-		idle.erase(std::remove_if(idle.begin(), idle.end(), isClosed), idle.end());
+		idle.erase(std::remove_if(idle.begin(), idle.end(),
+								  [_now](const UpstreamConnectionPtr& _connection) {
+									  return isExpired(*_connection, _now) || !isQuiet(_connection->socket);
+								  }),
+				   idle.end());
 		at = idle.empty() ? _pool.idle.erase(at) : std::next(at);
 	}
-	for (auto at = _pool.closedAt.begin(); at != _pool.closedAt.end();)
+	for (auto at = _pool.refusedAt.begin(); at != _pool.refusedAt.end();)
 	{
-		at = _now - at->second > kCloseTells ? _pool.closedAt.erase(at) : std::next(at);
+		at = _now - at->second > kRefusalTells ? _pool.refusedAt.erase(at) : std::next(at);
 	}
 }
 
@@ -125,7 +112,7 @@
 	++_pool.opened;
 	if (connected.error)
 	{
-		noteClosed(_pool, _upstream, connected.error);
+		noteRefused(_pool, _upstream, connected.error);
 		const bool refused = connected.error == boost::asio::error::connection_refused;
 		return refused ? UpstreamReach::Refuses : UpstreamReach::Unknown;
 	}
@@ -139,15 +126,15 @@
 
 RestartedCalls endCalls(UpstreamPool& _pool, UpstreamId _upstream, const UpstreamRestart& _restart)
 {
-	const auto closed = _pool.closedAt.find(_upstream.idx);
-	const bool lately = closed != _pool.closedAt.end() && monotonicNow() - closed->second <= kCloseTells;
-	const TimeUs closedAt = lately ? closed->second : 0;
+	const auto refused = _pool.refusedAt.find(_upstream.idx);
+	const bool lately = refused != _pool.refusedAt.end() && monotonicNow() - refused->second <= kRefusalTells;
+	const TimeUs refusedAt = lately ? refused->second : 0;
 	_pool.idle.erase(_upstream.idx);
 	RestartedCalls calls;
 	const auto running = _pool.running.equal_range(_upstream.idx);
 	for (auto at = running.first; at != running.second; ++at)
 	{
-		calls.calls.push_back(at->second->meetRestart(_restart, closedAt));
+		calls.calls.push_back(at->second->meetRestart(_restart, refusedAt));
 		++(calls.calls.back().verdict == RestartVerdict::Ended ? calls.ended : calls.kept);
 	}
 	return calls;
@@ -208,6 +195,7 @@
 	++m_pool.opened;
 	if (connected.error)
 	{
+		noteRefused(m_pool, m_request.upstream, connected.error);
 		return result(connected.error);
 	}
 	m_connection->openedAt = monotonicNow();
@@ -338,13 +326,13 @@
 	closeConnection();
 }
 
-RestartedCall UpstreamCall::meetRestart(const UpstreamRestart& _restart, TimeUs _closedAt)
+RestartedCall UpstreamCall::meetRestart(const UpstreamRestart& _restart, TimeUs _refusedAt)
 {
 	CallAtRestart call;
 	call.sameAddress =
 		m_request.address.ip == _restart.address.ip && m_request.address.port == _restart.address.port;
 	call.openedAt = m_connection ? m_connection->openedAt : 0;
-	call.closedAt = _closedAt;
+	call.refusedAt = _refusedAt;
 	call.startedBy = _restart.startedBy;
 	RestartedCall met;
 	met.requestId = m_request.requestId;
@@ -408,10 +396,6 @@
 	{
 		return ExchangeState::Cancelled;
 	}
-	if (!m_lost && !m_timedOut)
-	{
-		noteClosed(m_pool, m_request.upstream, _error);
-	}
 	return m_timedOut ? ExchangeState::TimedOut : ExchangeState::Broken;
 }
 
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -46,8 +46,7 @@
 	std::map<uint32_t, std::vector<UpstreamConnectionPtr>> idle;
 	uint64_t opened = 0;                            ///< Connections made.
 	std::multimap<uint32_t, UpstreamCall*> running; ///< Calls under way, by upstream; each takes itself out.
-	/// When an upstream was last found to have closed or refused a connection.
-	std::map<uint32_t, TimeUs> closedAt;
+	std::map<uint32_t, TimeUs> refusedAt;           ///< When an upstream's address last refused a connection.
 };
 
 /// What the record of a restart tells of the incarnation that has begun.
@@ -173,9 +172,9 @@
 	void lose();
 
 	/// Its upstream has started again by a record that has just come.
-	/// @param[in] _closedAt When the upstream was last found to have closed a connection; 0: not lately.
+	/// @param[in] _refusedAt When the upstream's address last refused a connection; 0: not lately.
 	/// @returns What becomes of the attempt. One that does not go on has ended by `lose`.
-	RestartedCall meetRestart(const UpstreamRestart& _restart, TimeUs _closedAt);
+	RestartedCall meetRestart(const UpstreamRestart& _restart, TimeUs _refusedAt);
 
 	/// Gives the connection back for another request if its answer was read whole and it may be kept.
 	void release(std::optional<uint32_t> _keepAliveMs);
--- a/tests/direct/restart_record_test.cpp
+++ b/tests/direct/restart_record_test.cpp
@@ -241,5 +241,50 @@
 	EXPECT_TRUE(logged(kLost)) << system.log();
 	EXPECT_EQ(arrivals.askedAt.size(), 1u);
 }
+
+void breakOff(StandInUpstream& /*_upstream*/, HttpExchange& _exchange)
+{
+	_exchange.abort();
+}
+
+void answerAndClose(StandInUpstream& _upstream, HttpExchange& _exchange)
+{
+	answerWell(_upstream, _exchange);
+	_exchange.abort();
+}
+
+// An upstream that broke one answer off was taken for one that had ended, and the next call there for one at
+// the new incarnation: it was left at the previous one until its own limit.
+//   restart_met_call verdict="kept" evidence="opened_after_close"
+TEST_F(RestartRecord, AnAnswerThatWasBrokenOffBeforeIsNoSignOfTheRestart)
+{
+	start("app", {"u-one"}, {breakOff, hold(answer), answer});
+	ASSERT_EQ(system.call("GET", "/plain/x").status, 502);
+	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", false).status, 200);
+	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
+}
+
+// The same with an upstream that closed an idle connection.
+TEST_F(RestartRecord, AConnectionThatWasClosedBeforeIsNoSignOfTheRestart)
+{
+	start("app", {"u-one"}, {answerAndClose, hold(answer), answer});
+	ASSERT_EQ(system.call("GET", "/plain/x").status, 200);
+	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", false).status, 200);
+	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
+}
+
+// An address that refuses connections shows that the previous incarnation has ended.
+TEST_F(RestartRecord, ACallThatWasOpenedAfterARefusalIsNotRepeated)
+{
+	start("app", {"u-one"}, {hold(answer)});
+	StandInUpstream& only = *system.upstreams().front();
+	stopListening(only.http);
+	ASSERT_TRUE(eventually([&] { return !only.http.accepting; }));
+	ASSERT_EQ(system.call("GET", "/plain/x").status, 503);
+	startHttpServer(testIo(), only.http, parseEndpoint(only.address));
+	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", true).status, 200);
+	EXPECT_TRUE(logged("verdict=\"doubted\" evidence=\"opened_after_refusal\"")) << system.log();
+	EXPECT_EQ(only.requests.size(), 1u);
+}
 } // namespace
 } // namespace spanplank
