The stated start of an upstream is trusted to 5 s, by the router's continuous clock

Callers saw: requests left at an upstream that had ended, until their own limits. Evidence: restart_met_call verdict=kept evidence=opened_after_start of a call at the previous incarnation, with the clock of the upstream's box 2.4 s behind. Change: startedBy in src/core allows 5 s and takes the router's time of day from wallTime, which does not follow jumps. Records that come later than that still settle most calls.

--- a/include/spanplank/upstream_restart.h
+++ b/include/spanplank/upstream_restart.h
@@ -34,6 +34,17 @@
 /// @returns Name used in logs.
 const char* name(RestartVerdict _verdict);
 
+/// Largest difference between the clocks of two boxes, one of which may have jumped.
+constexpr TimeUs kMaxClockDifference = 5000 * kMsToUs;
+/// The clock of a box that states an older start may be wrong altogether.
+constexpr TimeUs kMaxStartAge = 60000 * kMsToUs;
+
+/// @returns By when an incarnation had certainly started, on the monotonic clock; nothing if its start, which
+/// is stated on its own clock, does not tell.
+/// @param[in] _startedAtMs Unix time in milliseconds. @param[in] _wall This router's time of day, us since
+/// 1970.
+std::optional<TimeUs> startedBy(uint64_t _startedAtMs, TimeUs _wall, TimeUs _now);
+
 /// What a router knows of a call when the record of its upstream's restart arrives.
 struct CallAtRestart
 {
--- a/src/core/upstream_restart.cpp
+++ b/src/core/upstream_restart.cpp
@@ -18,6 +18,16 @@
 	return kNames[size_t(_verdict)];
 }
 
+std::optional<TimeUs> startedBy(uint64_t _startedAtMs, TimeUs _wall, TimeUs _now)
+{
+	const TimeUs age = _wall - TimeUs(_startedAtMs) * kMsToUs;
+	if (age <= kMaxClockDifference || age > kMaxStartAge)
+	{
+		return std::nullopt;
+	}
+	return _now - (age - kMaxClockDifference);
+}
+
 RestartEvidence evidenceOf(const CallAtRestart& _call)
 {
 	if (!_call.sameAddress)
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -128,18 +128,12 @@
 	}
 }
 
-/// @returns What a record tells of a restart. Its start time is of another box's clock.
-UpstreamRestart restartBy(const UpstreamRecord& _record)
-{
-	constexpr int64_t kClocksDifferMs = 1000; ///< Far over what boxes with synchronized clocks differ.
-	constexpr int64_t kOldestMs = 60000;      ///< The clock of a box that names an older start may be wrong.
-	const int64_t age = wallNowMs() - int64_t(_record.startedAtMs);
-	UpstreamRestart restart{parseEndpoint(_record.address), std::nullopt};
-	if (age > kClocksDifferMs && age <= kOldestMs)
-	{
-		restart.startedBy = monotonicNow() - (age - kClocksDifferMs) * kMsToUs;
-	}
-	return restart;
+/// @returns What a record tells of a restart.
+UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record)
+{
+	const TimeUs now = monotonicNow();
+	return {parseEndpoint(_record.address),
+			startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now)};
 }
 
 /// Takes a record. The calls at the incarnation before the one that has started end, as far as that is known;
@@ -152,7 +146,7 @@
 	registerUpstream(table, _record, monotonicNow());
 	if (order == IncarnationOrder::Newer)
 	{
-		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_record));
+		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_router, _record));
 		suspectBroken(_router, before);
 		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
 		noteRestartedCalls(_router, _record, calls, _source);
--- a/tests/core/upstream_restart_test.cpp
+++ b/tests/core/upstream_restart_test.cpp
@@ -46,6 +46,23 @@
 	EXPECT_EQ(evidenceOf(call), RestartEvidence::None);
 }
 
+// A start that is stated as 2.4 s ago may have been a moment ago: clocks of boxes jump by so much. A call
+// from between was taken for one at the new incarnation, and waited there for its own limit.
+TEST(UpstreamRestart, AStatedStartTellsNothingWithinTheDifferenceOfClocks)
+{
+	constexpr TimeUs kWall = 1700000000 * kSecond;
+	const auto by = [](TimeUs _age) {
+		return startedBy(uint64_t((kWall - _age) / kMsToUs), kWall, kNow);
+	};
+	EXPECT_FALSE(by(2400 * kMsToUs));
+	EXPECT_FALSE(by(-2400 * kMsToUs));
+	EXPECT_FALSE(by(kMaxClockDifference));
+	EXPECT_EQ(by(kMaxClockDifference + 2 * kSecond), kNow - 2 * kSecond);
+	EXPECT_TRUE(by(kMaxStartAge));
+	EXPECT_FALSE(by(kMaxStartAge + kSecond));
+	EXPECT_FALSE(startedBy(0, kWall, kNow));
+}
+
 TEST(UpstreamRestart, ACallWithoutEvidenceEndsOnlyIfAnotherAttemptTakesItsPlace)
 {
 	EXPECT_EQ(verdictOn(evidenceOf(callWithoutEvidence()), true), RestartVerdict::Ended);
--- a/tests/direct/restart_record_test.cpp
+++ b/tests/direct/restart_record_test.cpp
@@ -15,8 +15,9 @@
 using Answer = ScriptedArrivals::Answer;
 
 constexpr uint64_t kFirstStartMs = 1700000000000;
-constexpr int64_t kStartAgeMs = 100; ///< Of the new incarnation when its record comes.
-constexpr int kBegunEvents = 4;      ///< Events of a stream before its first upstream breaks it.
+constexpr int64_t kStartAgeMs = 100;   ///< Of the new incarnation when its record comes.
+constexpr int64_t kClockJumpMs = 2400; ///< By which the clock of a box may be wrong.
+constexpr int kBegunEvents = 4;        ///< Events of a stream before its first upstream breaks it.
 constexpr int kLastEvent = 9;
 
 const std::vector<HttpHeader> kPrompt = {{"Model", "*"}};
@@ -286,5 +287,16 @@
 	EXPECT_TRUE(logged("verdict=\"doubted\" evidence=\"opened_after_refusal\"")) << system.log();
 	EXPECT_EQ(only.requests.size(), 1u);
 }
+
+// The clock of the upstream's box was 2.4 s behind: by its stated start it had started before the call, which
+// was taken for one at the new incarnation.
+//   restart_met_call verdict="kept" evidence="opened_after_start"
+TEST_F(RestartRecord, AClockThatIsWrongBySecondsIsNoSignOfWhereACallIs)
+{
+	statedAgeMs = kStartAgeMs + kClockJumpMs;
+	start("app", {"u-one"}, {hold(answer), answer});
+	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", false).status, 200);
+	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
+}
 } // namespace
 } // namespace spanplank
