A call that went on across a restart is judged by the next one too

Callers saw: a request left at an incarnation that had ended, until its own limit, after it had gone on across an earlier restart. Cause: calls under way are found by the incarnation that they were sent under; one that went on stayed under the previous incarnation, which no later record names. Evidence: upstream_restarted calls_ended=0 calls_kept=0 at the second record, with the call under way. Change: calls that go on are moved to the new incarnation in the pool. Measured: RestartRecord.ACallThatWentOnEndsWithTheNextRestart failed before, 2 of 2 runs, and passes.

--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -129,11 +129,11 @@
 }
 
 /// @returns What a record tells of a restart.
-UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record)
+UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record, UpstreamId _current)
 {
 	const TimeUs now = monotonicNow();
 	return {parseEndpoint(_record.address),
-			startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now)};
+			startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now), _current};
 }
 
 /// Takes a record. The calls at the incarnation before the one that has started end, as far as that is known;
@@ -143,10 +143,10 @@
 	UpstreamTable& table = _router.upstreams;
 	const IncarnationOrder order = incarnationOrder(table, _record);
 	const UpstreamId before = currentIncarnation(table, _record.id);
-	registerUpstream(table, _record, monotonicNow());
+	const UpstreamId current = registerUpstream(table, _record, monotonicNow());
 	if (order == IncarnationOrder::Newer)
 	{
-		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_router, _record));
+		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_router, _record, current));
 		suspectBroken(_router, before);
 		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
 		noteRestartedCalls(_router, _record, calls, _source);
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -130,27 +130,33 @@
 	const bool lately = refused != _pool.refusedAt.end() && monotonicNow() - refused->second <= kRefusalTells;
 	const TimeUs refusedAt = lately ? refused->second : 0;
 	_pool.idle.erase(_upstream.idx);
+	std::vector<UpstreamCall*> running;
+	const auto found = _pool.running.equal_range(_upstream.idx);
+	std::transform(found.first, found.second, std::back_inserter(running),
+				   [](const auto& _item) { return _item.second; });
 	RestartedCalls calls;
-	const auto running = _pool.running.equal_range(_upstream.idx);
-	for (auto at = running.first; at != running.second; ++at)
+	for (UpstreamCall* call : running)
 	{
-		calls.calls.push_back(at->second->meetRestart(_restart, refusedAt));
-		++(calls.calls.back().verdict == RestartVerdict::Ended ? calls.ended : calls.kept);
+		calls.calls.push_back(call->meetRestart(_restart, refusedAt));
+		const bool ended = calls.calls.back().verdict == RestartVerdict::Ended;
+		++(ended ? calls.ended : calls.kept);
+		if (!ended && isValid(_restart.current))
+		{
+			call->moveTo(_restart.current);
+		}
 	}
 	return calls;
 }
 
 UpstreamCall::UpstreamCall(UpstreamPool& _pool, const AttemptRequest& _request)
-	: m_pool(_pool), m_request(_request), m_timer(*_pool.io)
+	: m_pool(_pool), m_request(_request), m_incarnation(_request.upstream), m_timer(*_pool.io)
 {
-	m_pool.running.emplace(m_request.upstream.idx, this);
+	m_pool.running.emplace(m_incarnation.idx, this);
 }
 
 UpstreamCall::~UpstreamCall()
 {
-	const auto running = m_pool.running.equal_range(m_request.upstream.idx);
-	m_pool.running.erase(std::find_if(running.first, running.second,
-									  [this](const auto& _item) { return _item.second == this; }));
+	removeRunning();
 	*m_alive = false;
 	closeConnection();
 	awaitWrite();
@@ -359,6 +365,20 @@
 	return met;
 }
 
+void UpstreamCall::moveTo(UpstreamId _incarnation)
+{
+	removeRunning();
+	m_incarnation = _incarnation;
+	m_pool.running.emplace(m_incarnation.idx, this);
+}
+
+void UpstreamCall::removeRunning()
+{
+	const auto running = m_pool.running.equal_range(m_incarnation.idx);
+	m_pool.running.erase(std::find_if(running.first, running.second,
+									  [this](const auto& _item) { return _item.second == this; }));
+}
+
 void UpstreamCall::release(std::optional<uint32_t> _keepAliveMs)
 {
 	const bool whole = done() && !m_parser->need_eof() && m_parser->get().keep_alive();
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -55,6 +55,7 @@
 	Endpoint address;
 	/// On this router's clock, when it had started for certain; nothing: its record does not tell.
 	std::optional<TimeUs> startedBy;
+	UpstreamId current = {}; ///< The incarnation that has begun; the calls that go on are counted there.
 };
 
 /// A call under way when the record of its upstream's restart came.
@@ -176,6 +177,10 @@
 	/// @returns What becomes of the attempt. One that does not go on has ended by `lose`.
 	RestartedCall meetRestart(const UpstreamRestart& _restart, TimeUs _refusedAt);
 
+	/// Counts the attempt as one at another incarnation of its upstream, so that its next restart ends it
+	/// too.
+	void moveTo(UpstreamId _incarnation);
+
 	/// Gives the connection back for another request if its answer was read whole and it may be kept.
 	void release(std::optional<uint32_t> _keepAliveMs);
 
@@ -202,9 +207,11 @@
 	void limitPassed();
 	void closeConnection();
 	void awaitWrite();
+	void removeRunning();
 
 	UpstreamPool& m_pool;
 	const AttemptRequest& m_request;
+	UpstreamId m_incarnation; ///< Under which the pool has it.
 	UpstreamConnectionPtr m_connection;
 	std::unique_ptr<AnswerParser> m_parser;
 	BootTimer m_timer;
--- a/tests/direct/restart_record_test.cpp
+++ b/tests/direct/restart_record_test.cpp
@@ -298,5 +298,27 @@
 	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", false).status, 200);
 	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
 }
+
+// A call that went on across one restart was forgotten by the next: it waited at an incarnation that had
+// ended until its own limit.
+TEST_F(RestartRecord, ACallThatWentOnEndsWithTheNextRestart)
+{
+	constexpr int64_t kEarlierMs = 20000;
+	start("app", {"u-one"}, {hold(answer), answer});
+	DirectAnswer got;
+	together({[&] {
+				  got = system.call("GET", "/plain/x", "", {{"Deadline-Remaining", "9000"}});
+			  },
+			  [&] {
+				  ASSERT_TRUE(eventually([&] { return holder != nullptr; }));
+				  holder->born = uint64_t(wallNowMs() - kEarlierMs);
+				  system.registerUpstream(*holder);
+				  EXPECT_TRUE(logged("verdict=\"kept\" evidence=\"opened_after_start\"")) << system.log();
+				  holder->born = uint64_t(wallNowMs() - kStartAgeMs);
+				  system.registerUpstream(*holder);
+			  }});
+	EXPECT_EQ(got.status, 200);
+	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
+}
 } // namespace
 } // namespace spanplank
