Bytes from before the record of a restart do not end the doubt about a call

Callers saw: a begun stream left at an incarnation that had ended, until its own limit instead of a second. Cause: any byte that was read after the record showed the call to be alive, also one that had come before the record and was read late, as on a box that was not run for a while. Evidence: the step of the test ended by its own limit, not as lost. Change: what lay unread as the record came begins the limit on silence anew; only what comes after it ends the doubt.

--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -248,7 +248,7 @@
 		}
 		const boost::beast::string_view id =
 			m_parser->get()[boost::beast::string_view(m_request.idHeader.data(), m_request.idHeader.size())];
-		m_silentUntil = 0;
+		noteAlive();
 		if (std::string_view(id.data(), id.size()) == m_request.requestId || id.empty())
 		{
 			return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
@@ -301,7 +301,10 @@
 	{
 		return result(read.error);
 	}
-	m_silentUntil = 0;
+	if (!_piece.empty())
+	{
+		noteAlive();
+	}
 	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
 
@@ -359,12 +362,23 @@
 	m_silentUntil = 0;
 	if (met.verdict == RestartVerdict::Doubted)
 	{
+		m_unreadAtRestart = !isQuiet(m_connection->socket) || m_connection->buffer.size() != 0;
 		m_silentUntil = silenceLimit(met.answered ? 0 : m_request.answerDueBy, monotonicNow());
 		startTimer();
 	}
 	return met;
 }
 
+void UpstreamCall::noteAlive()
+{
+	if (m_silentUntil == 0)
+	{
+		return;
+	}
+	m_silentUntil = m_unreadAtRestart ? silenceLimit(0, monotonicNow()) : 0;
+	m_unreadAtRestart = m_unreadAtRestart && !isQuiet(m_connection->socket);
+}
+
 void UpstreamCall::moveTo(UpstreamId _incarnation)
 {
 	removeRunning();
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -205,6 +205,7 @@
 	/// @returns When the step under way ends: by its own limit, or by that of a doubted call's silence.
 	TimeUs limit() const;
 	void limitPassed();
+	void noteAlive();
 	void closeConnection();
 	void awaitWrite();
 	void removeRunning();
@@ -229,6 +230,8 @@
 	bool m_stayedSilent = false; ///< It went on, and nothing came until it ended for that.
 	/// Until when a doubted call may be silent after its upstream started again; 0: no doubt about it.
 	TimeUs m_silentUntil = 0;
+	/// Bytes that had come before the record of the restart are still to be read: they don't end the doubt.
+	bool m_unreadAtRestart = false;
 	bool m_writing = false;
 	bool m_writeFailed = false;
 	WaitSlot<IoResult> m_written;
--- a/tests/direct/upstream_call_test.cpp
+++ b/tests/direct/upstream_call_test.cpp
@@ -161,6 +161,40 @@
 	EXPECT_FALSE(call->lost());
 }
 
+// The last event of the previous incarnation, which had come before the record and was read after it, was
+// taken for a sign of the new one.
+TEST_F(OneCall, EndsAsLostIfOnlyWhatHadComeBeforeTheRestartIsReadAfterIt)
+{
+	request.stream = true;
+	openStream();
+	send("5\r\nfirst\r\n");
+	endCalls(pool, request.upstream, {request.address, std::nullopt});
+	std::string piece;
+	ASSERT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok);
+	EXPECT_EQ(piece, "first");
+	const TimeUs until = monotonicNow() + 3 * kLimit;
+	call->onLate([until] {
+		return monotonicNow() < until ? std::optional<TimeUs>(monotonicNow() + 50 * kMsToUs) : std::nullopt;
+	});
+	EXPECT_EQ(next(piece, monotonicNow() + 50 * kMsToUs), ExchangeState::Broken);
+	EXPECT_TRUE(call->lost());
+}
+
+TEST_F(OneCall, WaitsOnAfterARestartOnceAnEventHasComeAfterThoseFromBefore)
+{
+	request.stream = true;
+	openStream();
+	send("5\r\nfirst\r\n");
+	endCalls(pool, request.upstream, {request.address, std::nullopt});
+	std::string piece;
+	ASSERT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok);
+	send("6\r\nsecond\r\n");
+	ASSERT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok);
+	sleepFor(uint32_t(kStall.count()));
+	EXPECT_EQ(next(piece, monotonicNow() + 50 * kMsToUs), ExchangeState::TimedOut);
+	EXPECT_FALSE(call->lost());
+}
+
 // An upstream that starts again at another address can't have been reached at the old one.
 TEST_F(OneCall, EndsIfItsUpstreamStartsAgainElsewhere)
 {
