--- a/tests/direct/restart_record_test.cpp
+++ b/tests/direct/restart_record_test.cpp
@@ -29,8 +29,8 @@
 	bool released = false;             ///< It may answer.
 	int64_t statedAgeMs = kStartAgeMs; ///< Of the new incarnation by the start that its record states.
 	bool left = false;                 ///< The router has closed the call's connection.
-	/// The retry window of each service is two retries, whatever the requests. Its end waits for the answers
-	/// above.
+	/// Two retries in the window of each service, whatever the requests. Its destructor waits for answers
+	/// under way, which use the members above.
 	DirectSystem system{"retryRatio: 0\n"};
 
 	/// Starts upstreams, and a router that knows their first incarnations.
