Logs: upstream_ended names the prompt's shared parts and the events that came

Callers saw requests fail as engines ended in series; the logs could not tell whether one part of the prompts was at all ends: `subject` is a hash over all shared parts and stands at attempt_ended alone. The line now has `parts` and `last_event` beside `head_ms`.

--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -52,6 +52,18 @@
 	return replaced || (!entry->second.registered && entry->second.lapse.cause == RemovalCause::Deregistered);
 }
 
+/// @returns The ids of the prompt parts that other requests may share, in order.
+std::string sharedPartsText(const Serving& _serving)
+{
+	const std::vector<platform::PromptPart>& parts = _serving.call.parts;
+	std::string text;
+	for (size_t ii = 0; ii + 1 < parts.size(); ++ii) // The last part is the request's own.
+	{
+		text += (ii == 0 ? "" : ",") + parts[ii].id;
+	}
+	return text;
+}
+
 void logEnded(Serving& _serving, const AttemptNotes& _notes, TimeUs _now)
 {
 	logEvent("upstream_ended", {{"upstream", _notes.record.id},
@@ -61,7 +73,9 @@
 								{"route", _serving.route->name},
 								{"account", _serving.account != nullptr ? _serving.account->name : ""},
 								{"why", _notes.lost ? "started_again" : "refuses_connections"},
+								{"parts", sharedPartsText(_serving)},
 								{"head_ms", millisText(_notes.headAfter)},
+								{"last_event", std::to_string(_notes.lastEventId)},
 								{"took_ms", millisText(_now - _notes.begin)}});
 }
 } // namespace
