Tests: a part of prompts on which each engine ends is refused nowhere

Callers saw engines end one after the other. Three routers, eight engines, a prompt with the part each 150 ms, no two alike, and sound prompts that share its caller and its other parts. Evidence: each such prompt has a digest of its own and is refused, if at all, by its own three ends.

--- a/tests/direct/crashing_fleet.h
+++ b/tests/direct/crashing_fleet.h
@@ -15,12 +15,15 @@
 namespace spanplank
 {
 inline constexpr size_t kCrashingUpstreams = 8;
-inline constexpr uint32_t kCrashMs = 30;      ///< From the arrival of the request to the end.
-inline constexpr uint32_t kLapseMs = 400;     ///< Until its registration is gone.
-inline constexpr uint32_t kBackMs = 1900;     ///< Until its successor listens.
-inline constexpr uint32_t kWorkMs = 20;       ///< For any other request.
-inline constexpr uint32_t kRepeatMs = 250;    ///< Between two copies of the request.
+inline constexpr uint32_t kCrashMs = 30;   ///< From the arrival of the request to the end.
+inline constexpr uint32_t kLapseMs = 400;  ///< Until its registration is gone.
+inline constexpr uint32_t kBackMs = 1900;  ///< Until its successor listens.
+inline constexpr uint32_t kWorkMs = 20;    ///< For any other request.
+inline constexpr uint32_t kRepeatMs = 250; ///< Between two copies of the request.
+inline constexpr int kSoundEvents = 5;     ///< The last event of any other stream.
+inline constexpr double kSoundConfidence = 100.0;
 inline constexpr const char* kPoison = "end"; ///< In the path or the body of a request that ends upstreams.
+inline constexpr const char* kPoisonPart = "dead"; ///< Part of a prompt on which an answer ends its upstream.
 
 /// One place at which an upstream runs, and is replaced when it has ended.
 struct CrashingUpstream
@@ -38,6 +41,7 @@
 	std::vector<TimeUs> ends;     ///< Of upstreams.
 	int lastEvent = 1000;         ///< Of the streams that end upstreams, an event each millisecond.
 	bool restIsHarmless = false;  ///< A run that goes on with a begun answer ends nobody.
+	uint32_t firstEventMs = 1;    ///< From the head of such a stream to its first event.
 	size_t bystanders = 0;        ///< Other requests that were at work where an upstream ended.
 	size_t returns = 0;           ///< Fibers that end an upstream or bring one back.
 	bool closing = false;
@@ -109,7 +113,8 @@
 	{
 		const std::string target(_request.target());
 		return target.find(kPoison) != std::string::npos ||
-			   _request.body().find(kPoison) != std::string::npos;
+			   _request.body().find(kPoison) != std::string::npos ||
+			   std::string(_request["Prompt-Prefix"]).find(kPoisonPart) != std::string::npos;
 	}
 
 	void serve(CrashingUpstream& _place, HttpExchange& _exchange)
@@ -125,6 +130,11 @@
 				++bystanders;
 				return;
 			}
+			if (target.find("/chat/") == 0)
+			{
+				answerEvents(_place.stand, _exchange, kSoundEvents, 1, false);
+				return;
+			}
 			answerWell(_place.stand, _exchange);
 			return;
 		}
@@ -140,7 +150,7 @@
 		});
 		if (target.find("/chat/") == 0)
 		{
-			answerEvents(_place.stand, _exchange, lastEvent, 1, false);
+			answerEvents(_place.stand, _exchange, lastEvent, 1, false, kSoundConfidence, firstEventMs);
 			return;
 		}
 		sleepFor(2 * kCrashMs);
@@ -187,7 +197,8 @@
 
 	/// What one caller gets at a router. @returns The status; 0: the connection failed.
 	int send(size_t _router, const std::string& _method, const std::string& _path,
-			 const std::string& _body = "", HttpResponse* _answer = nullptr)
+			 const std::string& _body = "", HttpResponse* _answer = nullptr,
+			 const std::vector<HttpHeader>& _headers = {})
 	{
 		HttpClient client;
 		client.io = &testIo();
@@ -200,6 +211,7 @@
 						   {"Request-Id", fmt::format("request-{}", nextRequest++)},
 						   {"Deadline-Remaining", "3000"},
 						   {"Key", "kept-key"}};
+		request.headers.insert(request.headers.end(), _headers.begin(), _headers.end());
 		try
 		{
 			const HttpResponse answer = spanplank::call(client, request);
