A stream that goes on with nothing but the end of its connection is not whole

Callers got a stream marked as whole though its end was missing: broken off by one upstream, it was resumed at a second one, which gave a head with neither length nor chunks and ended before its first event. Cause: such an answer ends with its connection, and a begun stream without a partial event counted as whole, whoever had sent the events. Evidence: UnframedUpstreams.AStreamThatGoesOnWithNothingIsNotWhole failed before (events 0 and 1, then a proper end). An attempt without a framed end now needs an event of its own; the same test passes, as do whole, reset and cut answers of this kind, plain and streamed.

--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -123,7 +123,9 @@
 			return AttemptEnd::Aborted;
 		}
 	}
-	const bool whole = splitter.partialEvent.empty() && _serving.plan.started;
+	// The end of a connection before any event may be the end of the upstream.
+	const bool ended = !_attempt.notes.endsWithConnection || _attempt.notes.firstEventsAt != 0;
+	const bool whole = splitter.partialEvent.empty() && _serving.plan.started && ended;
 	if (!whole)
 	{
 		return AttemptEnd::Aborted;
--- /dev/null
+++ b/tests/direct/unframed_answer_test.cpp
@@ -0,0 +1,186 @@
+/// Answers with neither a length nor chunks, which end with their connection.
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "direct_harness.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "ports.h"
+
+namespace spanplank
+{
+namespace
+{
+using boost::asio::ip::tcp;
+
+enum class SocketEnd : uint8_t
+{
+	Closed,
+	Reset,
+};
+
+struct UnframedAnswer
+{
+	std::string type = "text/plain";
+	std::string body;
+	SocketEnd end = SocketEnd::Closed;
+};
+
+/// Two upstreams that write such answers, by the number of the arrival at either.
+struct UnframedUpstreams : testing::Test
+{
+	boost::asio::io_context& io = testIo();
+	DirectSystem system;
+	std::vector<UnframedAnswer> answers; ///< The last one answers all that follow.
+	size_t arrivals = 0;
+	std::vector<StandInUpstream> ends = std::vector<StandInUpstream>(2);
+	std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
+	size_t accepting = 0; ///< Fibers that wait for connections or requests.
+
+	~UnframedUpstreams() override
+	{
+		for (const auto& acceptor : acceptors)
+		{
+			boost::system::error_code ignored;
+			acceptor->close(ignored);
+		}
+		system.killHard(); // Its idle connections end.
+		eventually([this] { return accepting == 0; }, 5);
+	}
+
+	void start(const std::string& _service, std::vector<UnframedAnswer> _answers)
+	{
+		answers = std::move(_answers);
+		for (size_t ii = 0; ii < ends.size(); ++ii)
+		{
+			const tcp::endpoint address(boost::asio::ip::make_address(loopbackIp()), 0);
+			acceptors.push_back(std::make_unique<tcp::acceptor>(io, address));
+			ends[ii].id = fmt::format("u-{}", ii);
+			ends[ii].service = _service;
+			ends[ii].address = loopback(acceptors[ii]->local_endpoint().port());
+			system.registerUpstream(ends[ii]);
+			++accepting;
+			spawnFiber([this, ii] { accept(ii); });
+		}
+		system.startReady(ends.size());
+	}
+
+	void accept(size_t _end)
+	{
+		while (acceptors[_end]->is_open())
+		{
+			const auto socket = std::make_shared<tcp::socket>(io);
+			const IoResult accepted =
+				awaitIo([&](auto _done) { acceptors[_end]->async_accept(*socket, _done); });
+			if (!accepted.error)
+			{
+				++accepting;
+				spawnFiber([this, socket, _end] {
+					answer(*socket, ends[_end].id);
+					--accepting;
+				});
+			}
+		}
+		--accepting;
+	}
+
+	void answer(tcp::socket& _socket, const std::string& _id)
+	{
+		std::string head;
+		const IoResult read = awaitIo([&](auto _done) {
+			boost::asio::async_read_until(_socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", _done);
+		});
+		if (read.error)
+		{
+			return; // A connection that only shows whether the upstream is there.
+		}
+		const UnframedAnswer& script = answers[std::min(arrivals++, answers.size() - 1)];
+		const size_t id = head.find("request-");
+		const std::string bytes = fmt::format(
+			"HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: stamp-{}\r\nContent-Type: {}\r\n\r\n{}",
+			head.substr(id, head.find('\r', id) - id), _id, script.type, script.body);
+		awaitIo([&](auto _done) { boost::asio::async_write(_socket, boost::asio::buffer(bytes), _done); });
+		sleepFor(20);
+		if (script.end == SocketEnd::Reset)
+		{
+			boost::system::error_code ignored;
+			_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+			_socket.close(ignored);
+		}
+	}
+
+	/// @returns Events with rising ids.
+	static UnframedAnswer events(int _from, int _to, const std::string& _rest = "",
+								 SocketEnd _end = SocketEnd::Closed)
+	{
+		std::string body;
+		for (int id = _from; id <= _to; ++id)
+		{
+			body += fmt::format("id: {}\ndata: {}\n\n", id, id);
+		}
+		return {"text/event-stream", body + _rest, _end};
+	}
+};
+
+TEST_F(UnframedUpstreams, AWholeAnswerIsPassedOnWithItsOwnEnd)
+{
+	start("app", {{"text/plain", "all of it"}});
+	const DirectAnswer answer = system.call("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, "all of it");
+	EXPECT_FALSE(answer.cut);
+}
+
+TEST_F(UnframedUpstreams, AnAnswerThatIsResetIsNotPassedOn)
+{
+	start("app", {{"text/plain", "a part", SocketEnd::Reset}, {"text/plain", "all of it"}});
+	const DirectAnswer answer = system.call("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, "all of it");
+	EXPECT_EQ(arrivals, 2u);
+}
+
+TEST_F(UnframedUpstreams, AnAnswerThatIsResetAndMustNotBeRepeatedFails)
+{
+	start("app", {{"text/plain", "a part", SocketEnd::Reset}});
+	const DirectAnswer answer = system.call("POST", "/once/x");
+	EXPECT_EQ(answer.status, 502);
+	EXPECT_EQ(arrivals, 1u);
+}
+
+TEST_F(UnframedUpstreams, AWholeStreamIsPassedOnWithItsOwnEnd)
+{
+	start("engines", {events(0, 3)});
+	const DirectAnswer answer = system.call("POST", "/chat/x");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, events(0, 3).body);
+	EXPECT_FALSE(answer.cut);
+}
+
+TEST_F(UnframedUpstreams, AStreamThatEndsInsideAnEventGoesOnElsewhere)
+{
+	start("engines", {events(0, 1, "id: 2\nda"), events(2, 3)});
+	const DirectAnswer answer = system.call("POST", "/chat/x");
+	EXPECT_EQ(answer.body, events(0, 3).body);
+	EXPECT_FALSE(answer.cut);
+}
+
+TEST_F(UnframedUpstreams, AStreamThatIsResetGoesOnElsewhere)
+{
+	start("engines", {events(0, 1, "", SocketEnd::Reset), events(2, 3)});
+	const DirectAnswer answer = system.call("POST", "/chat/x");
+	EXPECT_EQ(answer.body, events(0, 3).body);
+	EXPECT_FALSE(answer.cut);
+}
+
+// The head came, and the upstream ended before its first event: that is no end of the stream.
+TEST_F(UnframedUpstreams, AStreamThatGoesOnWithNothingIsNotWhole)
+{
+	start("engines", {events(0, 1, "id: 2\nda"), events(2, 1), events(2, 3)});
+	const DirectAnswer answer = system.call("POST", "/chat/x");
+	EXPECT_TRUE(answer.cut || answer.body == events(0, 3).body) << answer.body;
+}
+} // namespace
+} // namespace spanplank
