A prompt whose engines end as they begin gets no further attempt, and none is sent while its part is heard

Callers saw five to seven engines end before a part was refused: each prompt made all its attempts within 0.1 s, faster than a verdict that waits 0.4 s for the answers of other routers. Evidence: CrashingPartFleet.RoutersThatAllStartBlankAtOnceRefuseThePart counted 7 ends (aim 5) before. An attempt that ends within 250 ms of its first byte is the last one if two engines have ended so on a part that nobody is known to have answered; a request with a part whose chance is low enough waits for the end of the hearing instead of running. Bystanders keep their attempts: their answers had begun earlier, not yet, or on parts that were answered.

The soak sends prompts with such a part after each request that ends upstreams, seen from the engines: three late ones at most after five ends.

--- a/include/spanplank/crash_suspects.h
+++ b/include/spanplank/crash_suspects.h
@@ -148,6 +148,13 @@
 /// @returns The number of refused suspects.
 size_t countRefusedSuspects(const SuspectTable& _suspects);
 
+/// A prompt part ends its upstream within this time of the begin of an answer. Crashes before it or later are
+/// weaker evidence.
+constexpr TimeUs kEndsWithin = 250 * kMsToUs;
+
+/// @returns Whether an upstream ended as it had just begun to answer.
+bool isAtBegin(const ObservedCrash& _crash);
+
 /// @returns The probability that a harmless request was running at all these crashes by coincidence.
 double chanceOf(const SuspectTable& _suspects, const RequestDigest& _digest, const CrashSuspect& _suspect);
 
--- a/include/spanplank/suspect_subjects.h
+++ b/include/spanplank/suspect_subjects.h
@@ -66,6 +66,14 @@
 											 std::string_view _label, const ObservedCrash& _crash,
 											 TimeUs _now);
 
+/// @returns Whether another attempt of a request would likely crash its upstream: two have ended just as they
+/// began to answer on a part of its prompt, and none is known to have answered on it.
+bool isLikelyToCrash(const SuspectTable& _suspects, const SuspectSubjects& _subjects);
+
+/// @returns Whether a part of a request's prompt is refused as soon as other routers have had the time to
+/// speak for it.
+bool isPending(const SuspectTable& _suspects, const SuspectSubjects& _subjects);
+
 /// Records that an upstream answered on the parts of a prompt: they are no suspects any more.
 /// @returns Those that were.
 std::vector<RequestDigest> recordHarmlessParts(SuspectTable& _suspects, const SuspectSubjects& _subjects,
--- a/src/core/crash_chance.cpp
+++ b/src/core/crash_chance.cpp
@@ -17,6 +17,11 @@
 	return _suspect.answered || _suspect.epoch > 0;
 }
 
+bool isAtBegin(const ObservedCrash& _crash)
+{
+	return _crash.writingFor > 0 && _crash.writingFor <= kEndsWithin;
+}
+
 namespace
 {
 /// A request is refused once the probability that its crashes are a coincidence is below this.
@@ -29,9 +34,6 @@
 constexpr size_t kStormCrashes = 3;
 /// Minimum probability of one coincidental crash: three of these are below `kRefusalChance`, two are not.
 constexpr double kMinChance = 0.02;
-/// A prompt part ends its upstream within this time of the begin of an answer. Crashes before it or later are
-/// weaker evidence.
-constexpr TimeUs kEndsWithin = 250 * kMsToUs;
 /// Minimum probability of such a crash.
 constexpr double kMinPartChance = 0.1;
 /// The same after a complete answer to a prompt with the part.
@@ -103,7 +105,7 @@
 	{
 		return ran ? std::max(_chance, kAnsweredChance) : std::clamp(_chance, kMinChance, kAnsweredChance);
 	}
-	const bool begins = _crash.writingFor > 0 && _crash.writingFor <= kEndsWithin;
+	const bool begins = isAtBegin(_crash);
 	const double atBegin = ran ? kAnsweredChance : kMinChance;
 	const double otherwise = ran ? kAnsweredPartChance : kMinPartChance;
 	return std::max(_chance, begins ? atBegin : otherwise);
--- a/src/core/suspect_subjects.cpp
+++ b/src/core/suspect_subjects.cpp
@@ -145,6 +145,27 @@
 	return refused;
 }
 
+bool isLikelyToCrash(const SuspectTable& _suspects, const SuspectSubjects& _subjects)
+{
+	constexpr std::ptrdiff_t kCrashes = 2;
+	return std::any_of(_subjects.parts.begin(), _subjects.parts.end(), [&](const PartSubject& _part) {
+		const auto found = _suspects.suspects.find(_part.digest);
+		if (found == _suspects.suspects.end() || hasRun(found->second))
+		{
+			return false;
+		}
+		const std::vector<ObservedCrash>& crashes = found->second.crashes;
+		return std::count_if(crashes.begin(), crashes.end(), isAtBegin) >= kCrashes;
+	});
+}
+
+bool isPending(const SuspectTable& _suspects, const SuspectSubjects& _subjects)
+{
+	return std::any_of(_subjects.parts.begin(), _subjects.parts.end(), [&](const PartSubject& _part) {
+		return _suspects.pendingParts.count(_part.digest) != 0;
+	});
+}
+
 std::vector<RequestDigest> recordHarmlessParts(SuspectTable& _suspects, const SuspectSubjects& _subjects,
 											   TimeUs _now)
 {
--- a/src/direct/suspects.cpp
+++ b/src/direct/suspects.cpp
@@ -165,8 +165,9 @@
 	const SuspectSubjects& subjects = subjectsOf(_serving);
 	_serving.suspected = true;
 	noteRefused(router, recordInterrupted(router.suspects, subjects, labelOf(_serving), crash, now), "seen");
-	_serving.endsUpstreams = _serving.endsUpstreams ||
-							 matchSuspects(router.suspects, subjects, now).state == SuspectState::Refused;
+	const bool refused = matchSuspects(router.suspects, subjects, now).state == SuspectState::Refused;
+	const bool again = isAtBegin(crash) && isLikelyToCrash(router.suspects, subjects);
+	_serving.endsUpstreams = _serving.endsUpstreams || refused || again;
 }
 
 void suspectLater(Serving& _serving, const AttemptNotes& _notes)
@@ -265,6 +266,22 @@
 	return upstreams;
 }
 
+namespace
+{
+/// Waits while a part of the request's prompt is about to be refused.
+void awaitHearing(Serving& _serving)
+{
+	constexpr uint32_t kLookMs = 50;
+	DirectRouter& router = _serving.router;
+	const TimeUs until = std::min(_serving.plan.deadline, monotonicNow() + kHearingTime);
+	while (isPending(router.suspects, subjectsOf(_serving)) && monotonicNow() < until)
+	{
+		sleepFor(kLookMs);
+		decideParts(router);
+	}
+}
+} // namespace
+
 bool admitBySuspicion(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
@@ -272,6 +289,7 @@
 	{
 		return true;
 	}
+	awaitHearing(_serving);
 	const SuspectMatch match = matchSuspects(router.suspects, subjectsOf(_serving), monotonicNow());
 	switch (match.state)
 	{
--- a/tests/direct/crashing_part_test.cpp
+++ b/tests/direct/crashing_part_test.cpp
@@ -152,6 +152,35 @@
 	expectRefused();
 }
 
+TEST_F(CrashingPartFleet, RoutersThatAllStartBlankAtOnceRefuseThePart)
+{
+	constexpr size_t kPrompts = 8;
+	const auto sendAll = [this] {
+		for (size_t ii = 0; ii < kPrompts; ++ii)
+		{
+			sendPrompt(ii % kRouters, {"a0", kPoisonPart});
+			sleepFor(kPromptMs);
+		}
+	};
+	sendAll();
+	const size_t before = ends.size();
+	EXPECT_LE(before, kFoundAt);
+	sleepFor(2 * kRepeatMs);
+	for (const auto& router : routers)
+	{
+		router->killHard();
+	}
+	for (const auto& router : routers)
+	{
+		router->start();
+	}
+	awaitRegistered();
+	ASSERT_TRUE(eventually([this] { return upPlaces() == kCrashingUpstreams; }));
+	sendAll();
+	EXPECT_EQ(ends.size(), before);
+	EXPECT_EQ(sendPrompt(0, {"a0", "b1"}), 200) << "the part beside it is harmless";
+}
+
 // All prompts share two parts, and engines end by themselves.
 TEST_F(CrashingPartFleet, PartsOfAllPromptsAreServedWhileEnginesEndByThemselves)
 {
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -28,6 +28,14 @@
 			{"Key", _key}};
 }
 
+/// @param[in] _subject Its second part. @param[in] _own Its last one.
+void addPrompt(HttpCall& _call, const std::string& _subject, const std::string& _own)
+{
+	_call.headers.push_back({"Model", "*"});
+	_call.headers.push_back({"Token-Counts", "900,40"});
+	_call.headers.push_back({"Prompt-Prefix", fmt::format("aa:500,{}:300,{}:100", _subject, _own)});
+}
+
 HttpCall requestFor(Soak& _soak, const std::string& _id, RequestRecord& _record)
 {
 	const uint32_t kind = below(_soak, 3);
@@ -47,9 +55,7 @@
 	call.headers = headersOf(_id, _record.key);
 	if (kind == 2)
 	{
-		call.headers.push_back({"Model", "*"});
-		call.headers.push_back({"Token-Counts", "900,40"});
-		call.headers.push_back({"Prompt-Prefix", fmt::format("aa:500,b{}:300,c:100", below(_soak, 5))});
+		addPrompt(call, fmt::format("b{}", below(_soak, 5)), "c");
 	}
 	return call;
 }
@@ -199,9 +205,14 @@
 	HttpCall request;
 	request.method = _path == "/plain/" ? "GET" : "POST";
 	request.target = _path + (isMutant("alike") ? "x" : _soak.ending.name);
-	request.target += isMutant("unlike") ? std::to_string(number) : "";
+	request.target += isMutant("unlike") || _soak.ending.isPart ? std::to_string(number) : "";
 	request.timeoutMs = kCallTimeoutMs;
 	request.headers = headersOf(id, kKeptKey);
+	if (_soak.ending.isPart)
+	{
+		const std::string part = isMutant("alike") ? "b0" : _soak.ending.name;
+		addPrompt(request, part + (isMutant("unlike") ? std::to_string(number) : ""), std::to_string(number));
+	}
 	const CallResult result = sendOn(connection, request);
 	if (result.end != CallEnd::NotSent)
 	{
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -10,7 +10,7 @@
 void callOften(Soak& _soak, uint32_t _caller);
 /// Keeps one connection through pauses, as long as the idle limit lets callers, until the router closes it.
 void callRarely(Soak& _soak, uint32_t _caller);
-/// Sends a copy of the request that ends upstreams to any router.
+/// Sends a copy of the request that ends upstreams, or another prompt with the part, to any router.
 void sendEnding(Soak& _soak, const std::string& _path);
 /// @returns Whether a router answers a request of a path whole.
 bool isServed(Soak& _soak, SoakRouter& _router, const char* _path);
--- a/tests/soak/soak_endings.cpp
+++ b/tests/soak/soak_endings.cpp
@@ -10,7 +10,8 @@
 {
 namespace
 {
-constexpr size_t kMostEnds = 3; ///< Upstreams that one request may end.
+constexpr size_t kMostEnds = 3;     ///< Upstreams that one request may end.
+constexpr size_t kMostPartEnds = 5; ///< Upstreams that one part of prompts may end.
 constexpr uint32_t kMostLate = 3;
 constexpr uint32_t kCopies = 24; ///< Of one request, before the next one's.
 constexpr uint32_t kRepeatMs = 250;
@@ -47,8 +48,10 @@
 	for (uint32_t number = 0; monotonicNow() < _soak.until; ++number)
 	{
 		drawAs(_soak, "endings", number);
-		const std::string path = below(_soak, 2) == 0 ? "/plain/" : "/once/";
-		_soak.ending = {fmt::format("end-{}", number), {}, 0};
+		const std::string whole = below(_soak, 2) == 0 ? "/plain/" : "/once/";
+		const bool isPart = number % 2 == 1;
+		const std::string path = isPart ? "/chat/" : whole;
+		_soak.ending = {fmt::format("end-{}", number), isPart, {}, 0};
 		for (uint32_t copy = 0; copy < kCopies && monotonicNow() < _soak.until; ++copy)
 		{
 			sendEnding(_soak, path);
@@ -63,15 +66,14 @@
 	const TimeUs now = monotonicNow();
 	const TimeUs calmSince = std::max({_soak.storeHarmedAt, _record.router->disturbedAt, _end.harmedAt});
 	const TimeUs contact = kContactMs * kMsToUs + _soak.heldUp - _record.heldUpThen;
-	const bool known = ending.ends.size() >= kMostEnds && now > ending.ends[kMostEnds - 1] + contact;
+	const size_t most = ending.isPart ? kMostPartEnds : kMostEnds;
+	const bool known = ending.ends.size() >= most && now > ending.ends[most - 1] + contact;
 	if (known && now > calmSince + contact && ++ending.late > kMostLate)
 	{
-		breach(
-			_soak,
-			fmt::format("a request under which {} upstreams had ended was sent to {} more, by {} {} ms after "
-						"the third",
-						kMostEnds, ending.late, _record.router->process->listen(),
-						(now - ending.ends[kMostEnds - 1]) / kMsToUs));
+		breach(_soak,
+			   fmt::format("a {} under which {} upstreams had ended was sent to {} more, by {} {} ms later",
+						   ending.isPart ? "prompt part" : "request", most, ending.late,
+						   _record.router->process->listen(), (now - ending.ends[most - 1]) / kMsToUs));
 	}
 	if (_end.down || sound(_soak, _end.upstream->service) < kMostDown)
 	{
--- a/tests/soak/soak_endings.h
+++ b/tests/soak/soak_endings.h
@@ -1,4 +1,5 @@
-/// Requests that end each upstream that runs them, sent again and again beside all other faults.
+/// Requests, and parts of prompts, that end each upstream that runs them, sent again and again beside all
+/// other faults.
 #ifndef SPANPLANK_TESTS_SOAK_ENDINGS_H_HEADER_GUARD
 #define SPANPLANK_TESTS_SOAK_ENDINGS_H_HEADER_GUARD
 
@@ -6,7 +7,8 @@
 
 namespace spanplank
 {
-/// Sends copies of one request, at any router, until the faults end; then begins with another one.
+/// Sends copies of one request, at any router, then different prompts with one part, and so on until the
+/// faults end.
 void endUpstreamsOn(Soak& _soak);
 /// An upstream begins to run such a request: it ends, and is back later. Checks that this is not one too
 /// many.
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -157,12 +157,14 @@
 	std::vector<TimeUs> badAt; ///< Its bad answers since the store was last harmed.
 };
 
-/// A request that ends the upstreams that run it; its copies come again and again.
+/// A request that ends the upstreams that run it, of which copies come again and again, or a part of
+/// different prompts that does so.
 struct SoakEnding
 {
 	std::string name;
+	bool isPart = false;
 	std::vector<TimeUs> ends; ///< Of upstreams under it.
-	uint32_t late = 0;        ///< Copies that routers in touch sent later than the bound after the third.
+	uint32_t late = 0;        ///< Copies that routers in touch sent later than the bound.
 };
 
 struct Soak
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -141,6 +141,11 @@
 	if (record.ending)
 	{
 		endUnder(_soak, _end, record);
+		if (_soak.ending.isPart)
+		{
+			answerEvents(*_end.upstream, _exchange, 0, kDeadlineMs, true);
+			return;
+		}
 		sleepFor(kDeadlineMs); // Its upstream ends before.
 		_exchange.abort();
 		return;
