Tests: one copy of the links between simulated routers and of upstreams that end by themselves

Cause: the tests for prompt parts had repeated both from those for requests. Change: suspect_links.h and CrashingFleet::callWhileUpstreamsEnd.

--- a/tests/core/crash_property_test.cpp
+++ b/tests/core/crash_property_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "spanplank/crash_suspects.h"
+#include "suspect_links.h"
 
 namespace spanplank
 {
@@ -68,8 +69,7 @@
 	Scenario scenario;
 	Random random;
 	std::vector<SuspectTable> suspects;
-	std::vector<uint64_t> sentToRoot;
-	std::vector<uint64_t> sentFromRoot;
+	SuspectLinks links;
 	std::vector<Run> runs;
 	std::vector<uint32_t> incarnation;
 	std::vector<TimeUs> backAt;
@@ -210,18 +210,6 @@
 	}
 }
 
-/// Exchanges updates; all routers follow the first.
-void exchange(Fleet& _fleet)
-{
-	for (uint32_t ii = 1; ii < _fleet.scenario.routers; ++ii)
-	{
-		const auto up = suspectUpdatesFor(_fleet.suspects[ii], _fleet.sentToRoot[ii], _fleet.now);
-		applySuspectUpdates(_fleet.suspects[0], up, _fleet.now);
-		const auto down = suspectUpdatesFor(_fleet.suspects[0], _fleet.sentFromRoot[ii], _fleet.now);
-		applySuspectUpdates(_fleet.suspects[ii], down, _fleet.now);
-	}
-}
-
 bool happens(Fleet& _fleet, double _aSecond)
 {
 	return nextUnit(_fleet.random) < _aSecond * double(kStep) / double(1000 * kMsToUs);
@@ -272,8 +260,7 @@
 	fleet.scenario = _scenario;
 	fleet.random.state = _seed;
 	fleet.suspects.resize(_scenario.routers);
-	fleet.sentToRoot.resize(_scenario.routers);
-	fleet.sentFromRoot.resize(_scenario.routers);
+	fleet.links = makeSuspectLinks(_scenario.routers);
 	fleet.incarnation.resize(_scenario.upstreams, 1);
 	fleet.backAt.resize(_scenario.upstreams, 0);
 	const TimeUs begin = fleet.now;
@@ -303,7 +290,7 @@
 		}
 		if (fleet.now % kUpdateInterval == 0)
 		{
-			exchange(fleet);
+			exchangeSuspects(fleet.suspects, fleet.links, fleet.now);
 		}
 		stopRefused(fleet);
 	}
--- a/tests/core/part_property_test.cpp
+++ b/tests/core/part_property_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "spanplank/suspect_subjects.h"
+#include "suspect_links.h"
 
 namespace spanplank
 {
@@ -76,8 +77,7 @@
 	Scenario scenario;
 	Random random;
 	std::vector<SuspectTable> suspects;
-	std::vector<uint64_t> sentToRoot;
-	std::vector<uint64_t> sentFromRoot;
+	SuspectLinks links;
 	std::vector<Prompt> running;
 	std::vector<uint32_t> incarnation;
 	std::vector<TimeUs> backAt;
@@ -200,13 +200,7 @@
 /// Exchanges updates; all routers follow the first.
 void exchange(Fleet& _fleet)
 {
-	for (uint32_t ii = 1; ii < _fleet.scenario.routers; ++ii)
-	{
-		const auto up = suspectUpdatesFor(_fleet.suspects[ii], _fleet.sentToRoot[ii], _fleet.now);
-		applySuspectUpdates(_fleet.suspects[0], up, _fleet.now);
-		const auto down = suspectUpdatesFor(_fleet.suspects[0], _fleet.sentFromRoot[ii], _fleet.now);
-		applySuspectUpdates(_fleet.suspects[ii], down, _fleet.now);
-	}
+	exchangeSuspects(_fleet.suspects, _fleet.links, _fleet.now);
 	// Refused prompts that are under way end.
 	_fleet.running.erase(
 		std::remove_if(_fleet.running.begin(), _fleet.running.end(),
@@ -272,8 +266,7 @@
 	fleet.scenario = _scenario;
 	fleet.random.state = _seed;
 	fleet.suspects.resize(_scenario.routers);
-	fleet.sentToRoot.resize(_scenario.routers);
-	fleet.sentFromRoot.resize(_scenario.routers);
+	fleet.links = makeSuspectLinks(_scenario.routers);
 	fleet.incarnation.resize(_scenario.upstreams, 1);
 	fleet.backAt.resize(_scenario.upstreams, 0);
 	for (; fleet.now < fleet.begin + kDuration; fleet.now += kStep)
--- a/tests/direct/crashing_fleet.h
+++ b/tests/direct/crashing_fleet.h
@@ -237,6 +237,40 @@
 		}
 	}
 
+	/// Makes a number of calls for each caller, one after the other, while upstreams end by themselves.
+	/// @param[in] _call Returns the status, by caller and number. @returns The calls that were answered 200.
+	size_t callWhileUpstreamsEnd(size_t _callers, size_t _calls,
+								 const std::function<int(size_t, size_t)>& _call)
+	{
+		size_t answered = 0;
+		bool over = false;
+		std::vector<std::function<void()>> bodies;
+		for (size_t caller = 0; caller < _callers; ++caller)
+		{
+			bodies.push_back([&, caller] {
+				for (size_t ii = 0; ii < _calls; ++ii)
+				{
+					answered += _call(caller, ii) == 200 ? 1 : 0;
+					sleepFor(kWorkMs);
+				}
+				over = true;
+			});
+		}
+		bodies.push_back([&] {
+			for (size_t ii = 0; !over; ++ii)
+			{
+				CrashingUpstream& place = *places[ii % kCrashingUpstreams];
+				if (place.up)
+				{
+					end(place);
+				}
+				sleepFor(400);
+			}
+		});
+		together(bodies);
+		return answered;
+	}
+
 	/// @returns The sum of a counter over all routers.
 	double total(const std::string& _metric)
 	{
--- a/tests/direct/crashing_part_test.cpp
+++ b/tests/direct/crashing_part_test.cpp
@@ -185,30 +185,9 @@
 TEST_F(CrashingPartFleet, PartsOfAllPromptsAreServedWhileEnginesEndByThemselves)
 {
 	constexpr size_t kCalls = 40;
-	std::vector<std::function<void()>> bodies;
-	for (size_t router = 0; router < kRouters; ++router)
-	{
-		bodies.push_back([&, router] {
-			for (size_t ii = 0; ii < kCalls; ++ii)
-			{
-				served += sendPrompt(router, {"a0", "b1"}) == 200 ? 1 : 0;
-				sleepFor(kWorkMs);
-			}
-			over = true;
-		});
-	}
-	bodies.push_back([&] {
-		for (size_t ii = 0; !over; ++ii)
-		{
-			CrashingUpstream& place = *places[ii % kCrashingUpstreams];
-			if (place.up)
-			{
-				end(place);
-			}
-			sleepFor(400);
-		}
+	served = callWhileUpstreamsEnd(kRouters, kCalls, [this](size_t _caller, size_t) {
+		return sendPrompt(_caller, {"a0", "b1"});
 	});
-	together(bodies);
 	EXPECT_EQ(served, kRouters * kCalls);
 	EXPECT_EQ(total("spanplank_answers_total{kind=\"ends_upstreams\"}"), 0.0);
 }
--- a/tests/direct/crashing_request_test.cpp
+++ b/tests/direct/crashing_request_test.cpp
@@ -99,32 +99,9 @@
 {
 	constexpr size_t kCallers = 6;
 	constexpr size_t kCalls = 40;
-	size_t served = 0;
-	bool over = false;
-	std::vector<std::function<void()>> bodies;
-	for (size_t caller = 0; caller < kCallers; ++caller)
-	{
-		bodies.push_back([&, caller] {
-			for (size_t ii = 0; ii < kCalls; ++ii)
-			{
-				served += send((caller + ii) % kRouters, "GET", "/plain/status") == 200 ? 1 : 0;
-				sleepFor(kWorkMs);
-			}
-			over = true;
-		});
-	}
-	bodies.push_back([&] {
-		for (size_t ii = 0; !over; ++ii)
-		{
-			CrashingUpstream& place = *places[ii % kCrashingUpstreams];
-			if (place.up)
-			{
-				end(place);
-			}
-			sleepFor(400);
-		}
+	const size_t served = callWhileUpstreamsEnd(kCallers, kCalls, [this](size_t _caller, size_t _number) {
+		return send((_caller + _number) % kRouters, "GET", "/plain/status");
 	});
-	together(bodies);
 	EXPECT_EQ(served, kCallers * kCalls);
 	EXPECT_EQ(total("spanplank_answers_total{kind=\"ends_upstreams\"}"), 0.0);
 }
