A cleared prompt part is no longer pending; comments of the crash detection

Cause: a part whose crashes were cleared while other routers were heard stayed in the list of pending ones until the next decision, and requests with it waited up to 0.2 s for nothing. Change: clearing removes it; comments say which minimum applies to which crash.

--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -82,8 +82,7 @@
 	uint32_t outputTokens = 0;
 	double confidence = 1.0;
 	double seconds = 0.0;
-	bool endsWithConnection =
-		false; ///< It had neither a length nor chunks: its end is no proof that it is whole.
+	bool endsWithConnection = false; ///< It had neither a length nor chunks.
 };
 
 struct AgentStats
--- a/include/spanplank/crash_suspects.h
+++ b/include/spanplank/crash_suspects.h
@@ -80,10 +80,10 @@
 struct SuspectTable
 {
 	std::map<RequestDigest, CrashSuspect> suspects;
-	std::set<RequestDigest> refusedParts;
-	std::set<RequestDigest> pendingParts;       ///< Those that may be refused once `kHearingTime` is over.
-	std::map<uint64_t, RequestDigest> byChange; ///< Suspects by their last change.
-	std::map<UpstreamKey, TimeUs> crashes;      ///< Upstreams that ended while running any request.
+	std::set<RequestDigest> refusedParts;             ///< Prompt parts that are refused.
+	std::set<RequestDigest> pendingParts;             ///< Those that are refused once `kHearingTime` is over.
+	std::map<uint64_t, RequestDigest> byChange;       ///< Suspects by their last change.
+	std::map<UpstreamKey, TimeUs> crashes;            ///< Upstreams that ended while running any request.
 	std::map<UpstreamKey, RequestDigest> explainedBy; ///< Refused suspects to which crashes are attributed.
 	uint64_t changes = 0;
 	AnsweredLog answered;      ///< This router's complete answers, by request.
@@ -91,7 +91,7 @@
 };
 
 constexpr size_t kMaxAnswered = 4096; ///< Of each kind.
-constexpr size_t kMaxWitnesses = 8;
+constexpr size_t kMaxWitnesses = 8;   ///< Of one crash.
 constexpr size_t kMaxSuspects = 2000; ///< About 300 bytes each.
 constexpr size_t kMaxCrashesPerSuspect = 12;
 constexpr size_t kMaxCrashes = 4000;
--- a/src/core/crash_chance.cpp
+++ b/src/core/crash_chance.cpp
@@ -1,3 +1,4 @@
+/// How likely it is that a harmless suspect was running at crashes by coincidence.
 #include "crash_chance_p.h"
 
 #include <algorithm>
@@ -32,9 +33,10 @@
 /// Minimum number of other crashes in the `kCrashRateWindow` around one of the request's crashes at which
 /// `kStormRefusalChance` applies.
 constexpr size_t kStormCrashes = 3;
-/// Minimum probability of one coincidental crash: three of these are below `kRefusalChance`, two are not.
+/// Minimum probability of one coincidental crash, of a part of one at the begin of an answer: three of these
+/// are below `kRefusalChance`, two are not.
 constexpr double kMinChance = 0.02;
-/// Minimum probability of such a crash.
+/// The same of a part for a crash at any other moment.
 constexpr double kMinPartChance = 0.1;
 /// The same after a complete answer to a prompt with the part.
 constexpr double kAnsweredPartChance = 0.5;
@@ -156,7 +158,6 @@
 	return std::any_of(crashesOf.begin(), crashesOf.end(),
 					   [crashes](const auto& _item) { return _item.second == crashes; });
 }
-
 } // namespace
 
 double chanceOf(const SuspectTable& _suspects, const RequestDigest& _digest, const CrashSuspect& _suspect)
--- a/src/core/crash_suspects.cpp
+++ b/src/core/crash_suspects.cpp
@@ -290,6 +290,7 @@
 	}
 	CrashSuspect& suspect = found->second;
 	removeAttributions(_suspects, _digest, suspect);
+	_suspects.pendingParts.erase(_digest);
 	suspect.crashes.clear();
 	setRefusals(_suspects, _digest, suspect, 0);
 	for (const RequestDigest& part : _suspects.refusedParts)
