Tests: engines that end after an attempt was closed, with an answer, or in silence

Callers saw engines end in series under one prompt part though parts are suspects, in three ways that no test had. (1) Callers leave as the engine begins: a router that has closed an attempt does not count it at the crash that follows. (2) An answer with neither a length nor chunks ends with its connection, and so does its engine: the answer counts as whole. (3) The record of a restart ends the call: its entry reads as one that leaves, so that no request is suspected. An answer of a leaving upstream is passed on before and must stay so.

--- a/tests/direct/crashing_fleet.h
+++ b/tests/direct/crashing_fleet.h
@@ -198,7 +198,7 @@
 	/// What one caller gets at a router. @returns The status; 0: the connection failed.
 	int send(size_t _router, const std::string& _method, const std::string& _path,
 			 const std::string& _body = "", HttpResponse* _answer = nullptr,
-			 const std::vector<HttpHeader>& _headers = {})
+			 const std::vector<HttpHeader>& _headers = {}, HttpCancel* _cancel = nullptr)
 	{
 		HttpClient client;
 		client.io = &testIo();
@@ -214,7 +214,7 @@
 		request.headers.insert(request.headers.end(), _headers.begin(), _headers.end());
 		try
 		{
-			const HttpResponse answer = spanplank::call(client, request);
+			const HttpResponse answer = spanplank::call(client, request, {}, _cancel);
 			if (_answer != nullptr)
 			{
 				*_answer = answer;
--- a/tests/direct/crashing_part_test.cpp
+++ b/tests/direct/crashing_part_test.cpp
@@ -44,17 +44,36 @@
 	size_t sound = 0;
 	size_t served = 0;
 	bool over = false;
+	uint32_t callersLeaveMs = 0; ///< After which callers of prompts with the part leave; 0: they stay.
 
 	CrashingPartFleet()
 	{
 		firstEventMs = kLateFirstEventMs;
 	}
 
-	int sendPrompt(size_t _router, const std::vector<std::string>& _shared)
+	int sendPrompt(size_t _router, const std::vector<std::string>& _shared, HttpCancel* _cancel = nullptr)
 	{
 		const size_t own = sent++;
 		return send(_router, "POST", fmt::format("/chat/{}", own), fmt::format("prompt {}", own), nullptr,
-					{{"Prompt-Prefix", prefixOf(_shared, own)}});
+					{{"Prompt-Prefix", prefixOf(_shared, own)}}, _cancel);
+	}
+
+	/// Sends a prompt whose caller may leave before its answer.
+	void sendHasty(size_t _router, const std::vector<std::string>& _shared)
+	{
+		HttpCancel cancelled;
+		bool answered = false;
+		together({[&] {
+					  sendPrompt(_router, _shared, &cancelled);
+					  answered = true;
+				  },
+				  [&] {
+					  sleepFor(callersLeaveMs);
+					  if (!answered && callersLeaveMs != 0)
+					  {
+						  cancel(cancelled);
+					  }
+				  }});
 	}
 
 	/// Arrivals of prompts with the part at engines, later than all routers could know of it.
@@ -77,7 +96,7 @@
 		{
 			spawnFiber([this, &_shapes, ii] {
 				++returns;
-				sendPrompt(ii % kRouters, _shapes.ending);
+				sendHasty(ii % kRouters, _shapes.ending);
 				--returns;
 			});
 			sleepFor(kPromptMs);
@@ -152,6 +171,14 @@
 	expectRefused();
 }
 
+// A router that had closed an attempt did not count it at the crash that followed.
+TEST_F(CrashingPartFleet, APartIsRefusedWhoseCallersLeaveBeforeTheEnd)
+{
+	callersLeaveMs = kCrashMs / 2;
+	play({{"a0", kPoisonPart}, {"a0", "b1"}});
+	expectRefused();
+}
+
 TEST_F(CrashingPartFleet, RoutersThatAllStartBlankAtOnceRefuseThePart)
 {
 	constexpr size_t kPrompts = 8;
--- a/tests/direct/restarted_upstream_test.cpp
+++ b/tests/direct/restarted_upstream_test.cpp
@@ -81,6 +81,32 @@
 	EXPECT_EQ(system.call("POST", "/once/other").status, 200);
 }
 
+// The entry of an incarnation that has ended reads as one that leaves: no request that was at it was
+// suspected.
+TEST_F(RestartedUpstream, ThatFellSilentUnderOneRequestThriceDoesNotGetItAgain)
+{
+	bool released = false;
+	only.answer = [&](StandInUpstream&, HttpExchange&) {
+		eventually([&] { return released; });
+	};
+	for (uint64_t start = 1; start <= 3; ++start)
+	{
+		int status = 0;
+		together({[&] {
+					  status = system.call("POST", "/once/end", "", {{"Deadline-Remaining", "9000"}}).status;
+				  },
+				  [&] {
+					  eventually([&] { return only.open == start; });
+					  startAgain(kBorn + start * 1000);
+				  }});
+		EXPECT_EQ(status, 502);
+	}
+	released = true;
+	const DirectAnswer refused = system.call("POST", "/once/end");
+	EXPECT_EQ(refused.status, 503);
+	EXPECT_NE(refused.body.find("ends_upstreams"), std::string::npos) << refused.body;
+}
+
 // A request at an upstream that fell silent as it ended waited for its time limit.
 TEST_F(RestartedUpstream, EndsTheRequestsThatWereAtTheOneBefore)
 {
--- a/tests/direct/unframed_answer_test.cpp
+++ b/tests/direct/unframed_answer_test.cpp
@@ -19,6 +19,7 @@
 {
 	Closed,
 	Reset,
+	UpstreamEnds, ///< Closed, and no new connection is taken.
 };
 
 struct UnframedAnswer
@@ -26,6 +27,7 @@
 	std::string type = "text/plain";
 	std::string body;
 	SocketEnd end = SocketEnd::Closed;
+	uint32_t afterMs = 20; ///< From its last byte to its end.
 };
 
 /// Two upstreams that write such answers, by the number of the arrival at either.
@@ -35,24 +37,30 @@
 	DirectSystem system;
 	std::vector<UnframedAnswer> answers; ///< The last one answers all that follow.
 	size_t arrivals = 0;
-	std::vector<StandInUpstream> ends = std::vector<StandInUpstream>(2);
+	std::vector<StandInUpstream> ends;
 	std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
 	size_t accepting = 0; ///< Fibers that wait for connections or requests.
 
 	~UnframedUpstreams() override
 	{
-		for (const auto& acceptor : acceptors)
+		for (size_t ii = 0; ii < acceptors.size(); ++ii)
 		{
-			boost::system::error_code ignored;
-			acceptor->close(ignored);
+			stopAccepting(ii);
 		}
 		system.killHard(); // Its idle connections end.
 		eventually([this] { return accepting == 0; }, 5);
 	}
 
-	void start(const std::string& _service, std::vector<UnframedAnswer> _answers)
+	void stopAccepting(size_t _end)
+	{
+		boost::system::error_code ignored;
+		acceptors[_end]->close(ignored);
+	}
+
+	void start(const std::string& _service, std::vector<UnframedAnswer> _answers, size_t _upstreams = 2)
 	{
 		answers = std::move(_answers);
+		ends.resize(_upstreams);
 		for (size_t ii = 0; ii < ends.size(); ++ii)
 		{
 			const tcp::endpoint address(boost::asio::ip::make_address(loopbackIp()), 0);
@@ -78,7 +86,7 @@
 			{
 				++accepting;
 				spawnFiber([this, socket, _end] {
-					answer(*socket, ends[_end].id);
+					answer(*socket, _end);
 					--accepting;
 				});
 			}
@@ -86,7 +94,7 @@
 		--accepting;
 	}
 
-	void answer(tcp::socket& _socket, const std::string& _id)
+	void answer(tcp::socket& _socket, size_t _end)
 	{
 		std::string head;
 		const IoResult read = awaitIo([&](auto _done) {
@@ -100,15 +108,19 @@
 		const size_t id = head.find("request-");
 		const std::string bytes = fmt::format(
 			"HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: stamp-{}\r\nContent-Type: {}\r\n\r\n{}",
-			head.substr(id, head.find('\r', id) - id), _id, script.type, script.body);
+			head.substr(id, head.find('\r', id) - id), ends[_end].id, script.type, script.body);
 		awaitIo([&](auto _done) { boost::asio::async_write(_socket, boost::asio::buffer(bytes), _done); });
-		sleepFor(20);
+		sleepFor(script.afterMs);
 		if (script.end == SocketEnd::Reset)
 		{
 			boost::system::error_code ignored;
 			_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 			_socket.close(ignored);
 		}
+		if (script.end == SocketEnd::UpstreamEnds)
+		{
+			stopAccepting(_end);
+		}
 	}
 
 	/// @returns Events with rising ids.
@@ -182,5 +194,52 @@
 	const DirectAnswer answer = system.call("POST", "/chat/x");
 	EXPECT_TRUE(answer.cut || answer.body == events(0, 3).body) << answer.body;
 }
+
+// The end of an upstream closes its connections too, and looks like the end of such an answer.
+TEST_F(UnframedUpstreams, AnAnswerWithWhichTheUpstreamEndsIsNotPassedOn)
+{
+	start("app", {{"text/plain", "a part", SocketEnd::UpstreamEnds}, {"text/plain", "all of it"}});
+	const DirectAnswer answer = system.call("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, "all of it");
+	EXPECT_EQ(arrivals, 2u);
+}
+
+TEST_F(UnframedUpstreams, AStreamWithWhichTheUpstreamEndsGoesOnElsewhere)
+{
+	start("engines", {events(0, 1, "", SocketEnd::UpstreamEnds), events(2, 3)});
+	const DirectAnswer answer = system.call("POST", "/chat/x");
+	EXPECT_EQ(answer.body, events(0, 3).body);
+	EXPECT_FALSE(answer.cut);
+}
+
+TEST_F(UnframedUpstreams, ARequestWithWhoseAnswersUpstreamsEndIsRefused)
+{
+	constexpr size_t kUpstreams = 5;
+	constexpr size_t kMostEnds = 3;
+	start("app", {{"text/plain", "a part", SocketEnd::UpstreamEnds}}, kUpstreams);
+	for (size_t ii = 0; ii <= kMostEnds; ++ii)
+	{
+		system.call("POST", "/once/x");
+	}
+	EXPECT_EQ(arrivals, kMostEnds);
+}
+
+TEST_F(UnframedUpstreams, AnAnswerWithWhichALeavingUpstreamEndsIsPassedOn)
+{
+	constexpr uint32_t kAnswerMs = 1000;
+	start("app", {{"text/plain", "all of it", SocketEnd::UpstreamEnds, kAnswerMs}});
+	DirectAnswer answer;
+	together({[&] { answer = system.call("POST", "/once/x"); },
+			  [&] {
+				  EXPECT_TRUE(eventually([this] { return arrivals == 1; }));
+				  for (const StandInUpstream& end : ends)
+				  {
+					  system.registerUpstream(end, true);
+				  }
+			  }});
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, "all of it");
+}
 } // namespace
 } // namespace spanplank
