A call that the record of a restart ends counts as a crash under its request

Callers saw one request go to the same upstream again and again that fell silent under it and started again under its id. Cause: the entry of the incarnation that ended is marked as draining and as no longer registered, and an attempt whose upstream leaves is no crash. An entry now keeps whether its incarnation had left, or had begun to, before it was replaced; only such an end was expected.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -75,6 +75,8 @@
 	ColdState cold;
 	RequestLimit limit;
 	bool saysLeaving = false; ///< An answer of this incarnation said that it shuts down.
+	/// The incarnation was replaced after it had left or begun to leave.
+	bool leftBeforeRestart = false;
 	RestState rest;
 	RequestPace pace;         ///< Applies while the upstream is cold or states a limit.
 	bool unreachable = false; ///< A connection failed, and no answer has arrived since.
--- a/src/core/upstream_registrations.cpp
+++ b/src/core/upstream_registrations.cpp
@@ -27,6 +27,8 @@
 {
 	const uint32_t idx = _table.idxOfId.at(_id);
 	UpstreamEntry& entry = _table.entries.at(idx);
+	const bool deregistered = !entry.registered && entry.lapse.cause == RemovalCause::Deregistered;
+	entry.leftBeforeRestart = entry.record.draining || deregistered;
 	entry.record.draining = true;
 	entry.unregisteredAt = entry.registered ? _now : entry.unregisteredAt;
 	entry.registered = false;
--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -40,16 +40,21 @@
 /// @returns Whether an upstream was expected to end: that says nothing of the requests at work there.
 bool wasToEnd(const DirectRouter& _router, const AttemptNotes& _notes)
 {
-	const auto entry = _router.upstreams.entries.find(_notes.upstream.idx);
-	if (entry == _router.upstreams.entries.end() || entry->second.record.draining)
+	const auto found = _router.upstreams.entries.find(_notes.upstream.idx);
+	if (found == _router.upstreams.entries.end())
 	{
 		return true;
 	}
+	const UpstreamEntry& entry = found->second;
 	const auto trial = _router.trials.trials.find(_notes.record.service);
 	const bool replaced = trial != _router.trials.trials.end() &&
 						  trial->second.state == RolloutState::Completed &&
 						  trial->second.order.version != _notes.record.version;
-	return replaced || (!entry->second.registered && entry->second.lapse.cause == RemovalCause::Deregistered);
+	if (replaced || _notes.lost)
+	{
+		return replaced || entry.leftBeforeRestart; // The entry itself reads as one that has left.
+	}
+	return entry.record.draining || (!entry.registered && entry.lapse.cause == RemovalCause::Deregistered);
 }
 
 /// @returns The ids of the prompt parts that other requests may share, in order.
--- a/tests/direct/restarted_upstream_test.cpp
+++ b/tests/direct/restarted_upstream_test.cpp
@@ -104,7 +104,8 @@
 	released = true;
 	const DirectAnswer refused = system.call("POST", "/once/end");
 	EXPECT_EQ(refused.status, 503);
-	EXPECT_NE(refused.body.find("ends_upstreams"), std::string::npos) << refused.body;
+	EXPECT_NE(refused.body.find("ends_upstreams"), std::string::npos) << refused.body << system.log();
+	EXPECT_TRUE(eventually([&] { return only.open == 0; }));
 }
 
 // A request at an upstream that fell silent as it ended waited for its time limit.
