An answer with which its upstream ends is not whole, and counts as a crash

Callers got a truncated answer as a whole one, and one request ended an upstream after the other: an answer with neither a length nor chunks ends with its connection, which the end of its engine closes as well. Cause: the end of the connection was taken for the end of the answer, and a whole answer clears its request. At such an end the router (and the agent) now makes a connection to the upstream; if none is taken, and the upstream was not about to leave, the attempt counts as broken: it is repeated or resumed where that is allowed, and is a crash under the request and its parts. Other answers cost nothing more.

--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -123,6 +123,10 @@
 	{
 		throw HttpFailure("the stream ended inside an event", true);
 	}
+	if (response.endsWithConnection && refusesConnections(_client))
+	{
+		throw HttpFailure("the upstream ended with its answer", true);
+	}
 	AnswerSummary end;
 	end.endsWithConnection = response.endsWithConnection;
 	end.seconds = double(monotonicNow() - begin) * 1e-6;
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -114,6 +114,10 @@
 /// @returns Whether it is allowed, so that the attempt under way may end.
 bool replaceAfterRestart(Serving& _serving, const LiveAttempt& _attempt);
 
+/// An answer that ends with its connection has ended: looks whether its upstream has ended with it, in which
+/// case it may be incomplete. Waits for a connection.
+bool endedWithUpstream(const Serving& _serving, const AttemptNotes& _notes);
+
 /// An attempt broke: looks whether its upstream has ended rather than its connection alone, and takes note
 /// under which request it was. Waits for a connection.
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes);
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -126,10 +126,14 @@
 	// The end of a connection before any event may be the end of the upstream.
 	const bool ended = !_attempt.notes.endsWithConnection || _attempt.notes.firstEventsAt != 0;
 	const bool whole = splitter.partialEvent.empty() && _serving.plan.started && ended;
-	if (!whole)
+	if (!whole || endedWithUpstream(_serving, _attempt.notes))
 	{
 		return AttemptEnd::Aborted;
 	}
+	if (_attempt.overtaken || _attempt.dropped) // While its upstream was looked for.
+	{
+		return endOf(_serving, _attempt, ExchangeState::Ok);
+	}
 	endOthers(_serving, _attempt);
 	return _serving.exchange.finish() ? AttemptEnd::Complete : AttemptEnd::CallerDisconnected;
 }
@@ -171,6 +175,10 @@
 	{
 		return read;
 	}
+	if (endedWithUpstream(_serving, _attempt.notes))
+	{
+		return AttemptEnd::Aborted;
+	}
 	if (code >= status::kFirstServerError || promisesNotRun(code))
 	{
 		_serving.failedStatus = code;
--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -84,6 +84,12 @@
 }
 } // namespace
 
+bool endedWithUpstream(const Serving& _serving, const AttemptNotes& _notes)
+{
+	return _notes.endsWithConnection && !wasToEnd(_serving.router, _notes) &&
+		   probe(_serving.router, _notes) == UpstreamReach::Refuses;
+}
+
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes)
 {
 	DirectRouter& router = _serving.router;
--- a/tests/direct/unframed_answer_test.cpp
+++ b/tests/direct/unframed_answer_test.cpp
@@ -8,6 +8,7 @@
 #include "fiber_runtime_p.h"
 #include "harness.h"
 #include "ports.h"
+#include "upstream_client_p.h"
 
 namespace spanplank
 {
@@ -15,6 +16,8 @@
 {
 using boost::asio::ip::tcp;
 
+constexpr uint32_t kUpstreamMs = 5000;
+
 enum class SocketEnd : uint8_t
 {
 	Closed,
@@ -225,6 +228,31 @@
 	EXPECT_EQ(arrivals, kMostEnds);
 }
 
+// The same beside an agent.
+TEST_F(UnframedUpstreams, AnAgentTakesNoAnswerWithWhichItsUpstreamEnds)
+{
+	start("app", {{"text/plain", "all of it"}, {"text/plain", "a part", SocketEnd::UpstreamEnds}});
+	HttpClient client;
+	client.io = &io;
+	client.endpoint = parseEndpoint(ends[0].address);
+	Submit submit;
+	submit.request = "request-1";
+	submit.service = "app";
+	submit.path = "work";
+	submit.body = "{}";
+	std::string body;
+	UpstreamHandlers handlers;
+	handlers.onStart = [](int, const std::string&) {
+	};
+	handlers.onPart = [&body](const std::string& _part) {
+		body += _part;
+	};
+	HttpCancel cancel;
+	EXPECT_TRUE(forwardWork(client, submit, kUpstreamMs, handlers, cancel).endsWithConnection);
+	EXPECT_EQ(body, "all of it");
+	EXPECT_THROW(forwardWork(client, submit, kUpstreamMs, handlers, cancel), HttpFailure);
+}
+
 TEST_F(UnframedUpstreams, AnAnswerWithWhichALeavingUpstreamEndsIsPassedOn)
 {
 	constexpr uint32_t kAnswerMs = 1000;
