An attempt that was closed just before its upstream ended counts at that crash

Callers saw engines end in series under one part though parts are suspects: its callers left as the engine began, or the answer was dropped for its confidence, so that the router had closed the attempt when the engine ended 15 ms later. Only attempts that break were counted.

--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "spanplank/abandoned_attempts.h"
 #include "spanplank/admission.h"
 #include "spanplank/billing.h"
 #include "spanplank/config_replica.h"
@@ -129,6 +130,7 @@
 	uint64_t nextWork = 1;
 	BillTable bills; ///< Copies, until the requesting router has flushed them or this agent does so instead.
 	SuspectTable suspects;
+	AbandonedAttempts abandoned;
 	uint32_t upstreamIncarnations = 0; ///< Number of times that the upstream has terminated.
 	bool upstreamDown = false;         ///< The upstream has terminated and not answered since.
 	bool stopping = false;
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -60,8 +60,9 @@
 	}
 	catch (const HttpFailure& failure)
 	{
-		const bool ended = failure.sent() && refusesConnections(_agent.upstream);
-		const UpstreamFailure how{failure.sent(), ended, failure.refusal().detail};
+		const bool down = refusesConnections(_agent.upstream);
+		const bool ended = failure.sent() && down;
+		const UpstreamFailure how{failure.sent(), down, failure.refusal().detail};
 		const uint64_t refused = _agent.core.stats.suspectsRefused;
 		onUpstreamFailed(_agent.core, work, how, monotonicNow(), wallNowMs(), actions);
 		if (ended)
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -528,10 +528,43 @@
 
 namespace
 {
+/// @returns Key of the upstream's next crash, or of the last one if it has not answered since.
+UpstreamKey crashKey(const AgentCore& _core)
+{
+	return keyOf(_core.init.self.incarnation, _core.upstreamIncarnations + (_core.upstreamDown ? 0 : 1));
+}
+
+std::string labelOf(const Work& _work)
+{
+	return fmt::format("{} {}", _work.submit.account, _work.submit.path);
+}
+
+uint32_t upstreamsInUse(const AgentCore& _core)
+{
+	return std::max(1u, uint32_t(_core.guard.table.members.size()));
+}
+
+/// The upstream may be running a request whose call was closed.
+void recordCancelled(AgentCore& _core, const Work& _work, TimeUs _now)
+{
+	recordAbandoned(_core.abandoned, crashKey(_core),
+					{subjectsOf(_work.submit), _work.submit.request, labelOf(_work), _work.startedAt,
+					 _work.answerBeganAt, _now, upstreamsInUse(_core)});
+	takeAtKnownCrashes(_core.abandoned, _core.suspects, _now); // Removes old ones.
+}
+
+/// Records that the upstream terminated against the requests whose calls were closed just before.
+void recordCrashAfterCancel(AgentCore& _core, TimeUs _now)
+{
+	const std::vector<AbandonedAtCrash> cancelled = takeAtEnd(_core.abandoned, crashKey(_core), _now);
+	_core.stats.suspectsRefused += recordInterrupted(_core.suspects, cancelled, _now).size();
+}
+
 /// Records that the upstream terminated while it was running a request.
 void recordUpstreamCrash(AgentCore& _core, const Work& _work, TimeUs _now)
 {
 	++_core.stats.interruptedAttempts;
+	recordCrashAfterCancel(_core, _now);
 	_core.upstreamIncarnations += _core.upstreamDown ? 0 : 1;
 	_core.upstreamDown = true;
 	const SuspectSubjects subjects = subjectsOf(_work.submit);
@@ -540,12 +573,10 @@
 	{
 		beginProbe(_core.suspects, match.digest);
 	}
-	const auto members = uint32_t(_core.guard.table.members.size());
-	ObservedCrash crash{keyOf(_core.init.self.incarnation, _core.upstreamIncarnations), _now,
-						_now - _work.startedAt, std::max(1u, members), 0};
+	ObservedCrash crash{crashKey(_core), _now, _now - _work.startedAt, upstreamsInUse(_core), 0};
 	crash.writingFor = _work.answerBeganAt == 0 ? 0 : std::max<TimeUs>(1, _now - _work.answerBeganAt);
-	const std::string label = fmt::format("{} {}", _work.submit.account, _work.submit.path);
-	_core.stats.suspectsRefused += recordInterrupted(_core.suspects, subjects, label, crash, _now).size();
+	_core.stats.suspectsRefused +=
+		recordInterrupted(_core.suspects, subjects, labelOf(_work), crash, _now).size();
 }
 } // namespace
 
@@ -564,6 +595,14 @@
 	{
 		recordUpstreamCrash(_core, found->second, _now);
 	}
+	else if (_failure.upstreamDown)
+	{
+		recordCrashAfterCancel(_core, _now);
+	}
+	else if (found->second.cancelled)
+	{
+		recordCancelled(_core, found->second, _now);
+	}
 	if (!_failure.sent)
 	{
 		refuseWork(_core, _work, refusal, _now, _wallMs, _actions);
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -122,6 +122,10 @@
 /// under which request it was. Waits for a connection.
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes);
 
+/// This router closed an attempt before its end, or could not connect for it: the request counts at a crash
+/// of its upstream that follows, or has come.
+void noteIfAbandoned(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end);
+
 /// Takes note of an attempt's end: health of the upstream, trial of its version, counters, log events.
 void noteAttemptEnd(Serving& _serving, AttemptNotes& _notes, AttemptEnd _end);
 } // namespace spanplank
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -14,6 +14,7 @@
 #include "http_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
+#include "spanplank/abandoned_attempts.h"
 #include "spanplank/account_share.h"
 #include "spanplank/completion.h"
 #include "spanplank/crash_suspects.h"
@@ -135,6 +136,7 @@
 	UpstreamPool pool;
 	std::map<uint32_t, std::shared_ptr<ReachProbe>> probes; ///< By upstream.
 	std::map<uint32_t, std::vector<RecentBreak>> breaks;    ///< By upstream.
+	AbandonedAttempts abandoned;
 	TrialTable trials;
 	SuspectTable suspects;
 	std::map<RequestDigest, StoredSuspect> storedSuspects;
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -137,6 +137,10 @@
 	{
 		noteIfEnded(_serving, notes);
 	}
+	else
+	{
+		noteIfAbandoned(_serving, notes, end);
+	}
 	result.end = end;
 	return result;
 }
--- a/src/direct/suspects.cpp
+++ b/src/direct/suspects.cpp
@@ -137,6 +137,16 @@
 }
 } // namespace
 
+std::string sharedPartsText(const SuspectSubjects& _subjects)
+{
+	std::string text;
+	for (const PartSubject& part : _subjects.parts)
+	{
+		text += (text.empty() ? "" : ",") + part.id;
+	}
+	return text;
+}
+
 const SuspectSubjects& subjectsOf(Serving& _serving)
 {
 	if (!_serving.subjects)
@@ -148,6 +158,11 @@
 
 namespace
 {
+UpstreamKey upstreamKey(const AttemptNotes& _notes)
+{
+	return keyOf(_notes.record.id, _notes.record.startedAtMs);
+}
+
 TimeUs writingFor(const AttemptNotes& _notes, TimeUs _now)
 {
 	return _notes.headAfter == 0 ? 0 : std::max<TimeUs>(1, _now - _notes.begin - _notes.headAfter);
@@ -158,7 +173,7 @@
 {
 	DirectRouter& router = _serving.router;
 	const TimeUs now = monotonicNow();
-	ObservedCrash crash{keyOf(_notes.record.id, _notes.record.startedAtMs), now, now - _notes.begin,
+	ObservedCrash crash{upstreamKey(_notes), now, now - _notes.begin,
 						upstreamsInUse(router, _serving.service),
 						copiesElsewhere(_serving, _notes.upstream.idx)};
 	crash.writingFor = writingFor(_notes, now);
@@ -182,6 +197,51 @@
 	}
 }
 
+void suspectAbandoned(Serving& _serving, const AttemptNotes& _notes)
+{
+	DirectRouter& router = _serving.router;
+	AbandonedAttempt attempt;
+	attempt.subjects = subjectsOf(_serving);
+	attempt.requestId = _serving.call.requestId;
+	attempt.label = labelOf(_serving);
+	attempt.sentAt = _notes.begin;
+	attempt.beganAt = _notes.headAfter == 0 ? 0 : _notes.begin + _notes.headAfter;
+	attempt.closedAt = monotonicNow();
+	attempt.upstreams = upstreamsInUse(router, _serving.service);
+	recordAbandoned(router.abandoned, upstreamKey(_notes), std::move(attempt));
+}
+
+namespace
+{
+void noteAbandonedAtCrash(DirectRouter& _router, const std::vector<AbandonedAtCrash>& _attempts)
+{
+	for (const AbandonedAtCrash& item : _attempts)
+	{
+		const AbandonedAttempt& attempt = item.attempt;
+		logEvent("upstream_ended", {{"upstream_key", fmt::format("{:08x}", item.crash.upstream)},
+									{"service", attempt.subjects.service},
+									{"request", attempt.requestId},
+									{"digest", digestToHex(attempt.subjects.request)},
+									{"why", "after_close"},
+									{"parts", sharedPartsText(attempt.subjects)},
+									{"closed_ms", millisText(item.crash.at - attempt.closedAt)},
+									{"took_ms", millisText(item.crash.runningFor)}});
+	}
+	noteRefused(_router, recordInterrupted(_router.suspects, _attempts, monotonicNow()), "seen");
+}
+
+/// Counts the crashes that other routers reported against the attempts that this one closed just before.
+void matchReportedCrashes(DirectRouter& _router)
+{
+	noteAbandonedAtCrash(_router, takeAtKnownCrashes(_router.abandoned, _router.suspects, monotonicNow()));
+}
+} // namespace
+
+void suspectAtRefusal(DirectRouter& _router, const AttemptNotes& _notes)
+{
+	noteAbandonedAtCrash(_router, takeAtEnd(_router.abandoned, upstreamKey(_notes), monotonicNow()));
+}
+
 void suspectBroken(DirectRouter& _router, UpstreamId _upstream)
 {
 	const auto found = _router.breaks.find(_upstream.idx);
@@ -334,10 +394,15 @@
 void takePeerSuspects(DirectRouter& _router, const std::vector<SuspectUpdate>& _news)
 {
 	noteRefused(_router, applySuspectUpdates(_router.suspects, _news, monotonicNow()), "heard");
+	if (!_news.empty())
+	{
+		matchReportedCrashes(_router);
+	}
 }
 
 void decideParts(DirectRouter& _router)
 {
+	matchReportedCrashes(_router);
 	noteRefused(_router, decidePendingParts(_router.suspects, monotonicNow()), "heard");
 }
 
--- a/src/direct/suspects_p.h
+++ b/src/direct/suspects_p.h
@@ -37,12 +37,22 @@
 	Serving& m_serving;
 };
 
+/// @returns The ids of the prompt parts that other requests may share, in order.
+std::string sharedPartsText(const SuspectSubjects& _subjects);
+
 /// An upstream ended while the request was at work there.
 void suspect(Serving& _serving, const AttemptNotes& _notes);
 
 /// The upstream still takes connections: whether it has started again is told by its next record, if at all.
 void suspectLater(Serving& _serving, const AttemptNotes& _notes);
 
+/// This router closed an attempt whose upstream may still be running the request.
+void suspectAbandoned(Serving& _serving, const AttemptNotes& _notes);
+
+/// An upstream refused a connection: the requests whose attempts there were closed just before were running
+/// as it ended.
+void suspectAtRefusal(DirectRouter& _router, const AttemptNotes& _notes);
+
 /// An upstream has started again: what broke there shortly before was at work as it ended.
 void suspectBroken(DirectRouter& _router, UpstreamId _upstream);
 
--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -57,17 +57,6 @@
 	return entry.record.draining || (!entry.registered && entry.lapse.cause == RemovalCause::Deregistered);
 }
 
-/// @returns The ids of the prompt parts that other requests may share, in order.
-std::string sharedPartsText(Serving& _serving)
-{
-	std::string text;
-	for (const PartSubject& part : subjectsOf(_serving).parts)
-	{
-		text += (text.empty() ? "" : ",") + part.id;
-	}
-	return text;
-}
-
 void logEnded(Serving& _serving, const AttemptNotes& _notes, TimeUs _now)
 {
 	logEvent("upstream_ended", {{"upstream", _notes.record.id},
@@ -77,7 +66,7 @@
 								{"route", _serving.route->name},
 								{"account", _serving.account != nullptr ? _serving.account->name : ""},
 								{"why", _notes.lost ? "started_again" : "refuses_connections"},
-								{"parts", sharedPartsText(_serving)},
+								{"parts", sharedPartsText(subjectsOf(_serving))},
 								{"head_ms", millisText(_notes.headAfter)},
 								{"last_event", std::to_string(_notes.lastEventId)},
 								{"took_ms", millisText(_now - _notes.begin)}});
@@ -105,4 +94,30 @@
 	logEnded(_serving, _notes, monotonicNow());
 	suspect(_serving, _notes);
 }
+
+void noteIfAbandoned(Serving& _serving, const AttemptNotes& _notes, AttemptEnd _end)
+{
+	DirectRouter& router = _serving.router;
+	switch (_end)
+	{
+	case AttemptEnd::CallerDisconnected:
+	case AttemptEnd::Superseded:
+	case AttemptEnd::LowConfidence:
+	case AttemptEnd::Unresponsive:
+	case AttemptEnd::DeadlineExceeded:
+		if (_notes.sentAfter != 0)
+		{
+			suspectAbandoned(_serving, _notes);
+		}
+		break;
+	case AttemptEnd::NotSent:
+		if (!wasToEnd(router, _notes) && hasRefused(router.pool, _notes.upstream, _notes.begin))
+		{
+			suspectAtRefusal(router, _notes);
+		}
+		break;
+	default:
+		break;
+	}
+}
 } // namespace spanplank
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -124,6 +124,12 @@
 	return UpstreamReach::Accepts;
 }
 
+bool hasRefused(const UpstreamPool& _pool, UpstreamId _upstream, TimeUs _since)
+{
+	const auto refused = _pool.refusedAt.find(_upstream.idx);
+	return refused != _pool.refusedAt.end() && refused->second >= _since;
+}
+
 RestartedCalls endCalls(UpstreamPool& _pool, UpstreamId _upstream, const UpstreamRestart& _restart)
 {
 	const auto refused = _pool.refusedAt.find(_upstream.idx);
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -90,6 +90,9 @@
 /// Makes a connection to an upstream and keeps it for the next call.
 UpstreamReach tryConnection(UpstreamPool& _pool, UpstreamId _upstream, const Endpoint& _address);
 
+/// @returns Whether an upstream's address has refused a connection since a point in time.
+bool hasRefused(const UpstreamPool& _pool, UpstreamId _upstream, TimeUs _since);
+
 /// An upstream has started again, by a record that may come long after the start. Its idle connections are
 /// closed, and the calls that were at the incarnation before end as broken. A call goes on if its connection
 /// was opened after the restart. One that may be at either incarnation goes on unless another attempt takes
--- a/tests/core/agent_suspects_test.cpp
+++ b/tests/core/agent_suspects_test.cpp
@@ -78,6 +78,25 @@
 		return true;
 	}
 
+	/// Ends the upstream of an agent just after a request that it forwarded was cancelled.
+	void endAfterCancel(size_t _agent, const Submit& _submit, TimeUs _now)
+	{
+		AgentCore& agent = agents[_agent];
+		AgentActions done;
+		onSubmit(agent, kLink, _submit, _now, 1, done);
+		const WorkId cancelled = std::get<ForwardWork>(done.front()).work;
+		onUpstreamAnswerStart(agent, cancelled, 200, "text/event-stream", _now, done);
+		onCancel(agent, kLink, _submit.attempt, _now, 1, done);
+		onUpstreamFailed(agent, cancelled, {true, false, "cancelled"}, _now, 1, done);
+		done.clear();
+		Submit other = _submit;
+		other.attempt += 1000;
+		other.parts = {"shared"};
+		onSubmit(agent, kLink, other, _now, 1, done);
+		const WorkId refused = std::get<ForwardWork>(done.front()).work;
+		onUpstreamFailed(agent, refused, {false, true, "refused"}, _now + 50 * kMsToUs, 1, done);
+	}
+
 	/// Sends the agent's updates to the router and all agents.
 	void shareUpdates(size_t _agent, TimeUs _now)
 	{
@@ -150,6 +169,20 @@
 	EXPECT_FALSE(endAt(3, other->submit, later)) << "the agent checks it again";
 }
 
+// A call that was cancelled did not count at the crash that followed.
+TEST_F(AgentSuspects, APromptPartWhoseCallersLeaveBeforeTheCrashIsRefused)
+{
+	for (size_t ii = 0; ii < 3; ++ii)
+	{
+		const TimeUs now = kNow + TimeUs(ii) * 1000 * kMsToUs;
+		const std::optional<SendSubmit> sent = arriveAt(std::to_string(ii), now, {"shared", "bad"});
+		ASSERT_TRUE(sent.has_value());
+		endAfterCancel(ii, sent->submit, now);
+		shareUpdates(ii, now + 100 * kMsToUs);
+	}
+	EXPECT_FALSE(arriveAt("new", kNow + 4000 * kMsToUs, {"shared", "bad"}).has_value());
+}
+
 TEST_F(AgentSuspects, AnAnswerClearsEarlierCrashes)
 {
 	const std::optional<SendSubmit> sent = arriveAt("often", kNow);
--- a/tests/core/part_property_test.cpp
+++ b/tests/core/part_property_test.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "spanplank/abandoned_attempts.h"
 #include "spanplank/suspect_subjects.h"
 #include "suspect_links.h"
 
@@ -41,6 +42,7 @@
 	bool retried = true;
 	TimeUs sentAt = 0;
 	TimeUs beginsAt = 0; ///< The answer begins.
+	TimeUs leavesAt = 0; ///< The caller leaves, which the upstream does not notice; 0: it stays.
 	TimeUs endsAt = 0;   ///< The answer is whole, or the upstream ends.
 };
 
@@ -58,6 +60,7 @@
 	TimeUs guiltyWait = 100 * kMsToUs;
 	bool guiltyIsFirst = false;
 	bool guiltyIsRetried = true;
+	double leaves = 0.0;        ///< Share of prompts whose callers leave as the answer begins.
 	bool withCompanion = false; ///< The companion comes alone too, from the middle on.
 	uint32_t accounts = 3;
 };
@@ -77,6 +80,7 @@
 	Scenario scenario;
 	Random random;
 	std::vector<SuspectTable> suspects;
+	std::vector<AbandonedAttempts> abandoned; ///< By router.
 	SuspectLinks links;
 	std::vector<Prompt> running;
 	std::vector<uint32_t> incarnation;
@@ -133,14 +137,27 @@
 		_prompt.sentAt = _fleet.now;
 		_prompt.beginsAt = _fleet.now + TimeUs(draw(_fleet) * 2.0 * double(wait));
 		_prompt.endsAt = _prompt.beginsAt + TimeUs((0.2 + draw(_fleet)) * length);
+		const bool leaves = _fleet.scenario.leaves > 0.0 && draw(_fleet) < _fleet.scenario.leaves;
+		_prompt.leavesAt = leaves ? _prompt.beginsAt + TimeUs(draw(_fleet) * double(50 * kMsToUs)) : 0;
 		_fleet.running.push_back(_prompt);
 		return;
 	}
 }
 
+UpstreamKey keyOf(const Fleet& _fleet, uint32_t _upstream)
+{
+	return UpstreamKey(_upstream * 1000 + _fleet.incarnation[_upstream]);
+}
+
+bool hasLeft(const Prompt& _prompt, TimeUs _now)
+{
+	return _prompt.leavesAt != 0 && _now >= _prompt.leavesAt;
+}
+
 void crash(Fleet& _fleet, uint32_t _upstream)
 {
-	const auto key = UpstreamKey(_upstream * 1000 + _fleet.incarnation[_upstream]++);
+	const UpstreamKey key = keyOf(_fleet, _upstream);
+	++_fleet.incarnation[_upstream];
 	_fleet.backAt[_upstream] = _fleet.now + kReplaceTime;
 	std::vector<Prompt> aborted;
 	const auto here = [_upstream](const Prompt& _prompt) {
@@ -149,24 +166,45 @@
 	std::copy_if(_fleet.running.begin(), _fleet.running.end(), std::back_inserter(aborted), here);
 	_fleet.running.erase(std::remove_if(_fleet.running.begin(), _fleet.running.end(), here),
 						 _fleet.running.end());
-	for (Prompt& prompt : aborted)
+	for (const Prompt& prompt : aborted)
 	{
+		if (hasLeft(prompt, _fleet.now))
+		{
+			recordInterrupted(_fleet.suspects[prompt.router],
+							  takeAtEnd(_fleet.abandoned[prompt.router], key, _fleet.now), _fleet.now);
+			continue;
+		}
 		ObservedCrash seen{key, _fleet.now, _fleet.now - prompt.sentAt, _fleet.scenario.upstreams, 0};
 		seen.writingFor = std::max<TimeUs>(0, _fleet.now - prompt.beginsAt);
 		recordInterrupted(_fleet.suspects[prompt.router], subjectsOf(prompt), "", seen, _fleet.now);
 	}
 	for (Prompt& prompt : aborted)
 	{
-		if (prompt.retried && prompt.attempt++ < kAttempts)
+		if (prompt.retried && !hasLeft(prompt, _fleet.now) && prompt.attempt++ < kAttempts)
 		{
 			send(_fleet, prompt);
 		}
 	}
 }
 
+/// Closes the attempts whose callers have left.
+void closeLeft(Fleet& _fleet)
+{
+	for (const Prompt& prompt : _fleet.running)
+	{
+		if (prompt.leavesAt != 0 && prompt.leavesAt <= _fleet.now && prompt.leavesAt > _fleet.now - kStep)
+		{
+			recordAbandoned(_fleet.abandoned[prompt.router], keyOf(_fleet, prompt.upstream),
+							{subjectsOf(prompt), "", "", prompt.sentAt, prompt.beginsAt, _fleet.now,
+							 _fleet.scenario.upstreams});
+		}
+	}
+}
+
 /// Ends the answers that are whole, and the upstreams that end under the guilty part.
 void endAnswers(Fleet& _fleet)
 {
+	closeLeft(_fleet);
 	std::set<uint32_t> ended;
 	for (auto at = _fleet.running.begin(); at != _fleet.running.end();)
 	{
@@ -183,8 +221,11 @@
 		{
 			const SuspectSubjects subjects = subjectsOf(*at);
 			SuspectTable& table = _fleet.suspects[at->router];
-			recordAnswered(table, subjects.request, _fleet.now);
-			recordHarmlessParts(table, subjects, _fleet.now);
+			if (!hasLeft(*at, _fleet.now))
+			{
+				recordAnswered(table, subjects.request, _fleet.now);
+				recordHarmlessParts(table, subjects, _fleet.now);
+			}
 			const std::string last = at->parts.back();
 			_fleet.outcome.companionServed += last == kCompanion ? 1 : 0;
 			at = _fleet.running.erase(at);
@@ -266,6 +307,7 @@
 	fleet.scenario = _scenario;
 	fleet.random.state = _seed;
 	fleet.suspects.resize(_scenario.routers);
+	fleet.abandoned.resize(_scenario.routers);
 	fleet.links = makeSuspectLinks(_scenario.routers);
 	fleet.incarnation.resize(_scenario.upstreams, 1);
 	fleet.backAt.resize(_scenario.upstreams, 0);
@@ -291,9 +333,12 @@
 		}
 		if ((fleet.now - fleet.begin) % kUpdateInterval == 0)
 		{
-			for (SuspectTable& table : fleet.suspects)
+			for (uint32_t ii = 0; ii < _scenario.routers; ++ii)
 			{
-				decidePendingParts(table, fleet.now);
+				const std::vector<AbandonedAtCrash> closed =
+					takeAtKnownCrashes(fleet.abandoned[ii], fleet.suspects[ii], fleet.now);
+				recordInterrupted(fleet.suspects[ii], closed, fleet.now);
+				decidePendingParts(fleet.suspects[ii], fleet.now);
 			}
 			exchange(fleet);
 		}
@@ -360,6 +405,30 @@
 	fmt::print("{} of {} parts were refused at their third crash\n", third, scenarioCount());
 }
 
+// Each second caller leaves as its answer begins.
+TEST(PartProperty, APartWhoseCallersLeaveIsRefusedWithinTheBoundAndNoOther)
+{
+	Random random{24};
+	uint32_t refused = 0;
+	uint32_t sent = 0;
+	uint32_t found = 0;
+	for (uint32_t ii = 0; ii < scenarioCount(); ++ii)
+	{
+		Scenario scenario = randomScenario(random);
+		scenario.guiltyEvery = TimeUs(10 + nextRandom(random) % 100) * kStep;
+		scenario.leaves = 0.5;
+		const Outcome outcome = simulate(scenario, nextRandom(random));
+		EXPECT_LE(outcome.late, kMostLate) << "fleet " << ii << ": " << describe(scenario, outcome);
+		EXPECT_EQ(outcome.soundRefused, 0u) << "fleet " << ii << ": " << describe(scenario, outcome);
+		found += outcome.crashes <= kFoundAt ? 1 : 0;
+		refused += outcome.soundRefused;
+		sent += outcome.soundSent;
+	}
+	fmt::print(
+		"{} of {} sound prompts were refused for a part; {} of {} parts were found by the fifth crash\n",
+		refused, sent, found, scenarioCount());
+}
+
 // The same at any rate, with retries, while upstreams also end by themselves or with their hall.
 TEST(PartProperty, APartThatEndsUpstreamsIsRefusedWithinTheBoundAndNoOther)
 {
