Several harmless parts together do not explain the crashes of a refused one

Cause: a refused part concerns a request if three of its crashes are explained by no other refused part, and all others were put together; bystanders that had been refused by mistake covered all of its crashes. Now one other part alone has to be at all but two of its crashes, and one at which three fewer answers had just begun explains nothing.

--- a/src/core/suspect_subjects.cpp
+++ b/src/core/suspect_subjects.cpp
@@ -10,8 +10,8 @@
 {
 namespace
 {
-/// Crashes that no other refused part explains, from which on a part alone is enough to refuse a request.
-constexpr size_t kMinOwnCrashes = 3;
+/// Crashes at which no other refused part was, from which on a part alone is enough to refuse a request.
+constexpr std::ptrdiff_t kMinOwnCrashes = 3;
 
 bool hasPart(const SuspectSubjects& _subjects, const RequestDigest& _part)
 {
@@ -40,6 +40,25 @@
 	return !atAll.empty() && atAll.count(_account) == 0;
 }
 
+/// @returns The number of crashes at which an answer to a prompt with the part had just begun.
+std::ptrdiff_t crashesAtBegin(const CrashSuspect& _suspect)
+{
+	return std::count_if(_suspect.crashes.begin(), _suspect.crashes.end(), isAtBegin);
+}
+
+/// @returns Whether the crashes of a part may be due to another one alone. One that was answered, or at which
+/// fewer answers had just begun, is a worse explanation.
+bool explains(const CrashSuspect& _other, const CrashSuspect& _suspect)
+{
+	const bool worse = (hasRun(_other) && !hasRun(_suspect)) ||
+					   crashesAtBegin(_other) + kMinOwnCrashes <= crashesAtBegin(_suspect);
+	const std::vector<ObservedCrash>& crashes = _suspect.crashes;
+	const auto own = std::count_if(crashes.begin(), crashes.end(), [&_other](const ObservedCrash& _crash) {
+		return !hasCrashAt(_other, _crash.upstream);
+	});
+	return !worse && own < kMinOwnCrashes;
+}
+
 /// @returns Whether a refused part concerns a request.
 bool concerns(const SuspectTable& _suspects, const RequestDigest& _part, const SuspectSubjects& _subjects)
 {
@@ -48,25 +67,10 @@
 	{
 		return false;
 	}
-	std::vector<const CrashSuspect*> others;
-	for (const RequestDigest& refused : _suspects.refusedParts)
-	{
-		const CrashSuspect& other = _suspects.suspects.at(refused);
-		// One that was answered, or that was running at far fewer crashes, is a worse explanation.
-		const bool mayExplain = (hasRun(suspect) || !hasRun(other)) &&
-								other.crashes.size() + kMinOwnCrashes > suspect.crashes.size();
-		if (mayExplain && !hasPart(_subjects, refused))
-		{
-			others.push_back(&other);
-		}
-	}
-	const auto own =
-		std::count_if(suspect.crashes.begin(), suspect.crashes.end(), [&others](const ObservedCrash& _crash) {
-			return std::none_of(others.begin(), others.end(), [&_crash](const CrashSuspect* _other) {
-				return hasCrashAt(*_other, _crash.upstream);
-			});
-		});
-	return size_t(own) >= kMinOwnCrashes;
+	const std::set<RequestDigest>& refused = _suspects.refusedParts;
+	return std::none_of(refused.begin(), refused.end(), [&](const RequestDigest& _other) {
+		return !hasPart(_subjects, _other) && explains(_suspects.suspects.at(_other), suspect);
+	});
 }
 } // namespace
 
--- a/tests/core/part_suspects_test.cpp
+++ b/tests/core/part_suspects_test.cpp
@@ -44,6 +44,17 @@
 		}
 	}
 
+	/// Ends upstreams before they answer.
+	void crashesBeforeAnswer(const std::vector<std::string_view>& _parts, uint32_t _count)
+	{
+		for (uint32_t ii = 0; ii < _count; ++ii)
+		{
+			now += kSecond;
+			const ObservedCrash seen{++upstream, now, kWriting, kUpstreams, 0};
+			recordInterrupted(table, promptOf(_parts, std::to_string(upstream)), "town POST /x", seen, now);
+		}
+	}
+
 	bool isRefused(const std::vector<std::string_view>& _parts, std::string_view _account = "town") const
 	{
 		return matchSuspects(table, promptOf(_parts, "new", _account), now).state == SuspectState::Refused;
@@ -84,6 +95,38 @@
 	EXPECT_TRUE(isRefused({"bad"})) << "it is the only one left";
 }
 
+// Two refused bystanders together were at all crashes of the part that caused them, and it ran on.
+TEST_F(PartSuspects, SeveralHarmlessPartsTogetherDoNotExplainTheCrashesOfAnother)
+{
+	constexpr uint32_t kHalf = 5;
+	crashesBeforeAnswer({"bystander"}, kHalf);
+	crashesBeforeAnswer({"another"}, kHalf);
+	crashesBeforeAnswer({"bystander"}, kHalf); // At yet other upstreams.
+	crashesBeforeAnswer({"another"}, kHalf);
+	ASSERT_TRUE(isRefused({"bystander"}));
+	ASSERT_TRUE(isRefused({"another"}));
+	for (UpstreamKey ended = 1; ended <= 2 * kHalf; ++ended)
+	{
+		ObservedCrash seen{ended, kStart + TimeUs(ended) * kSecond, 2 * kWriting, kUpstreams, 0};
+		seen.writingFor = kWriting;
+		recordInterrupted(table, promptOf({"bad"}, std::to_string(ended)), "town POST /x", seen, now);
+	}
+	EXPECT_TRUE(isRefused({"bad"}));
+}
+
+// A part that was answered before had room for too few crashes to be refused.
+TEST_F(PartSuspects, APartThatWasAnsweredBeforeIsRefusedInTheEnd)
+{
+	constexpr size_t kEnough = 13;
+	recordHarmlessParts(table, promptOf({"bad"}, "x"), now);
+	for (size_t ii = 0; ii < kEnough; ++ii)
+	{
+		EXPECT_FALSE(isRefused({"bad"})) << "after " << ii;
+		crash(promptOf({"bad"}, std::to_string(ii)), 2 * kEndsWithin);
+	}
+	EXPECT_TRUE(isRefused({"bad"}));
+}
+
 TEST_F(PartSuspects, ALongWrittenAnswerIsNoEvidenceAgainstItsParts)
 {
 	for (int ii = 0; ii < 6; ++ii)
@@ -153,6 +196,20 @@
 	EXPECT_FALSE(isRefused({"bad"}));
 }
 
+// The caller of the one run left before the crash, so that its probe had ended.
+TEST_F(PartSuspects, ACrashAfterTheRefusalPeriodBeginsTheNextOne)
+{
+	crashes({"bad"}, 3);
+	now += kRefusalTime + kSecond;
+	const SuspectMatch match = matchSuspects(table, promptOf({"bad"}, "x"), now);
+	ASSERT_EQ(match.state, SuspectState::ProbeDue);
+	ASSERT_TRUE(beginProbe(table, match.digest));
+	endProbe(table, match.digest);
+	crashes({"bad"}, 1);
+	EXPECT_TRUE(isRefused({"bad"}));
+	EXPECT_GT(refusedFor(table.suspects.at(match.digest), now), kRefusalTime);
+}
+
 TEST_F(PartSuspects, ABlankRouterRefusesWhatItsNeighbourTells)
 {
 	crashes({"bad"}, 2, "town");
