Suspects keep 24 crashes, so that weak evidence adds up to a refusal; a crash after the refusal period begins the next one

Callers saw one request end 96 and 106 upstreams in a storm of crashes, seen in 2 of 1,000 random fleets (506 and 567 of CrashProperty.ARequestThatEndsUpstreamsIsRefusedWithinTheBoundInStorms with SPANPLANK_FLEETS=1000; the same on the landed code): its list of 12 crashes was full at a chance of 2.5e-6, it was never judged again, and its further crashes counted as those of others. A part that was answered before has a chance of 0.5 at each crash that does not follow the begin of an answer: 12 never were enough. 24 are, and a message is bounded by its crashes too (96), as all are sent with each change. Evidence: both fleets pass, with all 1,000; PartSuspects.APartThatWasAnsweredBefore* failed before and is refused at its thirteenth. A suspect whose caller left during the one run after its period was run again and again, as that probe had ended before the crash: PartSuspects.ACrashAfterTheRefusalPeriodBeginsTheNextOne failed before and passes. In the soak each third caller of a prompt that ends upstreams leaves as it begins.

--- a/include/spanplank/crash_suspects.h
+++ b/include/spanplank/crash_suspects.h
@@ -93,9 +93,11 @@
 constexpr size_t kMaxAnswered = 4096; ///< Of each kind.
 constexpr size_t kMaxWitnesses = 8;   ///< Of one crash.
 constexpr size_t kMaxSuspects = 2000; ///< About 300 bytes each.
-constexpr size_t kMaxCrashesPerSuspect = 12;
+/// Enough for the weakest evidence that counts to add up to a refusal.
+constexpr size_t kMaxCrashesPerSuspect = 24;
 constexpr size_t kMaxCrashes = 4000;
 constexpr size_t kMaxSuspectUpdates = 24; ///< Suspects per message; the rest follows with the next one.
+constexpr size_t kMaxCrashUpdates = 96;   ///< The same of all crashes of the suspects in a message.
 /// Refused suspects that a message has in addition, ahead of their turn.
 constexpr size_t kMaxEarlyUpdates = 8;
 constexpr size_t kMaxLabelBytes = 120;
--- a/src/core/crash_suspects.cpp
+++ b/src/core/crash_suspects.cpp
@@ -249,7 +249,9 @@
 	suspect.label = std::string(_label.substr(0, kMaxLabelBytes));
 	suspect.answered = suspect.answered || answeredOf(_suspects, _kind).at.count(_digest) != 0;
 	std::vector<RequestDigest> refused;
-	if (suspect.probing)
+	// A probe may have ended before its upstream did: its caller left.
+	const bool probed = suspect.probing || (suspect.refusals > 0 && refusedFor(suspect, _now) == 0);
+	if (probed)
 	{
 		suspect.probing = false;
 		setRefusals(_suspects, _digest, suspect, suspect.refusals + 1);
@@ -407,10 +409,13 @@
 std::vector<SuspectUpdate> suspectUpdatesFor(const SuspectTable& _suspects, uint64_t& _sent, TimeUs _now)
 {
 	std::vector<SuspectUpdate> updates;
+	size_t crashes = 0;
 	for (auto at = _suspects.byChange.upper_bound(_sent);
-		 at != _suspects.byChange.end() && updates.size() < kMaxSuspectUpdates; ++at)
+		 at != _suspects.byChange.end() && updates.size() < kMaxSuspectUpdates && crashes < kMaxCrashUpdates;
+		 ++at)
 	{
 		updates.push_back(suspectUpdateOf(_suspects, at->second, _now));
+		crashes += updates.back().suspect.crashes.size();
 		_sent = at->first;
 	}
 	// Behind many bystanders a refusal would be told late.
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -184,8 +184,30 @@
 	}
 }
 
+namespace
+{
+/// Sends a request whose caller leaves as its upstream begins.
+void sendAndLeave(CallerConnection& _connection, const HttpCall& _request)
+{
+	constexpr uint32_t kLeaveMs = 10;
+	bool over = false;
+	boost::fibers::fiber leaving([&] {
+		sleepFor(kLeaveMs);
+		if (!over)
+		{
+			boost::system::error_code ignored;
+			_connection.stream->socket().close(ignored);
+		}
+	});
+	sendOn(_connection, _request);
+	over = true;
+	leaving.join();
+}
+} // namespace
+
 void sendEnding(Soak& _soak, const std::string& _path)
 {
+	constexpr uint64_t kLeaves = 3; // Each third caller of a prompt.
 	CallerConnection connection;
 	SoakRouter* const router = openAny(_soak, connection);
 	if (router == nullptr)
@@ -213,6 +235,11 @@
 		const std::string part = isMutant("alike") ? "b0" : _soak.ending.name;
 		addPrompt(request, part + (isMutant("unlike") ? std::to_string(number) : ""), std::to_string(number));
 	}
+	if (_soak.ending.isPart && number % kLeaves == 0)
+	{
+		sendAndLeave(connection, request);
+		return;
+	}
 	const CallResult result = sendOn(connection, request);
 	if (result.end != CallEnd::NotSent)
 	{
