A prompt beside the one that ends its upstream keeps its further attempts at a router that has just started

Cause: no attempt follows on a part on which two engines ended as they began and which nobody is known to have answered; the part that all prompts share was one, as this router had just started and had heard of the crashes alone (its log: upstream_ended parts="aa,b4", head_ms 0.5 to 2.2, then answer_broken another="1" window_room="1" within 0.1 ms). Such a part now counts only if no part that the prompt lacks was there as well.

--- a/src/core/suspect_subjects.cpp
+++ b/src/core/suspect_subjects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 #include <set>
 
 #include "crash_chance_p.h"
@@ -149,17 +150,35 @@
 	return refused;
 }
 
+namespace
+{
+/// @returns Whether a part that a prompt lacks, and that was never answered, was at all crashes of one of its
+/// parts as well, but for the last one, which others may report later.
+bool isSharedWithAbsent(const SuspectTable& _suspects, const SuspectSubjects& _subjects,
+						const CrashSuspect& _part)
+{
+	const auto wasThere = [&_part](const CrashSuspect& _other) {
+		return std::all_of(
+			_part.crashes.begin(), std::prev(_part.crashes.end()),
+			[&_other](const ObservedCrash& _crash) { return hasCrashAt(_other, _crash.upstream); });
+	};
+	return std::any_of(_suspects.suspects.begin(), _suspects.suspects.end(), [&](const auto& _item) {
+		const CrashSuspect& other = _item.second;
+		return other.kind == SuspectKind::PromptPart && !hasRun(other) &&
+			   crashesAtBegin(other) + 1 >= crashesAtBegin(_part) && wasThere(other) &&
+			   !hasPart(_subjects, _item.first);
+	});
+}
+} // namespace
+
 bool isLikelyToCrash(const SuspectTable& _suspects, const SuspectSubjects& _subjects)
 {
 	constexpr std::ptrdiff_t kCrashes = 2;
 	return std::any_of(_subjects.parts.begin(), _subjects.parts.end(), [&](const PartSubject& _part) {
 		const auto found = _suspects.suspects.find(_part.digest);
-		if (found == _suspects.suspects.end() || hasRun(found->second))
-		{
-			return false;
-		}
-		const std::vector<ObservedCrash>& crashes = found->second.crashes;
-		return std::count_if(crashes.begin(), crashes.end(), isAtBegin) >= kCrashes;
+		return found != _suspects.suspects.end() && !hasRun(found->second) &&
+			   crashesAtBegin(found->second) >= kCrashes &&
+			   !isSharedWithAbsent(_suspects, _subjects, found->second);
 	});
 }
 
--- a/tests/core/part_suspects_test.cpp
+++ b/tests/core/part_suspects_test.cpp
@@ -156,6 +156,17 @@
 	}
 }
 
+// A router that had just started knew of no answer to the part that all prompts share, and gave up the
+// answers of the prompts that were beside the one that ended their upstream.
+TEST_F(PartSuspects, APromptBesideTheOneThatEndsUpstreamsMayBeTriedAgain)
+{
+	crashes({"first", "bad"}, 2);
+	const SuspectSubjects beside = promptOf({"first", "good"}, "beside");
+	crash(beside);
+	EXPECT_FALSE(isLikelyToCrash(table, beside));
+	EXPECT_TRUE(isLikelyToCrash(table, promptOf({"first", "bad"}, "x")));
+}
+
 TEST_F(PartSuspects, AnAnswerAtAnotherRouterClears)
 {
 	crashes({"good"}, 2);
