--- a/include/spanplank/suspect_subjects.h
+++ b/include/spanplank/suspect_subjects.h
@@ -67,7 +67,8 @@
 											 TimeUs _now);
 
 /// @returns Whether another attempt of a request would likely crash its upstream: two have ended just as they
-/// began to answer on a part of its prompt, and none is known to have answered on it.
+/// began to answer on a part of its prompt, none is known to have answered on it, and no part that the prompt
+/// lacks was there as well.
 bool isLikelyToCrash(const SuspectTable& _suspects, const SuspectSubjects& _subjects);
 
 /// @returns Whether a part of a request's prompt is refused as soon as other routers have had the time to
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -550,7 +550,7 @@
 	recordAbandoned(_core.abandoned, crashKey(_core),
 					{subjectsOf(_work.submit), _work.submit.request, labelOf(_work), _work.startedAt,
 					 _work.answerBeganAt, _now, upstreamsInUse(_core)});
-	takeAtKnownCrashes(_core.abandoned, _core.suspects, _now); // Removes old ones.
+	takeAtKnownCrashes(_core.abandoned, _core.suspects, _now); // Removes those that are too old.
 }
 
 /// Records that the upstream terminated against the requests whose calls were closed just before.
--- a/src/core/suspect_subjects.cpp
+++ b/src/core/suspect_subjects.cpp
@@ -11,7 +11,7 @@
 {
 namespace
 {
-/// Crashes at which no other refused part was, from which on a part alone is enough to refuse a request.
+/// Another refused part that was not at this many crashes of a part does not explain them.
 constexpr std::ptrdiff_t kMinOwnCrashes = 3;
 
 bool hasPart(const SuspectSubjects& _subjects, const RequestDigest& _part)
