Logs and metrics tell how long requests wait before they are read, and what an answer sent

Final lines have `unread_ms`, the longest time that a request can have waited before this router served it; `attempt_ended` has `body_bytes` and `caller_ms`; the metrics page has the histograms `loop_wait_ms` and `unread_ms`. The loop notes when it looked at its sockets; a sleep is cut to 200 ms, so that a process that was not run shows.

--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -1,5 +1,6 @@
 #include "fiber_runtime_p.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <ctime>
@@ -12,6 +13,12 @@
 {
 namespace fibers = boost::fibers;
 
+constexpr std::chrono::milliseconds
+	kIdleLook(200);                     ///< Longest sleep of the loop, which shows a process not run.
+constexpr TimeUs kAtOnce = 1 * kMsToUs; ///< A look that returned sooner may have found what came before it.
+
+thread_local LoopPromptness s_promptness;
+
 /// Round robin over ready fibers; the dispatcher turns the Asio context whenever its turn comes.
 ///
 /// A handler may set a wait slot or notify a condition, so it must never run while a fiber that is being
@@ -20,7 +27,7 @@
 {
 public:
 	explicit AsioRoundRobin(boost::asio::io_context& _io)
-		: m_io(_io), m_work(boost::asio::make_work_guard(_io)), m_timer(_io)
+		: m_io(_io), m_work(boost::asio::make_work_guard(_io)), m_timer(_io), m_lookedAt(monotonicNow())
 	{
 	}
 
@@ -38,6 +45,7 @@
 		const bool dispatching = fibers::context::active()->is_context(fibers::type::dispatcher_context);
 		if (dispatching && m_readyFibers > 0)
 		{
+			noteLook(m_lookedAt);
 			m_io.poll();
 		}
 		if (m_ready.empty())
@@ -61,7 +69,19 @@
 	void suspend_until(const std::chrono::steady_clock::time_point& _until) noexcept override
 	{
 		armTimer(_until);
-		m_io.run_one();
+		while (true)
+		{
+			const TimeUs begin = monotonicNow();
+			const bool handled = m_io.run_one_for(kIdleLook) > 0;
+			const TimeUs waited = monotonicNow() - begin;
+			// What came while the loop slept woke it at once, unless the process was not run.
+			const TimeUs late = waited - std::chrono::microseconds(kIdleLook).count();
+			noteLook(waited < kAtOnce ? m_lookedAt : monotonicNow() - std::max<TimeUs>(0, late));
+			if (handled)
+			{
+				break;
+			}
+		}
 		m_io.poll();
 	}
 
@@ -71,6 +91,13 @@
 	}
 
 private:
+	void noteLook(TimeUs _waitingSince)
+	{
+		m_lookedAt = monotonicNow();
+		s_promptness.waitingSince = _waitingSince;
+		noteLatency(s_promptness.waits, m_lookedAt - _waitingSince);
+	}
+
 	/// Arming again with the same deadline would cancel the wait and end `run_one` at once.
 	void armTimer(const std::chrono::steady_clock::time_point& _until)
 	{
@@ -95,6 +122,7 @@
 	std::chrono::steady_clock::time_point m_armed = std::chrono::steady_clock::time_point::max();
 	fibers::scheduler::ready_queue_type m_ready;
 	size_t m_readyFibers = 0;
+	TimeUs m_lookedAt; ///< When the loop last looked at its sockets.
 };
 
 TimeUs s_skipped = 0;                                 ///< By `skipTime`.
@@ -118,6 +146,11 @@
 	s_skipped += _by;
 }
 
+const LoopPromptness& loopPromptness()
+{
+	return s_promptness;
+}
+
 TimeUs wallNow()
 {
 	return clockNow(CLOCK_REALTIME);
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <optional>
 
+#include "latency_histogram_p.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -64,6 +65,18 @@
 /// Milliseconds since 1970.
 int64_t wallNowMs();
 
+/// What is known of how promptly this thread's event loop looks at its sockets.
+struct LoopPromptness
+{
+	/// Since when what the newest look has brought may have waited: bytes that a handler or a fiber of this
+	/// turn finds can't be older, unless an earlier turn has left them.
+	TimeUs waitingSince = 0;
+	LatencyHistogram waits; ///< How long what a look brings may have waited, for each look.
+};
+
+/// @returns That of the thread in which the scheduler was installed.
+const LoopPromptness& loopPromptness();
+
 /// Installs the scheduler in the calling thread. Call once, before the first fiber.
 void installFiberScheduler(boost::asio::io_context& _io);
 
--- a/src/adapters/http_exchange.cpp
+++ b/src/adapters/http_exchange.cpp
@@ -80,6 +80,11 @@
 	return m_connection.acceptedAt;
 }
 
+TimeUs HttpExchange::requestSince() const
+{
+	return m_connection.requestSince;
+}
+
 void HttpExchange::breakOff(ConnectionEnd _end, std::string _error)
 {
 	m_broken = true;
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -70,6 +70,10 @@
 	/// @returns When the caller's connection was accepted.
 	TimeUs connectedAt() const;
 
+	/// @returns The earliest time at which the request's first byte can have come: a busy process reads it
+	/// later.
+	TimeUs requestSince() const;
+
 	void respond(const HttpResponse& _response);
 	/// Passes on an answer whose fields are another server's. @returns Whether it was written whole. A caller
 	/// that closes its side once it has the answer may be noticed before the write's own end: the write alone
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -73,6 +73,7 @@
 bool awaitFirstByte(HttpServer& _server, ServedConnection& _connection)
 {
 	_connection.requestBytes = 0;
+	_connection.readableSince = 0;
 	_connection.idleSince = monotonicNow();
 	if (_connection.buffer.size() == 0) // Else the caller sent it along with the request before.
 	{
@@ -86,6 +87,7 @@
 		}
 	}
 	_connection.requestAt = monotonicNow();
+	_connection.requestSince = std::max(_connection.nextSince, _connection.readableSince);
 	_connection.requestBytes = _connection.buffer.size();
 	return true;
 }
@@ -274,6 +276,7 @@
 		HttpRequest request;
 		keepAlive =
 			readRequest(_server, _connection, request) && answerRequest(_server, _connection, request);
+		_connection.nextSince = monotonicNow();
 	}
 	noteConnectionEnd(_server, _connection);
 	_connection.requestBytes = 0; // Nothing is under way any more.
@@ -286,6 +289,7 @@
 	boost::system::error_code ignored; // A connection that failed already shows in its first read.
 	_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
 	_connection->acceptedAt = monotonicNow();
+	_connection->nextSince = loopPromptness().waitingSince;
 	const uint64_t id = _server.nextConnection++;
 	++_server.connections;
 	_server.open.emplace(id, _connection);
--- a/src/adapters/served_connection.cpp
+++ b/src/adapters/served_connection.cpp
@@ -73,6 +73,7 @@
 		timerEnded.set(true);
 	});
 	awaitIo([&](auto _done) { socket.async_wait(tcp::socket::wait_read, _done); });
+	_connection.readableSince = loopPromptness().waitingSince;
 	timer.cancel();
 	timerEnded.wait(); // Its handler refers to this frame.
 }
--- a/src/adapters/served_connection_p.h
+++ b/src/adapters/served_connection_p.h
@@ -47,8 +47,12 @@
 	boost::beast::tcp_stream stream;
 	boost::beast::flat_buffer buffer; ///< Bytes that were read and are of no request yet.
 	TimeUs acceptedAt = 0;
+	TimeUs nextSince = 0; ///< The earliest time at which the next request can come: after the last answer.
+	TimeUs readableSince =
+		0; ///< The earliest time at which what the last wait brought can have come; 0: no wait.
 	TimeUs idleSince = 0;    ///< When it was accepted, or the last answer written.
 	TimeUs requestAt = 0;    ///< When the first byte of the request under way was seen.
+	TimeUs requestSince = 0; ///< The earliest time at which that byte can have come.
 	uint32_t armedMs = 0;    ///< The limit that the last wait went by.
 	size_t requestBytes = 0; ///< Read of the request under way; 0: none is under way.
 	bool idle = false;       ///< It waits for the first byte of a request.
--- a/src/direct/attempt_p.h
+++ b/src/direct/attempt_p.h
@@ -39,6 +39,8 @@
 	TimeUs paceFrom = 0;             ///< Begin of the next sample of the time per token; 0: no event came.
 	int64_t paceFromId = -1;         ///< The last id at that time.
 	TimeUs callerTime = 0;           ///< Since then spent on writing to the caller.
+	TimeUs writeTime = 0;            ///< In all spent on writing to the caller.
+	uint64_t bodyBytes = 0;          ///< Of the answer's body that were read.
 	bool lost = false;               ///< The upstream has started again, by its record.
 	bool waitedOn = false;           ///< A limit has passed, and the attempt was not given up.
 	TrialAttempt trial = {};         ///< Its part in the trial of a version of its service.
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -13,18 +13,6 @@
 
 namespace spanplank
 {
-void noteLatency(LatencyHistogram& _histogram, TimeUs _latency)
-{
-	const double ms = double(_latency) / double(kMsToUs);
-	size_t bucket = 0;
-	while (bucket < kLatencyBucketCount && ms > kLatencyBuckets[bucket])
-	{
-		++bucket;
-	}
-	++_histogram.buckets[bucket];
-	_histogram.sumMs += ms;
-}
-
 void noteRatio(RatioHistogram& _histogram, double _ratio)
 {
 	size_t bucket = 0;
@@ -191,6 +179,13 @@
 	addGauge(page, "config_age_ms", "Since the store last proved the configuration.",
 			 double(monotonicNow() - _router.config.confirmedAt) / double(kMsToUs));
 	addGauge(page, "in_flight", "Requests in flight.", double(_router.inFlight.size()));
+	const LatencyHistogram& waits = loopPromptness().waits;
+	addHistogram(page, "loop_wait_ms", "How long what the event loop finds at a look may have waited.",
+				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(waits.buckets), waits.sumMs);
+	addHistogram(page, "unread_ms",
+				 "From the earliest time at which a request may have been sent until it was served.",
+				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(stats.unread.buckets),
+				 stats.unread.sumMs);
 	addGauge(page, "requests_begun", "Requests from their first byte until their answer is written.",
 			 double(_router.callers.busy));
 	addGauge(page, "caller_connections", "Connections of callers.", double(_router.callers.connections));
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -12,6 +12,7 @@
 #include "completion_stats_p.h"
 #include "fiber_runtime_p.h"
 #include "http_p.h"
+#include "latency_histogram_p.h"
 #include "peer_links_p.h"
 #include "settings_p.h"
 #include "spanplank/abandoned_attempts.h"
@@ -36,25 +37,16 @@
 
 namespace spanplank
 {
-/// Bounds of a latency histogram's buckets, in milliseconds.
-constexpr double kLatencyBuckets[] = {5, 10, 25, 50, 100, 150, 250, 500, 1000, 2000, 4000, 8000};
-constexpr size_t kLatencyBucketCount = sizeof(kLatencyBuckets) / sizeof(kLatencyBuckets[0]);
-
-struct LatencyHistogram
-{
-	uint64_t buckets[kLatencyBucketCount + 1] = {};
-	double sumMs = 0.0;
-};
-
 struct DirectStats
 {
 	std::map<std::string, uint64_t> answers;  ///< Final answers, by `<kind of end>`.
 	std::map<std::string, uint64_t> attempts; ///< Attempts, by how they ended.
 	LatencyHistogram firstByte;               ///< From a request's arrival to the first byte of its answer.
 	LatencyHistogram whole;                   ///< From a request's arrival to the end of its answer.
-	uint64_t upstreamsEnded = 0;              ///< Upstreams that ended with requests of this router at work.
-	uint64_t suspectsRefused = 0;             ///< Suspects that came to be refused, prompt parts too.
-	uint64_t partsRefused = 0;                ///< Prompt parts that came to be refused.
+	LatencyHistogram unread;      ///< Before requests were served, see `HttpExchange::requestSince`.
+	uint64_t upstreamsEnded = 0;  ///< Upstreams that ended with requests of this router at work.
+	uint64_t suspectsRefused = 0; ///< Suspects that came to be refused, prompt parts too.
+	uint64_t partsRefused = 0;    ///< Prompt parts that came to be refused.
 	uint64_t suspectsCleared = 0;
 	CompletionStats completion;
 	uint64_t resumed = 0;                            ///< Streams that went on at another upstream.
@@ -199,8 +191,6 @@
 /// @returns The metrics page.
 std::string directMetrics(DirectRouter& _router);
 
-void noteLatency(LatencyHistogram& _histogram, TimeUs _latency);
-
 /// @returns Whether this router may take new callers.
 bool isReady(const DirectRouter& _router);
 } // namespace spanplank
--- a/src/direct/final_answer.cpp
+++ b/src/direct/final_answer.cpp
@@ -115,6 +115,7 @@
 								 {"runs", std::to_string(_serving.plan.runs)},
 								 {"last", name(_serving.last)},
 								 {"retry_after_ms", std::to_string(_retryAfterMs)},
+								 {"unread_ms", millisText(_serving.unread)},
 								 {"after_ms", millisText(now - _serving.plan.arrivedAt)}});
 	_serving.exchange.respond(ownAnswer(_status, _code, _message, _retryAfterMs));
 }
@@ -150,6 +151,7 @@
 	{
 		++router.stats.answers["caller_left"];
 		logEvent("caller_left", {{"request", _serving.call.requestId},
+								 {"unread_ms", millisText(_serving.unread)},
 								 {"after_ms", millisText(now - _serving.plan.arrivedAt)}});
 		_serving.exchange.abort();
 		return;
@@ -168,6 +170,7 @@
 								  {"runs", std::to_string(_serving.plan.runs)},
 								  {"config", std::to_string(_serving.config->version)},
 								  {"config_age_ms", millisText(now - router.config.confirmedAt)},
+								  {"unread_ms", millisText(_serving.unread)},
 								  {"first_ms", millisText(_serving.firstByteAt - _serving.plan.arrivedAt)},
 								  {"whole_ms", millisText(now - _serving.plan.arrivedAt)}});
 }
--- a/src/direct/note_attempt.cpp
+++ b/src/direct/note_attempt.cpp
@@ -214,6 +214,8 @@
 		 {"sent_ms", millisText(_notes.sentAfter)},
 		 {"head_ms", millisText(_notes.headAfter)},
 		 {"last_event", std::to_string(_serving.lastEventId)},
+		 {"body_bytes", std::to_string(_notes.bodyBytes)},
+		 {"caller_ms", millisText(_notes.writeTime)},
 		 {"pause_ms", fmt::format("{:.1f}", pauseMs(_notes))},
 		 {"took_ms", millisText(_now - _notes.begin)}});
 }
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -92,6 +92,7 @@
 	{
 		std::string_view piece;
 		const ExchangeState state = call.read(piece, by);
+		_attempt.notes.bodyBytes += piece.size();
 		if (_attempt.overtaken || _attempt.dropped)
 		{
 			return endOf(_serving, _attempt, state); // What it brought meanwhile is not passed on.
@@ -112,6 +113,7 @@
 				return AttemptEnd::CallerDisconnected;
 			}
 			_attempt.notes.callerTime += monotonicNow() - writeFrom;
+			_attempt.notes.writeTime += monotonicNow() - writeFrom;
 			by = std::min(_serving.plan.deadline, monotonicNow() + _times.maxEventGap);
 		}
 		if (state != ExchangeState::Ok)
@@ -146,6 +148,7 @@
 	{
 		std::string_view piece;
 		const ExchangeState state = _attempt.call.read(piece, _times.responseStartDeadline);
+		_attempt.notes.bodyBytes += piece.size();
 		if (state != ExchangeState::Ok)
 		{
 			return endOf(_serving, _attempt, state);
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -256,6 +256,8 @@
 	Serving serving(_router, _exchange);
 	serving.call = platform::readCallHeaders(_exchange.request());
 	serving.plan.arrivedAt = monotonicNow();
+	serving.unread = serving.plan.arrivedAt - _exchange.requestSince();
+	noteLatency(_router.stats.unread, serving.unread);
 	if (!admitByConfig(serving) || !admitByRegion(serving))
 	{
 		return;
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -67,6 +67,7 @@
 	bool drawsUpstream = false;  ///< It has waited: routers that let requests in together spread them.
 	uint32_t roomRetryAfterMs = 0; ///< It was refused as no upstream had room; 0: it was not.
 	bool failedOnTrial = false;    ///< A version on trial answered an attempt with a failure.
+	TimeUs unread = 0;             ///< Longest time that it can have waited before it was served.
 	TimeUs firstByteAt = 0;        ///< When the caller was sent the first byte of an answer; 0: not yet.
 	// Of the answer that is passed on as it is, if the last upstream failed by its own word.
 	int failedStatus = 0;
