--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -670,6 +670,11 @@
 	return m_router->awaitEnd();
 }
 
+std::string DirectSystem::metric(const std::string& _name)
+{
+	return m_router->metric(_name);
+}
+
 bool DirectSystem::isReady()
 {
 	return m_router->isReady();
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -193,6 +193,8 @@
 	int awaitEnd();
 	bool isReady();
 	size_t knownUpstreams();
+	/// @returns The value of a metric; empty: it could not be read.
+	std::string metric(const std::string& _name);
 	std::string log() const;
 	/// @returns Where the router takes callers, as `ip:port`.
 	const std::string& listen() const;
