A limit of an attempt holds where its upstream's bytes are always ready

Cause: only a timer knew the limit. It ended nothing between two reads, and looked again while bytes were there, which they always were; no `answer_late` was written. The class: a limit that is only looked at when nothing happens. Each read looks at the clock first. What had come by the limit may still be read for 10 ms, then the attempt is late as a silent one is.

--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -294,7 +294,11 @@
 	{
 		return ExchangeState::Ok;
 	}
-	armTimer(_by);
+	if (isOver(_by))
+	{
+		return result(boost::asio::error::timed_out);
+	}
+	armTimer(std::max(_by, m_waitsOnUntil));
 	auto& body = m_parser->get().body();
 	body.data = m_piece;
 	body.size = sizeof(m_piece);
@@ -444,6 +448,36 @@
 	return m_timedOut ? ExchangeState::TimedOut : ExchangeState::Broken;
 }
 
+bool UpstreamCall::isOver(TimeUs _by)
+{
+	if (_by != m_readBy)
+	{
+		m_readBy = _by;
+		m_waitsOnUntil = 0;
+		m_leftoversUntil = 0;
+	}
+	const TimeUs now = monotonicNow();
+	if (now < std::max(_by, m_waitsOnUntil))
+	{
+		return false;
+	}
+	m_leftoversUntil = m_leftoversUntil != 0 ? m_leftoversUntil : now + kLookAgain;
+	if (now < m_leftoversUntil)
+	{
+		return false;
+	}
+	const std::optional<TimeUs> later = m_askLate ? m_askLate() : std::optional<TimeUs>();
+	if (later)
+	{
+		m_waitsOnUntil = *later;
+		m_leftoversUntil = 0;
+		return false;
+	}
+	m_timedOut = true;
+	closeConnection();
+	return true;
+}
+
 void UpstreamCall::armTimer(TimeUs _by)
 {
 	m_expiry = _by;
@@ -507,6 +541,7 @@
 	if (later)
 	{
 		m_looked = false;
+		m_waitsOnUntil = *later;
 		armTimer(*later);
 		return;
 	}
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -207,6 +207,9 @@
 	ExchangeState readHead();
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
+	/// Looks at the clock before a read: bytes that are always ready keep the timer from ending anything.
+	/// @returns Whether the limit has passed for good; the attempt has then ended.
+	bool isOver(TimeUs _by);
 	void armTimer(TimeUs _by);
 	void startTimer();
 	/// @returns When the step under way ends: by its own limit, or by that of a doubted call's silence.
@@ -223,8 +226,11 @@
 	UpstreamConnectionPtr m_connection;
 	std::unique_ptr<AnswerParser> m_parser;
 	BootTimer m_timer;
-	TimeUs m_expiry = 0;   ///< Limit of the step under way.
-	TimeUs m_armedFor = 0; ///< When the timer fires.
+	TimeUs m_expiry = 0;         ///< Limit of the step under way.
+	TimeUs m_armedFor = 0;       ///< When the timer fires.
+	TimeUs m_readBy = 0;         ///< Limit that the last read was given.
+	TimeUs m_waitsOnUntil = 0;   ///< By which that limit was extended; 0: it was not.
+	TimeUs m_leftoversUntil = 0; ///< Until when what had come by the limit may be read; 0: it has not passed.
 	bool m_timerRuns = false;
 	Step m_step = Step::None;
 	bool m_looked = false; ///< The limit has passed, and what had arrived by then has been given time.
