An event of a stream has a longest size, and its bytes are searched once

An upstream that sends a stream without the end of an event took memory without a bound, and processor time that grows with its square: the one thread served nobody else meanwhile. Cause: incomplete events were kept whole and searched from their beginning with each piece. An event longer than 1 MiB breaks the attempt; the search goes on where it ended. EventStream.AnEventWithoutAnEndIsTooLong, .TheEndOfAnEventMayComeByteByByte are new.

--- a/include/spanplank/event_stream.h
+++ b/include/spanplank/event_stream.h
@@ -2,19 +2,26 @@
 #ifndef SPANPLANK_EVENT_STREAM_H_HEADER_GUARD
 #define SPANPLANK_EVENT_STREAM_H_HEADER_GUARD
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace spanplank
 {
+/// Longest event, in bytes. An upstream in trouble may send one without an end.
+constexpr size_t kMaxEventBytes = 1u << 20;
+
 /// State of a splitter. An event that is still incomplete stays in `partialEvent`.
 struct EventSplitter
 {
 	std::string partialEvent;
+	size_t searchedBytes = 0; ///< Of `partialEvent`: no event ends there.
 	int64_t lastEventId = -1; ///< Id of the last event returned; -1 if there is none. Remains valid if
 							  ///< another upstream resumes the stream.
 	bool outOfOrder = false;  ///< An event's id was not greater than the previous one.
+	bool tooLong =
+		false; ///< An event was longer than `kMaxEventBytes`; it and all later ones are not returned.
 };
 
 /// Appends received bytes.
@@ -30,6 +37,7 @@
 inline void dropPartialEvent(EventSplitter& _splitter)
 {
 	_splitter.partialEvent.clear();
+	_splitter.searchedBytes = 0;
 }
 } // namespace spanplank
 
--- a/src/core/event_stream.cpp
+++ b/src/core/event_stream.cpp
@@ -1,6 +1,7 @@
 /// Finds the boundaries and ids of server-sent events.
 #include "spanplank/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace spanplank
@@ -38,14 +39,14 @@
 	return kNoId;
 }
 
+/// @param[in] _from No event ends before it.
 /// @returns Offset behind the first complete event, or npos if there is none.
-size_t endOfEvent(std::string_view _bytes)
+size_t endOfEvent(std::string_view _bytes, size_t _from)
 {
-	const size_t lf = _bytes.find(kLfEnd);
-	const size_t crLf = _bytes.find(kCrLfEnd);
+	const size_t lf = _bytes.find(kLfEnd, _from);
 	const size_t lfEnd = lf == std::string_view::npos ? lf : lf + kLfEnd.size();
-	const size_t crLfEnd = crLf == std::string_view::npos ? crLf : crLf + kCrLfEnd.size();
-	return lfEnd < crLfEnd ? lfEnd : crLfEnd;
+	const size_t crLf = _bytes.substr(0, lfEnd).find(kCrLfEnd, _from);
+	return crLf == std::string_view::npos ? lfEnd : crLf + kCrLfEnd.size();
 }
 } // namespace
 
@@ -62,9 +63,12 @@
 	_splitter.partialEvent.append(_bytes);
 	std::string complete;
 	std::string_view remaining = _splitter.partialEvent;
+	// The last bytes that were searched may begin the end of an event.
+	size_t from = _splitter.searchedBytes - std::min(_splitter.searchedBytes, kCrLfEnd.size() - 1);
 	while (!_splitter.outOfOrder)
 	{
-		const size_t end = endOfEvent(remaining);
+		const size_t end = endOfEvent(remaining, from);
+		from = 0;
 		if (end == std::string_view::npos)
 		{
 			break;
@@ -81,6 +85,8 @@
 		complete.append(event);
 	}
 	_splitter.partialEvent.erase(0, _splitter.partialEvent.size() - remaining.size());
+	_splitter.searchedBytes = _splitter.outOfOrder ? 0 : _splitter.partialEvent.size();
+	_splitter.tooLong = _splitter.partialEvent.size() > kMaxEventBytes;
 	return complete;
 }
 } // namespace spanplank
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -120,7 +120,7 @@
 		{
 			return endOf(_serving, _attempt, state);
 		}
-		if (splitter.outOfOrder)
+		if (splitter.outOfOrder || splitter.tooLong)
 		{
 			return AttemptEnd::Aborted;
 		}
--- a/tests/core/event_stream_test.cpp
+++ b/tests/core/event_stream_test.cpp
@@ -57,6 +57,34 @@
 	EXPECT_TRUE(splitter.outOfOrder);
 }
 
+// An event without an end was kept whole, and searched again from its beginning with each piece.
+TEST(EventStream, AnEventWithoutAnEndIsTooLong)
+{
+	const std::string piece(8192, 'x');
+	EventSplitter splitter;
+	size_t pieces = 0;
+	while (!splitter.tooLong && pieces * piece.size() <= 2 * kMaxEventBytes)
+	{
+		EXPECT_EQ(splitEvents(splitter, piece), "");
+		EXPECT_EQ(splitter.searchedBytes, splitter.partialEvent.size());
+		++pieces;
+	}
+	EXPECT_TRUE(splitter.tooLong);
+	EXPECT_LE(splitter.partialEvent.size(), kMaxEventBytes + piece.size());
+}
+
+TEST(EventStream, TheEndOfAnEventMayComeByteByByte)
+{
+	EventSplitter splitter;
+	std::string seen;
+	for (const char byte : std::string("id: 0\r\ndata: a\r\n\r\nid: 1\ndata: b\n\n"))
+	{
+		seen += splitEvents(splitter, {&byte, 1});
+	}
+	EXPECT_EQ(seen, "id: 0\r\ndata: a\r\n\r\nid: 1\ndata: b\n\n");
+	EXPECT_EQ(splitter.lastEventId, 1);
+}
+
 TEST(EventStream, LineEndsOfBothKinds)
 {
 	EventSplitter splitter;
