The head of a chunk and trailers of an answer have a longest size

Cause: the parser bounds heads and bodies, and leaves what it can't take yet in a buffer that had no bound. The buffer of a connection holds 64 KiB at most; a part that does not fit breaks the answer. The same for calls to the store and, in the agents' mode, to upstreams.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -95,7 +95,7 @@
 HttpResponse readAnswer(boost::asio::io_context& _io, beast::tcp_stream& _stream, const HttpCall& _call,
 						const HttpPartHandler& _onPart, bool& _keepAlive)
 {
-	beast::flat_buffer buffer;
+	beast::flat_buffer buffer{kMostUnparsedBytes};
 	http::response_parser<http::buffer_body> parser;
 	parser.body_limit(64u << 20);
 	{
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -31,6 +31,10 @@
 /// @returns `ip:port`.
 std::string endpointText(const Endpoint& _endpoint);
 
+/// Bytes of an answer that its parser may leave unread: the head of a chunk and trailers have no limit of
+/// their own there.
+constexpr size_t kMostUnparsedBytes = 64u << 10;
+
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 struct HttpHeader
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -30,7 +30,7 @@
 	}
 
 	boost::asio::ip::tcp::socket socket;
-	boost::beast::flat_buffer buffer;
+	boost::beast::flat_buffer buffer{kMostUnparsedBytes};
 	TimeUs openedAt = 0;
 	TimeUs idleSince = 0;
 	TimeUs keepFor = 0; ///< Longest time that it may stay idle.
