Answers that are held back share a part of the box's memory

Upstreams that send plain or error bodies without an end took 121 to 131 MB of a router with six such callers; the smallest box has 160. Cause: each answer that is read whole may hold 16 MiB, whatever others hold; nothing bounded their sum. `answer_buffer_bytes`, `answers_too_large_total` show it.

--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -362,6 +362,7 @@
 	reader.number("watchPauseMs", settings.watchPauseMs, 0, 30000);
 	reader.number("configWaitMs", settings.configWaitMs, 50, 30000);
 	reader.decimal("processorShare", settings.capacity.cores, 0.001, 1024.0);
+	reader.number("memoryMb", settings.memoryMb, 16, 1u << 20);
 	reader.decimal("linkMbps", settings.capacity.linkMbps, 0.1, 1000000.0);
 	reader.address("duties", settings.duties, false);
 	uint32_t leaseMs = uint32_t(settings.dutyBounds.lease / kMsToUs);
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -73,7 +73,8 @@
 	uint32_t configWaitMs = 200;
 	/// What the box gives this router: how many others may follow it.
 	BoxCapacity capacity = {1.0, 1000.0};
-	Endpoint duties; ///< Where the platform takes the calls of duties; port 0: there are none.
+	uint32_t memoryMb = 512; ///< What the box gives this router, in MiB.
+	Endpoint duties;         ///< Where the platform takes the calls of duties; port 0: there are none.
 	DutyTiming dutyBounds;
 	ColdBounds coldBounds; ///< How far above its rate a cold upstream may get requests.
 	Policies policies;
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -141,6 +141,10 @@
 	addHistogram(page, "whole_ms", "From a request's arrival to the end of its answer.",
 				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(stats.whole.buckets),
 				 stats.whole.sumMs);
+	addGauge(page, "answer_buffer_bytes", "Bytes of answers that are held back until more of them has come.",
+			 double(_router.buffers.heldBytes));
+	addCounter(page, "answers_too_large_total", "Answers given up as they would have held too much memory.",
+			   double(stats.answersTooLarge));
 	addCounter(page, "streams_resumed_total", "Streams that went on at another upstream.",
 			   double(stats.resumed));
 	addCounter(page, "upstreams_ended_total", "Upstreams that ended while they were at work for this router.",
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -20,6 +20,8 @@
 {
 namespace
 {
+constexpr size_t kMebibyte = 1u << 20;
+constexpr size_t kBufferPart = 16; ///< One part in so many of the memory is for answers that are held back.
 constexpr uint32_t kEndMarginMs = 400; ///< Before the kill: the process ends by itself.
 constexpr uint32_t kStopPollMs = 20;
 constexpr uint32_t kHousekeepingMs = 1000;
@@ -98,6 +100,7 @@
 	contact.heartbeatPeriod = TimeUs(_settings.heartbeatMs) * kMsToUs;
 	contact.watchPeriod = TimeUs(_settings.watchPauseMs + _settings.configWaitMs) * kMsToUs;
 	_router.upstreams.policies = _settings.policies;
+	_router.buffers.limitBytes = size_t(_settings.memoryMb) * kMebibyte / kBufferPart;
 	_router.store.http.endpoint = _settings.store;
 	_router.store.watchHttp.endpoint = _settings.store;
 }
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -17,6 +17,7 @@
 #include "settings_p.h"
 #include "spanplank/abandoned_attempts.h"
 #include "spanplank/account_share.h"
+#include "spanplank/answer_buffers.h"
 #include "spanplank/completion.h"
 #include "spanplank/crash_suspects.h"
 #include "spanplank/duty.h"
@@ -49,6 +50,7 @@
 	uint64_t partsRefused = 0;    ///< Prompt parts that came to be refused.
 	uint64_t suspectsCleared = 0;
 	CompletionStats completion;
+	uint64_t answersTooLarge = 0;                    ///< Answers given up as they would hold too much memory.
 	uint64_t resumed = 0;                            ///< Streams that went on at another upstream.
 	uint64_t escalated = 0;                          ///< Answers dropped for the next model's.
 	uint64_t configs = 0;                            ///< Configurations taken.
@@ -141,6 +143,7 @@
 	RetryLending lending;
 	AccountShares accounts;
 	AnswerLengths answerLengths;
+	AnswerBuffers buffers;
 	WallClock wall;
 	UsageLedger usage;
 	DutyState usageDuty;
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -86,6 +86,7 @@
 {
 	UpstreamCall& call = _attempt.call;
 	EventSplitter& splitter = _attempt.events;
+	HeldAnswer held(_serving.router);
 	const HttpExchange::Fields head = platform::encodeAnswerHead(call.head());
 	TimeUs by = _times.responseStartDeadline;
 	while (!call.done())
@@ -120,7 +121,7 @@
 		{
 			return endOf(_serving, _attempt, state);
 		}
-		if (splitter.outOfOrder || splitter.tooLong)
+		if (splitter.outOfOrder || splitter.tooLong || !held.resize(splitter.partialEvent.size()))
 		{
 			return AttemptEnd::Aborted;
 		}
@@ -142,7 +143,7 @@
 
 /// Reads an answer whole before the caller gets any of it.
 AttemptEnd readWhole(Serving& _serving, LiveAttempt& _attempt, const AttemptTimeouts& _times,
-					 std::string& _body)
+					 HeldAnswer& _held, std::string& _body)
 {
 	while (!_attempt.call.done())
 	{
@@ -154,7 +155,7 @@
 			return endOf(_serving, _attempt, state);
 		}
 		_body.append(piece);
-		if (_body.size() > kMostBuffered)
+		if (_body.size() > kMostBuffered || !_held.resize(_body.capacity()))
 		{
 			return AttemptEnd::Aborted;
 		}
@@ -169,7 +170,8 @@
 	UpstreamCall& call = _attempt.call;
 	const int code = int(call.head().result_int());
 	std::string body;
-	const AttemptEnd read = readWhole(_serving, _attempt, _times, body);
+	HeldAnswer held(_serving.router);
+	const AttemptEnd read = readWhole(_serving, _attempt, _times, held, body);
 	if (_answer.notRun && (read == AttemptEnd::Complete || read == AttemptEnd::Aborted))
 	{
 		return code == status::kMisdirected ? AttemptEnd::Misdirected : AttemptEnd::NotRun;
@@ -187,6 +189,8 @@
 		_serving.failedStatus = code;
 		_serving.failedHead = platform::encodeAnswerHead(call.head());
 		_serving.failedBody = std::move(body);
+		held.resize(0);
+		_serving.failedHold.resize(_serving.failedBody.size());
 		return AttemptEnd::Failed;
 	}
 	if (!_answer.signedByUpstream || _serving.plan.started) // A begun stream can't go on with another kind.
--- a/src/direct/serving_p.h
+++ b/src/direct/serving_p.h
@@ -27,13 +27,47 @@
 {
 struct LiveAttempt;
 
+/// The memory that one answer holds, for as long as this lives.
+class HeldAnswer
+{
+public:
+	explicit HeldAnswer(DirectRouter& _router) : m_router(_router)
+	{
+	}
+
+	~HeldAnswer()
+	{
+		recordHeld(m_router.buffers, m_bytes, 0);
+	}
+
+	HeldAnswer(const HeldAnswer&) = delete;
+	HeldAnswer& operator=(const HeldAnswer&) = delete;
+
+	/// @returns Whether it may hold that many bytes; if not, the answer has to be given up.
+	bool resize(size_t _bytes)
+	{
+		if (!mayHold(m_router.buffers, m_bytes, _bytes))
+		{
+			++m_router.stats.answersTooLarge;
+			return false;
+		}
+		recordHeld(m_router.buffers, m_bytes, _bytes);
+		m_bytes = _bytes;
+		return true;
+	}
+
+private:
+	DirectRouter& m_router;
+	size_t m_bytes = 0;
+};
+
 /// One request and what its attempts need. One attempt at a time, but for a begun answer whose upstream
 /// pauses: that attempt is kept while others are made by a fiber of their own, and the first that goes on
 /// with the answer ends the others.
 struct Serving
 {
 	Serving(DirectRouter& _router, HttpExchange& _exchange)
-		: router(_router), exchange(_exchange), wakeUp(_router.io)
+		: router(_router), exchange(_exchange), wakeUp(_router.io), failedHold(_router)
 	{
 	}
 
@@ -73,6 +107,7 @@
 	int failedStatus = 0;
 	HttpExchange::Fields failedHead;
 	std::string failedBody;
+	HeldAnswer failedHold;
 };
 
 /// @returns Milliseconds with one decimal, for logs.
--- a/tests/direct/endless_answer_test.cpp
+++ b/tests/direct/endless_answer_test.cpp
@@ -65,7 +65,7 @@
 
 struct EndlessAnswers : testing::TestWithParam<EndlessAnswer>
 {
-	DirectSystem system;
+	DirectSystem system{"memoryMb: 160\n"};
 	std::unique_ptr<EndlessUpstream> endless;
 
 	~EndlessAnswers() override
