A stream that its caller does not read ends soon after its deadline

A caller that stops reading kept its upstream at work for up to 30 s beyond the deadline. Cause: a write to a caller has 30 s, whatever the request's deadline; while it waits nothing else is looked at. Writes of a stream end 0.25 s after the deadline. Whole answers may still be read late. UnreadRequest.WhoseCallerDoesNotRead*: the upstream was still held 0.5 s after the deadline before; it is free now.

--- a/src/adapters/http_exchange.cpp
+++ b/src/adapters/http_exchange.cpp
@@ -1,4 +1,5 @@
 /// The answering side of a request: whole answers, streams, and callers that leave meanwhile.
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
@@ -144,7 +145,7 @@
 	_head.keep_alive(keepAlive());
 	_head.chunked(true);
 	http::response_serializer<http::empty_body> serializer(_head);
-	m_stream.expires_after(kWriteLimit);
+	armStreamWrite();
 	const IoResult written =
 		awaitIo([&](auto _done) { http::async_write_header(m_stream, serializer, _done); });
 	return noteWritten(written.error) && !m_broken;
@@ -174,13 +175,29 @@
 	return sendHead(head);
 }
 
+void HttpExchange::limitStream(TimeUs _until)
+{
+	m_streamUntil = _until;
+}
+
+void HttpExchange::armStreamWrite()
+{
+	std::chrono::microseconds limit = kWriteLimit;
+	if (m_streamUntil != 0)
+	{
+		const TimeUs left = std::max<TimeUs>(0, m_streamUntil - monotonicNow());
+		limit = std::min(limit, std::chrono::microseconds(left));
+	}
+	m_stream.expires_after(limit);
+}
+
 bool HttpExchange::write(std::string_view _part)
 {
 	if (m_broken || _part.empty())
 	{
 		return !m_broken;
 	}
-	m_stream.expires_after(kWriteLimit);
+	armStreamWrite();
 	const IoResult written = awaitIo([&](auto _done) {
 		boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(_part.data(), _part.size())),
 								 _done);
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -85,6 +85,9 @@
 	bool passOn(int _status, const Fields& _fields, std::string_view _body);
 	/// Starts a stream whose fields are another server's. @returns false once the caller is gone.
 	bool passOnHead(int _status, const Fields& _fields);
+	/// Ends the writes of a stream at a time, however little of it the caller has read by then. An answer
+	/// that is whole may still be read later.
+	void limitStream(TimeUs _until);
 	/// Calls back at most once if the caller closes its side before the handler returns. A caller that closes
 	/// only its sending side counts as one that left: the two can't be told apart.
 	void onCallerGone(std::function<void()> _gone);
@@ -128,6 +131,7 @@
 	void beginAnswer();
 	void watchCaller();
 	bool sendHead(boost::beast::http::response<boost::beast::http::empty_body>& _head);
+	void armStreamWrite();
 
 	/// Takes note of a write's end. @returns Whether it went well.
 	bool noteWritten(const boost::beast::error_code& _error);
@@ -139,6 +143,7 @@
 	boost::beast::tcp_stream& m_stream;
 	const HttpRequest& m_request;
 	const bool* m_draining;
+	TimeUs m_streamUntil = 0; ///< 0: no limit but that for slow callers.
 	bool m_broken = false;
 	bool m_answered = false;
 	bool m_whole = false;
--- a/src/direct/serve_direct.cpp
+++ b/src/direct/serve_direct.cpp
@@ -18,6 +18,8 @@
 {
 /// Until upstreams that were full, and the retry window, are asked again for a stream that has to go on.
 constexpr uint32_t kLaterMs = 200;
+/// After its deadline a stream is read by its caller for so long, then cut: its upstream is held meanwhile.
+constexpr TimeUs kLateRead = 250 * kMsToUs;
 /// Time for more urgent requests that wait for an upstream to be sent there first.
 constexpr TimeUs kUrgentTurn = 5 * kMsToUs;
 
@@ -271,6 +273,7 @@
 	{
 		return;
 	}
+	_exchange.limitStream(serving.plan.deadline + kLateRead);
 	_exchange.onCallerGone([&serving] {
 		serving.callerGone = true;
 		cancelAttempts(serving);
