Agents' mode: a request's deadline runs from its sending

Cause: the deadline was counted from when the router came to the request. It counts from the earliest time at which the request can have come, by the connection's own note.

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -35,7 +35,8 @@
 	return uint32_t(std::stoul(text));
 }
 
-CallerRequest commonRequest(const HttpRequest& _request)
+/// @param[in] _since The earliest time at which the request can have come.
+CallerRequest commonRequest(const HttpRequest& _request, TimeUs _since)
 {
 	CallerRequest caller;
 	caller.bearer = bearerOf(_request);
@@ -44,7 +45,7 @@
 	caller.key = headerOf(_request, "Idempotency-Key");
 	caller.contentType = headerOf(_request, "Content-Type");
 	caller.body = _request.body();
-	caller.deadline = monotonicNow() + TimeUs(deadlineMs(_request)) * kMsToUs;
+	caller.deadline = _since + TimeUs(deadlineMs(_request)) * kMsToUs;
 	if (caller.key.size() > kMaxKeyBytes)
 	{
 		throw Failure(ErrorCode::BadRequest, "Idempotency-Key: at most 256 characters");
@@ -81,9 +82,9 @@
 	return parts;
 }
 
-CallerRequest chatRequest(const HttpRequest& _request)
+CallerRequest chatRequest(const HttpRequest& _request, TimeUs _since)
 {
-	CallerRequest caller = commonRequest(_request);
+	CallerRequest caller = commonRequest(_request, _since);
 	const json body = json::parse(caller.body, nullptr, false);
 	if (!body.is_object())
 	{
@@ -112,9 +113,9 @@
 	return caller;
 }
 
-CallerRequest serviceRequest(const HttpRequest& _request, const Target& _target)
+CallerRequest serviceRequest(const HttpRequest& _request, const Target& _target, TimeUs _since)
 {
-	CallerRequest caller = commonRequest(_request);
+	CallerRequest caller = commonRequest(_request, _since);
 	caller.service = _target.path[2];
 	caller.method = std::string(_request.method_string());
 	const std::string_view whole(_request.target().data(), _request.target().size());
@@ -298,7 +299,9 @@
 		}
 		else
 		{
-			serve(_router, _exchange, chat ? chatRequest(request) : serviceRequest(request, _target));
+			const TimeUs since = _exchange.requestSince();
+			serve(_router, _exchange,
+				  chat ? chatRequest(request, since) : serviceRequest(request, _target, since));
 		}
 	}
 	catch (const Failure& failure)
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -1,6 +1,7 @@
 /// The whole path through real processes: answers, streams, typed refusals.
 #include <gtest/gtest.h>
 
+#include "fiber_runtime_p.h"
 #include "harness.h"
 
 namespace spanplank
@@ -71,6 +72,32 @@
 	EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
 }
 
+// The deadline began when the router came to the request.
+TEST_F(Path, RequestThatWaitedWhileTheRouterWasNotRunEndsAtItsDeadline)
+{
+	constexpr uint32_t kUnreadMs = 700;
+	constexpr uint32_t kLateMs = 500;
+	for (uint32_t ii = 0; ii < 3; ++ii)
+	{
+		s_system->engineFault(ii, {{"token_ms", 500.0}});
+	}
+	ChatOptions options;
+	options.deadlineMs = 1000;
+	options.maxTokens = 16;
+	const TimeUs sentAt = monotonicNow();
+	s_system->freeze("router-0");
+	together({[&] { EXPECT_NE(s_system->chat(0, options).status, 200); },
+			  [&] {
+				  sleepFor(kUnreadMs);
+				  s_system->wake("router-0");
+			  }});
+	EXPECT_LE(monotonicNow() - sentAt, TimeUs(options.deadlineMs + kLateMs) * kMsToUs);
+	for (uint32_t ii = 0; ii < 3; ++ii)
+	{
+		s_system->engineFault(ii, {{"token_ms", 1.0}});
+	}
+}
+
 TEST_F(Path, ListsTheAccountsModels)
 {
 	const Answer answer = s_system->http(s_system->routerAddress(0), "GET", "/v1/models", "",
