A router that gets less processor time than its requests need is not ready

Where most new connections went to one small box, it called itself ready however late it came to them, and got all that followed. Cause: readiness said only whether a configuration is known. Nothing told how late the event loop is. The mean turn of the loop over half a second tells it: from 40 ms on, with eight requests in hand, the router is not ready, until it is 10 ms. The balancer then hands new connections to others; open ones are served on. `overloaded`, `overload_ended`, `loop_turn_ms`, `overloads_total`.

--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -99,9 +99,11 @@
 	void noteLook(TimeUs _waitingSince)
 	{
 		const TimeUs now = monotonicNow();
+		recordTurn(s_promptness.overload, now - _waitingSince, now - m_notedAt);
 		noteLatency(s_promptness.waits, now - _waitingSince);
 		s_promptness.waitingSince = _waitingSince;
 		m_lookedAt = now;
+		m_notedAt = now;
 	}
 
 	/// Arming again with the same deadline would cancel the wait and end `run_one` at once.
@@ -129,6 +131,7 @@
 	fibers::scheduler::ready_queue_type m_ready;
 	size_t m_readyFibers = 0;
 	TimeUs m_lookedAt;         ///< Up to when all that came has been found.
+	TimeUs m_notedAt = 0;      ///< When a turn was noted last.
 	bool m_justLooked = false; ///< Before the fibers that run next.
 };
 
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -14,6 +14,7 @@
 #include <optional>
 
 #include "latency_histogram_p.h"
+#include "spanplank/loop_overload.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -71,6 +72,7 @@
 	/// Since when what the newest look has brought may have waited: bytes that a handler or a fiber of this
 	/// turn finds can't be older, unless an earlier turn has left them.
 	TimeUs waitingSince = 0;
+	LoopOverload overload;
 	LatencyHistogram waits; ///< How long what a look brings may have waited, for each look.
 };
 
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -190,6 +190,10 @@
 				 "From the earliest time at which a request may have been sent until it was served.",
 				 absl::MakeConstSpan(kLatencyBuckets), absl::MakeConstSpan(stats.unread.buckets),
 				 stats.unread.sumMs);
+	addGauge(page, "loop_turn_ms", "Mean turn of the event loop over half a second.",
+			 loopPromptness().overload.turnMs);
+	addCounter(page, "overloads_total", "Times that the balancer was told of an overload.",
+			   double(stats.overloads));
 	addGauge(page, "requests_begun", "Requests from their first byte until their answer is written.",
 			 double(_router.callers.busy));
 	addGauge(page, "caller_connections", "Connections of callers.", double(_router.callers.connections));
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -22,15 +22,35 @@
 {
 constexpr size_t kMebibyte = 1u << 20;
 constexpr size_t kBufferPart = 16; ///< One part in so many of the memory is for answers that are held back.
+/// Requests in hand from which long turns of the loop are taken for too much work: reading a large
+/// configuration takes a long turn, too.
+constexpr size_t kOverloadRequests = 8;
 constexpr uint32_t kEndMarginMs = 400; ///< Before the kill: the process ends by itself.
 constexpr uint32_t kStopPollMs = 20;
 constexpr uint32_t kHousekeepingMs = 1000;
 constexpr uint32_t kSlowBodyMs = 30000; ///< Longest time for the body of one request.
 
-void answerReadiness(const DirectRouter& _router, HttpExchange& _exchange)
+/// Logs when the balancer is told of an overload, and when of its end.
+void noteOverload(DirectRouter& _router)
+{
+	const bool overloaded = isOverloaded(_router);
+	if (overloaded == _router.toldOverload)
+	{
+		return;
+	}
+	_router.toldOverload = overloaded;
+	_router.stats.overloads += overloaded ? 1 : 0;
+	logEvent(overloaded ? "overloaded" : "overload_ended",
+			 {{"turn_ms", fmt::format("{:.0f}", loopPromptness().overload.turnMs)},
+			  {"requests", std::to_string(_router.callers.busy)},
+			  {"connections", std::to_string(_router.callers.connections)}});
+}
+
+void answerReadiness(DirectRouter& _router, HttpExchange& _exchange)
 {
 	const bool known = std::string_view(_exchange.request().target()) == platform::kReadinessPath;
 	const int ready = isReady(_router) ? status::kOk : status::kUnavailable;
+	noteOverload(_router);
 	_exchange.respond({known ? ready : status::kNotFound, {}, ""});
 }
 
@@ -221,9 +241,15 @@
 	setLogProcess(settings.box);
 }
 
+bool isOverloaded(const DirectRouter& _router)
+{
+	return loopPromptness().overload.overloaded && _router.callers.busy >= kOverloadRequests;
+}
+
 bool isReady(const DirectRouter& _router)
 {
-	return !_router.stopping && hasConfirmedConfig(_router.config) && _router.upstreamsKnown;
+	return !_router.stopping && hasConfirmedConfig(_router.config) && _router.upstreamsKnown &&
+		   !isOverloaded(_router);
 }
 
 RetryWindow& retryWindow(DirectRouter& _router, const std::string& _service)
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -50,6 +50,7 @@
 	uint64_t partsRefused = 0;    ///< Prompt parts that came to be refused.
 	uint64_t suspectsCleared = 0;
 	CompletionStats completion;
+	uint64_t overloads = 0;                          ///< How often the balancer was told of an overload.
 	uint64_t answersTooLarge = 0;                    ///< Answers given up as they would hold too much memory.
 	uint64_t resumed = 0;                            ///< Streams that went on at another upstream.
 	uint64_t escalated = 0;                          ///< Answers dropped for the next model's.
@@ -158,6 +159,7 @@
 	uint64_t nextInFlight = 0;
 	bool upstreamsKnown = false; ///< The registered upstreams were read once.
 	bool stopping = false;
+	bool toldOverload = false; ///< The balancer was told last that this router is overloaded.
 	PlannedStop stop;
 };
 
@@ -194,6 +196,10 @@
 /// @returns The metrics page.
 std::string directMetrics(DirectRouter& _router);
 
+/// @returns Whether this router has more to do than it gets processor time for: new callers are better off
+/// elsewhere.
+bool isOverloaded(const DirectRouter& _router);
+
 /// @returns Whether this router may take new callers.
 bool isReady(const DirectRouter& _router);
 } // namespace spanplank
--- a/tests/direct/crowded_router_test.cpp
+++ b/tests/direct/crowded_router_test.cpp
@@ -1,4 +1,6 @@
 /// The balancer hands most new connections to one router, while callers open them more often.
+#include <csignal>
+
 #include "fiber_runtime_p.h"
 #include "fleet_fixture.h"
 
@@ -60,5 +62,42 @@
 	EXPECT_GE(crowd.share(), kLeastShare * calm.share())
 		<< crowd.whole << " of " << crowd.read << ", before " << calm.whole << " of " << calm.read;
 }
+
+// A box that got most new connections of its hall called itself ready, however late it came to them.
+TEST(OverloadedRouter, IsNotReadyUntilItIsRunAgain)
+{
+	constexpr size_t kRequests = 12;
+	constexpr size_t kStops = 5;
+	constexpr uint32_t kStoppedMs = 400;
+	constexpr uint32_t kRunMs = 20;
+	DirectSystem system;
+	bool over = false;
+	system.addUpstream("u-silent", "app").answer = [&over](StandInUpstream&, HttpExchange& _exchange) {
+		while (!over && !_exchange.callerGone())
+		{
+			sleepFor(kRunMs);
+		}
+		_exchange.abort();
+	};
+	system.startReady(1);
+	std::vector<std::function<void()>> bodies(kRequests, [&system] {
+		system.call("POST", "/once/x", "", {{"Deadline-Remaining", "15000"}});
+	});
+	bodies.push_back([&] {
+		EXPECT_TRUE(eventually([&] { return system.upstreams()[0]->requests.size() == kRequests; }));
+		EXPECT_TRUE(system.isReady());
+		for (size_t ii = 0; ii < kStops; ++ii)
+		{
+			system.signal(SIGSTOP);
+			sleepFor(kStoppedMs);
+			system.signal(SIGCONT);
+			sleepFor(kRunMs);
+		}
+		EXPECT_FALSE(system.isReady());
+		EXPECT_TRUE(eventually([&] { return system.isReady(); }));
+		over = true;
+	});
+	together(bodies);
+}
 } // namespace
 } // namespace spanplank
