--- a/tests/direct/store_view_test.cpp
+++ b/tests/direct/store_view_test.cpp
@@ -297,6 +297,13 @@
 	EXPECT_EQ(faultOf("state", "resting"), RecordFault::State);
 	EXPECT_EQ(faultOf("address", "nowhere"), RecordFault::Address);
 	EXPECT_EQ(faultOf("address", "10.0.0.1:70000"), RecordFault::Address);
+	// One parser skipped white space, the one that reads the address for each attempt did not.
+	for (const char* address :
+		 {"10.0.0.1:8080\n", "10.0.0.1: 8080", "10.0.0.1:+8080", "10.0.0.1:8080 ", " 10.0.0.1:8080",
+		  "10.0.0.1\n:80", "10.0.0.1:0", "10.0.0.1:", ":8080", "host.example:80", "10.0.0.1:80800000000000"})
+	{
+		EXPECT_EQ(faultOf("address", address), RecordFault::Address) << address;
+	}
 	EXPECT_EQ(faultOf("slots", -3), RecordFault::Range);
 	EXPECT_EQ(faultOf("slots", 1e30), RecordFault::Range);
 	EXPECT_EQ(faultOf("slots", "8"), RecordFault::Type);
