A removed or unknown key is refused on routes that need none

Cause: a key that is not known was taken for none there. The platform's pages let a request without a key pass, and answer 401 to one whose key is not known. The agents' mode has no such routes. Keys.ARemovedOrUnknownKeyIsRefusedOnARouteThatNeedsNone is new; requests without a key, and with a known one, are served.

--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -85,7 +85,7 @@
 	}
 	_serving.account = account;
 	router.stats.keysUnproved += proved ? 0 : 1;
-	if (_serving.account == nullptr && !_serving.route->anonymous)
+	if (_serving.account == nullptr)
 	{
 		refuse(_serving, status::kUnauthorized, "bad_key", "the key is missing or not known", 0);
 		return false;
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -326,6 +326,29 @@
 	EXPECT_TRUE(eventually([&] { return system.call("GET", "/plain/").status == 200; }));
 }
 
+// Only a request without a key was meant to be anonymous there.
+TEST(Keys, ARemovedOrUnknownKeyIsRefusedOnARouteThatNeedsNone)
+{
+	DirectSystem system;
+	system.config["routes"][0]["allow_anonymous"] = true;
+	system.writeConfig();
+	StandInUpstream& upstream = system.addUpstream("u", "app");
+	system.startReady(1);
+	const std::string old = system.key;
+	system.config["tenants"][0]["api_keys"] = {"another key"};
+	system.writeConfig();
+	EXPECT_TRUE(eventually([&] { return system.call("GET", "/plain/").status == 401; }));
+	const size_t ran = upstream.requests.size();
+	EXPECT_EQ(system.call("GET", "/plain/").status, 401);
+	system.key = "never known";
+	EXPECT_EQ(system.call("GET", "/plain/").status, 401);
+	EXPECT_EQ(upstream.requests.size(), ran);
+	system.key = "";
+	EXPECT_EQ(system.call("GET", "/plain/").status, 200);
+	system.key = "another key";
+	EXPECT_EQ(system.call("GET", "/plain/").status, 200);
+}
+
 TEST(Keys, WhereTheyNeedNoProofKnownKeysWorkOnWithoutTheStoreAndUnknownOnesAreNotCalledWrong)
 {
 	DirectSystem system("revokeMs: 1000\nrevocationFailClosed: false\n");
