--- a/include/spanplank/event_stream.h
+++ b/include/spanplank/event_stream.h
@@ -20,8 +20,8 @@
 	int64_t lastEventId = -1; ///< Id of the last event returned; -1 if there is none. Remains valid if
 							  ///< another upstream resumes the stream.
 	bool outOfOrder = false;  ///< An event's id was not greater than the previous one.
-	bool tooLong =
-		false; ///< An event was longer than `kMaxEventBytes`; it and all later ones are not returned.
+	/// An event was longer than `kMaxEventBytes`; it and all later ones are not returned.
+	bool tooLong = false;
 };
 
 /// Appends received bytes.
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -13,8 +13,8 @@
 {
 namespace fibers = boost::fibers;
 
-constexpr std::chrono::milliseconds
-	kIdleLook(200);                     ///< Longest sleep of the loop, which shows a process not run.
+/// Longest sleep of the loop: one that lasts longer shows that the process was not run.
+constexpr std::chrono::milliseconds kIdleLook(200);
 constexpr TimeUs kAtOnce = 5 * kMsToUs; ///< A look that returned sooner may have found what came before it.
 
 thread_local LoopPromptness s_promptness;
@@ -76,7 +76,7 @@
 			const TimeUs begin = monotonicNow();
 			handled = m_io.run_one_for(kIdleLook) > 0;
 			const TimeUs now = monotonicNow();
-			// What comes while the loop sleeps wakes it at once, unless the process is not run.
+			// What comes during a sleep ends it, so that a sleep over the limit shows a process not run.
 			const TimeUs late =
 				std::max<TimeUs>(0, now - begin - std::chrono::microseconds(kIdleLook).count());
 			const TimeUs since = now - begin < kAtOnce ? m_lookedAt : now - late;
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -66,11 +66,11 @@
 /// Milliseconds since 1970.
 int64_t wallNowMs();
 
-/// What is known of how promptly this thread's event loop looks at its sockets.
+/// How promptly this thread's event loop looks at its sockets.
 struct LoopPromptness
 {
-	/// Since when what the newest look has brought may have waited: bytes that a handler or a fiber of this
-	/// turn finds can't be older, unless an earlier turn has left them.
+	/// The earliest time at which what the newest look has found can have come. Bytes that an earlier turn
+	/// left unread may be older.
 	TimeUs waitingSince = 0;
 	LoopOverload overload;
 	LatencyHistogram waits; ///< How long what a look brings may have waited, for each look.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -18,9 +18,9 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-constexpr size_t kMostAccepted =
-	64;                            ///< Connections in one turn of the loop, beside the one that was awaited.
-constexpr int kHeadTooLarge = 431; ///< RFC 6585
+/// Connections that are accepted in one turn of the loop, beside the one that was waited for.
+constexpr size_t kMostAccepted = 64;
+constexpr int kHeadTooLarge = 431;    ///< RFC 6585
 constexpr unsigned kHttpVersion = 11; ///< HTTP/1.1, as Beast counts.
 
 /// A refusal by the server itself, in the body that all refusals have.
--- a/src/adapters/served_connection_p.h
+++ b/src/adapters/served_connection_p.h
@@ -48,8 +48,8 @@
 	boost::beast::flat_buffer buffer; ///< Bytes that were read and are of no request yet.
 	TimeUs acceptedAt = 0;
 	TimeUs nextSince = 0; ///< The earliest time at which the next request can come: after the last answer.
-	TimeUs readableSince =
-		0; ///< The earliest time at which what the last wait brought can have come; 0: no wait.
+	/// The earliest time at which what the last wait for bytes brought can have come; 0: there was no wait.
+	TimeUs readableSince = 0;
 	TimeUs idleSince = 0;    ///< When it was accepted, or the last answer written.
 	TimeUs requestAt = 0;    ///< When the first byte of the request under way was seen.
 	TimeUs requestSince = 0; ///< The earliest time at which that byte can have come.
