--- a/tests/system/gate_test.cpp
+++ b/tests/system/gate_test.cpp
@@ -109,7 +109,9 @@
 	system.platformFault({{"store_down", true}});
 	system.killHard("router-0");
 	system.start("router-0"); // Blank, and the store is down: it learns from the agents.
-	ASSERT_TRUE(eventually([&] { return system.chat(0, {}).code() == "version_withdrawn"; }));
+	ASSERT_TRUE(eventually([&] { return system.chat(0, {}).code() == "version_withdrawn"; }))
+		<< system.chat(0, {}).body << "\n"
+		<< system.log("router-0");
 	EXPECT_FALSE(system.status(0).value("config_from_store", true));
 	system.killHard("engine-0");
 	system.start("engine-0"); // Blank as well: the routers tell it before any work.
