An address is read once, into a type that holds no wrong one

Change: `Endpoint` and its one reader are in the core; records of upstreams and of routers hold it, the second readers are gone. Why it works: no text is left that a later reader could refuse.

--- a/bench/peer_pings.cpp
+++ b/bench/peer_pings.cpp
@@ -96,7 +96,7 @@
 	for (uint32_t idx = 0; idx < _upstreams; ++idx)
 	{
 		registerUpstream(parent.table,
-						 {fmt::format("upstream-{}", idx), "llm", "10.0.0.1:80", "hall", "v1", 16, false});
+						 {fmt::format("upstream-{}", idx), "llm", {"10.0.0.1", 80}, "hall", "v1", 16, false});
 	}
 	Random random;
 	const double requests = _rate * kPingSeconds / double(_followers);
--- a/include/spanplank/peer_tree.h
+++ b/include/spanplank/peer_tree.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 
+#include "spanplank/endpoint.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -34,7 +35,7 @@
 {
 	std::string box; ///< Name of the box, stable over restarts.
 	std::string hall;
-	std::string address; ///< ip:port on which it listens for links.
+	Endpoint address; ///< On which it listens for links.
 	BoxCapacity capacity;
 };
 
--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "spanplank/cold_upstreams.h"
+#include "spanplank/endpoint.h"
 #include "spanplank/engine_speed.h"
 #include "spanplank/hall_evacuation.h"
 #include "spanplank/policies.h"
@@ -28,7 +29,7 @@
 {
 	std::string id; ///< Stable name; an upstream that restarts may use the same one again.
 	std::string service;
-	std::string address; ///< ip:port; may be reassigned to another upstream later.
+	Endpoint address; ///< May be reassigned to another upstream later.
 	std::string hall;
 	std::string version; ///< Software version.
 	uint32_t slots = 1;
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -13,24 +13,12 @@
 #include <string_view>
 #include <vector>
 
+#include "spanplank/endpoint.h"
 #include "spanplank/errors.h"
 #include "spanplank/types.h"
 
 namespace spanplank
 {
-/// An address as `ip:port`.
-struct Endpoint
-{
-	std::string ip;
-	uint16_t port = 0;
-};
-
-/// @throws Failure(BadRequest) unless `_text` is `ip:port`.
-Endpoint parseEndpoint(std::string_view _text);
-
-/// @returns `ip:port`.
-std::string endpointText(const Endpoint& _endpoint);
-
 /// Bytes of an answer that its parser may leave unread: the head of a chunk and trailers have no limit of
 /// their own there.
 constexpr size_t kMostUnparsedBytes = 64u << 10;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,7 +1,6 @@
 /// Serves HTTP/1.1: connections of callers, reading requests within limits, handlers. Answers are written in
 /// `http_exchange.cpp`.
 #include <boost/asio/ip/tcp.hpp>
-#include <fmt/format.h>
 #include <optional>
 
 #include "fiber_runtime_p.h"
@@ -345,31 +344,6 @@
 }
 } // namespace
 
-Endpoint parseEndpoint(std::string_view _text)
-{
-	const size_t colon = _text.rfind(':');
-	if (colon == std::string_view::npos || colon == 0)
-	{
-		throw Failure(ErrorCode::BadRequest, fmt::format("'{}' is not ip:port", _text));
-	}
-	boost::system::error_code error;
-	const std::string ip(_text.substr(0, colon));
-	boost::asio::ip::make_address(ip, error);
-	const std::string port(_text.substr(colon + 1));
-	const bool digits = !port.empty() && port.find_first_not_of("0123456789") == std::string::npos;
-	const unsigned long number = digits && port.size() <= 5 ? std::stoul(port) : 65536;
-	if (error || number > 65535)
-	{
-		throw Failure(ErrorCode::BadRequest, fmt::format("'{}' is not ip:port", _text));
-	}
-	return Endpoint{ip, uint16_t(number)};
-}
-
-std::string endpointText(const Endpoint& _endpoint)
-{
-	return fmt::format("{}:{}", _endpoint.ip, _endpoint.port);
-}
-
 uint16_t startHttpServer(boost::asio::io_context& _io, HttpServer& _server, const Endpoint& _endpoint)
 {
 	const tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -271,7 +271,7 @@
 	}
 	const DirectSettings& settings = _router.settings;
 	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
-	_router.peers.tree.self = {settings.box, settings.hall, endpointText(announced), settings.capacity};
+	_router.peers.tree.self = {settings.box, settings.hall, announced, settings.capacity};
 	spawnFiber([&_router] { runLinks(_router); });
 	spawnFiber([&_router] { runPings(_router); });
 }
--- a/src/direct/peer_parent.cpp
+++ b/src/direct/peer_parent.cpp
@@ -52,7 +52,7 @@
 	const auto found = peers.tree.peers.find(peers.parent);
 	if (found != peers.tree.peers.end())
 	{
-		peers.hub->disconnect(parseEndpoint(found->second.record.address));
+		peers.hub->disconnect(found->second.record.address);
 	}
 	const LinkId link = openParentLink(peers);
 	peers.parent.clear();
@@ -76,7 +76,7 @@
 		return;
 	}
 	peers.parent = _box;
-	peers.hub->connect(parseEndpoint(peers.tree.peers.at(_box).record.address));
+	peers.hub->connect(peers.tree.peers.at(_box).record.address);
 }
 
 /// A router that ranks itself last may come to follow one that follows it.
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -39,7 +39,7 @@
 std::string encodePeer(const PeerRecord& _record)
 {
 	return json{{"hall", _record.hall},
-				{"address", _record.address},
+				{"address", endpointText(_record.address)},
 				{"cores", _record.capacity.cores},
 				{"linkMbps", _record.capacity.linkMbps}}
 		.dump();
@@ -50,10 +50,13 @@
 {
 	const json value = json::parse(_value);
 	_record.hall = value.at("hall").get<std::string>();
-	_record.address = value.at("address").get<std::string>();
 	_record.capacity.cores = value.value("cores", 0.0); // One of an earlier version tells none.
 	_record.capacity.linkMbps = value.value("linkMbps", 0.0);
-	parseEndpoint(_record.address);
+	_record.address = parseEndpoint(value.at("address").get<std::string>());
+	if (!isConnectable(_record.address))
+	{
+		throw Failure(ErrorCode::BadRequest, "the address is not that of a process");
+	}
 }
 
 /// @returns Whether this router's registration in the store says what it should.
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -44,13 +44,13 @@
 	return platform::encodeAttemptHead(_serving.exchange.request(), headers);
 }
 
-AttemptRequest requestFor(const Serving& _serving, UpstreamId _upstream, const std::string& _address,
+AttemptRequest requestFor(const Serving& _serving, UpstreamId _upstream, const Endpoint& _address,
 						  const HttpExchange::Fields& _head)
 {
 	const HttpRequest& caller = _serving.exchange.request();
 	AttemptRequest request;
 	request.upstream = _upstream;
-	request.address = parseEndpoint(_address);
+	request.address = _address;
 	request.method = caller.method();
 	request.methodText = {caller.method_string().data(), caller.method_string().size()};
 	request.target = {caller.target().data(), caller.target().size()};
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -28,7 +28,7 @@
 	logEvent("upstream_registered",
 			 {{"upstream", _record.id},
 			  {"service", _record.service},
-			  {"address", _record.address},
+			  {"address", endpointText(_record.address)},
 			  {"hall", _record.hall},
 			  {"version", _record.version},
 			  {"born", std::to_string(_record.startedAtMs)},
@@ -132,8 +132,8 @@
 UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record, UpstreamId _current)
 {
 	const TimeUs now = monotonicNow();
-	return {parseEndpoint(_record.address),
-			startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now), _current};
+	return {_record.address, startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now),
+			_current};
 }
 
 /// Takes a record. The calls at the incarnation before the one that has started end, as far as that is known;
--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -29,7 +29,7 @@
 	}
 	const auto mine = std::make_shared<ReachProbe>();
 	_router.probes[idx] = mine;
-	mine->reach = tryConnection(_router.pool, _notes.upstream, parseEndpoint(_notes.record.address));
+	mine->reach = tryConnection(_router.pool, _notes.upstream, _notes.record.address);
 	mine->at = monotonicNow();
 	mine->done = true;
 	mine->ready.notify_all();
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -107,6 +107,10 @@
 	boost::beast::tcp_stream stream(*_pool.io);
 	boost::system::error_code error;
 	const tcp::endpoint address(boost::asio::ip::make_address(_address.ip, error), _address.port);
+	if (error)
+	{
+		return UpstreamReach::Unknown;
+	}
 	stream.expires_after(std::chrono::microseconds(kReachPatience));
 	const IoResult connected = awaitIo([&](auto _done) { stream.async_connect(address, _done); });
 	++_pool.opened;
@@ -199,8 +203,7 @@
 {
 	m_connection = std::make_unique<UpstreamConnection>(*m_pool.io);
 	boost::system::error_code error;
-	const tcp::endpoint address(boost::asio::ip::make_address(m_request.address.ip, error),
-								m_request.address.port);
+	const tcp::endpoint address(boost::asio::ip::make_address(m_request.address.ip), m_request.address.port);
 	armTimer(_by);
 	const IoResult connected =
 		awaitStep(Step::Connect, [&](auto _done) { m_connection->socket.async_connect(address, _done); });
@@ -353,8 +356,7 @@
 RestartedCall UpstreamCall::meetRestart(const UpstreamRestart& _restart, TimeUs _refusedAt)
 {
 	CallAtRestart call;
-	call.sameAddress =
-		m_request.address.ip == _restart.address.ip && m_request.address.port == _restart.address.port;
+	call.sameAddress = m_request.address == _restart.address;
 	call.openedAt = m_connection ? m_connection->openedAt : 0;
 	call.refusedAt = _refusedAt;
 	call.startedBy = _restart.startedBy;
--- a/tests/core/cold_upstreams_test.cpp
+++ b/tests/core/cold_upstreams_test.cpp
@@ -152,7 +152,7 @@
 		UpstreamRecord upstream;
 		upstream.id = _id;
 		upstream.service = "llm";
-		upstream.address = "10.0.0.1:80";
+		upstream.address = {"10.0.0.1", 80};
 		upstream.hall = _hall;
 		upstream.coldMs = _coldMs;
 		upstream.revision = _revision;
--- a/tests/core/hall_evacuation_test.cpp
+++ b/tests/core/hall_evacuation_test.cpp
@@ -27,7 +27,7 @@
 
 	UpstreamId add(const std::string& _id, const std::string& _hall, const std::string& _service = "llm")
 	{
-		return registerUpstream(table, {_id, _service, "10.0.0.1:80", _hall, "v1", 8, false});
+		return registerUpstream(table, {_id, _service, {"10.0.0.1", 80}, _hall, "v1", 8, false});
 	}
 
 	UpstreamQuery query(std::string_view _hall, std::string_view _service = "llm") const
--- a/tests/core/home_share_test.cpp
+++ b/tests/core/home_share_test.cpp
@@ -22,7 +22,7 @@
 		table.receivesPeerUpdates = true;
 		for (const char* id : {"u-one", "u-two", "u-three"})
 		{
-			registerUpstream(table, {id, "chat", "10.0.0.1:1", "hall", "v1", 8, false});
+			registerUpstream(table, {id, "chat", {"10.0.0.1", 1}, "hall", "v1", 8, false});
 		}
 	}
 
--- a/tests/core/load_share_test.cpp
+++ b/tests/core/load_share_test.cpp
@@ -26,7 +26,7 @@
 	{
 		for (uint32_t idx = 0; idx < kUpstreams; ++idx)
 		{
-			registerUpstream(table, {upstreamName(idx), "llm", "10.0.0.1:80", "a", "v1", 1, false});
+			registerUpstream(table, {upstreamName(idx), "llm", {"10.0.0.1", 80}, "a", "v1", 1, false});
 		}
 	}
 
--- a/tests/core/peer_tree_test.cpp
+++ b/tests/core/peer_tree_test.cpp
@@ -21,8 +21,10 @@
 	std::vector<PeerRecord> records;
 	for (size_t ii = 0; ii < _routers; ++ii)
 	{
-		records.push_back({fmt::format("box-{}", ii), fmt::format("hall-{}", ii % _halls),
-						   fmt::format("10.0.0.{}:7000", ii), _capacity});
+		records.push_back({fmt::format("box-{}", ii),
+						   fmt::format("hall-{}", ii % _halls),
+						   {fmt::format("10.0.0.{}", ii), 7000},
+						   _capacity});
 	}
 	return records;
 }
@@ -33,8 +35,10 @@
 	std::vector<PeerRecord> records = fleet(_halls, _small, kSmall);
 	for (size_t ii = 0; ii < _large; ++ii)
 	{
-		records.push_back({fmt::format("large-{}", ii), fmt::format("hall-{}", ii % _halls),
-						   fmt::format("10.0.1.{}:7000", ii), kLarge});
+		records.push_back({fmt::format("large-{}", ii),
+						   fmt::format("hall-{}", ii % _halls),
+						   {fmt::format("10.0.1.{}", ii), 7000},
+						   kLarge});
 	}
 	return records;
 }
@@ -193,7 +197,7 @@
 	PeerTree tree = treeOf(all[0], all);
 	PeerRecord other = all[1];
 	avoidPeer(tree, other.box, 0);
-	other.address = "10.9.9.9:7000";
+	other.address = {"10.9.9.9", 7000};
 	registerPeer(tree, other);
 	EXPECT_EQ(tree.peers.at(other.box).avoidUntil, 0);
 	retainPeers(tree, {});
--- a/tests/core/policies_test.cpp
+++ b/tests/core/policies_test.cpp
@@ -44,7 +44,7 @@
 {
 	UpstreamTable table;
 	table.policies.ejection = false;
-	const UpstreamId only = registerUpstream(table, {"u", "llm", "10.0.0.1:1", "a", "v1", 8, false});
+	const UpstreamId only = registerUpstream(table, {"u", "llm", {"10.0.0.1", 1}, "a", "v1", 8, false});
 	recordSent(table, only, {}, 0);
 	EXPECT_EQ(recordEnded(table, only, 0.0, HealthOutcome::Unreachable, 0), HealthChange::None);
 }
--- a/tests/core/reading_pace_test.cpp
+++ b/tests/core/reading_pace_test.cpp
@@ -18,7 +18,7 @@
 {
 	UpstreamTable table;
 	Random random{5};
-	UpstreamId engine = registerUpstream(table, {"u", "llm", "10.0.0.1:80", "a", "v1", 64, false});
+	UpstreamId engine = registerUpstream(table, {"u", "llm", {"10.0.0.1", 80}, "a", "v1", 64, false});
 
 	UpstreamQuery query() const
 	{
@@ -66,7 +66,7 @@
 {
 	BusyEngine engines;
 	const UpstreamId other =
-		registerUpstream(engines.table, {"v", "llm", "10.0.0.2:80", "a", "v1", 64, false});
+		registerUpstream(engines.table, {"v", "llm", {"10.0.0.2", 80}, "a", "v1", 64, false});
 	UpstreamQuery query = engines.query();
 	engines.answer(200, kTrueTokenMs);
 	for (int ii = 0; ii < 20; ++ii) // A burst in which each request waits for the one before.
--- a/tests/core/room_fleet.h
+++ b/tests/core/room_fleet.h
@@ -97,7 +97,7 @@
 			routers[ii].random.state = 100 + ii;
 			for (size_t jj = 0; jj < upstreams.size(); ++jj)
 			{
-				UpstreamRecord record{"u" + std::to_string(jj), "app", "10.0.0.1:80", "a", "v1"};
+				UpstreamRecord record{"u" + std::to_string(jj), "app", {"10.0.0.1", 80}, "a", "v1"};
 				record.slots = upstreams[jj].slots;
 				registerUpstream(routers[ii].table, record);
 			}
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -16,7 +16,7 @@
 	UpstreamRecord upstream;
 	upstream.id = _id;
 	upstream.service = "llm";
-	upstream.address = "10.0.0.1:80";
+	upstream.address = {"10.0.0.1", 80};
 	upstream.hall = _hall;
 	upstream.version = _version;
 	return upstream;
--- a/tests/direct/chosen_upstream_test.cpp
+++ b/tests/direct/chosen_upstream_test.cpp
@@ -89,7 +89,7 @@
 		UpstreamRecord record;
 		record.id = _upstream.id;
 		record.service = _upstream.service;
-		record.address = _upstream.address;
+		record.address = parseEndpoint(_upstream.address);
 		record.hall = "hall-a";
 		record.version = _upstream.version;
 		return record;
--- a/tests/direct/engine_speed_samples_test.cpp
+++ b/tests/direct/engine_speed_samples_test.cpp
@@ -53,7 +53,7 @@
 		UpstreamRecord record;
 		record.id = engine.id;
 		record.service = engine.service;
-		record.address = loopback(startHttpServer(testIo(), engine.http, {loopbackIp(), 0}));
+		record.address = {loopbackIp(), startHttpServer(testIo(), engine.http, {loopbackIp(), 0})};
 		record.hall = "hall-a";
 		record.version = engine.version;
 		key = router.upstreams.entries.at(registerUpstream(router.upstreams, record).idx).key;
--- a/tests/direct/no_time_test.cpp
+++ b/tests/direct/no_time_test.cpp
@@ -92,7 +92,7 @@
 		UpstreamRecord record;
 		record.id = _upstream.id;
 		record.service = _upstream.service;
-		record.address = _upstream.address;
+		record.address = parseEndpoint(_upstream.address);
 		record.hall = "hall-a";
 		record.version = _upstream.version;
 		registerUpstream(router.upstreams, record);
