A failure beside the request is never answered as the caller's fault

Callers saw a 400, with `run: no`, for whatever a handler threw as `Failure(BadRequest)`, first of all a wrong address of an upstream; nothing was logged, no other upstream was asked, and none was blamed. Cause: one type says both "the request is wrong" and "something here went wrong", and the server passed its code on. Change: an exception within an attempt ends that attempt (not sent if nothing was), counts against the upstream, and another one may take the request. A failure that a handler lets out becomes a 500 with `run: unknown` if its code speaks of the request; it is logged and counted. Why it works: the caller's own faults are refused by the checks, which answer themselves; what is thrown after them speaks of something else.

--- a/include/spanplank/errors.h
+++ b/include/spanplank/errors.h
@@ -70,6 +70,12 @@
 /// @returns HTTP status code (RFC 9110) of answers with this error.
 int httpStatus(ErrorCode _code);
 
+/// The same, for a refusal of a request that may have run: statuses that promise the opposite are replaced.
+int httpStatus(const Refusal& _refusal);
+
+/// @returns Whether an error speaks of the request: its caller has to change it, or may not make it.
+bool concernsRequest(ErrorCode _code);
+
 /// Base class of all exceptions of the library.
 class Failure : public std::exception
 {
--- a/include/spanplank/http_status.h
+++ b/include/spanplank/http_status.h
@@ -5,6 +5,7 @@
 namespace spanplank::status
 {
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -164,6 +164,7 @@
 	std::map<std::string, uint64_t> ended;
 	std::map<uint64_t, std::shared_ptr<ServedConnection>> open; ///< By id.
 	uint64_t nextConnection = 1;
+	uint64_t handlerFailures = 0; ///< Requests whose handler ended by an exception.
 };
 
 /// Listens and serves; port 0 takes a free one. The server must outlive its connections.
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -241,11 +241,13 @@
 	}
 	catch (const Failure& failure)
 	{
-		refusal = failure.refusal();
+		noteHandlerFailure(_server, _request, failure.what());
+		// A handler that finds fault with a request refuses it: what it throws speaks of something else.
+		refusal = concernsRequest(failure.refusal().code) ? std::nullopt : std::optional(failure.refusal());
 	}
 	catch (const std::exception& failure)
 	{
-		logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", failure.what()}});
+		noteHandlerFailure(_server, _request, failure.what());
 	}
 	exchange.forgetCaller();
 	if (refusal && !exchange.answered())
@@ -272,6 +274,12 @@
 {
 	bool keepAlive = true;
 	while (keepAlive && awaitFirstByte(_server, _connection))
+void noteHandlerFailure(HttpServer& _server, const HttpRequest& _request, const char* _error)
+{
+	++_server.handlerFailures;
+	logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", _error}});
+}
+
 	{
 		const BusyMark busy(_server);
 		HttpRequest request;
--- a/src/core/errors.cpp
+++ b/src/core/errors.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "spanplank/http_status.h"
+
 namespace spanplank
 {
 namespace
@@ -52,6 +54,26 @@
 	return kErrors[size_t(_code)].status;
 }
 
+int httpStatus(const Refusal& _refusal)
+{
+	if (_refusal.run == RunState::Unknown && _refusal.code == ErrorCode::DeadlinePassed)
+	{
+		return status::kGatewayTimeout;
+	}
+	if (_refusal.run == RunState::Unknown && _refusal.code == ErrorCode::Overloaded)
+	{
+		return status::kBadGateway;
+	}
+	return httpStatus(_refusal.code);
+}
+
+bool concernsRequest(ErrorCode _code)
+{
+	const int code = httpStatus(_code);
+	return code >= status::kBadRequest && code < status::kFirstServerError &&
+		   code != status::kRequestTimeout && code != status::kTooManyRequests;
+}
+
 Failure::Failure(Refusal _refusal) : m_refusal(std::move(_refusal))
 {
 	m_text = std::string(name(m_refusal.code)) + ": " + m_refusal.detail;
--- a/src/direct/direct_metrics.cpp
+++ b/src/direct/direct_metrics.cpp
@@ -177,6 +177,10 @@
 			   double(stats.storeReturns));
 	addGauge(page, "store_era", "Era of the store that this router knows.",
 			 double(eraOf(_router.view.revision)));
+	addCounter(page, "attempt_failures_total", "Attempts that ended by an exception.",
+			   double(stats.attemptFailures));
+	addCounter(page, "handler_failures_total", "Requests whose handler failed without an answer.",
+			   double(_router.callers.handlerFailures));
 	addCounter(page, "keys_unproved_total", "Keys trusted by a configuration that was not proved fresh.",
 			   double(stats.keysUnproved));
 	addGauge(page, "config_version", "Configuration in force.", double(_router.config.config->version));
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -60,6 +60,7 @@
 	uint64_t itemsSkipped = 0;                       ///< Items of the store without a key that can be read.
 	uint64_t storeReturns = 0;                       ///< How often the store came back from an older copy.
 	std::map<std::string, uint64_t> usageReports;    ///< Reports to the platform, by their answers.
+	uint64_t attemptFailures = 0;                    ///< Attempts that ended by an exception.
 	uint64_t keysUnproved = 0; ///< Keys trusted by a configuration that was not proved fresh.
 	std::map<std::string, uint64_t> answerFieldsIgnored; ///< Fields of answers with invalid values, by name.
 	uint64_t restsAsked = 0;                             ///< Rejections in which upstreams asked for rest.
--- a/src/direct/run_attempt.cpp
+++ b/src/direct/run_attempt.cpp
@@ -87,6 +87,49 @@
 };
 } // namespace
 
+namespace
+{
+/// Prepares the request for the upstream, and calls it.
+/// @throws std::exception Notes tell whether anything was sent by then.
+AttemptEnd callUpstream(Serving& _serving, AttemptNotes& _notes, const FirstTokenEstimate& _estimate,
+						AttemptResult& _result)
+{
+	const HttpExchange::Fields fields = attemptHead(_serving, _notes.record, _notes.begin);
+	AttemptRequest request = requestFor(_serving, _notes.upstream, _notes.record.address, fields);
+	request.answerDueBy = attemptTimeouts(_serving.plan, true, _estimate, _notes.begin).responseStartDeadline;
+	const AttemptTimeouts times =
+		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), _estimate, _notes.begin);
+	const TokenHold tokens(_serving, _notes.upstream);
+	UpstreamCall call(_serving.router.pool, request);
+	LiveAttempt attempt{call, _notes, {}};
+	attempt.events.lastEventId = _serving.lastEventId;
+	const LiveMark live(_serving, attempt);
+	const AttemptEnd end = runCall(_serving, attempt, times);
+	_notes.error = call.error();
+	_notes.lost = call.lost();
+	_result.kept = attempt.kept;
+	_result.overtaken = attempt.overtaken || attempt.dropped;
+	return end;
+}
+
+/// The same, where an exception counts against the upstream rather than the caller: another one may take the
+/// request.
+AttemptEnd callSafely(Serving& _serving, AttemptNotes& _notes, const FirstTokenEstimate& _estimate,
+					  AttemptResult& _result)
+{
+	try
+	{
+		return callUpstream(_serving, _notes, _estimate, _result);
+	}
+	catch (const std::exception& failure)
+	{
+		++_serving.router.stats.attemptFailures;
+		_notes.error = failure.what();
+		return _notes.sentAfter == 0 ? AttemptEnd::NotSent : AttemptEnd::Aborted;
+	}
+}
+} // namespace
+
 AttemptResult runAttempt(Serving& _serving, UpstreamId _upstream, const UpstreamQuery& _query)
 {
 	DirectRouter& router = _serving.router;
@@ -101,11 +144,6 @@
 	notes.meanMs = _query.bySpeed ? meanFirstTokenMs(router.upstreams, _query, _upstream, notes.begin) : 0.0;
 	const FirstTokenEstimate head{notes.expectedMs,
 								  uncachedFirstTokenMs(router.upstreams, _query, _upstream, notes.begin)};
-	const AttemptTimeouts times =
-		attemptTimeouts(_serving.plan, allowsFurtherAttempt(_serving.plan), head, notes.begin);
-	const HttpExchange::Fields fields = attemptHead(_serving, upstream, notes.begin);
-	AttemptRequest request = requestFor(_serving, _upstream, upstream.address, fields);
-	request.answerDueBy = attemptTimeouts(_serving.plan, true, head, notes.begin).responseStartDeadline;
 	notes.expectedEndMs = expectedEndMs(_serving, _query, _upstream);
 	notes.asCold = isCold(router.upstreams, _upstream, notes.begin);
 	notes.asLimited = isLimited(router.upstreams, _upstream);
@@ -114,19 +152,7 @@
 	notes.asRestProbe = router.upstreams.entries.at(_upstream.idx).rest.probing;
 	notes.trial = recordTrialChosen(router.trials, _serving.service, upstream.version);
 	AttemptResult result;
-	AttemptEnd end = AttemptEnd::NotSent;
-	{
-		const TokenHold tokens(_serving, _upstream);
-		UpstreamCall call(router.pool, request);
-		LiveAttempt attempt{call, notes, {}};
-		attempt.events.lastEventId = _serving.lastEventId;
-		const LiveMark live(_serving, attempt);
-		end = runCall(_serving, attempt, times);
-		notes.error = call.error();
-		notes.lost = call.lost();
-		result.kept = attempt.kept;
-		result.overtaken = attempt.overtaken || attempt.dropped;
-	}
+	const AttemptEnd end = callSafely(_serving, notes, head, result);
 	if (notes.withdrawn || (result.overtaken && notes.sentAfter == 0))
 	{
 		noteWithdrawn(_serving, notes);
--- a/tests/direct/chosen_upstream_test.cpp
+++ b/tests/direct/chosen_upstream_test.cpp
@@ -214,6 +214,26 @@
 	EXPECT_EQ(extras("engines"), 1u);
 }
 
+// An upstream for which no attempt can be prepared, here for an id that no header holds, cost the request.
+TEST_F(ChosenUpstream, ForWhichNoAttemptCanBePreparedIsLeftForAnother)
+{
+	constexpr int kCalls = 8;
+	startUpstreams("app");
+	UpstreamRecord record = recordOf(upstreams[0]);
+	record.id = std::string(70000, 'x');
+	registerUpstream(router.upstreams, record);
+	for (int ii = 0; ii < kCalls; ++ii)
+	{
+		answered = false;
+		call("POST", "/once/x");
+		ASSERT_TRUE(eventually([this] { return answered; }));
+		EXPECT_EQ(answer.status, 200);
+	}
+	EXPECT_EQ(arrivals(), size_t(kCalls));
+	const UpstreamEntry& entry = router.upstreams.entries.at(router.upstreams.idxOfId.at(record.id));
+	EXPECT_EQ(entry.inFlight, 0u);
+}
+
 TEST_F(ChosenUpstream, WhereAllLeaveTheRequestIsTruthfullyToldNotRun)
 {
 	startUpstreams("app");
