An entry without the upstream's start does not drain it for good

Callers saw an upstream out of use until it restarted: an entry under its id, without the start that it has reported, said that it drains. Cause: draining holds until the incarnation ends, so that an older copy of the store brings no leaving upstream back, and a record without a start counted as one of the known incarnation. Change: what such a record says of an upstream that reports its start holds until the next record with that start. Why it works: the upstream's own records always state it. Rejecting those without it would make routers that start blank see the store differently. Measured: `ForeignEntry.WithoutAStartUnderALiveIdDoesNotKeepItFromUse` failed before and passes; `TableTest.ARecordWithoutAStartTime...` holds.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -76,6 +76,9 @@
 	ColdState cold;
 	RequestLimit limit;
 	bool saysLeaving = false; ///< An answer of this incarnation said that it shuts down.
+	/// A record of this incarnation said so, which holds until its end. One without the start that the upstream
+	/// has reported may be another writer's: what it says holds until the next record with that start.
+	bool recordsLeaving = false;
 	/// The incarnation was replaced after it had left or begun to leave.
 	bool leftBeforeRestart = false;
 	RestState rest;
--- a/src/core/upstream_registrations.cpp
+++ b/src/core/upstream_registrations.cpp
@@ -100,13 +100,16 @@
 	UpstreamEntry& entry = _table.entries[known->second];
 	// A record that a list returns again does not extend the cold time: the upstream may be warm by now.
 	const bool isNews = _record.revision == 0 || _record.revision != entry.record.revision;
-	const bool draining = entry.record.draining; // Draining ends only with a new incarnation.
+	const bool draining = entry.record.draining;
+	const bool reportsStart = _record.startedAtMs != 0 || entry.record.startedAtMs == 0;
+	entry.recordsLeaving = entry.recordsLeaving || (_record.draining && reportsStart);
 	const uint64_t startedAtMs = _record.startedAtMs != 0 ? _record.startedAtMs : entry.record.startedAtMs;
 	entry.record = _record;
 	entry.record.startedAtMs = startedAtMs;
 	entry.key = keyOf(_record.id, startedAtMs);
 	_table.idxOfKey[entry.key] = known->second;
-	entry.record.draining = _record.draining || draining;
+	entry.record.draining =
+		_record.draining || entry.recordsLeaving || entry.saysLeaving || (draining && !reportsStart);
 	entry.registered = true;
 	entry.unregisteredAt = 0;
 	entry.lapse = {};
--- a/tests/direct/foreign_entry_test.cpp
+++ b/tests/direct/foreign_entry_test.cpp
@@ -213,6 +213,18 @@
 	EXPECT_TRUE(isUsed(first));
 }
 
+// An upstream whose entry was overwritten by one without a start time that drains was never used again.
+TEST_F(ForeignEntry, WithoutAStartUnderALiveIdDoesNotKeepItFromUse)
+{
+	json record = recordAt(first.address);
+	record["state"] = "draining";
+	record.erase("born");
+	write(first.id, record.dump());
+	EXPECT_EQ(refusedOf(kCallsOfEntry), 0);
+	system.registerUpstream(first);
+	EXPECT_TRUE(isUsed(first));
+}
+
 // An upstream that registers before its service is configured is used once it is.
 TEST_F(ForeignEntry, OfAServiceThatIsConfiguredLaterBecomesAnUpstream)
 {
