A missing key and an unknown one are told apart in logs and metrics

Cause of the gap: one code for "has none" and "has one that is not known". Change: `no_key` and `unknown_key` in answers, logs and counters. Callers of the tests send no key field where they have none, rather than an empty one.

--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -65,12 +65,24 @@
 	return _proved || (_known && !_settings.revocationFailClosed);
 }
 
+/// Answers a request whose key, or having none, is not allowed on its route.
+void refuseKey(Serving& _serving, bool _hasKey)
+{
+	if (_hasKey)
+	{
+		refuse(_serving, status::kUnauthorized, "unknown_key", "the key is not known",
+			   0);
+		return;
+	}
+	refuse(_serving, status::kUnauthorized, "no_key", "the route needs a key", 0);
+}
+
 /// @returns Whether the request's key, or its having none, is allowed on the route; otherwise it was refused.
 bool takeAccount(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
-	const bool keyed = !_serving.config->accounts.empty();
-	if (!keyed || (_serving.call.key.empty() && _serving.route->anonymous))
+	const bool hasKey = !_serving.call.key.empty();
+	if (_serving.config->accounts.empty() || (!hasKey && _serving.route->anonymous))
 	{
 		return true;
 	}
@@ -87,7 +99,7 @@
 	router.stats.keysUnproved += proved ? 0 : 1;
 	if (_serving.account == nullptr)
 	{
-		refuse(_serving, status::kUnauthorized, "bad_key", "the key is missing or not known", 0);
+		refuseKey(_serving, hasKey);
 		return false;
 	}
 	return true;
--- a/tests/direct/direct_harness.cpp
+++ b/tests/direct/direct_harness.cpp
@@ -708,8 +708,11 @@
 	request.timeoutMs = 20000;
 	request.headers = {{"Host", "town.example"},
 					   {"Request-Id", fmt::format("request-{}", m_nextRequest++)},
-					   {"Deadline-Remaining", "4000"},
-					   {"Key", key}};
+					   {"Deadline-Remaining", "4000"}};
+	if (!key.empty())
+	{
+		request.headers.push_back({"Key", key});
+	}
 	request.headers.insert(request.headers.end(), _headers.begin(), _headers.end());
 	DirectAnswer answer;
 	try
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -206,7 +206,7 @@
 
 	StandInStore store;
 	nlohmann::json config;
-	std::string key = "key-of-the-town";
+	std::string key = "key-of-the-town"; ///< Of the callers; empty: they send none.
 
 private:
 	std::vector<std::unique_ptr<StandInUpstream>> m_upstreams;
