A request with several keys has none that is known

Callers saw a removed key work: beside an empty key field on a route that needs none, and beside a known one on every route. Cause: the first field of the name was read, and the others ignored. Change: a request with more than one field for a key gets 401 where a configuration uses keys. Why it works: no order of the fields makes one of them count.

--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -65,12 +65,18 @@
 	return _proved || (_known && !_settings.revocationFailClosed);
 }
 
+/// @returns The account of the request's key; null: it has none, several, or one that is not known.
+const AccountEntry* accountOf(const Serving& _serving)
+{
+	return _serving.call.severalKeys ? nullptr : findAccount(*_serving.config, _serving.call.key);
+}
+
 /// Answers a request whose key, or having none, is not allowed on its route.
 void refuseKey(Serving& _serving, bool _hasKey)
 {
 	if (_hasKey)
 	{
-		refuse(_serving, status::kUnauthorized, "unknown_key", "the key is not known",
+		refuse(_serving, status::kUnauthorized, "unknown_key", "the key is not known, or not the only one",
 			   0);
 		return;
 	}
@@ -81,14 +87,14 @@
 bool takeAccount(Serving& _serving)
 {
 	DirectRouter& router = _serving.router;
-	const bool hasKey = !_serving.call.key.empty();
+	const bool hasKey = !_serving.call.key.empty() || _serving.call.severalKeys;
 	if (_serving.config->accounts.empty() || (!hasKey && _serving.route->anonymous))
 	{
 		return true;
 	}
 	const TimeUs bound = TimeUs(double(router.settings.revokeMs) * kFreshShare * double(kMsToUs));
 	const bool proved = isConfirmedFresh(router.config, monotonicNow(), bound);
-	const AccountEntry* account = findAccount(*_serving.config, _serving.call.key);
+	const AccountEntry* account = accountOf(_serving);
 	if (!mayUseKeys(router.settings, proved, account != nullptr))
 	{
 		refuse(_serving, status::kUnavailable, "config_unproved",
--- a/tests/direct/account_keys_test.cpp
+++ b/tests/direct/account_keys_test.cpp
@@ -59,6 +59,21 @@
 	EXPECT_EQ(upstream.requests.back().count("Tenant"), 0u);
 }
 
+// A removed key ran on an open route beside an empty field, and on any route beside a known key.
+TEST_F(AccountKeys, OneBesideAnotherIsNoKey)
+{
+	const std::string known = "Key: " + system.key + "\r\n";
+	const std::string removed = "Key: removed\r\n";
+	for (const char* path : {kOpen, kClosed})
+	{
+		EXPECT_EQ(statusOf(path, known), kRan) << path;
+		EXPECT_EQ(statusOf(path, "Key:\r\n" + removed), kDenied) << path;
+		EXPECT_EQ(statusOf(path, known + removed), kDenied) << path;
+		EXPECT_EQ(statusOf(path, removed + known), kDenied) << path;
+	}
+	EXPECT_EQ(upstream.requests.size(), 2u);
+}
+
 // A configuration without accounts needs no keys.
 TEST_F(AccountKeys, AreNotNeededWhereTheConfigurationNamesNoAccounts)
 {
