The last account's removal does not open all routes

Callers saw every key, and none, work on every route after a configuration with an empty list of accounts. Cause: "the list is missing", by which no keys are needed, was told by "there are no accounts". Change: the configuration knows whether it has the list. Why it works: a list without accounts knows no key, so that each request needs one that is not there.

--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -92,6 +92,8 @@
 	uint64_t version = 0; ///< Increases with each change; 0: no configuration is known.
 	std::vector<Route> routes;
 	std::unordered_map<std::string, ServiceInfo> services;
+	/// Requests need a key of an account, of which there may be none. If false, accounts are not used at all.
+	bool usesAccounts = false;
 	std::vector<AccountEntry> accounts;
 	std::unordered_map<std::string, size_t> accountOfKey; ///< Index in `accounts`.
 	CallerLimits limits;
@@ -111,11 +113,11 @@
 /// @returns The account of a key, or null.
 const AccountEntry* findAccount(const ServiceConfig& _config, const std::string& _key);
 
-/// @returns The service for a request, chosen by the weights of the route; the same for the same `_hash`.
-const std::string& pickService(const Route& _route, uint64_t _hash);
 /// @returns Whether a service is configured: it is described, or a route sends requests to it.
 bool isKnownService(const ServiceConfig& _config, const std::string& _service);
 
+/// @returns The service for a request, chosen by the weights of the route; the same for the same `_hash`.
+const std::string& pickService(const Route& _route, uint64_t _hash);
 
 /// @returns Whether a request of the route may run more than once.
 inline bool isRepeatable(const Route& _route)
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -88,7 +88,7 @@
 {
 	DirectRouter& router = _serving.router;
 	const bool hasKey = !_serving.call.key.empty() || _serving.call.severalKeys;
-	if (_serving.config->accounts.empty() || (!hasKey && _serving.route->anonymous))
+	if (!_serving.config->usesAccounts || (!hasKey && _serving.route->anonymous))
 	{
 		return true;
 	}
--- a/tests/direct/account_keys_test.cpp
+++ b/tests/direct/account_keys_test.cpp
@@ -74,6 +74,19 @@
 	EXPECT_EQ(upstream.requests.size(), 2u);
 }
 
+// Once the last account was removed, its key and every other one ran on all routes.
+TEST_F(AccountKeys, OfTheLastAccountStopsWorkingWithIt)
+{
+	system.config["tenants"] = json::array();
+	writeConfig();
+	EXPECT_EQ(system.call("GET", kClosed).status, 401);
+	EXPECT_EQ(system.call("GET", kOpen).status, 401);
+	system.key = "";
+	EXPECT_EQ(system.call("GET", kClosed).status, 401);
+	EXPECT_EQ(upstream.requests.size(), 0u);
+	EXPECT_EQ(system.call("GET", kOpen).status, 200) << "it carries no key";
+}
+
 // A configuration without accounts needs no keys.
 TEST_F(AccountKeys, AreNotNeededWhereTheConfigurationNamesNoAccounts)
 {
