An empty key in a configuration belongs to nobody

Callers saw requests without a key run on closed routes, as the account that has an empty text among its keys. Cause: a request without a key looked up the empty text. Why it works: "no key" is no longer a key that can be known. Measured: `AccountKeys.AnEmptyOneInTheConfigurationBelongsToNobody` failed before and passes.

--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -95,7 +95,7 @@
 	/// Requests need a key of an account, of which there may be none. If false, accounts are not used at all.
 	bool usesAccounts = false;
 	std::vector<AccountEntry> accounts;
-	std::unordered_map<std::string, size_t> accountOfKey; ///< Index in `accounts`.
+	std::unordered_map<std::string, size_t> accountOfKey; ///< Index in `accounts`. No key is empty.
 	CallerLimits limits;
 	/// Indices in `routes` by host, longest prefix first.
 	std::unordered_map<std::string, std::vector<size_t>> routesOfHost;
--- a/src/core/service_config.cpp
+++ b/src/core/service_config.cpp
@@ -60,7 +60,7 @@
 
 const AccountEntry* findAccount(const ServiceConfig& _config, const std::string& _key)
 {
-	const auto found = _config.accountOfKey.find(_key);
+	const auto found = _key.empty() ? _config.accountOfKey.end() : _config.accountOfKey.find(_key);
 	return found == _config.accountOfKey.end() ? nullptr : &_config.accounts[found->second];
 }
 
--- a/tests/direct/account_keys_test.cpp
+++ b/tests/direct/account_keys_test.cpp
@@ -97,6 +97,20 @@
 	EXPECT_EQ(system.call("GET", kClosed).status, 200);
 }
 
+// An account with an empty key got all requests without one, also on closed routes.
+TEST_F(AccountKeys, AnEmptyOneInTheConfigurationBelongsToNobody)
+{
+	system.config["tenants"].push_back({{"name", "village"}, {"api_keys", {"", "key-of-the-village"}}});
+	writeConfig();
+	system.key = "";
+	EXPECT_EQ(system.call("GET", kClosed).status, 401);
+	EXPECT_EQ(system.call("GET", kOpen).status, 200);
+	ASSERT_EQ(upstream.requests.size(), 1u);
+	EXPECT_EQ(upstream.requests.back().count("Tenant"), 0u);
+	system.key = "key-of-the-village";
+	EXPECT_EQ(system.call("GET", kClosed).status, 200);
+}
+
 TEST_F(AccountKeys, BringTheirRegionsToARouteThatNeedsNone)
 {
 	system.config["tenants"][0]["allowed_regions"] = {"elsewhere"};
