An empty list of allowed regions allows none

Callers saw requests of a route or an account with an empty list of allowed regions served in every region. Cause: an empty list stood for a missing one. Change: the list is optional; without it all regions are allowed, with an empty one none. Why it works: the two are different values from where they are decoded on. Measured: `AccountKeys.OfAnAccountThatMayUseNoRegionReachNoUpstream` failed before (200 in place of 503) and passes, as does `RegionLimit.*`.

--- a/include/spanplank/region_limit.h
+++ b/include/spanplank/region_limit.h
@@ -3,6 +3,7 @@
 #define SPANPLANK_REGION_LIMIT_H_HEADER_GUARD
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 /// Region of each hall. A hall without an entry is in no region.
 using RegionOfHall = std::map<std::string, std::string>;
 
+/// Regions that a route or an account allows; none may be among them. Without a list all are allowed.
+using AllowedRegions = std::optional<std::vector<std::string>>;
+
 /// The halls in which a request may be served.
 struct HallLimit
 {
@@ -20,10 +24,8 @@
 };
 
 /// @returns The halls that both the route and the account allow.
-/// @param[in] _route Regions that the route allows; empty: all.
-/// @param[in] _account Regions that the account allows; empty: all.
-HallLimit limitHalls(const RegionOfHall& _regions, const std::vector<std::string>& _route,
-					 const std::vector<std::string>& _account);
+HallLimit limitHalls(const RegionOfHall& _regions, const AllowedRegions& _route,
+					 const AllowedRegions& _account);
 
 /// @returns Whether a hall may serve the request.
 bool isAllowed(const HallLimit& _limit, const std::string& _hall);
--- a/include/spanplank/service_config.h
+++ b/include/spanplank/service_config.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "spanplank/cold_upstreams.h"
+#include "spanplank/region_limit.h"
 #include "spanplank/types.h"
 
 namespace spanplank
@@ -46,8 +47,7 @@
 	/// Models among which the router chooses, smallest first; empty: the caller chooses the model.
 	std::vector<std::string> models;
 	std::vector<RouteTarget> targets;
-	/// Requests may be served and stored only in these regions; empty: in all.
-	std::vector<std::string> regions;
+	AllowedRegions regions; ///< Where requests may be served and stored.
 };
 
 /// A model that a service offers.
@@ -73,8 +73,8 @@
 struct AccountEntry
 {
 	std::string name;
-	uint32_t priority = 0;            ///< Takes precedence over the route's; lower values are served first.
-	std::vector<std::string> regions; ///< Same as `Route::regions`.
+	uint32_t priority = 0;  ///< Takes precedence over the route's; lower values are served first.
+	AllowedRegions regions; ///< Same as `Route::regions`.
 };
 
 /// Limits of the size and the duration of callers' requests.
--- a/src/core/region_limit.cpp
+++ b/src/core/region_limit.cpp
@@ -7,17 +7,17 @@
 {
 namespace
 {
-bool allowsRegion(const std::vector<std::string>& _allowed, const std::string& _region)
+bool allowsRegion(const AllowedRegions& _allowed, const std::string& _region)
 {
-	return _allowed.empty() || std::find(_allowed.begin(), _allowed.end(), _region) != _allowed.end();
+	return !_allowed || std::find(_allowed->begin(), _allowed->end(), _region) != _allowed->end();
 }
 } // namespace
 
-HallLimit limitHalls(const RegionOfHall& _regions, const std::vector<std::string>& _route,
-					 const std::vector<std::string>& _account)
+HallLimit limitHalls(const RegionOfHall& _regions, const AllowedRegions& _route,
+					 const AllowedRegions& _account)
 {
 	HallLimit limit;
-	limit.limited = !_route.empty() || !_account.empty();
+	limit.limited = _route.has_value() || _account.has_value();
 	for (const auto& [hall, region] : _regions)
 	{
 		if (limit.limited && allowsRegion(_route, region) && allowsRegion(_account, region))
--- a/src/direct/check_request.cpp
+++ b/src/direct/check_request.cpp
@@ -120,7 +120,7 @@
 bool admitByRegion(Serving& _serving)
 {
 	const DirectSettings& settings = _serving.router.settings;
-	const std::vector<std::string> any;
+	const AllowedRegions any;
 	_serving.limit = limitHalls(settings.regions, _serving.route->regions,
 								_serving.account != nullptr ? _serving.account->regions : any);
 	if (isAllowed(_serving.limit, settings.hall))
--- a/tests/core/region_limit_test.cpp
+++ b/tests/core/region_limit_test.cpp
@@ -7,6 +7,8 @@
 {
 namespace
 {
+using Names = std::vector<std::string>;
+
 const RegionOfHall kRegions = {{"south-a", "south"}, {"south-b", "south"}, {"north-a", "north"}};
 
 TEST(RegionLimit, WithoutARegionAnyHallServes)
@@ -17,18 +19,26 @@
 
 TEST(RegionLimit, OnlyTheHallsOfTheRegionsServe)
 {
-	const HallLimit limit = limitHalls(kRegions, {"south"}, {});
+	const HallLimit limit = limitHalls(kRegions, Names{"south"}, {});
 	EXPECT_TRUE(isAllowed(limit, "south-b"));
 	EXPECT_FALSE(isAllowed(limit, "north-a"));
 	EXPECT_FALSE(isAllowed(limit, "unknown"))
 		<< "a hall without a known region is in none of the allowed ones";
 }
 
+// An empty list was read as if there were none.
+TEST(RegionLimit, WhereNoRegionIsAllowedNoHallServes)
+{
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, Names{}, {}), "north-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, {}, Names{}), "north-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, Names{"north"}, Names{}), "north-a"));
+}
+
 TEST(RegionLimit, RouteAndAccountBothHaveToAllowIt)
 {
-	EXPECT_TRUE(isAllowed(limitHalls(kRegions, {"south", "north"}, {"north"}), "north-a"));
-	EXPECT_FALSE(isAllowed(limitHalls(kRegions, {"south", "north"}, {"north"}), "south-a"));
-	EXPECT_FALSE(isAllowed(limitHalls(kRegions, {"south"}, {"north"}), "south-a"))
+	EXPECT_TRUE(isAllowed(limitHalls(kRegions, Names{"south", "north"}, Names{"north"}), "north-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, Names{"south", "north"}, Names{"north"}), "south-a"));
+	EXPECT_FALSE(isAllowed(limitHalls(kRegions, Names{"south"}, Names{"north"}), "south-a"))
 		<< "no hall is allowed by both";
 }
 } // namespace
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -100,7 +100,7 @@
 	table.receivesPeerUpdates = true;
 	UpstreamQuery limited = query();
 	limited.shared = {{77, 500}};
-	limited.limit = limitHalls({{"a", "south"}, {"b", "north"}}, {"north"}, {});
+	limited.limit = limitHalls({{"a", "south"}, {"b", "north"}}, std::vector<std::string>{"north"}, {});
 	EXPECT_EQ(pick(limited, 0), "");
 	EXPECT_EQ(noUpstreamReason(table, limited, 0), NoUpstream::Regions);
 	const UpstreamId far = registerUpstream(table, record("far", "b"));
--- a/tests/direct/account_keys_test.cpp
+++ b/tests/direct/account_keys_test.cpp
@@ -124,6 +124,19 @@
 	EXPECT_EQ(upstream.requests.size(), 1u);
 }
 
+// An empty list of allowed regions let requests into all regions.
+TEST_F(AccountKeys, OfAnAccountThatMayUseNoRegionReachNoUpstream)
+{
+	system.config["tenants"][0]["allowed_regions"] = json::array();
+	writeConfig();
+	EXPECT_EQ(system.call("GET", kClosed).status, 503);
+	system.config["tenants"][0].erase("allowed_regions");
+	system.config["routes"][1]["allowed_regions"] = json::array();
+	writeConfig();
+	EXPECT_EQ(system.call("GET", kClosed).status, 503);
+	EXPECT_EQ(upstream.requests.size(), 0u);
+}
+
 // Logs and metrics called a missing key and an unknown one the same.
 TEST_F(AccountKeys, AMissingAndAnUnknownOneAreCountedApart)
 {
