Names of accounts and models that would forge a header are rejected

Callers' requests reached upstreams with a header that nobody sent: an account named with a line feed, or a model of a route, added it. Cause: ids of upstreams are checked before they go out in a header, names from the configuration were not.

--- a/tests/direct/account_keys_test.cpp
+++ b/tests/direct/account_keys_test.cpp
@@ -137,6 +137,41 @@
 	EXPECT_EQ(upstream.requests.size(), 0u);
 }
 
+// The name of an account and that of a model go out in headers: one with a line feed sent a header of its
+// own.
+TEST_F(AccountKeys, AConfigurationWithANameThatForgesAHeaderIsNotTaken)
+{
+	const std::string inForce = system.config["version"].dump();
+	const json sound = system.config;
+	for (const char* kind : {"account", "model"})
+	{
+		system.config["tenants"] = sound["tenants"];
+		system.config["routes"] = sound["routes"];
+		if (kind == std::string("account"))
+		{
+			system.config["tenants"][0]["name"] = "town\r\nX-Forged: 1";
+		}
+		else
+		{
+			system.config["routes"][1]["sizes"] = {"small\r\nX-Forged: 1"};
+		}
+		system.writeConfig();
+		const size_t before = upstream.requests.size();
+		EXPECT_TRUE(eventually(
+			[&] {
+				return system.call("GET", kClosed).status == 200 &&
+					   system.metric("spanplank_records_rejected_total{fault=\"config\"}") ==
+						   (kind == std::string("account") ? "1" : "2");
+			},
+			5))
+			<< kind;
+		ASSERT_GT(upstream.requests.size(), before);
+		EXPECT_EQ(upstream.requests.back().count("X-Forged"), 0u) << kind;
+	}
+	EXPECT_EQ(system.metric("spanplank_config_version"), inForce);
+	EXPECT_EQ(system.call("GET", kClosed).status, 200) << "the one in force stays";
+}
+
 // Logs and metrics called a missing key and an unknown one the same.
 TEST_F(AccountKeys, AMissingAndAnUnknownOneAreCountedApart)
 {
