A resource that can't be read spoils no other one

Callers saw, in the agents' mode, a removed key work on without an end: another writer's value under `config/` had ended each router's watch of the store. Cause: a value that can't be read threw out of the whole update, and the fiber that follows the store caught one kind of exception alone. A replica kept the value before it was read, and would have sent it on. Change: each resource is read by itself, and the last one that could be read holds; the loops that follow the store outlive any exception; items of the store that can't be read are logged. Why it works: what one value holds no longer decides whether the next one is looked at.

--- a/include/spanplank/config_replica.h
+++ b/include/spanplank/config_replica.h
@@ -49,6 +49,7 @@
 	std::map<std::string, Rollout, std::less<>> rollouts;
 	std::map<std::string, Service, std::less<>> services;
 	std::map<std::string, uint32_t, std::less<>> haltedGeneration; ///< Highest halted generation, by version.
+	uint64_t rejected = 0; ///< Changes that were skipped, as their specification can't be read.
 };
 
 /// Result of `apply`.
@@ -59,7 +60,7 @@
 	Gap,       ///< The update starts after the replica's revision: a full update is needed.
 };
 
-/// Applies an update. Resources with a lower or equal revision are skipped.
+/// Applies an update. Resources with a lower or equal revision are skipped, and those that can't be read.
 ApplyResult apply(ConfigReplica& _replica, const ConfigUpdate& _update);
 
 /// Applies a halt, which need not be in the store yet. @returns Whether it was new.
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -332,6 +332,10 @@
 
 void linkPeers(Agent& _agent)
 {
+			catch (const std::exception& failure)
+			{
+				logEvent("step_failed", {{"error", failure.what()}});
+			}
 	for (const BoxEntry& entry : _agent.node.boxes)
 	{
 		const bool self = entry.box == _agent.settings.common.box;
@@ -379,6 +383,8 @@
 
 void answerHttp(Agent& _agent, HttpExchange& _exchange)
 {
+	addCounter(page, "resources_rejected_total", "Resources that could not be read.",
+			   double(_agent.core.config.rejected));
 	const bool ready = !_agent.node.stopping && _agent.core.config.revision > 0;
 	if (!answerCommon(_agent.node, _exchange, ready, [&_agent] { return metricsPage(_agent); }))
 	{
--- a/src/adapters/agent_homes.cpp
+++ b/src/adapters/agent_homes.cpp
@@ -21,7 +21,7 @@
 	HomeTable table;
 	if (item.revision != 0 && !item.deleted)
 	{
-		table = json::parse(item.value).get<HomeTable>();
+		table = readRecord<HomeTable>(item);
 	}
 	table.pool = _agent.settings.pool;
 	return table;
--- a/src/adapters/agent_ratings.cpp
+++ b/src/adapters/agent_ratings.cpp
@@ -51,7 +51,7 @@
 	ExposureLedger ledger;
 	if (item.revision != 0)
 	{
-		ledger = json::parse(item.value).get<ExposureLedger>();
+		ledger = readRecord<ExposureLedger>(item);
 	}
 	ledger.version = _version;
 	ledger.generation = _feed.generation;
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -33,7 +33,7 @@
 	BillingLedger ledger;
 	if (item.revision != 0 && !item.deleted)
 	{
-		ledger = json::parse(item.value).get<BillingLedger>();
+		ledger = readRecord<BillingLedger>(item);
 	}
 	ledger.owner = _owner;
 	return ledger;
--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -21,13 +21,23 @@
 	return kConfigPrefix + _kind + "/" + _name;
 }
 
+/// @returns The resource of an item; without a kind if there is none, or another writer has left something
+/// else in its place, which is logged. Its revision is that of the item.
 Resource toResource(const StoreItem& _item)
 {
+	Resource resource;
 	if (_item.revision == 0 || _item.deleted)
 	{
-		return {};
+		return resource;
+	}
+	try
+	{
+		resource = json::parse(_item.value).get<Resource>();
+	}
+	catch (const json::exception& failure)
+	{
+		noteUnreadable(_item.key, failure.what());
 	}
-	Resource resource = json::parse(_item.value).get<Resource>();
 	resource.revision = _item.revision;
 	return resource;
 }
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -231,6 +231,11 @@
 		{
 			sleepFor(kStoreRetryMs); // The store adapter has logged the change of state.
 		}
+		catch (const std::exception& failure)
+		{
+			logEvent("step_failed", {{"error", failure.what()}});
+			sleepFor(kStoreRetryMs);
+		}
 	}
 }
 
@@ -320,6 +325,8 @@
 	addGauge(page, "in_flight", "Requests in flight.", double(_router.core.requests.size()));
 	addGauge(page, "connections", "Callers' connections.", double(_router.node.http.connections));
 	addGauge(page, "config_revision", "Configuration revision in force.",
+	addCounter(page, "resources_rejected_total", "Resources that could not be read.",
+			   double(_router.core.config.rejected));
 			 double(_router.core.config.revision));
 	addGauge(page, "bills_kept", "Bills not yet in the ledger.", double(_router.core.bills.count));
 	addProcessMetrics(page, _router.node.hub->stats(), _router.node.store.stats);
@@ -467,7 +474,14 @@
 void takeConfig(Router& _router, const ConfigUpdate& _update)
 {
 	const uint64_t before = _router.core.config.revision;
-	if (apply(_router.core.config, _update) != ApplyResult::Applied)
+	const uint64_t rejected = _router.core.config.rejected;
+	const ApplyResult result = apply(_router.core.config, _update);
+	if (_router.core.config.rejected != rejected)
+	{
+		logEvent("resources_rejected", {{"count", std::to_string(_router.core.config.rejected - rejected)},
+										{"revision", std::to_string(_update.revision)}});
+	}
+	if (result != ApplyResult::Applied)
 	{
 		return;
 	}
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <algorithm>
 
+#include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "spanplank/http_status.h"
 #include "spanplank/store_position.h"
@@ -115,6 +116,8 @@
 	}
 }
 
+constexpr TimeUs kUnreadableLogPause = 1000 * kMsToUs;
+
 StoreItem toItem(const json& _json)
 {
 	return {_json.value("key", ""), _json.value("value", ""), _json.value("revision", uint64_t(0)),
@@ -204,6 +207,17 @@
 }
 } // namespace
 
+void noteUnreadable(const std::string& _key, const std::string& _error)
+{
+	static TimeUs s_loggedAt = 0;
+	const TimeUs now = monotonicNow();
+	if (s_loggedAt == 0 || now - s_loggedAt >= kUnreadableLogPause)
+	{
+		s_loggedAt = now;
+		logEvent("record_rejected", {{"key", _key}, {"error", _error}});
+	}
+}
+
 const char* name(CasResult _result)
 {
 	switch (_result)
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -50,6 +50,25 @@
 	MayBeOld, ///< By seconds: it proves nothing, and costs the store a tenth.
 };
 
+/// Logs an item that can't be read, unless another one was logged a moment ago.
+void noteUnreadable(const std::string& _key, const std::string& _error);
+
+/// @returns What an item holds.
+/// @throws Failure(Internal) if that can't be read: another writer may have left it. It is logged.
+template <typename Record>
+Record readRecord(const StoreItem& _item)
+{
+	try
+	{
+		return nlohmann::json::parse(_item.value).get<Record>();
+	}
+	catch (const nlohmann::json::exception& failure)
+	{
+		noteUnreadable(_item.key, failure.what());
+		throw Failure(ErrorCode::Internal, "the item " + _item.key + " can't be read");
+	}
+}
+
 /// How a kind of store is spoken to: calls encoded, answers decoded. The decoders throw Failure; `run` in it
 /// tells whether the call may have been done.
 struct StoreProtocol
--- a/src/core/config_replica.cpp
+++ b/src/core/config_replica.cpp
@@ -7,6 +7,7 @@
 {
 namespace
 {
+/// @throws nlohmann::json::exception if the specification is not one of this kind.
 template <typename Spec>
 void applySpec(std::map<std::string, Spec, std::less<>>& _map, const Resource& _resource)
 {
@@ -70,6 +71,7 @@
 	else if (_resource.kind == kKindCascade)
 	{
 		applySpec(_replica.cascades, _resource);
+/// @throws nlohmann::json::exception without any change if the resource can't be read.
 	}
 	else if (_resource.kind == kKindRollout)
 	{
@@ -91,13 +93,20 @@
 	bool changed = false;
 	for (const Resource& change : _update.changes)
 	{
-		Resource& stored = _replica.resources[{change.kind, change.name}];
-		if (change.revision <= stored.revision)
+		const auto stored = _replica.resources.find({change.kind, change.name});
+		if (stored != _replica.resources.end() && change.revision <= stored->second.revision)
 		{
 			continue;
 		}
-		stored = change;
-		applyResource(_replica, stored);
+		try
+		{
+			applyResource(_replica, change);
+		}
+		catch (const nlohmann::json::exception&)
+		{
+			continue;
+		}
+		_replica.resources[{change.kind, change.name}] = change;
 		changed = true;
 	}
 	if (_update.revision > _replica.revision)
@@ -111,6 +120,7 @@
 bool applyHalt(ConfigReplica& _replica, const Halt& _halt)
 {
 	uint32_t& generation = _replica.haltedGeneration[_halt.version];
+			++_replica.rejected; // The last one that could be read holds.
 	if (_halt.generation <= generation)
 	{
 		return false;
--- a/tests/core/config_replica_test.cpp
+++ b/tests/core/config_replica_test.cpp
@@ -118,6 +118,27 @@
 	EXPECT_EQ(replica.accountByKeyHash.count("h2"), 1u);
 }
 
+// A resource of another type than its kind's ended the update with an exception, after a part of it was in
+// force.
+TEST(ConfigReplica, AResourceThatCantBeReadSpoilsNoOther)
+{
+	for (const nlohmann::json& spec :
+		 {nlohmann::json(7), nlohmann::json::array(), nlohmann::json{{"keyHashes", 7}, {"allowed", {"m"}}},
+		  nlohmann::json{{"keyHashes", {1, 2}}, {"allowed", {"m"}}}})
+	{
+		ConfigReplica replica;
+		apply(replica, updateOf(0, 1, {accountAt(1, {"m"}, {"h1"})}));
+		const Resource wrong{kKindAccount, "acct", 2, false, spec, {}};
+		ASSERT_NO_THROW(apply(replica, updateOf(1, 3, {wrong, versionAt("v", 3, VersionState::Serving)})));
+		EXPECT_EQ(replica.versions.count("v"), 1u) << spec;
+		EXPECT_EQ(replica.revision, 3u);
+		EXPECT_EQ(replica.accountByKeyHash.count("h1"), 1u) << "the last one that could be read holds";
+		apply(replica, updateOf(3, 4, {accountAt(4, {"m"}, {"h2"})}));
+		EXPECT_EQ(replica.accountByKeyHash.count("h1"), 0u);
+		EXPECT_EQ(replica.accountByKeyHash.count("h2"), 1u);
+	}
+}
+
 TEST(ConfigReplica, UpdateSinceCarriesOneReplicaToAnother)
 {
 	ConfigReplica first;
--- /dev/null
+++ b/tests/system/foreign_record_test.cpp
@@ -0,0 +1,65 @@
+/// Agents' mode beside other writers and odd upstreams: what one record or answer holds spoils no other, and
+/// is never the caller's fault.
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "fiber_runtime_p.h"
+#include "harness.h"
+
+namespace spanplank
+{
+namespace
+{
+using nlohmann::json;
+
+/// Values that another writer may leave where a resource is expected.
+const std::vector<std::string> kNoResources = {
+	"",
+	"no json",
+	"[]",
+	"7",
+	R"({"kind":"accounts","name":"other","spec":{"keyHashes":7,"allowed":["small"]}})",
+	R"({"kind":"accounts","name":"other","spec":[]})",
+	R"({"kind":"accounts","name":"other"})",
+	R"({"kind":"versions","name":"other@1","spec":{"model":"small","state":9}})",
+	R"({"kind":7,"name":"other","spec":{}})",
+	R"({"kind":"services","name":"other","spec":{"repeatable":"yes"}})",
+};
+
+// One resource that could not be read ended each router's watch of the store: a removed key worked on for
+// good.
+TEST(ForeignRecord, AmongTheResourcesDoesNotKeepARemovedKeyWorking)
+{
+	System system{SystemShape{}};
+	system.declareBasics();
+	for (size_t ii = 0; ii < kNoResources.size(); ++ii)
+	{
+		system.writeStore(fmt::format("config/accounts/other-{}", ii), kNoResources[ii]);
+	}
+	pause(1000);
+	const json spec{{"keyHashes", {sha256Hex("key-next")}}, {"allowed", {"small", "large"}}};
+	ASSERT_EQ(system.put(1, "accounts", "town", spec).status, 200);
+	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 401; }, 10));
+	ChatOptions options;
+	options.key = "key-next";
+	EXPECT_TRUE(eventually([&] { return system.chat(0, options).status == 200; }, 10));
+}
+
+// A router that started beside such a resource knew no configuration, and its agents refused its links.
+TEST(ForeignRecord, AmongTheResourcesDoesNotKeepARouterFromStarting)
+{
+	System system{SystemShape{}};
+	system.declareBasics();
+	for (size_t ii = 0; ii < kNoResources.size(); ++ii)
+	{
+		system.writeStore(fmt::format("config/accounts/other-{}", ii), kNoResources[ii]);
+	}
+	system.killHard("router-0");
+	system.start("router-0");
+	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 200; }, 10));
+}
+
+} // namespace
+} // namespace spanplank
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -237,11 +237,17 @@
 	http(m_platform, "POST", "/boxes", json(m_boxes).dump());
 }
 
+void System::addBox(const json& _box)
+{
+	m_boxes.insert(m_boxes.begin(), _box);
+	publishBoxes();
+}
+
 void System::setBoxState(const std::string& _box, const std::string& _state)
 {
 	for (json& box : m_boxes)
 	{
-		if (box["box"] == _box)
+		if (box.is_object() && box["box"] == _box)
 		{
 			box["state"] = _state;
 		}
@@ -512,6 +518,12 @@
 	return http(m_platform, "POST", "/kv/list", json{{"prefix", _prefix}}.dump()).json();
 }
 
+void System::writeStore(const std::string& _key, const std::string& _value)
+{
+	const json call{{"key", _key}, {"value", _value}, {"expected", 0}};
+	http(m_platform, "POST", "/kv/cas", call.dump());
+}
+
 std::string System::homeOf(uint32_t _router, const std::string& _idempotencyKey)
 {
 	const json state = status(_router);
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -88,7 +88,11 @@
 	/// Whole answers of a version over all engines.
 	uint64_t runsOfVersion(const std::string& _version);
 	nlohmann::json readStore(const std::string& _prefix);
+	/// Writes a key of the store that does not exist yet, as another writer.
+	void writeStore(const std::string& _key, const std::string& _value);
 
+	/// Puts an entry before all others of the platform's list of boxes, as another writer.
+	void addBox(const nlohmann::json& _box);
 	/// Marks a box as leaving in the platform's list.
 	void setBoxState(const std::string& _box, const std::string& _state);
 
