A copy of an account under another key does not replace it

Callers saw, in the agents' mode, a removed key work again after somebody had copied the account's value to another key of the store. Cause: kind and name of a resource were read from its value alone, and the copy's revision is the higher one. Change: a value whose kind and name are not those of its key is no resource, and logged. Why it works: a resource has one place in the store, whatever is written beside it.

--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -33,6 +33,11 @@
 	try
 	{
 		resource = json::parse(_item.value).get<Resource>();
+		if (storeKey(resource.kind, resource.name) != _item.key)
+		{
+			noteUnreadable(_item.key, "it is the resource of another key");
+			resource = {};
+		}
 	}
 	catch (const json::exception& failure)
 	{
--- a/tests/system/foreign_record_test.cpp
+++ b/tests/system/foreign_record_test.cpp
@@ -47,6 +47,22 @@
 	EXPECT_TRUE(eventually([&] { return system.chat(0, options).status == 200; }, 10));
 }
 
+// A copy of an account under another key of the store took the account's place: a key that was removed worked
+// again.
+TEST(ForeignRecord, ThatIsACopyOfAnAccountBringsBackNoRemovedKey)
+{
+	System system{SystemShape{}};
+	system.declareBasics();
+	const std::string copy = system.readStore("config/accounts/town")["items"][0]["value"];
+	const json spec{{"keyHashes", {sha256Hex("key-next")}}, {"allowed", {"small", "large"}}};
+	ASSERT_EQ(system.put(1, "accounts", "town", spec).status, 200);
+	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 401; }, 10));
+	system.writeStore("config/accounts/town.bak", copy);
+	pause(1000);
+	EXPECT_EQ(system.chat(0, {}).status, 401);
+	EXPECT_EQ(system.chat(1, {}).status, 401);
+}
+
 // A router that started beside such a resource knew no configuration, and its agents refused its links.
 TEST(ForeignRecord, AmongTheResourcesDoesNotKeepARouterFromStarting)
 {
