A key of two accounts works until both have removed it

Callers saw, in the agents' mode, 401 for a key that their account holds, once another account that held it too had removed it. Cause: the table of keys holds one account for each key, and its removal there left none. Change: another account that holds the key takes it over. Why it works: a key is unknown only once no account holds it. Measured: `ConfigReplica.AKeyOfTwoAccountsWorksUntilBothHaveRemovedIt` failed before and passes.

--- a/src/core/config_replica.cpp
+++ b/src/core/config_replica.cpp
@@ -16,24 +16,41 @@
 		_map.erase(_resource.name);
 		return;
 	}
-	_map[_resource.name] = _resource.spec.get<Spec>();
+	_map[_resource.name] = _resource.spec.get<Spec>(); // Read before anything changes.
+}
+
+/// @returns An account that holds a key; null if none does.
+const std::string* holderOf(const ConfigReplica& _replica, const std::string& _hash)
+{
+	for (const auto& [name, account] : _replica.accounts)
+	{
+		if (std::find(account.keyHashes.begin(), account.keyHashes.end(), _hash) != account.keyHashes.end())
+		{
+			return &name;
+		}
+	}
+	return nullptr;
 }
 
 void applyAccount(ConfigReplica& _replica, const Resource& _resource)
 {
 	const auto old = _replica.accounts.find(_resource.name);
-	if (old != _replica.accounts.end())
+	const std::vector<std::string> before =
+		old == _replica.accounts.end() ? std::vector<std::string>() : old->second.keyHashes;
+	applySpec(_replica.accounts, _resource);
+	for (const std::string& hash : before)
 	{
-		for (const std::string& hash : old->second.keyHashes)
+		const auto owner = _replica.accountByKeyHash.find(hash);
+		if (owner == _replica.accountByKeyHash.end() || owner->second != _resource.name)
 		{
-			const auto owner = _replica.accountByKeyHash.find(hash);
-			if (owner != _replica.accountByKeyHash.end() && owner->second == _resource.name)
-			{
-				_replica.accountByKeyHash.erase(owner);
-			}
+			continue;
+		}
+		_replica.accountByKeyHash.erase(owner);
+		if (const std::string* other = holderOf(_replica, hash)) // It may be moving from one to another.
+		{
+			_replica.accountByKeyHash[hash] = *other;
 		}
 	}
-	applySpec(_replica.accounts, _resource);
 	const auto applied = _replica.accounts.find(_resource.name);
 	if (applied != _replica.accounts.end())
 	{
@@ -54,6 +71,7 @@
 	}
 }
 
+/// @throws nlohmann::json::exception without any change if the resource can't be read.
 void applyResource(ConfigReplica& _replica, const Resource& _resource)
 {
 	if (_resource.kind == kKindAccount)
@@ -71,7 +89,6 @@
 	else if (_resource.kind == kKindCascade)
 	{
 		applySpec(_replica.cascades, _resource);
-/// @throws nlohmann::json::exception without any change if the resource can't be read.
 	}
 	else if (_resource.kind == kKindRollout)
 	{
@@ -104,6 +121,7 @@
 		}
 		catch (const nlohmann::json::exception&)
 		{
+			++_replica.rejected; // The last one that could be read holds.
 			continue;
 		}
 		_replica.resources[{change.kind, change.name}] = change;
@@ -120,7 +138,6 @@
 bool applyHalt(ConfigReplica& _replica, const Halt& _halt)
 {
 	uint32_t& generation = _replica.haltedGeneration[_halt.version];
-			++_replica.rejected; // The last one that could be read holds.
 	if (_halt.generation <= generation)
 	{
 		return false;
--- a/tests/core/config_replica_test.cpp
+++ b/tests/core/config_replica_test.cpp
@@ -118,6 +118,22 @@
 	EXPECT_EQ(replica.accountByKeyHash.count("h2"), 1u);
 }
 
+// A key that two accounts held was gone once one of them had removed it.
+TEST(ConfigReplica, AKeyOfTwoAccountsWorksUntilBothHaveRemovedIt)
+{
+	ConfigReplica replica;
+	Resource other = accountAt(2, {"m"}, {"h1"});
+	other.name = "other";
+	apply(replica, updateOf(0, 2, {accountAt(1, {"m"}, {"h1"}), other}));
+	Resource without = accountAt(3, {"m"}, {"h2"});
+	without.name = "other";
+	apply(replica, updateOf(2, 3, {without}));
+	ASSERT_EQ(replica.accountByKeyHash.count("h1"), 1u);
+	EXPECT_EQ(replica.accountByKeyHash.at("h1"), "acct");
+	apply(replica, updateOf(3, 4, {accountAt(4, {"m"}, {})}));
+	EXPECT_EQ(replica.accountByKeyHash.count("h1"), 0u);
+}
+
 // A resource of another type than its kind's ended the update with an exception, after a part of it was in
 // force.
 TEST(ConfigReplica, AResourceThatCantBeReadSpoilsNoOther)
