An engine's usage of another type does not take its slots

Callers saw, in the agents' mode, a 408 at their deadline for a whole answer of an engine whose usage has figures of another type; after as many as the agent has slots, for every request. Cause: the figures were read by a reader that throws. The exception ended the fiber that ran the work, and the work stayed. Change: figures that can't be read count as not told, and are logged; an exception while work runs ends the work. Why it works: each work ends, by an answer or a refusal, and frees its slot. Measured: `OddUpstream.WhoseUsageCantBeReadIsAnsweredAndKeepsItsSlots` failed before and passes.

--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -74,6 +74,13 @@
 			tellSuspects(_agent.node, _agent.core.suspects); // Before the router tries the request elsewhere.
 		}
 	}
+	catch (const std::exception& failure)
+	{
+		// Work that is not ended holds its slot for good.
+		noteEvent(_agent.node, "work_failed", _forward.submit.request, failure.what());
+		onUpstreamFailed(_agent.core, work, {true, false, failure.what()}, monotonicNow(), wallNowMs(),
+						 actions);
+	}
 	_agent.calls.erase(work.idx);
 	perform(_agent, actions);
 }
@@ -325,6 +332,10 @@
 			{
 				// Counted by the adapter that failed; logged there when its state changes.
 			}
+			catch (const std::exception& failure)
+			{
+				logEvent("step_failed", {{"error", failure.what()}});
+			}
 			sleepFor(_ms);
 		}
 	});
@@ -332,10 +343,6 @@
 
 void linkPeers(Agent& _agent)
 {
-			catch (const std::exception& failure)
-			{
-				logEvent("step_failed", {{"error", failure.what()}});
-			}
 	for (const BoxEntry& entry : _agent.node.boxes)
 	{
 		const bool self = entry.box == _agent.settings.common.box;
@@ -376,6 +383,8 @@
 			 double(_agent.core.config.revision));
 	addGauge(page, "running", "Requests at the upstream.", double(_agent.core.queue.running.size()));
 	addGauge(page, "queued", "Requests that wait.", double(_agent.core.queue.waiting.size()));
+	addCounter(page, "resources_rejected_total", "Resources that could not be read.",
+			   double(_agent.core.config.rejected));
 	addGauge(page, "bills_kept", "Bills not yet in the ledger.", double(_agent.core.bills.count));
 	addProcessMetrics(page, _agent.node.hub->stats(), _agent.node.store.stats);
 	return serialize(page);
@@ -383,8 +392,6 @@
 
 void answerHttp(Agent& _agent, HttpExchange& _exchange)
 {
-	addCounter(page, "resources_rejected_total", "Resources that could not be read.",
-			   double(_agent.core.config.rejected));
 	const bool ready = !_agent.node.stopping && _agent.core.config.revision > 0;
 	if (!answerCommon(_agent.node, _exchange, ready, [&_agent] { return metricsPage(_agent); }))
 	{
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fiber_runtime_p.h"
+#include "log_p.h"
 #include "spanplank/event_stream.h"
 
 namespace spanplank
@@ -12,6 +13,7 @@
 using nlohmann::json;
 
 constexpr size_t kTailBytes = 4096; ///< The engine's usage comes in the last events of a stream.
+constexpr size_t kMostLoggedUsage = 200;
 
 HttpCall engineCall(const Submit& _submit)
 {
@@ -46,16 +48,53 @@
 	return request;
 }
 
+constexpr uint64_t kMostTokens = 100000000; ///< Of one answer; larger figures are wrong.
+constexpr double kConfident = 1.0;          ///< Of an engine that tells no confidence.
+
+/// @returns A count of tokens; 0 if the engine tells none.
+uint32_t readTokens(const json& _usage, const char* _name, bool& _valid)
+{
+	const auto found = _usage.find(_name);
+	if (found == _usage.end())
+	{
+		return 0;
+	}
+	const bool valid = found->is_number_unsigned() && found->get<uint64_t>() <= kMostTokens;
+	_valid = _valid && valid;
+	return valid ? found->get<uint32_t>() : 0;
+}
+
+double readConfidence(const json& _usage, bool& _valid)
+{
+	const auto found = _usage.find("confidence");
+	if (found == _usage.end())
+	{
+		return kConfident;
+	}
+	_valid = _valid && found->is_number();
+	return found->is_number() ? found->get<double>() : kConfident;
+}
+
+/// Reads what an engine tells of an answer. What can't be read counts as not told, and is logged.
 void readUsage(const json& _answer, AnswerSummary& _end)
 {
-	if (!_answer.is_object() || !_answer.contains("usage") || !_answer["usage"].is_object())
+	const bool told = _answer.is_object() && _answer.contains("usage");
+	if (!told)
 	{
 		return;
 	}
 	const json& usage = _answer["usage"];
-	_end.promptTokens = usage.value("prompt_tokens", 0u);
-	_end.outputTokens = usage.value("completion_tokens", 0u);
-	_end.confidence = usage.value("confidence", 1.0);
+	bool valid = usage.is_object();
+	if (valid)
+	{
+		_end.promptTokens = readTokens(usage, "prompt_tokens", valid);
+		_end.outputTokens = readTokens(usage, "completion_tokens", valid);
+		_end.confidence = readConfidence(usage, valid);
+	}
+	if (!valid)
+	{
+		logEvent("usage_rejected", {{"usage", usage.dump().substr(0, kMostLoggedUsage)}});
+	}
 }
 
 /// The last event of a stream that holds the usage.
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -67,8 +67,12 @@
 	return double(_job.promptTokens - std::min(cached, _job.promptTokens)) * _engine.prefillMsPerToken;
 }
 
-json usageOf(const EngineJob& _job)
+json usageOf(const FakeEngine& _engine, const EngineJob& _job)
 {
+	if (!_engine.usage.is_null())
+	{
+		return _engine.usage;
+	}
 	return {{"prompt_tokens", _job.promptTokens},
 			{"completion_tokens", _job.outputTokens},
 			{"confidence", _job.confidence}};
@@ -100,7 +104,7 @@
 			return false;
 		}
 	}
-	const json last{{"choices", json::array()}, {"usage", usageOf(_job)}};
+	const json last{{"choices", json::array()}, {"usage", usageOf(_engine, _job)}};
 	_exchange.write("data: " + last.dump() + "\n\ndata: [DONE]\n\n");
 	return _exchange.finish();
 }
@@ -127,7 +131,7 @@
 		jsonResponse(200, {{"object", "chat.completion"},
 						   {"model", _job.version},
 						   {"choices", {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
-						   {"usage", usageOf(_job)}}));
+						   {"usage", usageOf(_engine, _job)}}));
 	return !_exchange.broken();
 }
 
@@ -170,6 +174,7 @@
 	_engine.prefillMsPerToken = _faults.value("prefill_ms", _engine.prefillMsPerToken);
 	_engine.cutAfterTokens = _faults.value("cut_after_tokens", _engine.cutAfterTokens);
 	_engine.slots = _faults.value("slots", _engine.slots);
+	_engine.usage = _faults.value("usage", _engine.usage);
 	if (_faults.contains("bad_rate"))
 	{
 		_engine.badRate = _faults["bad_rate"].get<std::map<std::string, double>>();
--- a/src/fakes/fakes.h
+++ b/src/fakes/fakes.h
@@ -108,6 +108,7 @@
 	std::map<std::string, uint64_t> badByVersion;
 	uint64_t cancelled = 0;
 	uint32_t cutAfterTokens = 0; ///< Fault: cuts the stream after so many tokens.
+	nlohmann::json usage;        ///< Fault: told in place of what was used; null: the truth is told.
 	Random random{44};
 };
 
--- a/tests/system/foreign_record_test.cpp
+++ b/tests/system/foreign_record_test.cpp
@@ -96,5 +96,40 @@
 	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 200; }, 10));
 }
 
+/// A system of one engine with two slots and one service.
+SystemShape smallShape()
+{
+	SystemShape shape;
+	shape.routers = 1;
+	shape.engines = 1;
+	shape.services = 1;
+	shape.slots = 2;
+	return shape;
+}
+
+// An engine that told its usage in another type ended the agent's call without an answer: the caller got a
+// 408, and the slot was never free again.
+TEST(OddUpstream, WhoseUsageCantBeReadIsAnsweredAndKeepsItsSlots)
+{
+	System system(smallShape());
+	system.declareBasics();
+	for (const json& usage :
+		 {json{{"prompt_tokens", nullptr}, {"completion_tokens", nullptr}},
+		  json{{"prompt_tokens", "12"}, {"completion_tokens", 4}, {"confidence", "high"}},
+		  json{{"prompt_tokens", -1}, {"completion_tokens", 1.5}}, json(7), json::array()})
+	{
+		system.engineFault(0, {{"usage", usage}});
+		for (const bool stream : {false, true})
+		{
+			ChatOptions options;
+			options.stream = stream;
+			options.deadlineMs = 2000;
+			const Answer answer = system.chat(0, options);
+			EXPECT_EQ(answer.status, 200) << usage << (stream ? " stream" : "") << answer.body;
+			EXPECT_FALSE(answer.cut) << usage;
+		}
+	}
+}
+
 } // namespace
 } // namespace spanplank
