A method that the HTTP library does not name is sent as it came

Callers saw, in the agents' mode, no answer until their deadline for a request with such a method; as many as an agent has slots took its service down. Change: the client sends the method as a text, as the direct mode does. Why it works: nothing throws, and the service decides on the method. Measured: `OddRequest.WithAnUnknownMethodIsForwardedAndKeepsTheSlots` failed before and passes.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -80,7 +80,10 @@
 
 http::request<http::string_body> toMessage(const HttpClient& _client, const HttpCall& _call)
 {
-	http::request<http::string_body> message(http::string_to_verb(_call.method), _call.target, 11);
+	http::request<http::string_body> message;
+	message.method_string(_call.method); // A method of which the library does not know is a method, too.
+	message.target(_call.target);
+	message.version(11);
 	message.set(http::field::host, _client.endpoint.ip);
 	for (const HttpHeader& header : _call.headers)
 	{
--- a/tests/system/foreign_record_test.cpp
+++ b/tests/system/foreign_record_test.cpp
@@ -131,5 +131,35 @@
 	}
 }
 
+/// @returns What a router answers to a head that is sent as it is.
+std::string sendRaw(System& _system, const std::string& _bytes)
+{
+	using boost::asio::ip::tcp;
+	const Endpoint router = parseEndpoint(_system.routerAddress(0));
+	tcp::socket caller(testIo());
+	caller.connect({boost::asio::ip::make_address(router.ip), router.port});
+	boost::asio::write(caller, boost::asio::buffer(_bytes));
+	std::string answer;
+	awaitIo([&](auto _done) { boost::asio::async_read(caller, boost::asio::dynamic_buffer(answer), _done); });
+	return answer;
+}
+
+// A method that the HTTP library has no name for ended the agent's call without an answer, and the slot was
+// never free again: any caller could take a service down.
+TEST(OddRequest, WithAnUnknownMethodIsForwardedAndKeepsTheSlots)
+{
+	System system(smallShape());
+	system.declareBasics();
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		const std::string answer =
+			sendRaw(system, fmt::format("BREW /v1/services/orders/x HTTP/1.1\r\nHost: a\r\n"
+										"Authorization: Bearer key-town\r\nX-Spanplank-Deadline-Ms: 2000\r\n"
+										"Idempotency-Key: odd-{}\r\nConnection: close\r\n\r\n",
+										ii));
+		EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200") << answer;
+	}
+	EXPECT_EQ(system.callService(0, "after").status, 200);
+}
 } // namespace
 } // namespace spanplank
