An agent's trouble is not told as the caller's fault

Callers saw, in the agents' mode, 404, 400 or 401 for codes that an agent used of itself, and 408 where an upstream was silent until the deadline. Cause: the router passed an agent's code on though it had checked the request itself, and a status was chosen without regard to whether the request may have run. Why it works: what an agent knows better than its router is named; the rest is the service's side by definition. Measured: `RouterCore.WhatAnAgentRefusesForItselfIsNotTheCallersFault` and `...ADeadlineThatPassesAtAnUpstreamIsNotTheCallersFault` failed before and pass.

--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -145,7 +145,7 @@
 	{
 		error["request"] = _requestId;
 	}
-	HttpResponse response = jsonResponse(httpStatus(_refusal.code), {{"error", error}});
+	HttpResponse response = jsonResponse(httpStatus(_refusal), {{"error", error}});
 	if (_refusal.retryAfterMs > 0)
 	{
 		const uint32_t seconds = (_refusal.retryAfterMs + 999) / 1000;
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -50,7 +50,7 @@
 		}
 		if (!contains(_core.init.self.services, _submit.service))
 		{
-			_why = {ErrorCode::UnknownService, RunState::No, 0, "this agent does not serve the service"};
+			_why = {ErrorCode::NoUpstream, RunState::No, 0, "this agent does not serve the service"};
 			return false;
 		}
 		return true;
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -853,6 +853,28 @@
 	completeRequest(_core, id, _actions);
 }
 
+namespace
+{
+/// What an agent may say of the request itself, beyond what this router has checked.
+bool isAgentsToSay(ErrorCode _code)
+{
+	return _code == ErrorCode::NotAllowed || _code == ErrorCode::VersionWithdrawn ||
+		   _code == ErrorCode::KeyReused || _code == ErrorCode::InDoubt;
+}
+
+/// @returns An agent's refusal as its caller may get it: an agent's own trouble is not the caller's fault.
+Refusal refusalBy(const AnswerRefused& _refused)
+{
+	const RunState run = _refused.mayHaveRun ? RunState::Unknown : RunState::No;
+	ErrorCode code = errorCode(_refused.code);
+	if (concernsRequest(code) && !isAgentsToSay(code))
+	{
+		code = _refused.mayHaveRun ? ErrorCode::UpstreamFailed : ErrorCode::NoUpstream;
+	}
+	return {code, run, _refused.retryAfterMs, _refused.detail};
+}
+} // namespace
+
 void onRefused(RouterCore& _core, UpstreamId _from, const AnswerRefused& _refused, TimeUs _now, int64_t,
 			   RouterActions& _actions)
 {
@@ -862,10 +884,9 @@
 	{
 		return;
 	}
-	const ErrorCode code = errorCode(_refused.code);
+	const Refusal refusal = refusalBy(_refused);
+	const ErrorCode code = refusal.code;
 	closeAttempt(_core, *request, _refused.mayHaveRun);
-	const Refusal refusal{code, _refused.mayHaveRun ? RunState::Unknown : RunState::No, _refused.retryAfterMs,
-						  _refused.detail};
 	if (code == ErrorCode::ExposureSpent)
 	{
 		_core.upstreams[_from.idx].exposureSpentUntil[request->version] = _now + kExposureBackoffUs;
@@ -878,8 +899,7 @@
 		_core.upstreams[_from.idx].draining = true;
 	}
 	const bool final = code == ErrorCode::KeyReused || code == ErrorCode::InDoubt ||
-					   code == ErrorCode::NotAllowed || code == ErrorCode::BadRequest ||
-					   code == ErrorCode::EndsUpstreams;
+					   code == ErrorCode::NotAllowed || code == ErrorCode::EndsUpstreams;
 	if (final)
 	{
 		request->mayHaveRun = request->mayHaveRun || _refused.mayHaveRun;
--- a/tests/core/router_core_test.cpp
+++ b/tests/core/router_core_test.cpp
@@ -169,6 +169,42 @@
 	EXPECT_TRUE(passed);
 }
 
+// An agent that found fault with its own settings, or used a code that is not known, gave the caller a 404 or
+// 400.
+TEST(RouterCore, WhatAnAgentRefusesForItselfIsNotTheCallersFault)
+{
+	for (const ErrorCode code :
+		 {ErrorCode::BadRequest, ErrorCode::BadKey, ErrorCode::UnknownModel, ErrorCode::UnknownService,
+		  ErrorCode::Oversize, ErrorCode::SessionInvalid, ErrorCode::NotFound, ErrorCode::LinkRefused,
+		  ErrorCode::RevisionConflict, ErrorCode::Cancelled})
+	{
+		for (const bool mayHaveRun : {false, true})
+		{
+			Fixture fixture;
+			SendSubmit sent = fixture.sendRequest("small");
+			fixture.refuse(sent, code, mayHaveRun);
+			sent = fixture.takeAction<SendSubmit>(); // Another upstream is asked.
+			fixture.refuse(sent, code, mayHaveRun);
+			const RefuseRequest refused = fixture.takeAction<RefuseRequest>();
+			EXPECT_GE(httpStatus(refused.refusal), 500) << name(code);
+			EXPECT_EQ(refused.refusal.run, mayHaveRun ? RunState::Unknown : RunState::No) << name(code);
+		}
+	}
+}
+
+// A request that an upstream was silent on until its deadline was answered with 408, as if its caller had
+// been late.
+TEST(RouterCore, ADeadlineThatPassesAtAnUpstreamIsNotTheCallersFault)
+{
+	Fixture fixture;
+	fixture.sendRequest("small");
+	tick(fixture.core, kNow + 20000 * kMsToUs, fixture.actions);
+	ASSERT_EQ(fixture.actions.size(), 2u) << "a cancel and the refusal";
+	const auto refused = std::get<RefuseRequest>(fixture.actions.at(1));
+	EXPECT_EQ(refused.refusal.run, RunState::Unknown);
+	EXPECT_EQ(httpStatus(refused.refusal), 504);
+}
+
 TEST(RouterCore, CascadeRunsTheStrongStepOnlyIfTheCheapOneHasLowConfidence)
 {
 	Fixture fixture;
