Requests whose end is not certain are refused

Cause: the parser takes a body whose coding it does not know for an empty one, and what follows for the next request. Change: a request with any coding but one `chunked`, with a coding and a length, with a coding in HTTP/1.0, or with a folded field is refused with 400 and its connection closed (RFC 9112, 6.1, 6.3 and 5.2). Why it works: a request is handed on only where all readers find its end at the same byte.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -138,12 +138,55 @@
 	refuseItself(_connection, _request, refusal);
 }
 
+/// @returns Whether a request's body ends where every reader of it must find its end (RFC 9112, 6.1 and 6.3).
+/// The parser takes a body whose coding it does not know for an empty one; what follows would be run as a
+/// request.
+bool isDelimited(const HttpRequest& _request)
+{
+	const size_t codings = _request.count(http::field::transfer_encoding);
+	if (codings == 0)
+	{
+		return true;
+	}
+	const bool chunked = codings == 1 && beast::iequals(_request[http::field::transfer_encoding], "chunked");
+	return chunked && _request.version() >= kHttpVersion && _request.count(http::field::content_length) == 0;
+}
+
+bool hasCertainEnd(ServedConnection& _connection, HttpRequest& _request)
+{
+	if (isDelimited(_request))
+	{
+		return true;
+	}
+	_connection.end = ConnectionEnd::Malformed;
+	_connection.error = "the body's end is not certain";
+	refuseItself(
+		_connection, _request,
+		serverRefusal(ErrorCode::BadRequest, "a body needs one length, or chunks and no other coding"));
+	return false;
+}
+
+/// @returns Whether a field of the head that has come goes on in a further line. Readers differ in what such
+/// a field says (RFC 9112, 5.2).
+bool hasFoldedField(const beast::flat_buffer& _buffer)
+{
+	const std::string_view bytes(static_cast<const char*>(_buffer.data().data()), _buffer.size());
+	const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+	return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 using RequestParser = http::request_parser<http::string_body>;
 
 /// Hands what was read to the parser.
 /// @returns Whether the connection may go on; otherwise its end is noted.
 bool parse(ServedConnection& _connection, RequestParser& _parser, beast::error_code& _error)
 {
+	if (!_parser.is_header_done() && hasFoldedField(_connection.buffer))
+	{
+		_connection.end = ConnectionEnd::Malformed;
+		_connection.error = "a field is folded";
+		return false;
+	}
 	while (_connection.buffer.size() > 0 && !_parser.is_done() && !_error)
 	{
 		_connection.buffer.consume(_parser.put(_connection.buffer.data(), _error));
@@ -208,7 +251,7 @@
 		return false;
 	}
 	_request = parser.release();
-	return hasOneHost(_connection, _request);
+	return hasCertainEnd(_connection, _request) && hasOneHost(_connection, _request);
 }
 
 /// Ends an exchange whose handler has returned: what it left open must not look answered.
@@ -229,6 +272,12 @@
 	_exchange.respond(serverRefusal(ErrorCode::Internal, "the router failed", RunState::Unknown));
 }
 
+void noteHandlerFailure(HttpServer& _server, const HttpRequest& _request, const char* _error)
+{
+	++_server.handlerFailures;
+	logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", _error}});
+}
+
 /// Has the handler answer one request.
 /// @returns Whether the connection takes another one.
 bool answerRequest(HttpServer& _server, ServedConnection& _connection, HttpRequest& _request)
@@ -274,12 +323,6 @@
 {
 	bool keepAlive = true;
 	while (keepAlive && awaitFirstByte(_server, _connection))
-void noteHandlerFailure(HttpServer& _server, const HttpRequest& _request, const char* _error)
-{
-	++_server.handlerFailures;
-	logEvent("handler_failed", {{"target", std::string(_request.target())}, {"error", _error}});
-}
-
 	{
 		const BusyMark busy(_server);
 		HttpRequest request;
