A version that was rolled back stays out while the next one is tried

Cause: the order replaces the trial and with it the halt; "any version but the one on trial" includes the one that was just halted. Change: a trial keeps the versions halted under earlier orders; the choice, its fallback and the last look before sending leave them out, until an order names them again or another version is completed. A blank router learns the last one from the status, which names the earlier order's version. Why it works: what was halted is judged by its name and not by which order is the last one.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -76,8 +76,9 @@
 	ColdState cold;
 	RequestLimit limit;
 	bool saysLeaving = false; ///< An answer of this incarnation said that it shuts down.
-	/// A record of this incarnation said so, which holds until its end. One without the start that the upstream
-	/// has reported may be another writer's: what it says holds until the next record with that start.
+	/// A record of this incarnation said so, which holds until its end. One without the start that the
+	/// upstream has reported may be another writer's: what it says holds until the next record with that
+	/// start.
 	bool recordsLeaving = false;
 	/// The incarnation was replaced after it had left or begun to leave.
 	bool leftBeforeRestart = false;
@@ -203,6 +204,7 @@
 	std::string_view hall;    ///< Hall of the router; upstreams in the same hall are preferred.
 	std::string_view version; ///< Required version; if empty, any except `notVersion`.
 	std::string_view notVersion;
+	const std::set<std::string>* haltedVersions = nullptr; ///< Nor any of these; null: none.
 	std::string_view model;
 	/// Prompt parts that other requests share, in order; empty without a prompt or without sharing.
 	std::vector<SharedPart> shared;
--- a/include/spanplank/version_trial.h
+++ b/include/spanplank/version_trial.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,9 @@
 struct VersionTrial
 {
 	RolloutOrder order;
+	/// Versions that earlier orders had tried and that were rolled back. Their upstreams may be there for a
+	/// while; they get no requests until an order names them, or another version is completed.
+	std::set<std::string> halted;
 	uint64_t orderRevision = 0; ///< Revision of the order in the store; a new order starts a new trial.
 	/// Time of the order, the earliest that this router has received; others may have an earlier one.
 	TimeUs startedAt = 0;
@@ -111,8 +115,9 @@
 /// Versions that a request may run on.
 struct VersionChoice
 {
-	std::string only;     ///< Only this version; if empty, any but `excluded`.
-	std::string excluded; ///< Not this version; empty if none is excluded.
+	std::string only;             ///< Only this version; if empty, any but `excluded`.
+	std::string excluded;         ///< Not this version; empty if none is excluded.
+	std::set<std::string> halted; ///< Nor these, which earlier orders had tried.
 };
 
 /// Versions that the next attempt of a request may use.
@@ -141,9 +146,12 @@
 /// @returns Whether a version is on trial: ordered, and neither completed nor rolled back.
 bool isOnTrial(const TrialTable& _trials, const std::string& _service, const std::string& _version);
 
-/// @returns The version that was rolled back and gets no more requests; empty if there is none.
+/// @returns The version of the last order if it was rolled back; empty if it was not.
 std::string haltedVersion(const TrialTable& _trials, const std::string& _service);
 
+/// @returns Whether a version was rolled back, under the last order or an earlier one, and gets no requests.
+bool isHalted(const TrialTable& _trials, const std::string& _service, const std::string& _version);
+
 // ---- Counts -----------------------------------------------------------------------------------------------
 // A router keeps the bound whatever the outcome of its attempts: an attempt on the candidate version counts
 // as exposed as soon as it is chosen, while any attempt raises the allowed share only once it has reached its
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -32,9 +32,11 @@
 
 bool matches(const UpstreamEntry& _entry, const UpstreamQuery& _query, uint32_t _idx)
 {
+	const std::string& version = _entry.record.version;
+	const bool halted = _query.haltedVersions != nullptr && _query.haltedVersions->count(version) != 0;
 	const bool versionFits = _query.version.empty()
-								 ? _entry.record.version != _query.notVersion || _query.notVersion.empty()
-								 : _entry.record.version == _query.version;
+								 ? !halted && (version != _query.notVersion || _query.notVersion.empty())
+								 : version == _query.version;
 	const bool untried = _query.tried == nullptr || _query.tried->count(_idx) == 0;
 	return _entry.record.service == _query.service && versionFits && untried &&
 		   isAllowed(_query.limit, _entry.record.hall);
--- a/src/core/version_trial.cpp
+++ b/src/core/version_trial.cpp
@@ -78,6 +78,24 @@
 	return "rolled_back";
 }
 
+namespace
+{
+/// @returns The versions that stay out when the next order comes.
+std::set<std::string> haltedBefore(const VersionTrial& _trial)
+{
+	std::set<std::string> halted;
+	if (_trial.state != RolloutState::Completed) // Else the upstreams of all other versions have stopped.
+	{
+		halted = _trial.halted;
+	}
+	if (_trial.state == RolloutState::RolledBack)
+	{
+		halted.insert(_trial.order.version);
+	}
+	return halted;
+}
+} // namespace
+
 bool applyOrder(TrialTable& _trials, const RolloutOrder& _order, uint64_t _revision, TimeUs _orderedAt)
 {
 	VersionTrial& trial = _trials.trials[_order.service];
@@ -95,8 +113,11 @@
 		trial.orderRevision = _revision;
 		return false;
 	}
+	std::set<std::string> halted = haltedBefore(trial);
+	halted.erase(_order.version);
 	trial = VersionTrial{};
 	trial.order = _order;
+	trial.halted = std::move(halted);
 	trial.orderRevision = _revision;
 	trial.startedAt = _orderedAt;
 	trial.credit = _trials.credited ? 1 : 0;
@@ -114,7 +135,12 @@
 	trial->statusRevision = _revision;
 	if (_status.version != trial->order.version || _revision < trial->orderRevision)
 	{
-		return false; // The status belongs to an earlier order.
+		// The status belongs to an earlier order, of which a router that starts blank learns no more.
+		if (_status.state == RolloutState::RolledBack && _status.version != trial->order.version)
+		{
+			trial->halted.insert(_status.version);
+		}
+		return false;
 	}
 	const bool changed = trial->state != _status.state;
 	// A halt is only overridden by a completion that the store already holds: the baseline version's
@@ -139,15 +165,15 @@
 	const std::string& version = trial->order.version;
 	if (trial->state != RolloutState::Running)
 	{
-		return trial->state == RolloutState::Completed ? VersionChoice{version, ""}
-													   : VersionChoice{"", version};
+		return trial->state == RolloutState::Completed ? VersionChoice{version, "", {}}
+													   : VersionChoice{"", version, trial->halted};
 	}
 	const double share = candidateShareAt(*trial, _trials.exposureShare, _request.inSession, _now);
 	const bool drawn = double(stableHash(version, _request.hash)) < share * kHashRange;
 	const bool offered = drawn && _request.scope == VersionScope::Any &&
 						 mayExpose(*trial, _trials.exposureShare,
 								   _request.inSession ? ExposureKind::Session : ExposureKind::Single, _now);
-	return offered ? VersionChoice{version, ""} : VersionChoice{"", version};
+	return offered ? VersionChoice{version, "", {}} : VersionChoice{"", version, trial->halted};
 }
 
 VersionChoice chooseFallbackVersion(const TrialTable& _trials, const std::string& _service, TimeUs _now)
@@ -159,7 +185,7 @@
 	}
 	const bool allowed = trial->state == RolloutState::Running &&
 						 mayExpose(*trial, _trials.exposureShare, ExposureKind::Single, _now);
-	return {"", allowed ? "" : trial->order.version};
+	return {"", allowed ? "" : trial->order.version, trial->halted};
 }
 
 bool isOnTrial(const TrialTable& _trials, const std::string& _service, const std::string& _version)
@@ -174,6 +200,17 @@
 	return trial != nullptr && trial->state == RolloutState::RolledBack ? trial->order.version : "";
 }
 
+bool isHalted(const TrialTable& _trials, const std::string& _service, const std::string& _version)
+{
+	const VersionTrial* trial = trialOf(_trials, _service);
+	if (trial == nullptr || trial->state == RolloutState::Completed)
+	{
+		return false;
+	}
+	return trial->halted.count(_version) != 0 ||
+		   (trial->state == RolloutState::RolledBack && trial->order.version == _version);
+}
+
 TrialAttempt recordTrialChosen(TrialTable& _trials, const std::string& _service, const std::string& _version)
 {
 	VersionTrial* trial = trialOf(_trials, _service);
--- a/src/direct/choose_upstream.cpp
+++ b/src/direct/choose_upstream.cpp
@@ -107,6 +107,7 @@
 {
 	_query.version = _versions.only;
 	_query.notVersion = _versions.excluded;
+	_query.haltedVersions = &_versions.halted;
 	return _query;
 }
 
@@ -178,9 +179,7 @@
 		return picked;
 	}
 	const VersionChoice any = chooseFallbackVersion(router.trials, _serving.service, _now);
-	_query.version = any.only;
-	_query.notVersion = any.excluded;
-	return pickDirectUpstream(router.upstreams, _query, _now, router.random);
+	return pickDirectUpstream(router.upstreams, withVersions(_query, any), _now, router.random);
 }
 
 NextModelEstimate expectNextModel(Serving& _serving)
--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -266,10 +266,9 @@
 /// version have been rolled back.
 bool isStillAllowed(const DirectRouter& _router, const AttemptNotes& _notes)
 {
-	const std::string halted = haltedVersion(_router.trials, _notes.record.service);
 	const bool paced = _notes.asCold || _notes.asLimited;
 	return maySendTo(_router.upstreams, _notes.upstream, monotonicNow(), paced) &&
-		   (halted.empty() || _notes.record.version != halted);
+		   !isHalted(_router.trials, _notes.record.service, _notes.record.version);
 }
 } // namespace
 
--- a/tests/core/version_trial_test.cpp
+++ b/tests/core/version_trial_test.cpp
@@ -228,6 +228,43 @@
 	EXPECT_EQ(pending(table, kDuration / 2)->state, RolloutState::RolledBack);
 }
 
+// A version that was rolled back got requests again once the next one was ordered, until its upstreams had
+// stopped.
+TEST(VersionTrial, AHaltedVersionStaysOutWhileTheNextOneIsTried)
+{
+	TrialTable table = ordered(0);
+	applyHalt(table, {kService, 5});
+	applyOrder(table, {kService, "v3", kDurationMs}, 20, 0);
+	EXPECT_EQ(choose(table, 1, kDuration / 2).halted, std::set<std::string>{"v2"});
+	EXPECT_EQ(chooseFallbackVersion(table, kService, kDuration / 2).halted, std::set<std::string>{"v2"});
+	EXPECT_TRUE(isHalted(table, kService, "v2"));
+	EXPECT_FALSE(isHalted(table, kService, "v3"));
+	applyHalt(table, {kService, 20});
+	applyOrder(table, {kService, "v4", kDurationMs}, 30, 0);
+	EXPECT_TRUE(isHalted(table, kService, "v2"));
+	EXPECT_TRUE(isHalted(table, kService, "v3"));
+	applyOrder(table, {kService, "v2", kDurationMs}, 40, 0);
+	EXPECT_FALSE(isHalted(table, kService, "v2")) << "it is ordered anew";
+	EXPECT_TRUE(isHalted(table, kService, "v3"));
+	applyStatus(table, kService, {"v2", RolloutState::Completed}, 41);
+	EXPECT_FALSE(isHalted(table, kService, "v3"));
+	applyOrder(table, {kService, "v5", kDurationMs}, 50, 0);
+	EXPECT_FALSE(isHalted(table, kService, "v3")) << "its upstreams stopped with the completion";
+}
+
+TEST(VersionTrial, AHaltBeforeTheLastOrderIsKnownToABlankRouter)
+{
+	TrialTable table;
+	applyOrder(table, {kService, "v3", kDurationMs}, 20, 0);
+	applyStatus(table, kService, {"v2", RolloutState::RolledBack}, 15);
+	EXPECT_TRUE(isHalted(table, kService, "v2"));
+	EXPECT_EQ(trialIn(table).state, RolloutState::Running);
+	TrialTable again;
+	applyOrder(again, {kService, "v2", kDurationMs}, 20, 0);
+	applyStatus(again, kService, {"v2", RolloutState::RolledBack}, 15);
+	EXPECT_FALSE(isHalted(again, kService, "v2")) << "it was ordered anew after that";
+}
+
 TEST(VersionTrial, AnOrderThatComesWhileACompletionIsWrittenBeginsAnew)
 {
 	TrialTable table = ordered(0);
