The rule on agents' codes is named by what it decides

Cause: `isAgentsToSay` read as if agents were to be asked. Change: `isDecidedByAgents`, and its comment. Measured: a name alone; `RouterCore.*` passes.

--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -855,8 +855,9 @@
 
 namespace
 {
-/// What an agent may say of the request itself, beyond what this router has checked.
-bool isAgentsToSay(ErrorCode _code)
+/// @returns Whether an error that speaks of the request is one that agents decide on, after the router's
+/// checks.
+bool isDecidedByAgents(ErrorCode _code)
 {
 	return _code == ErrorCode::NotAllowed || _code == ErrorCode::VersionWithdrawn ||
 		   _code == ErrorCode::KeyReused || _code == ErrorCode::InDoubt;
@@ -867,7 +868,7 @@
 {
 	const RunState run = _refused.mayHaveRun ? RunState::Unknown : RunState::No;
 	ErrorCode code = errorCode(_refused.code);
-	if (concernsRequest(code) && !isAgentsToSay(code))
+	if (concernsRequest(code) && !isDecidedByAgents(code))
 	{
 		code = _refused.mayHaveRun ? ErrorCode::UpstreamFailed : ErrorCode::NoUpstream;
 	}
