An order that names no version or no time ends no trial

Callers would see a bad version get requests like any other: a value under `op/rollout/` without a version, or with a duration that is none, replaced the trial of its service. Cause: missing fields of an order were read as empty ones, and a duration of any size was converted.

--- a/tests/direct/store_view_test.cpp
+++ b/tests/direct/store_view_test.cpp
@@ -339,6 +339,41 @@
 	}
 }
 
+// An order that names no version, or no time, replaced the trial under way: the version on trial got all
+// requests.
+TEST(StoreView, AnOrderThatOrdersNothingEndsNoTrial)
+{
+	DirectRouter router("", DirectSettings{});
+	RawStore store;
+	const json sound{{"service", "app"}, {"target_version", "v2"}, {"duration_s", 20}};
+	store.write("op/rollout/app", absl::Base64Escape(sound.dump()));
+	takeStoreList(router, store.listAt(1, 7), StoreWay::List);
+	for (const auto& [field, value] : std::vector<std::pair<const char*, json>>{{"target_version", nullptr},
+																				{"target_version", ""},
+																				{"target_version", 7},
+																				{"target_version", "v3\n"},
+																				{"duration_s", nullptr},
+																				{"duration_s", 0},
+																				{"duration_s", -5},
+																				{"duration_s", 1e300},
+																				{"duration_s", "soon"}})
+	{
+		json order = sound;
+		order["target_version"] = "v3";
+		order[field] = value;
+		const uint64_t known = store.revision();
+		store.write("op/rollout/app", absl::Base64Escape(order.dump()));
+		takeStoreChanges(router, store.watchedBetween(known, store.revision(), 7), StoreWay::Watch);
+		EXPECT_EQ(router.trials.trials.at("app").order.version, "v2") << order;
+	}
+	json next = sound;
+	next["target_version"] = "v3";
+	const uint64_t known = store.revision();
+	store.write("op/rollout/app", absl::Base64Escape(next.dump()));
+	takeStoreChanges(router, store.watchedBetween(known, store.revision(), 7), StoreWay::Watch);
+	EXPECT_EQ(router.trials.trials.at("app").order.version, "v3");
+}
+
 TEST(StoreView, BytesThatAreNoUtf8SpoilNoOtherItem)
 {
 	HttpResponse answer;
