--- a/src/adapters/box_list.cpp
+++ b/src/adapters/box_list.cpp
@@ -16,7 +16,7 @@
 	return found == _box.end() ? _default : found->get<std::string>();
 }
 
-/// @throws std::exception if the entry is another writer's: it names no box.
+/// @throws std::exception if the entry can't be read.
 BoxEntry decodeBox(const nlohmann::json& _box)
 {
 	BoxEntry entry{textOf(_box, "box"),  textOf(_box, "role"), textOf(_box, "address"),      {},
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -81,7 +81,7 @@
 http::request<http::string_body> toMessage(const HttpClient& _client, const HttpCall& _call)
 {
 	http::request<http::string_body> message;
-	message.method_string(_call.method); // A method of which the library does not know is a method, too.
+	message.method_string(_call.method); // Not by the list of known methods, which has no text for others.
 	message.target(_call.target);
 	message.version(11);
 	message.set(http::field::host, _client.endpoint.ip);
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -52,8 +52,7 @@
 			  {"silence_ms", std::to_string(_entry.lapse.silence / kMsToUs)}});
 }
 
-/// A record of a service that is not configured names no upstream to use. It is kept, as its service may be
-/// configured later.
+/// Rejects a record whose service is not configured. It is kept, as the service may be configured later.
 /// @throws RecordFailure
 void checkService(DirectRouter& _router, const UpstreamRecord& _record)
 {
--- a/tests/system/foreign_record_test.cpp
+++ b/tests/system/foreign_record_test.cpp
@@ -63,7 +63,7 @@
 	EXPECT_EQ(system.chat(1, {}).status, 401);
 }
 
-// A router that started beside such a resource knew no configuration, and its agents refused its links.
+// A router that starts blank beside such resources reads the others.
 TEST(ForeignRecord, AmongTheResourcesDoesNotKeepARouterFromStarting)
 {
 	System system{SystemShape{}};
@@ -144,9 +144,8 @@
 	return answer;
 }
 
-// A method that the HTTP library has no name for ended the agent's call without an answer, and the slot was
-// never free again: any caller could take a service down.
-TEST(OddRequest, WithAnUnknownMethodIsForwardedAndKeepsTheSlots)
+// A method that the HTTP library has no name for was left out: the service answered 400 to what it got.
+TEST(OddRequest, WithAnUnknownMethodIsForwardedAsItCame)
 {
 	System system(smallShape());
 	system.declareBasics();
