--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -440,6 +440,28 @@
 	return found;
 }
 
+void Store::copy()
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	m_copy = {m_items, m_history, m_revision};
+	m_record.line("store: copied at revision " + std::to_string(m_revision));
+}
+
+void Store::returnFromCopy()
+{
+	m_server->silence(); // It is away for a moment.
+	{
+		const std::lock_guard<std::mutex> lock(m_mutex);
+		m_items = m_copy.items;
+		m_history = m_copy.history;
+		m_revision = m_copy.revision;
+		++m_era;
+		m_record.line("store: back from the copy at revision " + std::to_string(m_revision) + ", era " +
+					  std::to_string(m_era));
+	}
+	m_server->resume();
+}
+
 json Store::shown(const std::string& _key, const Item& _item) const
 {
 	return {{"private_key", _key},
@@ -449,6 +471,13 @@
 			{"lease", _item.lease}};
 }
 
+bool Store::isUnknown(const std::map<std::string, std::string>& _query)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	const auto after = _query.find("after_revision");
+	return after != _query.end() && std::stoull("0" + after->second) > m_revision;
+}
+
 std::string Store::watch(const std::map<std::string, std::string>& _query)
 {
 	const auto get = [&_query](const char* _name) {
@@ -517,7 +546,11 @@
 	const std::map<std::string, std::string> query = queryOf(_request.target);
 	const std::string type = "Content-Type: application/json\r\n";
 	std::string text;
-	if (path == "/kv-watch")
+	if (path == "/kv-watch" && isUnknown(query))
+	{
+		text = answerText(410, type, "{}");
+	}
+	else if (path == "/kv-watch")
 	{
 		text = answerText(200, type, watch(query));
 	}
@@ -570,6 +603,8 @@
 		}
 		return false;
 	}
+	const std::string era = "Store-Era: " + std::to_string(m_era) + "\r\n";
+	text.insert(text.find("\r\n") + 2, era);
 	return sendAll(_connection.socket, text);
 }
 
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -122,6 +122,11 @@
 	bool has(const std::string& _key);
 	std::vector<std::string> keys(const std::string& _prefix);
 
+	/// Takes a copy of all that it holds.
+	void copy();
+	/// Comes back from the copy: what it took since is gone, revisions go back, and its era rises.
+	void returnFromCopy();
+
 	Server& server()
 	{
 		return *m_server;
@@ -137,6 +142,8 @@
 
 	bool answer(Connection& _connection, const Request& _request);
 	json shown(const std::string& _key, const Item& _item) const;
+	/// @returns Whether a watch is from a revision that the store doesn't have.
+	bool isUnknown(const std::map<std::string, std::string>& _query);
 	std::string watch(const std::map<std::string, std::string>& _query);
 	std::string write(const json& _call);
 
@@ -147,6 +154,14 @@
 	std::deque<std::pair<uint64_t, std::string>> m_history;
 	uint64_t m_revision = 1;
 	uint64_t m_lease = 1;
+	uint64_t m_era = 1;
+	struct Copy
+	{
+		std::map<std::string, Item> items;
+		std::deque<std::pair<uint64_t, std::string>> history;
+		uint64_t revision = 0;
+	};
+	Copy m_copy;
 	std::unique_ptr<Server> m_server;
 };
 
