--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -195,6 +196,11 @@
 	return value == nullptr || std::string(value) != "0";
 }
 
+void endWithParent()
+{
+	::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 uint16_t freePort()
 {
 	const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -388,6 +394,16 @@
 	m_silent = false;
 }
 
+void Server::end()
+{
+	::shutdown(m_listener, SHUT_RDWR);
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	for (const int socket : m_open)
+	{
+		::shutdown(socket, SHUT_RDWR);
+	}
+}
+
 std::string answerText(int _status, const std::string& _fields, const std::string& _body)
 {
 	return "HTTP/1.1 " + std::to_string(_status) + " Any\r\n" + _fields +
@@ -759,6 +775,7 @@
 	m_pid = ::fork();
 	if (m_pid == 0)
 	{
+		endWithParent();
 		const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
 		::dup2(out, 1);
 		::dup2(out, 2);
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -26,6 +26,8 @@
 void sleepMs(int64_t _ms);
 /// @returns Whether the case is to cause its disruption: false with TROUBLE=0.
 bool trouble();
+/// A process that was started for a case ends with it, whatever ends that.
+void endWithParent();
 uint16_t freePort();
 std::string loopback(uint16_t _port);
 
@@ -89,6 +91,8 @@
 	void silence();
 	/// Takes connections again; those of before are closed.
 	void resume();
+	/// Ends: what is open is closed, and new connections are refused.
+	void end();
 	bool silent() const
 	{
 		return m_silent;
