--- a/review/4/frozen_connect.cpp
+++ b/review/standin-2/frozen_connect.cpp
@@ -1,6 +1,6 @@
 /// A machine freezes while the store is silent, and both are sound again. What does it know of the
 /// configuration from then on?
-#include "../standin-2/standin.h"
+#include "standin.h"
 
 #include <csignal>
 #include <cstdlib>
