--- a/review/5/cut_answer.cpp
+++ b/review/standin-2/cut_answer.cpp
@@ -1,6 +1,6 @@
 /// A worker that has said that it leaves is gone two seconds later, in the middle of answers that have
 /// neither a length nor chunks. What do their clients see?
-#include "../standin-2/standin.h"
+#include "standin.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -59,6 +59,7 @@
 	const pid_t pid = ::fork();
 	if (pid == 0)
 	{
+		endWithParent();
 		const Server server(
 			[_id](Connection& _connection, const Request& _request) {
 				return answerUnframed(_id, _connection, _request);
