--- a/review/8/unwritten_suspect.cpp
+++ b/review/standin-2/unwritten_suspect.cpp
@@ -1,6 +1,6 @@
 /// A request crashes each worker that runs it. Its path has a byte that is not ASCII, as some clients send
 /// them. Routers refuse it after three crashes. Then all routers are killed, twice. Is it still refused?
-#include "../standin-2/standin.h"
+#include "standin.h"
 
 #include <cstdlib>
 #include <fcntl.h>
@@ -38,6 +38,7 @@
 /// The worker's process: it ends in the middle of a bad request.
 int runWorker(uint16_t _port, const std::string& _id, const std::string& _file)
 {
+	endWithParent();
 	const Server server(
 		[&](Connection& _connection, const Request& _request) {
 			if (_request.target != badTarget())
