--- a/review/6/old_copy.cpp
+++ b/review/standin-2/old_copy.cpp
@@ -1,6 +1,6 @@
 /// A key is taken away. Later the store comes back from an older copy, in which the key stands, while one
 /// machine is being started again. Does that machine run requests with the key?
-#include "../standin-2/standin.h"
+#include "standin.h"
 
 #include <cstdlib>
 #include <memory>
