--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: no disruption.
 root=$(cd "$(dirname "$0")/../.." && pwd)
-program="$root/build-review-2/case-7"
+program="$root/build-review-2/older_start"
 [ -x "$program" ] && [ -x "$root/target/spanplank-router" ] || exit 2
 exec timeout -k 5 110 "$program" "$root" "$root/review/7"
