--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -879,7 +879,7 @@
 {
 	if (_argc < 3)
 	{
-		std::cerr << "usage: case ROOT FOLDER\n";
+		std::cerr << "usage: case ROOT RECORD\n";
 		std::exit(2);
 	}
 	::signal(SIGPIPE, SIG_IGN);
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -255,12 +255,11 @@
 json route(const std::string& _name, const std::string& _prefix, const std::string& _kind,
 		   const std::string& _service, uint32_t _timeoutMs, uint32_t _attempts);
 
-/// Paths of a case: the repository's root, the case's folder, and a temporary folder that is removed at the
-/// end.
+/// Paths of a case: the repository's root, its record.txt, and a temporary folder that is removed at the end.
 struct Paths
 {
 	std::string root;
-	std::string folder;
+	std::string record;
 	std::string temporary;
 };
 Paths pathsOf(int _argc, char** _argv);
