--- a/review/standin-2/frozen_connect.cpp
+++ b/review/standin-2/frozen_connect.cpp
@@ -75,7 +75,7 @@
 int main(int _argc, char** _argv)
 {
 	const Paths paths = pathsOf(_argc, _argv);
-	Record record(paths.folder + "/record.txt");
+	Record record(paths.record);
 	Store store(record);
 	Server worker([](Connection& _connection, const Request& _request) {
 		return sendAll(_connection.socket, answerText(200, workerFields("w1", _request), "lamp is on"));
