--- a/review/standin-2/cut_answer.cpp
+++ b/review/standin-2/cut_answer.cpp
@@ -15,8 +15,9 @@
 constexpr int kEvents = 60;
 constexpr int64_t kPauseMs = 100;
 constexpr int64_t kNoticeMs = 2000; ///< `scale_in`, how spot: gone x s (2) after the notice.
-constexpr int kStreams = 5;
-constexpr int kPlain = 5;
+constexpr int kWorkers = 8;         ///< One leaves: a share of 0.125, where the site has 0.13.
+constexpr int kStreams = 24;
+constexpr int kPlain = 16;
 const std::string kWhole = std::string(40000, 'a') + "the end";
 
 /// A sound worker: a stream goes on after `Last-Event-Id`; no answer has a length.
@@ -81,11 +82,14 @@
 int main(int _argc, char** _argv)
 {
 	const Paths paths = pathsOf(_argc, _argv);
-	const uint16_t first = freePort();
-	const uint16_t second = freePort();
-	const pid_t leaving = startWorker("w1", first); // Before there are threads.
-	const pid_t staying = startWorker("w2", second);
-	Record record(paths.folder + "/record.txt");
+	std::vector<uint16_t> ports;
+	std::vector<pid_t> workers;
+	for (int ii = 1; ii <= kWorkers; ++ii) // Before there are threads.
+	{
+		ports.push_back(freePort());
+		workers.push_back(startWorker("w" + std::to_string(ii), ports.back()));
+	}
+	Record record(paths.record);
 	Store store(record);
 	json config = basicConfig();
 	config["routes"] = {route("report", "/report/", "streaming", "llm-pool", 8000, 3),
@@ -96,7 +100,10 @@
 	config["services"] = {
 		{{"name", "llm-pool"}, {"health_check_path", "/health"}, {"connection_limit", 360}}};
 	store.put("op/config", config.dump());
-	store.put("servers/w1", beat("llm-pool", first).dump());
+	for (int ii = 1; ii <= kWorkers; ++ii)
+	{
+		store.put("servers/w" + std::to_string(ii), beat("llm-pool", ports[size_t(ii - 1)]).dump());
+	}
 	Router router(paths.root, paths.temporary, "front-mil-a-1", store.server().port());
 	router.start();
 	int result = 2;
@@ -120,13 +127,12 @@
 			});
 		}
 		sleepMs(300);
-		record.line("w1 answers; w2 comes, w1 says that it is draining");
-		store.put("servers/w2", beat("llm-pool", second).dump());
-		store.put("servers/w1", beat("llm-pool", first, "draining").dump());
+		record.line("w1 says that it is draining");
+		store.put("servers/w1", beat("llm-pool", ports.front(), "draining").dump());
 		sleepMs(kNoticeMs);
 		if (trouble())
 		{
-			::kill(leaving, SIGKILL);
+			::kill(workers.front(), SIGKILL);
 			record.line("w1 is gone");
 		}
 		for (std::thread& client : clients)
@@ -157,7 +163,7 @@
 		record.line(cut > 0 ? "BROKEN" : "held");
 		result = cut > 0 ? 1 : 0;
 	}
-	for (const pid_t worker : {leaving, staying})
+	for (const pid_t worker : workers)
 	{
 		::kill(worker, SIGKILL);
 		::waitpid(worker, nullptr, 0);
