--- a/review/standin-2/old_copy.cpp
+++ b/review/standin-2/old_copy.cpp
@@ -16,7 +16,7 @@
 int main(int _argc, char** _argv)
 {
 	const Paths paths = pathsOf(_argc, _argv);
-	Record record(paths.folder + "/record.txt");
+	Record record(paths.record);
 	Store store(record);
 	std::mutex mutex;
 	std::vector<std::pair<int64_t, std::string>> ran;
