--- a/review/standin-2/older_start.cpp
+++ b/review/standin-2/older_start.cpp
@@ -31,7 +31,7 @@
 int main(int _argc, char** _argv)
 {
 	const Paths paths = pathsOf(_argc, _argv);
-	Record record(paths.folder + "/record.txt");
+	Record record(paths.record);
 	Store store(record);
 	Arrivals leaving;
 	const auto serve = [&](const char* _id, bool _leaving) {
@@ -47,13 +47,17 @@
 	};
 	auto first = std::make_unique<Server>(serve("w1", true));
 	const uint16_t port = first->port();
-	Server other(serve("w2", false));
+	std::vector<std::unique_ptr<Server>> others; // One of eight crashes and leaves: a share of 0.125.
+	for (const char* id : {"w2", "w3", "w4", "w5", "w6", "w7", "w8"})
+	{
+		others.push_back(std::make_unique<Server>(serve(id, false)));
+		json beatOfOther = beat("lamp-ctl", others.back()->port());
+		beatOfOther["born"] = wallMs();
+		store.put("servers/" + std::string(id), beatOfOther.dump());
+	}
 	store.put("op/config", basicConfig().dump());
 	json beatOfFirst = beat("lamp-ctl", port);
 	beatOfFirst["born"] = wallMs();
-	json beatOfOther = beat("lamp-ctl", other.port());
-	beatOfOther["born"] = wallMs();
-	store.put("servers/w2", beatOfOther.dump());
 	Router router(paths.root, paths.temporary, "front-mil-a-1", store.server().port());
 	router.start();
 	if (!router.awaitReady(10000))
@@ -64,13 +68,13 @@
 	std::atomic<int> served{0};
 	std::atomic<int> unanswered{0}; ///< Requests that can't be repeated and whose worker was gone.
 	std::vector<std::thread> clients;
-	for (int ii = 0; ii < 10; ++ii)
+	for (int ii = 0; ii < 28; ++ii)
 	{
 		clients.emplace_back([&, ii] {
 			for (int number = 0; !ends; ++number)
 			{
 				Call ask;
-				const bool once = ii < 8;
+				const bool once = ii < 24;
 				ask.method = once ? "POST" : "GET";
 				ask.target = (once ? "/dim/" : "/status/") + std::to_string(number % 7);
 				ask.body = once ? "{}" : "";
