--- a/review/standin-2/unwritten_suspect.cpp
+++ b/review/standin-2/unwritten_suspect.cpp
@@ -194,7 +194,7 @@
 		return runWorker(uint16_t(std::stoi(_argv[2])), _argv[3], _argv[4]);
 	}
 	const Paths paths = pathsOf(_argc, _argv);
-	Record record(paths.folder + "/record.txt");
+	Record record(paths.record);
 	Store store(record);
 	store.put("op/config", basicConfig().dump());
 	const std::string file = paths.temporary + "/arrivals";
