--- a/review/standin-2/unwritten_suspect.cpp
+++ b/review/standin-2/unwritten_suspect.cpp
@@ -245,6 +245,8 @@
 			std::set<std::string> late;
 			for (const Arrival& arrival : all)
 			{
+				recordDetail("ran at a worker, at " + std::to_string(arrival.at) +
+							 " ms of the steady clock: " + arrival.request);
 				if (all.size() > 2 && arrival.at > all[2].at + 60 + kContactMs)
 				{
 					late.insert(arrival.request);
