--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -217,17 +217,42 @@
 	return "127.0.0.1:" + std::to_string(_port);
 }
 
+namespace
+{
+Record* s_record = nullptr;
+
+std::string stamp()
+{
+	char at[32];
+	std::snprintf(at, sizeof(at), "%8.3f ", double(nowMs()) / 1000.0);
+	return at;
+}
+} // namespace
+
 Record::Record(const std::string& _file) : m_out(_file)
 {
+	s_record = this;
+}
+
+void Record::detail(const std::string& _text)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	m_out << stamp() << _text << '\n';
+}
+
+void recordDetail(const std::string& _text)
+{
+	if (s_record != nullptr)
+	{
+		s_record->detail(_text);
+	}
 }
 
 void Record::line(const std::string& _text)
 {
 	const std::lock_guard<std::mutex> lock(m_mutex);
-	char at[32];
-	std::snprintf(at, sizeof(at), "%8.3f ", double(nowMs()) / 1000.0);
-	m_out << at << _text << std::endl;
-	std::cout << at << _text << std::endl;
+	m_out << stamp() << _text << std::endl;
+	std::cout << stamp() << _text << std::endl;
 }
 
 std::string Fields::get(const std::string& _name) const
@@ -347,8 +372,18 @@
 {
 	Connection connection{_socket, ""};
 	Request request;
-	while (readRequest(connection, request) && m_handler(connection, request))
+	while (readRequest(connection, request))
 	{
+		const std::string id = request.fields.get("Request-Id");
+		if (!id.empty())
+		{
+			recordDetail("runs at the worker on port " + std::to_string(m_port) + ": " + id + " " +
+						 request.method + " " + request.target);
+		}
+		if (!m_handler(connection, request))
+		{
+			break;
+		}
 		request = {};
 	}
 	const std::lock_guard<std::mutex> lock(m_mutex);
@@ -728,6 +763,11 @@
 	}
 	text += "\r\n" + _call.body;
 	std::string unread;
+	if (!_call.id.empty())
+	{
+		recordDetail("sent to port " + std::to_string(_port) + ": " + _call.id + " " + _call.method + " " +
+					 _call.target);
+	}
 	if (sendAll(socket, text))
 	{
 		answer.whole = readAnswer(socket, _call, unread, answer);
@@ -740,6 +780,12 @@
 		}
 	}
 	answer.extra = unread;
+	if (!_call.id.empty())
+	{
+		recordDetail("answered to the client at port " + std::to_string(_port) + ": " + _call.id +
+					 " status " + std::to_string(answer.status) +
+					 (answer.whole ? " whole" : " " + answer.error));
+	}
 	::close(socket);
 	return answer;
 }
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -37,12 +37,17 @@
 public:
 	explicit Record(const std::string& _file);
 	void line(const std::string& _text);
+	/// A line of the file alone.
+	void detail(const std::string& _text);
 
 private:
 	std::mutex m_mutex;
 	std::ofstream m_out;
 };
 
+/// Writes a detail to the record of this process, if it has one.
+void recordDetail(const std::string& _text);
+
 struct Fields
 {
 	std::vector<std::pair<std::string, std::string>> all;
