HTTP client: a connection whose limit passes as it is made is a failed call

Cause: after a freeze the time limit of the step and the completion of the connection are ready in one turn of the event loop. The fiber found success and a closed socket, and the overload of set_option that throws left connect() as boost::system::system_error, which no caller of the store's client expects. Change: a connection counts as made only if its limit has not passed, and its option and its address are read with error codes. It works as all that leaves connect() is an HttpFailure, which callers handle as a call not sent.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -53,6 +53,12 @@
 		});
 	}
 
+	/// @returns Whether it has closed the stream, perhaps after the step had ended.
+	bool passed() const
+	{
+		return *m_passed;
+	}
+
 	/// @returns What to tell of a step that failed.
 	std::string describe(const boost::system::error_code& _error) const
 	{
@@ -64,17 +70,29 @@
 	std::shared_ptr<bool> m_passed;
 };
 
+tcp::endpoint addressOf(const HttpClient& _client, boost::system::error_code& _error)
+{
+	return {boost::asio::ip::make_address(_client.endpoint.ip, _error), _client.endpoint.port};
+}
+
 Stream connect(HttpClient& _client, uint32_t _timeoutMs)
 {
 	auto stream = std::make_unique<beast::tcp_stream>(*_client.io);
+	boost::system::error_code error;
+	const tcp::endpoint address = addressOf(_client, error);
+	if (error)
+	{
+		throw HttpFailure("address: " + error.message(), false);
+	}
 	const StepLimit limit(*_client.io, *stream, _timeoutMs);
-	const tcp::endpoint address(boost::asio::ip::make_address(_client.endpoint.ip), _client.endpoint.port);
 	const IoResult connected = awaitIo([&](auto _done) { stream->async_connect(address, _done); });
-	if (connected.error)
+	// The limit may pass in the turn of the loop that makes the connection, most likely after a freeze.
+	if (connected.error || limit.passed())
 	{
 		throw HttpFailure("connect: " + limit.describe(connected.error), false);
 	}
-	stream->socket().set_option(tcp::no_delay(true));
+	boost::system::error_code ignored; // A connection that failed already shows in its first write.
+	stream->socket().set_option(tcp::no_delay(true), ignored);
 	return stream;
 }
 
@@ -155,9 +173,14 @@
 bool refusesConnections(HttpClient& _client)
 {
 	constexpr uint32_t kPatienceMs = 300;
+	boost::system::error_code error;
+	const tcp::endpoint address = addressOf(_client, error);
+	if (error)
+	{
+		return false;
+	}
 	beast::tcp_stream stream(*_client.io);
 	const StepLimit limit(*_client.io, stream, kPatienceMs);
-	const tcp::endpoint address(boost::asio::ip::make_address(_client.endpoint.ip), _client.endpoint.port);
 	const IoResult connected = awaitIo([&](auto _done) { stream.async_connect(address, _done); });
 	return connected.error == boost::asio::error::connection_refused;
 }
--- a/tests/direct/http_client_test.cpp
+++ b/tests/direct/http_client_test.cpp
@@ -1,5 +1,8 @@
-/// Calls of the HTTP client that are cancelled while their fiber works on what has come.
+/// Calls of the HTTP client that are cancelled, or whose time passes, while their fiber works on what has
+/// come.
+#include <chrono>
 #include <gtest/gtest.h>
+#include <thread>
 
 #include "fiber_runtime_p.h"
 #include "harness.h"
@@ -40,5 +43,46 @@
 	EXPECT_TRUE(eventually([&] { return server.connections == 0 && !server.accepting; }));
 	EXPECT_TRUE(left);
 }
+
+// A limit that passed in the turn of the loop that made the connection closed it, and setting an option of
+// the closed socket threw past all callers: a router that was frozen meanwhile never read the store again.
+TEST(HttpConnect, WhoseLimitPassesInTheSameTurnOfTheLoopIsAFailedCall)
+{
+	constexpr uint32_t kLimitMs = 20;
+	boost::asio::ip::tcp::acceptor acceptor(testIo(), {boost::asio::ip::make_address(loopbackIp()), 0});
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = {loopbackIp(), acceptor.local_endpoint().port()};
+	HttpCall request;
+	request.timeoutMs = kLimitMs;
+	together({[&] {
+				  try
+				  {
+					  call(client, request);
+					  ADD_FAILURE() << "nobody answers";
+				  }
+				  catch (const HttpFailure& failure)
+				  {
+					  EXPECT_FALSE(failure.sent());
+				  }
+				  catch (const std::exception& failure)
+				  {
+					  ADD_FAILURE() << failure.what();
+				  }
+			  },
+			  [] {
+				  std::this_thread::sleep_for(std::chrono::milliseconds(3 * kLimitMs));
+			  }}); // Frozen.
+}
+
+// An endpoint that is no address threw past all callers in the same way.
+TEST(HttpConnect, ToWhatIsNoAddressIsAFailedCall)
+{
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = {"nowhere", 80};
+	EXPECT_THROW(call(client, {}), HttpFailure);
+	EXPECT_FALSE(refusesConnections(client));
+}
 } // namespace
 } // namespace spanplank
