Work that runs as long as the process begins anew after any exception

Another case, found here: after a request whose path is not UTF-8 is refused as one that ends upstreams, no refused request is written to the store any more. Cause: sixteen loops in both modes catch the failures that they expect; any other exception ended their fiber for good, with one line in the log. Change: keepRunning() logs it (fiber_restarted), counts it (fiber_failures_total) and begins the work anew after a growing pause; fiber_turn_age_ms and fiber_late show one that no longer comes round. What would throw each time is taken one by one, so that it holds up nothing behind it: store items, refused requests, roll-outs, versions' ratings (agents' mode: one loop for each, and one for the halts, which stood behind all ratings). It works as no loop depends on the kinds of exceptions that its steps know.

--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -319,11 +319,12 @@
 // ---- The process -----------------------------------------------------------------------------------------
 
 /// Runs a step over and over in a fiber of its own. A failed step is tried again at its next turn.
-void every(uint32_t _ms, std::function<void()> _step)
+void every(const char* _name, uint32_t _ms, std::function<void()> _step)
 {
-	spawnFiber([_ms, step = std::move(_step)] {
+	keepRunning(_name, [_ms, step = std::move(_step)] {
 		while (true)
 		{
+			noteTurn();
 			try
 			{
 				step();
@@ -332,10 +333,6 @@
 			{
 				// Counted by the adapter that failed; logged there when its state changes.
 			}
-			catch (const std::exception& failure)
-			{
-				logEvent("step_failed", {{"error", failure.what()}});
-			}
 			sleepFor(_ms);
 		}
 	});
@@ -445,15 +442,17 @@
 	startHttpServer(_agent.node.io, _agent.node.http, _agent.settings.common.listen);
 	noteEvent(_agent.node, "started", _agent.settings.common.box, _agent.node.incarnation);
 	followBoxList(_agent.node, [&_agent] { linkPeers(_agent); });
-	every(kHeartbeatMs, [&_agent] {
+	every("heartbeat", kHeartbeatMs, [&_agent] {
+		logLateFibers();
 		_agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
 		expireSuspects(_agent.core.suspects, monotonicNow());
 		tellSuspects(_agent.node, _agent.core.suspects);
 		sendReport(_agent);
 	});
-	spawnFiber([&_agent] {
+	keepRunning("tick", [&_agent] {
 		while (true)
 		{
+			noteTurn();
 			AgentActions actions;
 			tick(_agent.core, monotonicNow(), wallNowMs(), actions);
 			perform(_agent, actions);
@@ -461,15 +460,15 @@
 			sleepFor(idle ? kIdleTickMs : kTickMs);
 		}
 	});
-	every(kHomesMs, [&_agent] { stepHomes(_agent); });
-	every(kBillFlushMs, [&_agent] { flushOrphans(_agent); });
-	every(kRatingsMs, [&_agent] {
-		for (const std::string& version : _agent.settings.versions)
-		{
-			stepRatings(_agent, version);
-		}
-		writeHalts(_agent);
-	});
+	every("homes", kHomesMs, [&_agent] { stepHomes(_agent); });
+	every("bills", kBillFlushMs, [&_agent] { flushOrphans(_agent); });
+	// One of its own for each: what is wrong with the ratings of a version is to hold up no other and no
+	// halt.
+	for (const std::string& version : _agent.settings.versions)
+	{
+		every("ratings", kRatingsMs, [&_agent, version] { stepRatings(_agent, version); });
+	}
+	every("halts", kRatingsMs, [&_agent] { writeHalts(_agent); });
 }
 
 /// A planned stop: hand the homes over, take no more work, end what runs, flush the bills.
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -15,9 +15,15 @@
 
 /// Longest sleep of the loop: one that lasts longer shows that the process was not run.
 constexpr std::chrono::milliseconds kIdleLook(200);
-constexpr TimeUs kAtOnce = 5 * kMsToUs; ///< A look that returned sooner may have found what came before it.
+constexpr TimeUs kAtOnce = 5 * kMsToUs;  ///< A look that returned sooner may have found what came before it.
+constexpr uint32_t kRestartLeastMs = 50; ///< First pause after a body of `keepRunning` has failed.
+constexpr uint32_t kMostDoublings = 5;   ///< Of that pause.
+/// A body that ran for longer has recovered from its failure before.
+constexpr TimeUs kRecoveredAfter = 10000 * kMsToUs;
 
 thread_local LoopPromptness s_promptness;
+thread_local std::map<std::string, LastingFiber> s_lasting;
+fibers::fiber_specific_ptr<LastingFiber> s_self([](LastingFiber*) {}); ///< Of a fiber of `keepRunning`.
 
 /// Round robin over ready fibers; the dispatcher turns the Asio context whenever its turn comes.
 ///
@@ -196,6 +202,61 @@
 	startFiber(std::move(_body)).detach();
 }
 
+void keepRunning(std::string _name, std::function<void()> _body)
+{
+	spawnFiber([name = std::move(_name), body = std::move(_body)] {
+		uint32_t failures = 0; // In a row.
+		s_self.reset(&s_lasting[name]);
+		while (true)
+		{
+			const TimeUs begin = monotonicNow();
+			try
+			{
+				body();
+				return;
+			}
+			catch (const std::exception& failure)
+			{
+				failures = monotonicNow() - begin > kRecoveredAfter ? 0 : failures;
+				const uint32_t pauseMs = kRestartLeastMs << std::min(failures++, kMostDoublings);
+				++s_self->failures;
+				logEvent("fiber_restarted",
+						 {{"fiber", name}, {"error", failure.what()}, {"pause_ms", std::to_string(pauseMs)}});
+				sleepFor(pauseMs);
+			}
+		}
+	});
+}
+
+const std::map<std::string, LastingFiber>& lastingFibers()
+{
+	return s_lasting;
+}
+
+void noteTurn()
+{
+	if (LastingFiber* self = s_self.get())
+	{
+		self->turnAt = monotonicNow();
+		self->late = false;
+	}
+}
+
+void logLateFibers()
+{
+	const TimeUs now = monotonicNow();
+	for (auto& [name, fiber] : s_lasting)
+	{
+		const bool late = fiber.turnAt != 0 && now - fiber.turnAt > kLongestTurn;
+		if (late && !fiber.late)
+		{
+			fiber.late = true;
+			logEvent("fiber_late",
+					 {{"fiber", name}, {"turn_age_ms", std::to_string((now - fiber.turnAt) / kMsToUs)}});
+		}
+	}
+}
+
 void sleepFor(uint32_t _ms)
 {
 	// Not by the scheduler's own waits: they go by the steady clock.
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -11,7 +11,9 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "latency_histogram_p.h"
 #include "spanplank/loop_overload.h"
@@ -82,13 +84,39 @@
 /// Installs the scheduler in the calling thread. Call once, before the first fiber.
 void installFiberScheduler(boost::asio::io_context& _io);
 
-/// Starts a fiber, which has to be joined. An exception that leaves `_body` is logged and ends only that
-/// fiber.
+/// Starts a fiber, which has to be joined. An exception that leaves `_body` is logged and ends that fiber,
+/// for good: for what must go on there is `keepRunning`.
 boost::fibers::fiber startFiber(std::function<void()> _body);
 
 /// The same, detached.
 void spawnFiber(std::function<void()> _body);
 
+/// Runs a body that the process needs for as long as it lives, in a fiber of its own. If an exception leaves
+/// it, that is logged as `fiber_restarted` and counted, and the body runs anew after a pause, which grows
+/// while it fails soon each time. A body that returns has ended.
+/// @param[in] _name Of the body, in logs and metrics.
+void keepRunning(std::string _name, std::function<void()> _body);
+
+/// What is known of the bodies of `keepRunning` with one name.
+struct LastingFiber
+{
+	uint64_t failures = 0; ///< Exceptions that left them.
+	TimeUs turnAt = 0;     ///< When one of them last called `noteTurn`; 0: none does.
+	bool late = false;     ///< That was long ago, and is logged.
+};
+
+/// @returns These by name.
+const std::map<std::string, LastingFiber>& lastingFibers();
+
+/// For bodies of `keepRunning` that come round by themselves: notes that the calling one does.
+void noteTurn();
+
+/// Longer than any turn of these takes, waits for outside systems included.
+constexpr TimeUs kLongestTurn = 60000 * kMsToUs;
+
+/// Logs as `fiber_late` whose last turn began longer than `kLongestTurn` ago, once each time.
+void logLateFibers();
+
 /// Suspends the calling fiber for a time of `monotonicNow`.
 void sleepFor(uint32_t _ms);
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -405,7 +405,7 @@
 	_server.acceptor->listen();
 	_server.acceptor->non_blocking(true);
 	_server.accepting = true;
-	spawnFiber([&_io, &_server] { acceptLoop(_io, _server); });
+	keepRunning("accept", [&_io, &_server] { acceptLoop(_io, _server); });
 	return _server.acceptor->local_endpoint().port();
 }
 
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -425,9 +425,10 @@
 	impl.setHandlers(impl.server);
 	impl.setHandlers(impl.client);
 	impl.server.set_open_handler([&impl](const connection_hdl& _handle) { impl.challenge(_handle); });
-	spawnFiber([&impl] {
+	keepRunning("link_upkeep", [&impl] {
 		while (true)
 		{
+			noteTurn();
 			impl.closeSilent();
 			impl.dialMissing();
 			sleepFor(kLinkRetryMs);
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -84,9 +84,10 @@
 void startLogFlush()
 {
 	state().buffered = true;
-	spawnFiber([] {
+	keepRunning("log", [] {
 		while (true)
 		{
+			noteTurn();
 			sleepFor(kLogFlushMs);
 			flushLog();
 		}
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -5,6 +5,7 @@
 #include <prometheus/text_serializer.h>
 #include <sys/resource.h>
 
+#include "fiber_runtime_p.h"
 #include "link_p.h"
 #include "store_client_p.h"
 
@@ -101,9 +102,30 @@
 	addCounter(_page, "store_failures_total", "Calls of the store that failed.", double(_store.failures));
 }
 
+/// The fibers that run as long as the process.
+void addFiberMetrics(MetricsPage& _page)
+{
+	std::map<std::string, uint64_t> failures;
+	std::map<std::string, double> ages;
+	for (const auto& [name, fiber] : lastingFibers())
+	{
+		failures[name] = fiber.failures;
+		if (fiber.turnAt != 0)
+		{
+			ages[name] = double(monotonicNow() - fiber.turnAt) / double(kMsToUs);
+		}
+	}
+	addCounters(
+		_page, "fiber_failures_total",
+		"Exceptions that left fibers which run as long as the process, or handlers of the event loop.",
+		"fiber", failures);
+	addGauges(_page, "fiber_turn_age_ms", "Since each of these fibers last came round.", "fiber", ages);
+}
+
 void addProcessMetrics(MetricsPage& _page, const LinkStats& _links, const StoreStats& _store)
 {
 	addUsageMetrics(_page);
+	addFiberMetrics(_page);
 	addCounter(_page, "link_frames_in_total", "Messages read from links.", double(_links.framesIn));
 	addCounter(_page, "link_frames_out_total", "Messages written to links.", double(_links.framesOut));
 	addCounter(_page, "link_bytes_in_total", "Bytes read from links.", double(_links.bytesIn));
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -77,10 +77,11 @@
 
 void followBoxList(Node& _node, std::function<void()> _onRead)
 {
-	spawnFiber([&_node, onRead = std::move(_onRead)] {
+	keepRunning("box_list", [&_node, onRead = std::move(_onRead)] {
 		bool readable = true;
 		while (true)
 		{
+			noteTurn();
 			try
 			{
 				_node.boxes = readBoxList(_node.boxListClient);
@@ -99,10 +100,6 @@
 				}
 				readable = false;
 			}
-			catch (const std::exception& failure)
-			{
-				logEvent("step_failed", {{"error", failure.what()}});
-			}
 			sleepFor(kBoxListPollMs + kBoxListPollPerBoxMs * uint32_t(_node.boxes.size()));
 		}
 	});
@@ -216,6 +213,11 @@
 	}
 	catch (const Failure&)
 	{
+		return false; // Logged by the store's client when its state changes.
+	}
+	catch (const std::exception& failure)
+	{
+		logEvent("bills_not_written", {{"owner", _owner}, {"error", failure.what()}});
 		return false;
 	}
 	return false;
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -210,6 +210,7 @@
 {
 	while (true)
 	{
+		noteTurn();
 		try
 		{
 			_router.watching = shouldWatch(_router);
@@ -231,11 +232,6 @@
 		{
 			sleepFor(kStoreRetryMs); // The store adapter has logged the change of state.
 		}
-		catch (const std::exception& failure)
-		{
-			logEvent("step_failed", {{"error", failure.what()}});
-			sleepFor(kStoreRetryMs);
-		}
 	}
 }
 
@@ -384,28 +380,32 @@
 	startHttpServer(_router.node.io, _router.node.http, _router.settings.common.listen);
 	noteEvent(_router.node, "started", _router.settings.common.box, _router.node.incarnation);
 	followBoxList(_router.node, [&_router] { linkAgents(_router); });
-	spawnFiber([&_router] { followConfig(_router); });
-	spawnFiber([&_router] {
+	keepRunning("config", [&_router] { followConfig(_router); });
+	keepRunning("heartbeat", [&_router] {
 		while (true)
 		{
+			noteTurn();
+			logLateFibers();
 			_router.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_router));
 			expireSuspects(_router.core.suspects, monotonicNow());
 			tellSuspects(_router.node, _router.core.suspects);
 			sleepFor(kHeartbeatMs);
 		}
 	});
-	spawnFiber([&_router] {
+	keepRunning("tick", [&_router] {
 		while (true)
 		{
+			noteTurn();
 			RouterActions actions;
 			tick(_router.core, monotonicNow(), actions);
 			perform(_router, actions);
 			sleepFor(_router.core.requests.empty() ? kIdleTickMs : kTickMs);
 		}
 	});
-	spawnFiber([&_router] {
+	keepRunning("bills", [&_router] {
 		while (true)
 		{
+			noteTurn();
 			flushOwnBills(_router);
 			sleepFor(std::max(kBillFlushMs, kBillFlushPerRouterMs * _router.core.routers));
 		}
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -100,6 +100,8 @@
 {
 	while (true)
 	{
+		noteTurn();
+		logLateFibers();
 		sleepFor(kHousekeepingMs);
 		const TimeUs now = monotonicNow();
 		dropIdle(_router.pool, now);
@@ -278,10 +280,10 @@
 	startLogFlush();
 	listen(*s_router);
 	followStore(*s_router);
-	spawnFiber([] { keepHouse(*s_router); });
+	keepRunning("housekeeping", [] { keepHouse(*s_router); });
 	logEvent("started", {{"hall", s_router->settings.hall}, {"pid", std::to_string(::getpid())}});
 	awaitStopSignal(*s_router);
-	spawnFiber([] { ignoreSignals(*s_router); });
+	keepRunning("signals", [] { ignoreSignals(*s_router); });
 	stop(*s_router);
 	::_exit(0); // Detached fibers still hold references: nothing is left to tidy that the kernel does not.
 }
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -34,6 +34,7 @@
 /// At that start the routers begin within this time, few of them early, so that most find others to follow.
 constexpr double kFirstStartSpreadMs = 5000.0;
 constexpr uint32_t kRelayPauseMs = 500; ///< Between watches of a router that others follow.
+constexpr size_t kMostLoggedKey = 64;
 /// For the answer on a kept connection. One that has fallen silent for good is given up soon and the call
 /// made again on a new one: waiting as long as for a slow store takes more than the tightest bound on leaving
 /// upstreams, 0.8 s of pause included.
@@ -116,8 +117,7 @@
 	}
 }
 
-/// Takes one item, listed or changed.
-void takeItem(DirectRouter& _router, const StoreItem& _item, StoreWay _way)
+void takeItemOfKind(DirectRouter& _router, const StoreItem& _item, StoreWay _way)
 {
 	if (hasPrefix(_item.key, platform::kUpstreamPrefix))
 	{
@@ -141,6 +141,22 @@
 	}
 }
 
+/// Takes one item, listed or changed. Whatever is wrong with it, those after it are taken.
+void takeItem(DirectRouter& _router, const StoreItem& _item, StoreWay _way)
+{
+	try
+	{
+		takeItemOfKind(_router, _item, _way);
+	}
+	catch (const std::exception& failure)
+	{
+		++_router.stats.recordsRejected["failed"];
+		logEvent("store_item_failed", {{"key", _item.key.substr(0, kMostLoggedKey)},
+									   {"revision", std::to_string(_item.revision)},
+									   {"error", failure.what()}});
+	}
+}
+
 /// What an operator ordered before the store came back from an older copy is written again; until then it is
 /// believed.
 constexpr TimeUs kRewrittenWithin = 5000 * kMsToUs;
@@ -351,12 +367,13 @@
 	follower.client.http.io = &_router.io;
 	follower.client.watchHttp.io = &_router.io;
 	follower.client.protocol = _router.store.protocol;
-	if (_router.settings.firstStart)
+	if (_router.settings.firstStart && _router.view.revision == 0)
 	{
 		sleepFor(uint32_t(kFirstStartSpreadMs * std::cbrt(nextUnit(_router.random))));
 	}
 	while (true)
 	{
+		noteTurn();
 		const TimeUs now = monotonicNow();
 		if (_router.view.listAgainAt != 0 && now >= _router.view.listAgainAt)
 		{
@@ -385,6 +402,11 @@
 			recordStoreFailed(_router.peers.follow, monotonicNow());
 			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
 		}
+		catch (const std::exception&)
+		{
+			recordStoreFailed(_router.peers.follow, monotonicNow()); // Another router's word may help.
+			throw;
+		}
 		_router.followCalls = follower.client.stats;
 	}
 }
@@ -448,18 +470,19 @@
 
 void followStore(DirectRouter& _router)
 {
-	spawnFiber([&_router] {
+	keepRunning("run_check", [&_router] {
 		while (true)
 		{
+			noteTurn();
 			recordRunning(_router.upstreams.contact, monotonicNow());
 			sleepFor(kRunCheckPeriodMs);
 		}
 	});
-	spawnFiber([&_router] { followChanges(_router); });
-	spawnFiber([&_router] { runRollouts(_router); });
-	spawnFiber([&_router] { keepSuspectsStored(_router); });
-	spawnFiber([&_router] { shareUpstreamRates(_router); });
-	spawnFiber([&_router] { doUsageDuty(_router); });
+	keepRunning("store", [&_router] { followChanges(_router); });
+	keepRunning("rollouts", [&_router] { runRollouts(_router); });
+	keepRunning("suspects", [&_router] { keepSuspectsStored(_router); });
+	keepRunning("upstream_rates", [&_router] { shareUpstreamRates(_router); });
+	keepRunning("usage_duty", [&_router] { doUsageDuty(_router); });
 	startPeerLinks(_router);
 }
 } // namespace spanplank
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -169,6 +169,7 @@
 {
 	while (true)
 	{
+		noteTurn();
 		try
 		{
 			keepLinked(_router);
@@ -186,6 +187,7 @@
 {
 	for (uint32_t ping = 0;; ++ping)
 	{
+		noteTurn();
 		if (ping % kReviewPings == 0)
 		{
 			reviewParent(_router, monotonicNow());
@@ -272,7 +274,7 @@
 	const DirectSettings& settings = _router.settings;
 	const Endpoint& announced = settings.linkAnnounced.port != 0 ? settings.linkAnnounced : settings.link;
 	_router.peers.tree.self = {settings.box, settings.hall, announced, settings.capacity};
-	spawnFiber([&_router] { runLinks(_router); });
-	spawnFiber([&_router] { runPings(_router); });
+	keepRunning("links", [&_router] { runLinks(_router); });
+	keepRunning("pings", [&_router] { runPings(_router); });
 }
 } // namespace spanplank
--- a/src/direct/rate_sharing.cpp
+++ b/src/direct/rate_sharing.cpp
@@ -122,6 +122,7 @@
 {
 	while (true)
 	{
+		noteTurn();
 		shareOnce(_router, monotonicNow());
 		sleepFor(kShareMs);
 	}
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -307,19 +307,21 @@
 {
 	while (true)
 	{
+		noteTurn();
 		sleepFor(kRolloutTickMs);
 		for (auto& [service, trial] : _router.trials.trials)
 		{
-			advance(_router, service, trial);
+			// What fails for one is to hold up no other.
 			try
 			{
+				advance(_router, service, trial);
 				settleRollout(_router, service, trial);
 				saveProgress(_router, service, trial);
 			}
-			catch (const Failure& failure)
+			catch (const std::exception& failure)
 			{
 				recordFailedWrite(trial, monotonicNow(), nextUnit(_router.random));
-				logEvent("rollout_not_written", {{"service", service}, {"error", failure.refusal().detail}});
+				logEvent("rollout_not_written", {{"service", service}, {"error", failure.what()}});
 			}
 		}
 	}
--- a/src/direct/store_suspects.cpp
+++ b/src/direct/store_suspects.cpp
@@ -100,11 +100,10 @@
 		{
 			writeSuspect(_router, digest);
 		}
-		catch (const Failure& failure)
+		catch (const std::exception& failure) // What fails for one is to hold up no other.
 		{
 			_router.storedSuspects[digest].writeAfter = monotonicNow() + kWriteAgain;
-			logEvent("suspect_not_written",
-					 {{"digest", digestToHex(digest)}, {"error", failure.refusal().detail}});
+			logEvent("suspect_not_written", {{"digest", digestToHex(digest)}, {"error", failure.what()}});
 		}
 	}
 }
@@ -147,6 +146,7 @@
 {
 	while (true)
 	{
+		noteTurn();
 		sleepFor(kSuspectTickMs);
 		decideParts(_router);
 		writeSuspects(_router);
--- a/src/direct/usage_duty.cpp
+++ b/src/direct/usage_duty.cpp
@@ -192,6 +192,7 @@
 	_router.dutyCalls.io = &_router.io;
 	while (true)
 	{
+		noteTurn();
 		sleepFor(kDutyTickMs);
 		if (_router.settings.duties.port == 0)
 		{
@@ -203,10 +204,10 @@
 		{
 			takeStep(_router);
 		}
-		catch (const Failure& failure)
+		catch (const std::exception& failure)
 		{
 			postponeDuty(_router.usageDuty, monotonicNow());
-			logEvent("usage_duty_failed", {{"error", failure.refusal().detail}});
+			logEvent("usage_duty_failed", {{"error", failure.what()}});
 		}
 	}
 }
--- /dev/null
+++ b/tests/direct/lasting_fibers_test.cpp
@@ -0,0 +1,175 @@
+/// What must run for as long as the process lives goes on after a failure.
+#include <algorithm>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <stdexcept>
+
+#include "direct_harness.h"
+#include "direct_router_p.h"
+#include "fiber_runtime_p.h"
+#include "harness.h"
+#include "platform/store_protocol_p.h"
+#include "ports.h"
+
+namespace spanplank
+{
+namespace
+{
+constexpr uint32_t kSoonS = 5;
+
+std::ptrdiff_t countItems(const StandInStore& _store, const std::string& _prefix)
+{
+	return std::count_if(_store.items.begin(), _store.items.end(), [&_prefix](const auto& _item) {
+		return _item.first.compare(0, _prefix.size(), _prefix) == 0;
+	});
+}
+
+TEST(KeepRunning, ABodyThatThrowsRunsAnewUntilItReturns)
+{
+	testIo();
+	int runs = 0;
+	keepRunning("failing", [&runs] {
+		noteTurn();
+		if (++runs <= 3)
+		{
+			throw std::runtime_error("a step's failure");
+		}
+	});
+	EXPECT_TRUE(eventually([&runs] { return runs == 4; }, kSoonS));
+	EXPECT_EQ(lastingFibers().at("failing").failures, 3u);
+	logLateFibers();
+	EXPECT_FALSE(lastingFibers().at("failing").late);
+	skipTime(kLongestTurn + kMsToUs);
+	logLateFibers();
+	EXPECT_TRUE(lastingFibers().at("failing").late) << "it came round no more";
+}
+
+uint32_t s_soundCalls = 0; ///< Answers that are read between two that fail; 0: all are.
+uint32_t s_sinceFailure = 0;
+
+/// Fails in a way that no caller of the store's client expects.
+const HttpResponse& failedAtTimes(const HttpResponse& _response)
+{
+	if (s_soundCalls != 0 && ++s_sinceFailure > s_soundCalls)
+	{
+		s_sinceFailure = 0;
+		throw std::runtime_error("no failure of the store");
+	}
+	return _response;
+}
+
+const StoreProtocol& failingProtocol()
+{
+	static StoreProtocol s_protocol = [] {
+		StoreProtocol protocol = platform::storeProtocol();
+		protocol.decodeRead = [](const HttpResponse& _response) {
+			return platform::storeProtocol().decodeRead(failedAtTimes(_response));
+		};
+		protocol.decodeList = [](const HttpResponse& _response) {
+			return platform::storeProtocol().decodeList(failedAtTimes(_response));
+		};
+		protocol.decodeWatch = [](const HttpResponse& _response) {
+			return platform::storeProtocol().decodeWatch(failedAtTimes(_response));
+		};
+		protocol.decodeWrite = [](const HttpResponse& _response, uint64_t& _revision) {
+			return platform::storeProtocol().decodeWrite(failedAtTimes(_response), _revision);
+		};
+		protocol.decodeLease = [](const HttpResponse& _response, uint64_t _lease) {
+			return platform::storeProtocol().decodeLease(failedAtTimes(_response), _lease);
+		};
+		return protocol;
+	}();
+	return s_protocol;
+}
+
+/// Follows a store by a client whose calls fail, some sound ones between two failures.
+/// @returns Whether a router does afterwards all that it has to do.
+bool recoversFromFailingCalls()
+{
+	constexpr uint32_t kEachMs = 1500;
+	StandInStore store;
+	DirectSettings settings;
+	settings.box = "router-a";
+	settings.hall = "hall-a";
+	settings.link = {loopbackIp(), freePort()};
+	auto* router = new DirectRouter("", settings);
+	installFiberScheduler(router->io);
+	nlohmann::json config = basicConfig("key");
+	setItem(store, "op/config", config.dump());
+	setItem(store, "op/rollout/app", R"({"service":"app","target_version":"v2","duration_s":600})");
+	store.http.handler = [&store](HttpExchange& _exchange) {
+		answerStoreCall(store, _exchange);
+	};
+	settings.store = {loopbackIp(), startHttpServer(router->io, store.http, {loopbackIp(), 0})};
+	router->store.http.endpoint = settings.store;
+	router->store.protocol = &failingProtocol();
+	followStore(*router);
+	for (s_soundCalls = 5; s_soundCalls > 0; --s_soundCalls)
+	{
+		for (auto& [lease, until] : store.leases)
+		{
+			until = monotonicNow(); // The router registers again.
+		}
+		sleepFor(kEachMs);
+	}
+	config["version"] = config["version"].get<uint64_t>() + 1;
+	setItem(store, "op/config", config.dump());
+	const auto progress = store.items.find("spanplank/rollout/app");
+	const uint64_t written = progress == store.items.end() ? 0 : progress->second.revision;
+	return eventually(
+		[&] {
+			const auto later = store.items.find("spanplank/rollout/app");
+			return router->config.config->version == config["version"].get<uint64_t>() &&
+				   countItems(store, "spanplank/router/") == 1 && later != store.items.end() &&
+				   later->second.revision > written;
+		},
+		3 * kSoonS);
+}
+
+// An exception that the loops do not expect ended them for good: a router that was frozen as it connected to
+// the store followed it no longer, and was ready all the time.
+TEST(KeepRunning, NoCallOfTheStoreThatThrowsEndsTheWorkThatMadeIt)
+{
+	testing::FLAGS_gtest_death_test_style =
+		"threadsafe"; // In a process of its own, which ends with its fibers.
+	EXPECT_EXIT(std::_Exit(recoversFromFailingCalls() ? 0 : 1), testing::ExitedWithCode(0), "");
+}
+
+// A request whose path is not UTF-8 was refused as one that ends upstreams, and telling the store of it ended
+// the fiber that does so: no later one was written, and a router that started blank sent it to upstreams
+// again.
+TEST(RefusedRequest, WhosePathIsNotUtf8KeepsNoOtherOneFromTheStore)
+{
+	DirectSystem system;
+	StandInUpstream& only = system.addUpstream("u-only", "app");
+	only.born = 1700000000000;
+	system.registerUpstream(only);
+	system.startReady(1);
+	only.answer = [](StandInUpstream&, HttpExchange& _exchange) {
+		_exchange.abort();
+	};
+	constexpr int kMostCrashes = 10; // More than three of the second one, as upstreams crash often.
+	for (const std::string path : {"/once/\xff", "/once/end"})
+	{
+		int status = system.call("POST", path).status;
+		for (int start = 1; start <= kMostCrashes && status != 503; ++start)
+		{
+			EXPECT_EQ(status, 502);
+			only.born += 1000;
+			system.registerUpstream(only);
+			ASSERT_TRUE(eventually([&] {
+				return system.log().find(fmt::format(
+						   "event=upstream_restarted upstream=\"u-only\" born=\"{}\"", only.born)) !=
+					   std::string::npos;
+			}));
+			status = system.call("POST", path).status;
+		}
+		EXPECT_EQ(status, 503) << path;
+		sleepFor(1000);
+	}
+	EXPECT_TRUE(eventually([&] { return countItems(system.store, "spanplank/suspect/") > 0; }, kSoonS))
+		<< system.log();
+}
+} // namespace
+} // namespace spanplank
