An exception of a completion handler no longer ends the process

A process would end by itself, and its requests with it. Cause: handlers run within the fiber scheduler's noexcept functions. Handlers of links take messages, tell of closed links and choose another router to follow; an exception there was std::terminate. Change: it ends that handler alone, with a line (loop_handler_failed) and a count (fiber_failures_total{fiber="event_loop"}); the other handlers that are ready run. Evidence: EventLoop.AHandlerThatThrowsDoesNotEndTheProcess ended with "terminate called after throwing" on the code before and passes. It works as the scheduler's functions no longer let an exception through.

--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -25,6 +25,25 @@
 thread_local std::map<std::string, LastingFiber> s_lasting;
 fibers::fiber_specific_ptr<LastingFiber> s_self([](LastingFiber*) {}); ///< Of a fiber of `keepRunning`.
 
+/// @returns What a turn of the event loop returns. An exception of a handler ends that handler alone: the
+/// scheduler, which turns the loop, must not throw.
+template <typename Turn>
+size_t runHandlers(Turn&& _turn) noexcept
+{
+	while (true)
+	{
+		try
+		{
+			return _turn();
+		}
+		catch (const std::exception& failure)
+		{
+			++s_lasting["event_loop"].failures;
+			logEvent("loop_handler_failed", {{"error", failure.what()}});
+		}
+	}
+}
+
 /// Round robin over ready fibers; the dispatcher turns the Asio context whenever its turn comes.
 ///
 /// A handler may set a wait slot or notify a condition, so it must never run while a fiber that is being
@@ -52,7 +71,7 @@
 		if (dispatching && m_readyFibers > 0 && !m_justLooked)
 		{
 			noteLook(m_lookedAt);
-			m_io.poll();
+			runHandlers([this] { return m_io.poll(); });
 		}
 		m_justLooked = m_justLooked && !dispatching;
 		if (m_ready.empty())
@@ -80,7 +99,7 @@
 		while (!handled)
 		{
 			const TimeUs begin = monotonicNow();
-			handled = m_io.run_one_for(kIdleLook) > 0;
+			handled = runHandlers([this] { return m_io.run_one_for(kIdleLook); }) > 0;
 			const TimeUs now = monotonicNow();
 			// What comes during a sleep ends it, so that a sleep over the limit shows a process not run.
 			const TimeUs late =
@@ -92,7 +111,7 @@
 				noteLook(since);
 			}
 		}
-		m_io.poll();
+		runHandlers([this] { return m_io.poll(); });
 		m_justLooked = true;
 	}
 
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -105,7 +105,7 @@
 	bool late = false;     ///< That was long ago, and is logged.
 };
 
-/// @returns These by name.
+/// @returns These by name. The handlers of the event loop count as `event_loop`.
 const std::map<std::string, LastingFiber>& lastingFibers();
 
 /// For bodies of `keepRunning` that come round by themselves: notes that the calling one does.
--- a/tests/direct/lasting_fibers_test.cpp
+++ b/tests/direct/lasting_fibers_test.cpp
@@ -1,5 +1,6 @@
 /// What must run for as long as the process lives goes on after a failure.
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -25,6 +26,15 @@
 	});
 }
 
+// An exception of one completion handler left the scheduler, which may not throw: the process ended.
+TEST(EventLoop, AHandlerThatThrowsDoesNotEndTheProcess)
+{
+	bool next = false;
+	boost::asio::post(testIo(), [] { throw std::runtime_error("a handler's failure"); });
+	boost::asio::post(testIo(), [&next] { next = true; });
+	EXPECT_TRUE(eventually([&next] { return next; }, kSoonS));
+}
+
 TEST(KeepRunning, ABodyThatThrowsRunsAnewUntilItReturns)
 {
 	testIo();
