Links that fall silent together are opened again

Callers saw: a router that was frozen or cut off stayed without links, so that it heard of no load, halt or refusal of the others. Named by the review by reading. Cause: silent links are closed one after the other; where the end of one closes another, that one was looked up in vain, and std::out_of_range ended the fiber that closes and opens links. Change: a link that is gone by its turn is passed over. LinkHub::end() closes a hub for good. Evidence: Links.ThatFallSilentTogetherAreOpenedAgainWhereOneEndsAnother failed on the code before and passes. It works as the look-up no longer takes for granted that each link is still there.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -93,6 +93,7 @@
 	uint32_t nextLink = 0;
 	bool flushPosted = false;
 	bool listening = false;
+	bool ended = false;
 	LinkStats stats;
 
 	Impl(boost::asio::io_context& _io, LinkInit _init) : io(_io), init(std::move(_init))
@@ -393,8 +394,12 @@
 		}
 		for (const connection_hdl& handle : silent)
 		{
-			closeLink(links.at(byHandle.at(handle)));
-			closed(handle);
+			const auto found = byHandle.find(handle);
+			if (found != byHandle.end()) // Else the end of another one has closed it.
+			{
+				closeLink(links.at(found->second));
+				closed(handle);
+			}
 		}
 	}
 
@@ -426,7 +431,7 @@
 	impl.setHandlers(impl.client);
 	impl.server.set_open_handler([&impl](const connection_hdl& _handle) { impl.challenge(_handle); });
 	keepRunning("link_upkeep", [&impl] {
-		while (true)
+		while (!impl.ended)
 		{
 			noteTurn();
 			impl.closeSilent();
@@ -459,6 +464,17 @@
 	}
 }
 
+void LinkHub::end()
+{
+	m_impl->ended = true;
+	m_impl->wanted.clear();
+	stopListening();
+	for (const LinkId link : openLinks())
+	{
+		close(link);
+	}
+}
+
 void LinkHub::connect(const Endpoint& _endpoint)
 {
 	const std::string text = endpointText(_endpoint);
--- a/src/adapters/link_p.h
+++ b/src/adapters/link_p.h
@@ -58,6 +58,8 @@
 	/// @returns The port that it listens on.
 	uint16_t listen(const Endpoint& _endpoint);
 	void stopListening();
+	/// Closes all links for good. The hub has to outlive the upkeep that is under way.
+	void end();
 
 	/// Keeps a link to an endpoint open until `disconnect`.
 	void connect(const Endpoint& _endpoint);
--- a/tests/direct/lasting_fibers_test.cpp
+++ b/tests/direct/lasting_fibers_test.cpp
@@ -4,14 +4,17 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <set>
 #include <stdexcept>
 
 #include "direct_harness.h"
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "link_p.h"
 #include "platform/store_protocol_p.h"
 #include "ports.h"
+#include "spanplank/config.h"
 
 namespace spanplank
 {
@@ -146,6 +149,60 @@
 	EXPECT_EXIT(std::_Exit(recoversFromFailingCalls() ? 0 : 1), testing::ExitedWithCode(0), "");
 }
 
+/// A hub with the links of one end, which lives as long as the process, as all hubs do.
+struct HubEnd
+{
+	LinkHub* hub = nullptr;
+	Endpoint address{loopbackIp(), 0};
+	std::set<uint32_t> open;
+	uint32_t opened = 0;
+	bool closesOthers = false; ///< The end of one link closes all others.
+
+	explicit HubEnd(const std::string& _box)
+	{
+		LinkInit init;
+		init.self.role = "router";
+		init.self.box = _box;
+		init.self.incarnation = _box + ".1";
+		init.keys = {"a-link-key-of-32-characters-1234"};
+		init.handlers.onOpen = [this](LinkId _link, const PeerInfo&) {
+			open.insert(_link.idx);
+			++opened;
+		};
+		init.handlers.onMessage = [](LinkId, const LinkMessage&) {
+		};
+		init.handlers.onClose = [this](LinkId _link) {
+			open.erase(_link.idx);
+			while (closesOthers && !open.empty())
+			{
+				hub->close(LinkId{*open.begin()});
+			}
+		};
+		hub = new LinkHub(testIo(), std::move(init));
+		address.port = hub->listen(address);
+	}
+};
+
+// Links that fell silent together were closed one by one, and where the end of one had closed another, that
+// one was looked up in vain: the fiber that opens links ended, and a router that was cut off stayed unlinked.
+TEST(Links, ThatFallSilentTogetherAreOpenedAgainWhereOneEndsAnother)
+{
+	auto* near = new HubEnd("near");
+	auto* first = new HubEnd("first");
+	auto* second = new HubEnd("second");
+	near->closesOthers = true;
+	near->hub->connect(first->address);
+	near->hub->connect(second->address);
+	ASSERT_TRUE(eventually([near] { return near->open.size() == 2; }, kSoonS));
+	skipTime(TimeUs(kLinkSilenceMs + 1000) * kMsToUs);
+	EXPECT_TRUE(eventually([near] { return near->opened >= 4; }, kSoonS));
+	near->closesOthers = false;
+	for (HubEnd* end : {near, first, second})
+	{
+		end->hub->end();
+	}
+}
+
 // A request whose path is not UTF-8 was refused as one that ends upstreams, and telling the store of it ended
 // the fiber that does so: no later one was written, and a router that started blank sent it to upstreams
 // again.
