A router listens for links once their port is free

Callers saw: nothing at first; a router that starts while the process before it still has the port for links never registers, links and follows: it watches the store by itself, and is blind to the others' loads and refusals. Cause: the exception of the failed bind ended the fiber that registers the router. Begun anew, the hub stood, and nothing listened a second time. Change: listening is tried again at each look (links_not_taken), and a router registers once it listens. Evidence: Links.OfARouterWhosePortIsTakenAtItsStartAreOpenOnceItIsFree failed on the code before and passes. It works as what others read names an address that takes links.

--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -1,5 +1,6 @@
 #include "link_p.h"
 
+#include <fmt/format.h>
 #include <map>
 #include <openssl/rand.h>
 #include <set>
@@ -13,6 +14,8 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "spanplank/config.h"
+#include "spanplank/endpoint.h"
+#include "spanplank/errors.h"
 
 namespace spanplank
 {
@@ -445,15 +448,33 @@
 
 uint16_t LinkHub::listen(const Endpoint& _endpoint)
 {
-	const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip), _endpoint.port);
+	boost::system::error_code error;
+	const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(_endpoint.ip, error),
+												 _endpoint.port);
+	websocketpp::lib::error_code failure = error;
 	m_impl->server.set_reuse_addr(true);
-	m_impl->server.listen(address);
-	m_impl->server.start_accept();
+	if (!failure)
+	{
+		m_impl->server.listen(address, failure);
+	}
+	if (!failure)
+	{
+		m_impl->server.start_accept(failure);
+	}
+	if (failure)
+	{
+		throw Failure(ErrorCode::Internal, fmt::format("links can't be taken at {}: {}",
+													   endpointText(_endpoint), failure.message()));
+	}
 	m_impl->listening = true;
-	boost::system::error_code error;
 	return m_impl->server.get_local_endpoint(error).port();
 }
 
+bool LinkHub::isListening() const
+{
+	return m_impl->listening;
+}
+
 void LinkHub::stopListening()
 {
 	if (m_impl->listening)
--- a/src/adapters/link_p.h
+++ b/src/adapters/link_p.h
@@ -56,7 +56,10 @@
 	LinkHub& operator=(const LinkHub&) = delete;
 
 	/// @returns The port that it listens on.
+	/// @throws Failure(Internal) if it can't, for example as another process has the port. It may be tried
+	/// again.
 	uint16_t listen(const Endpoint& _endpoint);
+	bool isListening() const;
 	void stopListening();
 	/// Closes all links for good. The hub has to outlive the upkeep that is under way.
 	void end();
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -139,7 +139,24 @@
 		takeClose(_router, _link);
 	};
 	peers.hub = std::make_unique<LinkHub>(_router.io, std::move(init));
-	peers.hub->listen(_router.settings.link);
+}
+
+/// Listens for other routers' links; tried again while another process has the port.
+bool isListening(DirectRouter& _router)
+{
+	LinkHub& hub = *_router.peers.hub;
+	try
+	{
+		if (!hub.isListening())
+		{
+			hub.listen(_router.settings.link);
+		}
+	}
+	catch (const Failure& failure)
+	{
+		logEvent("links_not_taken", {{"error", failure.refusal().detail}});
+	}
+	return hub.isListening();
 }
 
 void keepLinked(DirectRouter& _router)
@@ -158,7 +175,11 @@
 		openHub(_router);
 		reviewParent(_router, monotonicNow());
 	}
-	if (peers.hub != nullptr)
+	if (peers.hub == nullptr)
+	{
+		return;
+	}
+	if (isListening(_router)) // Others learn of an address that takes links.
 	{
 		keepRegistered(_router);
 	}
--- a/tests/direct/lasting_fibers_test.cpp
+++ b/tests/direct/lasting_fibers_test.cpp
@@ -203,6 +203,23 @@
 	}
 }
 
+// A router whose port for links was taken as it started, by the process before it, never linked and
+// registered.
+TEST(Links, OfARouterWhosePortIsTakenAtItsStartAreOpenOnceItIsFree)
+{
+	boost::asio::ip::tcp::acceptor taken(testIo(), {boost::asio::ip::make_address(loopbackIp()), 0});
+	DirectSystem system(fmt::format("link: {}\n", loopback(taken.local_endpoint().port())));
+	system.addUpstream("u-one", "app");
+	system.startReady(1);
+	const auto registered = [&system] {
+		return countItems(system.store, "spanplank/router/") == 1;
+	};
+	sleepFor(1500);
+	EXPECT_FALSE(registered()) << "nothing listens where others would link to";
+	taken.close();
+	EXPECT_TRUE(eventually(registered, kSoonS)) << system.log();
+}
+
 // A request whose path is not UTF-8 was refused as one that ends upstreams, and telling the store of it ended
 // the fiber that does so: no later one was written, and a router that started blank sent it to upstreams
 // again.
