Starts of an upstream are ordered by the store's revisions, not by their own clocks

Cause: records of an id were ordered by born, the time of day of the upstream's box, which may jump by seconds. A lower one was taken for an older record, so every later word of that upstream was ignored. Evidence: upstream_record_old with each of its records while their revision rises. Change: a record is older if its revision is; another start with a later revision is a restart. born is an identity alone. After a store's return from an older copy, whose revisions are given out again, a record of another start at or below the known revision is passed over until it is written again or the second list holds it. It works as the store is the one clock that all writers share. The soak's upstreams now start with clocks ahead and behind in turn. RestartedUpstream.IsNotReplacedByTheRecordOfItsOlderStart expected the fault itself: the newest record of the store was to be ignored for the time that it states. That an older record replaces nothing is now tested by revision (TableTest) and for the copy (StoreReturnOfStarts).

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -36,8 +36,9 @@
 	bool draining = false;
 	uint32_t coldMs = 0;   ///< Time for which the upstream stays cold after this record was written.
 	uint64_t revision = 0; ///< Store revision at which the record was written; 0 if unknown.
-	/// Unix time of the upstream's start in milliseconds. A different value under the same id is a new
-	/// incarnation; 0 if not reported, which is treated as the known incarnation.
+	/// Unix time of the upstream's start in milliseconds, by the clock of its box. A different value under
+	/// the same id, higher or lower, is another incarnation; 0 if not reported, which is treated as the known
+	/// one.
 	uint64_t startedAtMs = 0;
 };
 
@@ -149,16 +150,28 @@
 	First, ///< No incarnation is known.
 	Same,
 	Newer, ///< The upstream has restarted.
-	Older, ///< The record belongs to an incarnation that has ended.
+	Older, ///< The record was written before the one that is known.
 };
 
+/// @returns The order by the store's revisions. A record whose revision is unknown counts as the newest.
 IncarnationOrder incarnationOrder(const UpstreamTable& _table, const UpstreamRecord& _record);
 
+/// For the first list after the store has come back from an older copy, whose revisions are given out again.
+/// @returns Whether a record may be one that the copy holds and that was written before the known one: that
+/// of a start before the known one, or of an upstream that has deregistered since.
+bool isOfCopy(const UpstreamTable& _table, const UpstreamRecord& _record);
+
+/// Leaves what is known as it is in spite of such a record. An upstream that has deregistered stays so until
+/// a later record.
+/// @returns Whether that settles it. Otherwise the record may also be one of a later start, written again
+/// between the return and the list: a list to come tells, in which it stands if it is.
+bool ignoreCopy(UpstreamTable& _table, const UpstreamRecord& _record);
+
 /// @returns The current incarnation of an id; invalid if there is none.
 UpstreamId currentIncarnation(const UpstreamTable& _table, const std::string& _id);
 
 /// Adds or updates a registration. A new incarnation gets a new entry without the state of the previous one;
-/// a record of an older incarnation has no effect.
+/// a record that is older than the known one has no effect.
 /// @returns The current incarnation of the record's id.
 /// @param[in] _now When the record was read; its cold time counts from then.
 UpstreamId registerUpstream(UpstreamTable& _table, const UpstreamRecord& _record, TimeUs _now = 0);
--- a/src/core/upstream_registrations.cpp
+++ b/src/core/upstream_registrations.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "prompt_choice_p.h"
+#include "spanplank/store_position.h"
 
 namespace spanplank
 {
@@ -22,13 +23,24 @@
 	}
 }
 
+bool isDeregistered(const UpstreamEntry& _entry)
+{
+	return !_entry.registered && _entry.lapse.cause == RemovalCause::Deregistered;
+}
+
+bool isSameIncarnation(const UpstreamRecord& _known, const UpstreamRecord& _record)
+{
+	// A draining upstream does not start to report its start time.
+	const bool firstReported = _known.startedAtMs == 0 && !_known.draining;
+	return _known.startedAtMs == _record.startedAtMs || firstReported || _record.startedAtMs == 0;
+}
+
 /// Ends the current incarnation of an id. Its entry remains for the requests still in flight there.
 void endIncarnation(UpstreamTable& _table, const std::string& _id, TimeUs _now)
 {
 	const uint32_t idx = _table.idxOfId.at(_id);
 	UpstreamEntry& entry = _table.entries.at(idx);
-	const bool deregistered = !entry.registered && entry.lapse.cause == RemovalCause::Deregistered;
-	entry.leftBeforeRestart = entry.record.draining || deregistered;
+	entry.leftBeforeRestart = entry.record.draining || isDeregistered(entry);
 	entry.record.draining = true;
 	entry.unregisteredAt = entry.registered ? _now : entry.unregisteredAt;
 	entry.registered = false;
@@ -64,15 +76,41 @@
 	{
 		return IncarnationOrder::First;
 	}
-	const UpstreamRecord& before = _table.entries.at(known.idx).record;
-	const uint64_t startedAtMs = before.startedAtMs;
-	// A draining upstream does not start to report its start time.
-	const bool firstReported = startedAtMs == 0 && !before.draining;
-	if (startedAtMs == _record.startedAtMs || firstReported || _record.startedAtMs == 0)
+	const UpstreamEntry& entry = _table.entries.at(known.idx);
+	// The start only tells incarnations apart: it is a time of day, and the clock of a box may jump back
+	// between two starts.
+	const bool same = isSameIncarnation(entry.record, _record);
+	const bool isKnown = _record.revision == entry.record.revision && (!same || isDeregistered(entry));
+	if (_record.revision != 0 && (_record.revision < entry.record.revision || isKnown))
+	{
+		return IncarnationOrder::Older;
+	}
+	return same ? IncarnationOrder::Same : IncarnationOrder::Newer;
+}
+
+bool isOfCopy(const UpstreamTable& _table, const UpstreamRecord& _record)
+{
+	const UpstreamId known = currentIncarnation(_table, _record.id);
+	if (!isValid(known))
+	{
+		return false;
+	}
+	const UpstreamEntry& entry = _table.entries.at(known.idx);
+	if (isSameIncarnation(entry.record, _record))
+	{
+		return isDeregistered(entry);
+	}
+	return revisionOf(_record.revision) <= revisionOf(entry.record.revision);
+}
+
+bool ignoreCopy(UpstreamTable& _table, const UpstreamRecord& _record)
+{
+	UpstreamEntry& entry = _table.entries.at(currentIncarnation(_table, _record.id).idx);
+	if (isDeregistered(entry))
 	{
-		return IncarnationOrder::Same;
+		entry.record.revision = _record.revision;
 	}
-	return _record.startedAtMs > startedAtMs ? IncarnationOrder::Newer : IncarnationOrder::Older;
+	return isDeregistered(entry);
 }
 
 UpstreamId currentIncarnation(const UpstreamTable& _table, const std::string& _id)
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -378,7 +378,9 @@
 		if (_router.view.listAgainAt != 0 && now >= _router.view.listAgainAt)
 		{
 			_router.view.listAgainAt = 0;
-			const bool believed = holdsEvacuations(_router) || !_router.trials.trials.empty();
+			const bool believed =
+				holdsEvacuations(_router) || !_router.trials.trials.empty() || _router.view.doubted;
+			_router.view.doubted = false;
 			_router.view.listed = _router.view.listed && !believed;
 		}
 		const bool served = isFollowing(_router, now) || awaitsFirstProof(_router, now);
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -151,6 +151,14 @@
 			_current};
 }
 
+void logOld(const UpstreamRecord& _record, const ChangeSource& _source)
+{
+	logEvent("upstream_record_old", {{"upstream", _record.id},
+									 {"born", std::to_string(_record.startedAtMs)},
+									 {"way", name(_source.way)},
+									 {"revision", std::to_string(_record.revision)}});
+}
+
 /// Takes a record. The calls at the incarnation before the one that has started end, as far as that is known;
 /// those that have reached the new one go on.
 void takeRecord(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
@@ -168,10 +176,7 @@
 	}
 	else if (order == IncarnationOrder::Older)
 	{
-		logEvent("upstream_record_old", {{"upstream", _record.id},
-										 {"born", std::to_string(_record.startedAtMs)},
-										 {"way", name(_source.way)},
-										 {"revision", std::to_string(_source.revision)}});
+		logOld(_record, _source);
 	}
 }
 
@@ -181,17 +186,14 @@
 	const UpstreamEntry* entry = registeredEntry(_table, _record.id);
 	return _record.draining && entry != nullptr && !entry->record.draining;
 }
-/// @returns Whether an upstream had gone for certain before the store came back from an older copy, in which
-/// it stands.
-bool isGone(const UpstreamTable& _table, const UpstreamRecord& _record)
+
+/// Leaves what is known as it is in spite of a record of the older copy that the store came back from. One
+/// that lives is written again.
+void passOver(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
 {
-	const UpstreamId known = currentIncarnation(_table, _record.id);
-	if (!isValid(known) || incarnationOrder(_table, _record) != IncarnationOrder::Same)
-	{
-		return false;
-	}
-	const UpstreamEntry& entry = _table.entries.at(known.idx);
-	return !entry.registered && entry.lapse.cause == RemovalCause::Deregistered;
+	const bool settled = ignoreCopy(_router.upstreams, _record);
+	_router.view.doubted = _router.view.doubted || !settled;
+	logOld(_record, _source);
 }
 } // namespace
 
@@ -251,13 +253,9 @@
 			rejectUpstream(_router, item, failure);
 			continue;
 		}
-		if (_returned && isGone(_router.upstreams, records.back()))
+		if (_returned && isOfCopy(_router.upstreams, records.back()))
 		{
-			logEvent("upstream_record_old", {{"upstream", records.back().id},
-											 {"born", std::to_string(records.back().startedAtMs)},
-											 {"way", name(_way)},
-											 {"revision", std::to_string(records.back().revision)}});
-			records.pop_back(); // One that lives is written again, as a change.
+			passOver(_router, records.back(), source);
 			continue;
 		}
 		const bool leaves = isNewsOfLeaving(_router.upstreams, records.back());
--- a/tests/core/upstream_table_test.cpp
+++ b/tests/core/upstream_table_test.cpp
@@ -394,19 +394,44 @@
 	EXPECT_EQ(pick(query(), 60 * kSecond), "one") << "removing the previous one keeps the id of the new one";
 }
 
+// Whatever start it states: clocks of boxes jump, the store's revisions do not.
 TEST_F(TableTest, ARecordOfAnOlderIncarnationHasNoEffectHoweverItArrives)
 {
 	UpstreamRecord one = record("one");
 	one.startedAtMs = 2000;
+	one.revision = 20;
 	registerUpstream(table, one);
-	UpstreamRecord old = record("one");
-	old.startedAtMs = 1000;
-	old.draining = true;
-	EXPECT_EQ(incarnationOrder(table, old), IncarnationOrder::Older);
-	registerUpstream(table, old);
+	for (const uint64_t startedAtMs : {1000, 2000, 3000})
+	{
+		UpstreamRecord old = record("one");
+		old.startedAtMs = startedAtMs;
+		old.revision = 10;
+		old.draining = true;
+		EXPECT_EQ(incarnationOrder(table, old), IncarnationOrder::Older);
+		registerUpstream(table, old);
+		EXPECT_EQ(pick(query(), 0), "one");
+		EXPECT_TRUE(replaceRegistrations(table, {&old, 1}, kSecond).empty());
+		EXPECT_EQ(pick(query(), kSecond), "one");
+	}
+}
+
+// An upstream that started again while the clock of its box was behind was not heard any more: it got
+// requests while it left, and some were lost as it ended.
+TEST_F(TableTest, AnUpstreamThatStatesALowerStartThanBeforeHasStartedAgain)
+{
+	UpstreamRecord one = record("one");
+	one.startedAtMs = 2000;
+	one.revision = 10;
+	const UpstreamId before = registerUpstream(table, one);
+	one.startedAtMs = 1600;
+	one.revision = 11;
+	EXPECT_EQ(incarnationOrder(table, one), IncarnationOrder::Newer);
+	EXPECT_FALSE(registerUpstream(table, one) == before);
 	EXPECT_EQ(pick(query(), 0), "one");
-	EXPECT_TRUE(replaceRegistrations(table, {&old, 1}, kSecond).empty());
-	EXPECT_EQ(pick(query(), kSecond), "one");
+	one.draining = true;
+	one.revision = 12;
+	registerUpstream(table, one);
+	EXPECT_EQ(pick(query(), 0), "");
 }
 
 TEST_F(TableTest, ARecordWithoutAStartTimeBelongsToTheKnownIncarnation)
--- a/tests/direct/restarted_upstream_test.cpp
+++ b/tests/direct/restarted_upstream_test.cpp
@@ -46,14 +46,33 @@
 	EXPECT_EQ(system.call("GET", "/plain/x").status, 200);
 }
 
-TEST_F(RestartedUpstream, IsNotReplacedByTheRecordOfItsOlderStart)
+// An upstream that started again while the clock of its box was behind was not heard any more: it got
+// requests while it left, 160 in 8 s, and those under way were lost as it ended.
+TEST_F(RestartedUpstream, WhoseClockJumpedBackIsHeardAsItLeaves)
 {
-	startAgain(kBorn + 1000);
+	startAgain(kBorn - 400);
 	ASSERT_TRUE(logged("event=upstream_restarted"));
-	only.born = kBorn;
+	EXPECT_EQ(system.call("GET", "/plain/x").status, 200);
 	system.registerUpstream(only, true);
-	ASSERT_TRUE(logged("event=upstream_record_old"));
+	ASSERT_TRUE(logged("leaving=\"yes\""));
+	EXPECT_TRUE(eventually([&] { return system.call("GET", "/plain/x").status == 503; }, 3)) << system.log();
+}
+
+// The same at another address: requests went on to the old one.
+TEST_F(RestartedUpstream, WhoseClockJumpedBackIsFoundAtItsNewAddress)
+{
+	StandInUpstream& moved = system.addUpstream("u-moved", "none");
+	only.address = moved.address;
+	startAgain(kBorn - 400);
+	EXPECT_TRUE(eventually(
+		[&] {
+			system.call("GET", "/plain/x");
+			return !moved.requests.empty();
+		},
+		3));
+	const size_t late = only.requests.size();
 	EXPECT_EQ(system.call("GET", "/plain/x").status, 200);
+	EXPECT_EQ(only.requests.size(), late) << "sent to the address before";
 }
 
 // An upstream that was back at once took the connection that was to show whether it had ended: only its next
--- a/tests/direct/store_return_test.cpp
+++ b/tests/direct/store_return_test.cpp
@@ -1,5 +1,6 @@
 /// The store comes back from an older copy: its revisions go back and are given out again. Routers must
 /// neither stay deaf to what is written there from then on, nor let what was in force go back.
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "direct_harness.h"
@@ -153,6 +154,84 @@
 	EXPECT_EQ(status(), 200) << "its entry is written again";
 }
 
+/// The same where upstreams state their starts.
+struct StoreReturnOfStarts : StoreReturn
+{
+	static constexpr uint64_t kBorn = 1700000000000;
+	static constexpr uint32_t kSecondListS = 12; ///< The store is listed again within 7 s of its return.
+
+	void startAgain(uint64_t _born, bool _leaving = false)
+	{
+		one.born = _born;
+		system.registerUpstream(one, _leaving);
+	}
+
+	size_t restarts() const
+	{
+		const std::string log = system.log();
+		size_t count = 0;
+		for (size_t at = log.find("event=upstream_restarted"); at != std::string::npos;
+			 at = log.find("event=upstream_restarted", at + 1))
+		{
+			++count;
+		}
+		return count;
+	}
+
+	/// The upstream has started twice, the copy is of between.
+	void startTwice(uint64_t _first, uint64_t _second, bool _leavingInCopy = false)
+	{
+		startAgain(_first, _leavingInCopy);
+		ASSERT_TRUE(eventually(
+			[&] { return system.log().find(fmt::format("born=\"{}\"", _first)) != std::string::npos; },
+			kBoundS));
+		copy = copyOf(system.store);
+		for (int ii = 0; ii < kChanges; ++ii)
+		{
+			system.registerUpstream(two);
+		}
+		startAgain(_second);
+		ASSERT_TRUE(eventually([&] { return restarts() > 0; }, kBoundS));
+	}
+};
+
+TEST_F(StoreReturnOfStarts, AnEarlierStartInTheCopyEndsNothingWhateverTimeItStates)
+{
+	startTwice(kBorn, kBorn - 400, true);
+	const size_t before = restarts();
+	removeItem(system.store, "servers/u-two");
+	copy.items.erase("servers/u-two");
+	returnFrom(system.store, copy);
+	const TimeUs until = monotonicNow() + TimeUs(kKeptForMs) * kMsToUs;
+	while (monotonicNow() < until)
+	{
+		EXPECT_EQ(status(), 200) << "the copy says that the start before leaves";
+		sleepFor(50);
+	}
+	startAgain(kBorn - 400); // It is written again.
+	sleepFor(kKeptForMs);
+	EXPECT_EQ(status(), 200);
+	EXPECT_EQ(restarts(), before) << system.log();
+}
+
+TEST_F(StoreReturnOfStarts, ALaterStartThatStatesALowerTimeIsHeardAsItLeaves)
+{
+	startTwice(kBorn, kBorn + 400);
+	returnFrom(system.store, copy);
+	sleepFor(kKeptForMs);
+	startAgain(kBorn + 100);
+	startAgain(kBorn + 100, true);
+	EXPECT_TRUE(eventually([this] { return isOnlyUsed(two); }, kBoundS)) << system.log();
+}
+
+TEST_F(StoreReturnOfStarts, ALaterStartThatIsWrittenBeforeTheFirstListIsHeardByTheSecond)
+{
+	startTwice(kBorn, kBorn + 400);
+	returnFrom(system.store, copy);
+	startAgain(kBorn + 100, true);
+	EXPECT_TRUE(eventually([this] { return isOnlyUsed(two); }, kSecondListS)) << system.log();
+}
+
 // An evacuation ordered after the return was not known 8 s later.
 TEST_F(StoreReturn, AnEvacuationOrderedAfterItIsInForceAndOneBeforeItIsKept)
 {
--- a/tests/direct/store_view_test.cpp
+++ b/tests/direct/store_view_test.cpp
@@ -171,7 +171,9 @@
 	switch (*rc::gen::inRange(0, 7))
 	{
 	case 0: // Starts, or starts again, under its id.
-		_store.born[id] = kFirstBorn + _store.revision();
+		// The clock of its box may jump; it never states a time twice.
+		_store.born[id] =
+			kFirstBorn + (*rc::gen::arbitrary<bool>() ? 1 : -1) * int64_t(_store.revision() + 1);
 		_store.leaves[id] = false;
 		writeUpstream(_store, id, "ready");
 		break;
--- a/tests/soak/soak_state.h
+++ b/tests/soak/soak_state.h
@@ -84,6 +84,7 @@
 struct SoakUpstream
 {
 	StandInUpstream* upstream = nullptr;
+	uint32_t starts = 0; ///< After the first.
 	SoakLimit limit;
 	bool saysLeaving = false; ///< In its answers; the store is not told.
 	bool rests = false;       ///< It rejects all and asks for rest.
--- a/tests/soak/soak_upstreams.cpp
+++ b/tests/soak/soak_upstreams.cpp
@@ -182,6 +182,12 @@
 	noteTold(_end, record);
 }
 
+/// @returns The start that an upstream states; its clock is now ahead, now behind.
+uint64_t statedStart(uint32_t _starts)
+{
+	return _starts % 2 == 0 ? kFirstBornMs + _starts : kFirstBornMs - _starts;
+}
+
 void registerEnd(Soak& _soak, const SoakUpstream& _end, const char* _state)
 {
 	setItem(_soak.store, "servers/" + _end.upstream->id,
@@ -225,7 +231,7 @@
 		record.brokeOff = record.brokeOff || (record.working > 0 && record.lastEnd == &_end);
 	}
 	resetConnections(_end.proxy);
-	++_end.upstream->born;
+	_end.upstream->born = statedStart(++_end.starts);
 	_end.leaving = {};
 	forgetNotices(_end);
 	registerEnd(_soak, _end, "ready");
@@ -234,7 +240,7 @@
 void comeBack(Soak& _soak, SoakUpstream& _end)
 {
 	startProxy(_end.proxy, _end.upstream->address);
-	++_end.upstream->born;
+	_end.upstream->born = statedStart(++_end.starts);
 	forgetNotices(_end);
 	_end.down = false;
 	if (_end.leaving.since == 0)
