A start that is stated below the one before is no evidence of where a call is

Callers saw: a call at a start of an upstream that has ended goes on until its own limit, where the clock of the upstream's box has jumped back by more than 5 s. Cause: startedBy() compares the stated start, less 5 s, with the time of the call's connection. Change: a start that is not above the one before it is no evidence; the call is doubted instead of kept. Evidence: RestartRecord.AStartThatIsStatedBeforeTheOneBeforeIsNoSignOfWhereACallIs failed with this change undone (restart_met_call verdict="kept" evidence="opened_after_start") and passes. It works as one clock is then surely wrong. Left: a clock that is wrong by more than 5 s and states no lower start is believed.

--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -1,4 +1,5 @@
 /// Registered upstreams in the platform's store: taken into the table, each change with its way and age.
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -143,12 +144,18 @@
 	}
 }
 
-/// @returns What a record tells of a restart.
-UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record, UpstreamId _current)
+/// @returns What a record tells of a restart. A start that it states before the one before it tells nothing:
+/// a clock was wrong.
+UpstreamRestart restartBy(DirectRouter& _router, const UpstreamRecord& _record, uint64_t _startedBeforeMs,
+						  UpstreamId _current)
 {
 	const TimeUs now = monotonicNow();
-	return {_record.address, startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now),
-			_current};
+	std::optional<TimeUs> started;
+	if (_record.startedAtMs > _startedBeforeMs)
+	{
+		started = startedBy(_record.startedAtMs, wallTime(_router.wall, wallNow(), now), now);
+	}
+	return {_record.address, started, _current};
 }
 
 void logOld(const UpstreamRecord& _record, const ChangeSource& _source)
@@ -169,9 +176,11 @@
 	const UpstreamId current = registerUpstream(table, _record, monotonicNow());
 	if (order == IncarnationOrder::Newer)
 	{
-		const RestartedCalls calls = endCalls(_router.pool, before, restartBy(_router, _record, current));
+		const UpstreamRecord& ended = table.entries.at(before.idx).record;
+		const RestartedCalls calls =
+			endCalls(_router.pool, before, restartBy(_router, _record, ended.startedAtMs, current));
 		suspectBroken(_router, before);
-		logRestarted(table.entries.at(before.idx).record, _record, calls, _source);
+		logRestarted(ended, _record, calls, _source);
 		noteRestartedCalls(_router, _record, calls, _source);
 	}
 	else if (order == IncarnationOrder::Older)
--- a/tests/direct/restart_record_test.cpp
+++ b/tests/direct/restart_record_test.cpp
@@ -299,6 +299,22 @@
 	EXPECT_TRUE(logged("calls_ended=\"1\" calls_kept=\"0\"")) << system.log();
 }
 
+// A start that is stated before the one before it: a clock was wrong, by however much.
+TEST_F(RestartRecord, AStartThatIsStatedBeforeTheOneBeforeIsNoSignOfWhereACallIs)
+{
+	constexpr int64_t kWrongByMs = 20000;
+	statedAgeMs = kWrongByMs;
+	start("app", {"u-one"}, {hold(answer), answer});
+	StandInUpstream& upstream = *system.upstreams().front();
+	upstream.born = uint64_t(wallNowMs() - kStartAgeMs);
+	system.registerUpstream(upstream);
+	ASSERT_TRUE(logged("event=upstream_restarted"));
+	sleepFor(200);
+	EXPECT_EQ(callAcrossRestart("GET", "/plain/x", false).status, 200);
+	EXPECT_TRUE(logged("event=restart_met_call")) << system.log();
+	EXPECT_EQ(system.log().find("verdict=\"kept\""), std::string::npos) << system.log();
+}
+
 // A call that went on across one restart was forgotten by the next: it waited at an incarnation that had
 // ended until its own limit.
 TEST_F(RestartRecord, ACallThatWentOnEndsWithTheNextRestart)
