JSON of others is read up to a depth that a fiber's stack bears

Callers saw (a report of other operators, shown here by tests): agents' mode, routers and agents ended, and ended again as they started, by one entry that is nested deeply: in the list of boxes, among the resources, in a caller's prompt or in an engine's usage. One box with a number out of range made the whole list unreadable. Direct mode held for all but the configuration, which only the operator writes. Cause: copying and writing a JSON value take a call for each level on a fiber's 128 KiB. The list of boxes was one text. Change: readJson() and parseJson() refuse more than 100 levels; the list of boxes is split into its entries first. ForeignEntry.ThatIsNestedDeeplyOr... passed before: entries of upstreams end nothing in direct mode. It works as no value deeper than that is ever made.

--- a/src/adapters/agent_ratings.cpp
+++ b/src/adapters/agent_ratings.cpp
@@ -3,6 +3,7 @@
 
 #include "agent_p.h"
 #include "resource_store_p.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -17,7 +18,7 @@
 	request.target = fmt::format("/ratings?version={}&after={}", _version, _feed.cursor);
 	request.timeoutMs = 1000;
 	const HttpResponse response = call(_agent.ratings, request);
-	const json answer = json::parse(response.body, nullptr, false);
+	const json answer = readJson(response.body);
 	if (response.status != 200 || !answer.is_object())
 	{
 		return;
@@ -66,7 +67,7 @@
 	CasResult result = casStore(_agent.node.store, key, json(ledger).dump(), item.revision, revision);
 	if (result == CasResult::Lost)
 	{
-		const auto held = json::parse(readStore(_agent.node.store, key).value, nullptr, false);
+		const auto held = readJson(readStore(_agent.node.store, key).value);
 		const bool took =
 			held.is_object() && held.get<ExposureLedger>().grantSeq[_agent.node.incarnation] == seq;
 		result = took ? CasResult::Done : CasResult::Conflict;
--- a/src/adapters/box_list.cpp
+++ b/src/adapters/box_list.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "log_p.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -44,22 +45,22 @@
 	request.target = "/boxes";
 	request.timeoutMs = 1000;
 	const HttpResponse response = call(_client, request);
-	const nlohmann::json list = nlohmann::json::parse(response.body, nullptr, false);
-	if (response.status != 200 || !list.is_array())
+	const std::vector<std::string_view> entries = jsonElements(response.body);
+	if (response.status != 200 || (entries.empty() && !readJson(response.body).is_array()))
 	{
 		throw Failure(ErrorCode::Internal, "the box list answered " + std::to_string(response.status));
 	}
 	std::vector<BoxEntry> boxes;
-	for (const nlohmann::json& item : list)
+	for (const std::string_view entry : entries)
 	{
 		try
 		{
-			boxes.push_back(decodeBox(item));
+			boxes.push_back(decodeBox(parseJson(entry)));
 		}
 		catch (const std::exception& failure)
 		{
-			const std::string text = item.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-			logEvent("box_rejected", {{"entry", text.substr(0, kMostLoggedBox)}, {"error", failure.what()}});
+			logEvent("box_rejected",
+					 {{"entry", std::string(entry.substr(0, kMostLoggedBox))}, {"error", failure.what()}});
 		}
 	}
 	return boxes;
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -3,6 +3,7 @@
 
 #include "log_p.h"
 #include "router_p.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -85,7 +86,7 @@
 CallerRequest chatRequest(const HttpRequest& _request, TimeUs _since)
 {
 	CallerRequest caller = commonRequest(_request, _since);
-	const json body = json::parse(caller.body, nullptr, false);
+	const json body = readJson(caller.body);
 	if (!body.is_object())
 	{
 		throw Failure(ErrorCode::BadRequest, "the body is not a JSON object");
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -16,6 +16,7 @@
 #include "spanplank/config.h"
 #include "spanplank/endpoint.h"
 #include "spanplank/errors.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -219,7 +220,7 @@
 	void handshake(uint32_t _idx, const std::string& _payload)
 	{
 		Link& link = links.at(_idx);
-		const json message = json::parse(_payload, nullptr, false);
+		const json message = readJson(_payload);
 		if (!message.is_object())
 		{
 			refuse(link, "malformed handshake");
@@ -251,7 +252,7 @@
 	void openLink(uint32_t _idx, const std::string& _key, const std::string& _hello)
 	{
 		Link& link = links.at(_idx);
-		link.peer = json::parse(_hello).get<PeerInfo>();
+		link.peer = parseJson(_hello).get<PeerInfo>();
 		deriveKeys(link, _key);
 		if (!link.outgoing)
 		{
--- a/src/adapters/operator_api.cpp
+++ b/src/adapters/operator_api.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include "router_p.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -61,7 +62,7 @@
 
 ResourceWrite readWrite(const HttpRequest& _request, const Target& _target)
 {
-	const json body = json::parse(_request.body(), nullptr, false);
+	const json body = readJson(_request.body());
 	if (!body.is_object())
 	{
 		throw Failure(ErrorCode::BadRequest, "the body is not a JSON object");
--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -5,6 +5,7 @@
 
 #include "fiber_runtime_p.h"
 #include "spanplank/config.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -32,7 +33,7 @@
 	}
 	try
 	{
-		resource = json::parse(_item.value).get<Resource>();
+		resource = parseJson(_item.value).get<Resource>();
 		if (storeKey(resource.kind, resource.name) != _item.key)
 		{
 			noteUnreadable(_item.key, "it is the resource of another key");
--- a/src/adapters/store_client.cpp
+++ b/src/adapters/store_client.cpp
@@ -7,6 +7,7 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "spanplank/http_status.h"
+#include "spanplank/json_text.h"
 #include "spanplank/store_position.h"
 
 namespace spanplank
@@ -149,7 +150,7 @@
 	{
 		throw Failure(ErrorCode::StoreUnavailable, "the store answered " + std::to_string(_response.status));
 	}
-	return json::parse(_response.body);
+	return parseJson(_response.body);
 }
 
 HttpCall encodeRead(const std::string& _key)
--- a/src/adapters/store_client_p.h
+++ b/src/adapters/store_client_p.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "http_p.h"
+#include "spanplank/json_text.h"
 #include "spanplank/store_item.h"
 
 namespace spanplank
@@ -60,7 +61,7 @@
 {
 	try
 	{
-		return nlohmann::json::parse(_item.value).get<Record>();
+		return parseJson(_item.value).get<Record>();
 	}
 	catch (const nlohmann::json::exception& failure)
 	{
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -5,6 +5,7 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "spanplank/event_stream.h"
+#include "spanplank/json_text.h"
 
 namespace spanplank
 {
@@ -19,7 +20,7 @@
 {
 	HttpCall request;
 	request.target = "/v1/chat/completions";
-	json body = json::parse(_submit.body, nullptr, false);
+	json body = readJson(_submit.body);
 	if (body.is_object())
 	{
 		body["model"] = _submit.version;
@@ -93,7 +94,9 @@
 	}
 	if (!valid)
 	{
-		logEvent("usage_rejected", {{"usage", usage.dump().substr(0, kMostLoggedUsage)}});
+		logEvent("usage_rejected",
+				 {{"usage",
+				   usage.dump(-1, ' ', false, json::error_handler_t::replace).substr(0, kMostLoggedUsage)}});
 	}
 }
 
@@ -110,7 +113,7 @@
 	if (start != std::string::npos && end != std::string::npos)
 	{
 		const size_t from = start + 6;
-		readUsage(json::parse(_tail.substr(from, end - from), nullptr, false), _end);
+		readUsage(readJson(std::string_view(_tail).substr(from, end - from)), _end);
 	}
 }
 
@@ -177,7 +180,7 @@
 		}
 		else
 		{
-			readUsage(json::parse(tail, nullptr, false), end);
+			readUsage(readJson(tail), end);
 		}
 	}
 	return end;
--- a/src/direct/peer_registration.cpp
+++ b/src/direct/peer_registration.cpp
@@ -8,6 +8,7 @@
 #include "direct_router_p.h"
 #include "fiber_runtime_p.h"
 #include "log_p.h"
+#include "spanplank/json_text.h"
 #include "store_items_p.h"
 
 namespace spanplank
@@ -48,7 +49,7 @@
 /// @throws Failure, json::exception
 void decodePeer(const std::string& _value, PeerRecord& _record)
 {
-	const json value = json::parse(_value);
+	const json value = parseJson(_value);
 	_record.hall = value.at("hall").get<std::string>();
 	_record.capacity.cores = value.value("cores", 0.0); // One of an earlier version tells none.
 	_record.capacity.linkMbps = value.value("linkMbps", 0.0);
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -8,6 +8,7 @@
 #include "fiber_runtime_p.h"
 #include "log_p.h"
 #include "platform/records_p.h"
+#include "spanplank/json_text.h"
 #include "spanplank/peer_messages.h"
 #include "store_items_p.h"
 
@@ -114,7 +115,7 @@
 	}
 	if (space < _value.size())
 	{
-		progress.rows = decodeEvidence(nlohmann::json::parse(_value.substr(space + 1)));
+		progress.rows = decodeEvidence(parseJson(_value.substr(space + 1)));
 	}
 	return progress;
 }
--- a/src/direct/store_suspects.cpp
+++ b/src/direct/store_suspects.cpp
@@ -5,6 +5,7 @@
 
 #include "fiber_runtime_p.h"
 #include "log_p.h"
+#include "spanplank/json_text.h"
 #include "store_items_p.h"
 #include "suspects_p.h"
 
@@ -28,7 +29,7 @@
 /// @throws json::exception
 SuspectUpdate decodeSuspect(const std::string& _value)
 {
-	const json value = json::parse(_value);
+	const json value = parseJson(_value);
 	auto news = value.at("suspect").get<SuspectUpdate>();
 	const TimeUs age = std::max<TimeUs>(0, wallNowMs() - value.at("at").get<int64_t>()) * kMsToUs;
 	news.suspect.refusedAt += age;
--- a/src/direct/usage_duty.cpp
+++ b/src/direct/usage_duty.cpp
@@ -9,6 +9,7 @@
 #include "log_p.h"
 #include "platform/duty_calls_p.h"
 #include "serving_p.h"
+#include "spanplank/json_text.h"
 #include "spanplank/store_position.h"
 
 namespace spanplank
@@ -44,7 +45,7 @@
 /// @throws json::exception
 DutyRecord decodeRecord(const std::string& _value)
 {
-	const json value = json::parse(_value);
+	const json value = parseJson(_value);
 	DutyRecord record;
 	value.at("holder").get_to(record.holder);
 	value.at("life").get_to(record.incarnation);
--- a/tests/direct/foreign_entry_test.cpp
+++ b/tests/direct/foreign_entry_test.cpp
@@ -189,6 +189,33 @@
 	EXPECT_EQ(system.knownUpstreams(), 2u);
 }
 
+// Entries with which routers of other operators ended again and again, or followed the store no longer.
+TEST_F(ForeignEntry, ThatIsNestedDeeplyOrHasNumbersOutOfRangeEndsNothing)
+{
+	constexpr size_t kDeep = 50000; // Levels; the store takes no value over 100 kB.
+	const std::string deep = std::string(kDeep, '[') + std::string(kDeep, ']');
+	const std::string nothing = loopback(freePort());
+	int number = 0;
+	for (const char* name : {"service", "address", "zone", "version", "slots", "state", "born", "other"})
+	{
+		for (const std::string& value :
+			 {deep, std::string("1e999"), std::string("-1e999"), std::string("1e308"),
+			  std::string("99999999999999999999999999"), std::string("-9223372036854775809")})
+		{
+			json record = recordAt(nothing);
+			record[name] = "HERE";
+			std::string text = record.dump();
+			text.replace(text.find("\"HERE\""), 6, value);
+			write(fmt::format("i-other-{}", number++), text);
+			EXPECT_EQ(refusedOf(kCallsOfEntry), 0) << text.substr(0, 200);
+			removeItem(system.store, fmt::format("servers/i-other-{}", number - 1));
+		}
+	}
+	StandInUpstream& third = system.addUpstream("u-third", "app");
+	EXPECT_TRUE(isUsed(third));
+	EXPECT_TRUE(system.isReady());
+}
+
 // A wrong address under an upstream's own id, with a later start, ended the router's watch of the store.
 TEST_F(ForeignEntry, UnderALiveIdEndsNoWatchOfTheStore)
 {
--- a/tests/direct/store_view_test.cpp
+++ b/tests/direct/store_view_test.cpp
@@ -270,6 +270,13 @@
 	EXPECT_EQ(router.stats.itemsSkipped, 1u);
 }
 
+/// @returns JSON that is nested deeper than any stack bears a call for each level.
+std::string deepArray()
+{
+	constexpr size_t kDeep = 200000;
+	return std::string(kDeep, '[') + std::string(kDeep, ']');
+}
+
 // One value of another writer, under any key that is followed, was to hide no change after it.
 TEST(StoreView, AnOddValueUnderAnyKeyHidesNothingAfterIt)
 {
@@ -302,6 +309,11 @@
 		"{}",
 		std::string("\xff\xfe\x00", 3),
 		std::string(20000, '['),
+		deepArray(),
+		R"({"version":9,"routes":)" + deepArray() + "}",
+		R"({"suspect":)" + deepArray() + R"(,"at":1})",
+		"12 " + deepArray(),
+		R"({"version":1e999,"target_version":"v9","duration_s":1e999})",
 		R"({"version":"x","routes":7})",
 		R"({"version":9,"routes":[7],"tenants":{"a":1}})",
 		R"({"service":7,"target_version":[],"duration_s":"soon","state":7})",
@@ -415,6 +427,7 @@
 	}
 	EXPECT_EQ(faultOf("slots", -3), RecordFault::Range);
 	EXPECT_EQ(faultOf("slots", 1e30), RecordFault::Range);
+	EXPECT_EQ(faultOf("slots", 18446744073709551615ull), RecordFault::Range);
 	EXPECT_EQ(faultOf("slots", "8"), RecordFault::Type);
 	EXPECT_EQ(faultOf("born", 1.5), RecordFault::Range);
 	EXPECT_EQ(faultOf("born", "now"), RecordFault::Type);
--- a/tests/system/foreign_record_test.cpp
+++ b/tests/system/foreign_record_test.cpp
@@ -5,8 +5,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "box_list_p.h"
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "upstream_client_p.h"
 
 namespace spanplank
 {
@@ -96,6 +98,67 @@
 	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 200; }, 10));
 }
 
+/// @returns JSON that is nested deeper than the stack of a fiber bears a call for each level.
+std::string deepArray()
+{
+	constexpr size_t kDeep = 20000;
+	return std::string(kDeep, '[') + std::string(kDeep, ']');
+}
+
+// A resource that was nested deeply overflowed the stack of each router that read it: they ended, and ended
+// again as they started.
+TEST(ForeignRecord, ThatIsNestedDeeplyEndsNoRouter)
+{
+	System system{SystemShape{}};
+	system.declareBasics();
+	for (const std::string& value : {deepArray(), std::string("1e999")})
+	{
+		system.writeStore("config/accounts/other-" + std::to_string(value.size()),
+						  R"({"kind":"accounts","name":"other","spec":{"allowed":)" + value + "}}");
+	}
+	pause(1000);
+	EXPECT_EQ(system.chat(0, {}).status, 200);
+	EXPECT_EQ(system.chat(1, {}).status, 200);
+	system.killHard("router-0");
+	system.start("router-0");
+	EXPECT_TRUE(eventually([&] { return system.chat(0, {}).status == 200; }, 10));
+}
+
+// One box with a number out of range spoiled the whole list, and the log line on one that is nested deeply
+// overflowed the stack of each process that read it.
+TEST(ForeignRecord, ThatIsNestedDeeplyOrHasANumberOutOfRangeHidesNoOtherBox)
+{
+	const std::string sound = R"({"box":"b","role":"agent","link":"127.0.0.1:9","state":"live"})";
+	HttpServer platform;
+	std::string list;
+	platform.handler = [&list](HttpExchange& _exchange) {
+		_exchange.respond({200, {}, list});
+	};
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = {"127.0.0.1", startHttpServer(testIo(), platform, {"127.0.0.1", 0})};
+	const std::string deep(200000, '[');
+	for (const std::string& other :
+		 {deep + std::string(deep.size(), ']'), R"({"box":)" + deep + std::string(deep.size(), ']') + "}",
+		  std::string("1e999"), std::string(R"({"box":"c","role":"router","cores":1e999})"),
+		  std::string(R"({"box":"c","role":"agent","link":"127.0.0.1:70000"})"),
+		  std::string(R"({"box":"c","role":"agent","link":"127.0.0.1:99999999999999999999999"})"),
+		  std::string(R"({"box":"c","role":"agent","link":"127.0.0.1:-1"})")})
+	{
+		list = "[" + other + "," + sound + "]";
+		const std::vector<BoxEntry> boxes = readBoxList(client);
+		ASSERT_EQ(boxes.size(), 1u) << other.substr(0, 80);
+		EXPECT_EQ(boxes[0].box, "b");
+	}
+	list = "[]";
+	EXPECT_TRUE(readBoxList(client).empty());
+	list = "{}";
+	EXPECT_THROW(readBoxList(client), Failure);
+	client.idle.clear();
+	stopListening(platform);
+	EXPECT_TRUE(eventually([&] { return platform.connections == 0 && !platform.accepting; }));
+}
+
 /// A system of one engine with two slots and one service.
 SystemShape smallShape()
 {
@@ -131,6 +194,45 @@
 	}
 }
 
+// The log line on usage that is nested deeply overflowed the stack of the agent.
+TEST(OddUpstream, WhoseUsageIsNestedDeeplyEndsNoAgent)
+{
+	HttpServer engine;
+	const std::string deep(200000, '[');
+	engine.handler = [&deep](HttpExchange& _exchange) {
+		_exchange.respond({200, {}, R"({"usage":)" + deep + std::string(deep.size(), ']') + "}"});
+	};
+	HttpClient client;
+	client.io = &testIo();
+	client.endpoint = {"127.0.0.1", startHttpServer(testIo(), engine, {"127.0.0.1", 0})};
+	Submit submit;
+	submit.version = "small@1";
+	submit.body = R"({"model":"small","messages":[]})";
+	UpstreamHandlers handlers;
+	handlers.onStart = [](int, const std::string&) {
+	};
+	handlers.onPart = [](const std::string&) {
+	};
+	HttpCancel cancel;
+	EXPECT_EQ(forwardWork(client, submit, 5000, handlers, cancel).outputTokens, 0u);
+	client.idle.clear();
+	stopListening(engine);
+	EXPECT_TRUE(eventually([&] { return engine.connections == 0 && !engine.accepting; }));
+}
+
+// A prompt that was nested deeply overflowed the stack of the router that took it.
+TEST(OddRequest, ThatIsNestedDeeplyIsRefusedAndEndsNoRouter)
+{
+	System system(smallShape());
+	system.declareBasics();
+	const std::string body =
+		R"({"model":"small","messages":[{"role":"user","content":)" + deepArray() + R"(},{"role":"user"}]})";
+	const Answer answer = system.http(system.routerAddress(0), "POST", "/v1/chat/completions", body,
+									  {{"Authorization", "Bearer key-town"}});
+	EXPECT_EQ(answer.status, 400) << answer.body;
+	EXPECT_EQ(system.chat(0, {}).status, 200);
+}
+
 /// @returns What a router answers to a head that is sent as it is.
 std::string sendRaw(System& _system, const std::string& _bytes)
 {
