Interim answers are not taken for the final one

Callers saw: an upstream that sends a 103 before its answer gave a 502 (direct mode: the request had run) or the 103 itself without a body (agents' mode), and the answer stood where the connection's next one begins. Cause: both readers took the first head for that of the answer (RFC 9110, 15.2).

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -14,6 +14,8 @@
 using boost::asio::ip::tcp;
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
+constexpr uint64_t kMostBodyBytes = 64u << 20;
+
 /// An idle connection that the other side has closed must not be used: a byte written to it counts as sent.
 bool stillOpen(beast::tcp_stream& _stream)
 {
@@ -113,21 +115,37 @@
 	return message;
 }
 
-HttpResponse readAnswer(boost::asio::io_context& _io, beast::tcp_stream& _stream, const HttpCall& _call,
-						const HttpPartHandler& _onPart, bool& _keepAlive)
+using AnswerParser = http::response_parser<http::buffer_body>;
+
+/// Reads the head of the final answer; interim ones before it are skipped (RFC 9110, 15.2).
+std::unique_ptr<AnswerParser> readHead(boost::asio::io_context& _io, beast::tcp_stream& _stream,
+									   const HttpCall& _call, beast::flat_buffer& _buffer)
 {
-	beast::flat_buffer buffer{kMostUnparsedBytes};
-	http::response_parser<http::buffer_body> parser;
-	parser.body_limit(64u << 20);
+	const StepLimit limit(_io, _stream, _call.timeoutMs);
+	for (size_t ii = 0; ii <= kMostInterimAnswers; ++ii)
 	{
-		const StepLimit limit(_io, _stream, _call.timeoutMs);
+		auto parser = std::make_unique<AnswerParser>();
+		parser->body_limit(kMostBodyBytes);
 		const IoResult read =
-			awaitIo([&](auto _done) { http::async_read_header(_stream, buffer, parser, _done); });
+			awaitIo([&](auto _done) { http::async_read_header(_stream, _buffer, *parser, _done); });
 		if (read.error)
 		{
 			throw HttpFailure("answer: " + limit.describe(read.error), true);
 		}
+		if (!isInterim(parser->get().result_int()))
+		{
+			return parser;
+		}
 	}
+	throw HttpFailure("answer: too many interim answers", true);
+}
+
+HttpResponse readAnswer(boost::asio::io_context& _io, beast::tcp_stream& _stream, const HttpCall& _call,
+						const HttpPartHandler& _onPart, bool& _keepAlive)
+{
+	beast::flat_buffer buffer{kMostUnparsedBytes};
+	const std::unique_ptr<AnswerParser> head = readHead(_io, _stream, _call, buffer);
+	AnswerParser& parser = *head;
 	HttpResponse response;
 	response.status = int(parser.get().result_int());
 	response.endsWithConnection = parser.need_eof();
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -240,9 +240,9 @@
 	return readHead();
 }
 
-ExchangeState UpstreamCall::readHead()
+boost::system::error_code UpstreamCall::readFinalHead()
 {
-	for (int ii = 0; ii < kMostSkipped; ++ii)
+	for (size_t ii = 0; ii <= kMostInterimAnswers; ++ii)
 	{
 		m_parser = std::make_unique<AnswerParser>();
 		m_parser->body_limit(kBodyLimit);
@@ -253,11 +253,28 @@
 		});
 		if (read.error)
 		{
-			return result(read.error);
+			return read.error;
+		}
+		noteAlive();
+		if (!isInterim(m_parser->get().result_int()))
+		{
+			return {};
+		}
+	}
+	return http::error::bad_status;
+}
+
+ExchangeState UpstreamCall::readHead()
+{
+	for (int ii = 0; ii < kMostSkipped; ++ii)
+	{
+		const boost::system::error_code error = readFinalHead();
+		if (error)
+		{
+			return result(error);
 		}
 		const boost::beast::string_view id =
 			m_parser->get()[boost::beast::string_view(m_request.idHeader.data(), m_request.idHeader.size())];
-		noteAlive();
 		if (std::string_view(id.data(), id.size()) == m_request.requestId || id.empty())
 		{
 			return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -204,6 +204,8 @@
 	IoResult awaitStep(Step _step, Start&& _start);
 
 	ExchangeState makeConnection(TimeUs _by);
+	/// Reads the next head that is no interim one's. @returns Why none came; no error: one did.
+	boost::system::error_code readFinalHead();
 	ExchangeState readHead();
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
--- a/tests/direct/unframed_answer_test.cpp
+++ b/tests/direct/unframed_answer_test.cpp
@@ -1,4 +1,5 @@
-/// Answers with neither a length nor chunks, which end with their connection.
+/// Answers with neither a length nor chunks, which end with their connection, and answers that are cut.
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -30,7 +31,10 @@
 	std::string type = "text/plain";
 	std::string body;
 	SocketEnd end = SocketEnd::Closed;
-	uint32_t afterMs = 20; ///< From its last byte to its end.
+	uint32_t afterMs = 20;   ///< From its last byte to its end.
+	std::string fields = {}; ///< More lines of its head.
+	size_t missing = 0;      ///< Bytes at its end that are not sent.
+	std::string before = {}; ///< Sent before its head.
 };
 
 /// Two upstreams that write such answers, by the number of the arrival at either.
@@ -109,9 +113,11 @@
 		}
 		const UnframedAnswer& script = answers[std::min(arrivals++, answers.size() - 1)];
 		const size_t id = head.find("request-");
-		const std::string bytes = fmt::format(
-			"HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: stamp-{}\r\nContent-Type: {}\r\n\r\n{}",
-			head.substr(id, head.find('\r', id) - id), ends[_end].id, script.type, script.body);
+		const std::string whole = fmt::format(
+			"{}HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Stamp: stamp-{}\r\nContent-Type: {}\r\n{}\r\n{}",
+			script.before, head.substr(id, head.find('\r', id) - id), ends[_end].id, script.type,
+			script.fields, script.body);
+		const std::string bytes = whole.substr(0, whole.size() - std::min(script.missing, whole.size()));
 		awaitIo([&](auto _done) { boost::asio::async_write(_socket, boost::asio::buffer(bytes), _done); });
 		sleepFor(script.afterMs);
 		if (script.end == SocketEnd::Reset)
@@ -269,5 +275,119 @@
 	EXPECT_EQ(answer.status, 200);
 	EXPECT_EQ(answer.body, "all of it");
 }
+
+constexpr size_t kLongestAnswer = 400; ///< Bytes, with its head.
+const std::string kText = "all of it";
+
+/// @returns The same answer in each framing.
+std::vector<UnframedAnswer> framedAnswers()
+{
+	const UnframedAnswer open{"text/plain", kText, SocketEnd::Closed, 0};
+	UnframedAnswer sized = open;
+	sized.fields = fmt::format("Content-Length: {}\r\n", kText.size());
+	UnframedAnswer chunked = open;
+	chunked.fields = "Transfer-Encoding: chunked\r\n";
+	chunked.body = fmt::format("{:x};part=1\r\n{}\r\n0\r\nChecksum: 12\r\n\r\n", kText.size(), kText);
+	UnframedAnswer hinted = sized;
+	hinted.before = "HTTP/1.1 103 Early Hints\r\nLink: </style>\r\n\r\n";
+	return {open, sized, chunked, hinted};
+}
+
+// An interim answer was passed on as the final one, which then stood where the next answer begins.
+TEST_F(UnframedUpstreams, AnAnswerAfterAnInterimOneIsPassedOn)
+{
+	start("app", {framedAnswers().back()});
+	for (int ii = 0; ii < 4; ++ii)
+	{
+		const DirectAnswer answer = system.call("POST", "/once/x");
+		EXPECT_EQ(answer.status, 200);
+		EXPECT_EQ(answer.body, kText);
+	}
+}
+
+// An upstream that stops within the head of its answer, a chunk's size or the trailer, and closes, has given
+// no answer: none was to be passed on as whole.
+TEST_F(UnframedUpstreams, AnAnswerThatIsCutAnywhereIsNotPassedOnAsWhole)
+{
+	start("app", framedAnswers());
+	for (const UnframedAnswer& whole : framedAnswers())
+	{
+		const bool open = whole.fields.empty();
+		size_t reached = 0;
+		for (size_t missing = open ? kText.size() + 1 : 1; missing < kLongestAnswer; missing += 3)
+		{
+			UnframedAnswer cut = whole;
+			cut.missing = missing;
+			answers = {cut, whole};
+			arrivals = 0;
+			const DirectAnswer repeated = system.call("GET", "/plain/x");
+			EXPECT_FALSE(repeated.cut) << missing;
+			EXPECT_TRUE(repeated.status != 200 || repeated.body == kText)
+				<< missing << whole.fields << repeated.body;
+			reached += arrivals;
+			answers = {cut};
+			EXPECT_NE(system.call("POST", "/once/x").status, 200)
+				<< missing << " " << whole.before << whole.fields;
+		}
+		EXPECT_GT(reached, kLongestAnswer / 6) << "most requests reach an upstream";
+	}
+}
+
+// The same of a stream: what has been passed on is not ended as whole.
+TEST_F(UnframedUpstreams, AStreamThatIsCutAnywhereIsNotPassedOnAsWhole)
+{
+	const std::string text = "id: 0\ndata: 0\n\n";
+	UnframedAnswer whole{"text/event-stream", "", SocketEnd::Closed, 0};
+	whole.fields = "Transfer-Encoding: chunked\r\n";
+	whole.body = fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", text.size(), text);
+	start("engines", {whole});
+	for (size_t missing = 1; missing < kLongestAnswer / 2; missing += 3)
+	{
+		UnframedAnswer cut = whole;
+		cut.missing = missing;
+		answers = {cut};
+		const DirectAnswer answer = system.call("POST", "/chat/x");
+		EXPECT_TRUE(answer.status != 200 || answer.cut || answer.body == text) << missing << answer.body;
+		EXPECT_FALSE(answer.status == 200 && !answer.cut && answer.body.empty()) << missing;
+	}
+}
+
+// The same beside an agent.
+TEST_F(UnframedUpstreams, AnAgentTakesNoAnswerThatIsCutAnywhere)
+{
+	start("app", framedAnswers());
+	HttpClient client;
+	client.io = &io;
+	client.endpoint = parseEndpoint(ends[0].address);
+	Submit submit;
+	submit.request = "request-1";
+	submit.service = "app";
+	submit.path = "work";
+	submit.body = "{}";
+	UpstreamHandlers handlers;
+	int status = 0;
+	handlers.onStart = [&status](int _status, const std::string&) {
+		status = _status;
+	};
+	handlers.onPart = [](const std::string&) {
+	};
+	for (const UnframedAnswer& whole : framedAnswers())
+	{
+		answers = {whole};
+		HttpCancel none;
+		forwardWork(client, submit, kUpstreamMs, handlers, none);
+		EXPECT_EQ(status, 200) << whole.before;
+		const size_t first = whole.fields.empty() ? kText.size() + 1 : 1;
+		for (size_t missing = first; missing < kLongestAnswer; missing += 3)
+		{
+			UnframedAnswer cut = whole;
+			cut.missing = missing;
+			answers = {cut};
+			HttpCancel cancel;
+			EXPECT_THROW(forwardWork(client, submit, kUpstreamMs, handlers, cancel), HttpFailure)
+				<< missing << " " << whole.before << whole.fields;
+		}
+	}
+}
 } // namespace
 } // namespace spanplank
