Labels of refused requests are written so that JSON holds any bytes

Cause: a label holds the path as it came, cut after 120 bytes, perhaps within a character; writing it as JSON threw. Change: bytes that are no printable ASCII are escaped in messages, the store and the page, and read back as they were. It works as what JSON gets is ASCII, whatever the caller sent.

--- a/include/spanplank/crash_suspects.h
+++ b/include/spanplank/crash_suspects.h
@@ -58,7 +58,7 @@
 struct CrashSuspect
 {
 	SuspectKind kind = SuspectKind::Request;
-	std::string label;  ///< Account, method and path, or service and part, for operators.
+	std::string label;  ///< Account, method and path, or service and part, for operators; bytes as they came.
 	uint32_t epoch = 0; ///< Incremented when the suspect is cleared; older observations are void.
 	std::vector<ObservedCrash> crashes; ///< In this epoch, one per upstream; at most `kMaxCrashesPerSuspect`.
 	uint32_t refusals = 0;              ///< Number of refusal periods in this epoch; 0 if it is not refused.
--- a/src/core/suspect_wire.cpp
+++ b/src/core/suspect_wire.cpp
@@ -1,4 +1,5 @@
 /// Encoding of suspects in messages between routers and in the store.
+#include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
 #include "spanplank/crash_suspects.h"
@@ -11,6 +12,19 @@
 constexpr size_t kFieldsPerWitness = 2;
 constexpr size_t kPartAt = 8; ///< Only of prompt parts: for each crash the time of writing and the witnesses.
 
+/// @returns Bytes of a label, which may be no UTF-8, as text that JSON can hold.
+std::string encodeLabel(const std::string& _label)
+{
+	return absl::CHexEscape(_label);
+}
+
+/// @returns The bytes of a label. One that no escape was meant in, of an earlier version, stays as it is.
+std::string decodeLabel(const std::string& _text)
+{
+	std::string label;
+	return absl::CUnescape(_text, &label) ? label : _text;
+}
+
 nlohmann::json encodeWitnesses(const std::vector<ObservedCrash>& _crashes)
 {
 	nlohmann::json::array_t rows;
@@ -57,8 +71,8 @@
 		seen.emplace_back(crash.upstreams);
 		seen.emplace_back(crash.copies);
 	}
-	_json = nlohmann::json::array({_update.digest.high, _update.digest.low, suspect.label, suspect.epoch,
-								   suspect.answered, suspect.refusals, suspect.refusedAt,
+	_json = nlohmann::json::array({_update.digest.high, _update.digest.low, encodeLabel(suspect.label),
+								   suspect.epoch, suspect.answered, suspect.refusals, suspect.refusedAt,
 								   nlohmann::json(std::move(seen))});
 	if (suspect.kind == SuspectKind::PromptPart)
 	{
@@ -71,7 +85,7 @@
 	CrashSuspect& suspect = _update.suspect;
 	_json.at(0).get_to(_update.digest.high);
 	_json.at(1).get_to(_update.digest.low);
-	_json.at(2).get_to(suspect.label);
+	suspect.label = decodeLabel(_json.at(2).get_ref<const std::string&>());
 	_json.at(3).get_to(suspect.epoch);
 	_json.at(4).get_to(suspect.answered);
 	_json.at(5).get_to(suspect.refusals);
--- a/src/direct/suspects.cpp
+++ b/src/direct/suspects.cpp
@@ -1,5 +1,6 @@
 #include "suspects_p.h"
 
+#include <absl/strings/escaping.h>
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -412,7 +413,7 @@
 {
 	return {{"digest", digestToHex(_digest)},
 			{"kind", _suspect.kind == SuspectKind::PromptPart ? "prompt_part" : "request"},
-			{"request", _suspect.label},
+			{"request", absl::CHexEscape(_suspect.label)},
 			{"refused", _suspect.refusals > 0},
 			{"refused_for_ms", refusedFor(_suspect, _now) / kMsToUs},
 			{"upstreams", describeSeen(_suspect, _now)}};
--- a/tests/core/crash_suspects_test.cpp
+++ b/tests/core/crash_suspects_test.cpp
@@ -2,6 +2,8 @@
 #include "spanplank/crash_suspects.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 #include <set>
 
 namespace spanplank
@@ -207,6 +209,15 @@
 	EXPECT_EQ(suspectStateOf(tables[0], kOne, now), SuspectState::Refused);
 }
 
+// A label with bytes that are no UTF-8 could not be written as JSON.
+RC_GTEST_PROP(SuspectUpdate, HoldsAnyLabelAsItCame, (const std::string& _bytes))
+{
+	SuspectUpdate update;
+	update.suspect.label = _bytes + "\xff\\x41\"" + _bytes;
+	const std::string text = nlohmann::json(update).dump();
+	RC_ASSERT(nlohmann::json::parse(text).get<SuspectUpdate>().suspect.label == update.suspect.label);
+}
+
 TEST(SuspectUpdate, PassesARingOnce)
 {
 	SuspectTable left;
--- a/tests/direct/direct_harness.h
+++ b/tests/direct/direct_harness.h
@@ -134,6 +134,8 @@
 	bool isReady();
 	/// @returns The value of a metric; empty: it could not be read.
 	std::string metric(const std::string& _name);
+	/// @throws HttpFailure @returns What the metrics address answers to a GET.
+	HttpResponse askMetrics(const std::string& _target);
 	std::string log() const;
 
 	const std::string& listen() const
@@ -195,6 +197,7 @@
 	size_t knownUpstreams();
 	/// @returns The value of a metric; empty: it could not be read.
 	std::string metric(const std::string& _name);
+	HttpResponse askMetrics(const std::string& _target);
 	std::string log() const;
 	/// @returns Where the router takes callers, as `ip:port`.
 	const std::string& listen() const;
