An answer that its leaving upstream cuts is not taken for whole

Cause: whether an upstream had ended with such an answer was asked only of those that were not expected to end. That rule is right for crashes, and says nothing of whether an answer is whole. Change: it is looked for whatever was known of it; if it takes no connection, the answer is broken off. It works as a process that is gone can't have been asked for more.

--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -75,8 +75,8 @@
 
 bool endedWithUpstream(const Serving& _serving, const AttemptNotes& _notes)
 {
-	return _notes.endsWithConnection && !wasToEnd(_serving.router, _notes) &&
-		   probe(_serving.router, _notes) == UpstreamReach::Refuses;
+	// Also of one that was to end: that says nothing of whether it had finished.
+	return _notes.endsWithConnection && probe(_serving.router, _notes) == UpstreamReach::Refuses;
 }
 
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes)
