Names and comments of fibers and outdated records in the usual terms

Cause: read as a newcomer would, "turn", "late", "lasting" and "of the copy" said little; a connection whose fiber could not be started for want of memory stayed counted, so that a planned stop would have waited for it. Change: noteIteration, logStalledFibers, PersistentFiber, fiber_iteration_age_ms and fiber_stalled; mayBeOutdated and rejectOutdated; such a connection is forgotten at once (connection_failed). Checked: the tests of persistent fibers, links, refused requests (7 of 7) and store returns (13 of 13) pass.

--- a/include/spanplank/upstream_table.h
+++ b/include/spanplank/upstream_table.h
@@ -156,16 +156,16 @@
 /// @returns The order by the store's revisions. A record whose revision is unknown counts as the newest.
 IncarnationOrder incarnationOrder(const UpstreamTable& _table, const UpstreamRecord& _record);
 
-/// For the first list after the store has come back from an older copy, whose revisions are given out again.
-/// @returns Whether a record may be one that the copy holds and that was written before the known one: that
-/// of a start before the known one, or of an upstream that has deregistered since.
-bool isOfCopy(const UpstreamTable& _table, const UpstreamRecord& _record);
-
-/// Leaves what is known as it is in spite of such a record. An upstream that has deregistered stays so until
-/// a later record.
-/// @returns Whether that settles it. Otherwise the record may also be one of a later start, written again
-/// between the return and the list: a list to come tells, in which it stands if it is.
-bool ignoreCopy(UpstreamTable& _table, const UpstreamRecord& _record);
+/// For the first list after the store was restored from an older copy, in which revisions are assigned again.
+/// @returns Whether a record may have been written before the known one: it is of another start and at or
+/// below the known revision, or of an upstream that has deregistered since.
+bool mayBeOutdated(const UpstreamTable& _table, const UpstreamRecord& _record);
+
+/// Keeps what is known in spite of such a record. An upstream that has deregistered stays so until a later
+/// record.
+/// @returns Whether the record can be dropped. Otherwise it may be of a later start that was written between
+/// the restoration and the list, which the next list shows.
+bool rejectOutdated(UpstreamTable& _table, const UpstreamRecord& _record);
 
 /// @returns The current incarnation of an id; invalid if there is none.
 UpstreamId currentIncarnation(const UpstreamTable& _table, const std::string& _id);
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -324,7 +324,7 @@
 	keepRunning(_name, [_ms, step = std::move(_step)] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			try
 			{
 				step();
@@ -443,7 +443,7 @@
 	noteEvent(_agent.node, "started", _agent.settings.common.box, _agent.node.incarnation);
 	followBoxList(_agent.node, [&_agent] { linkPeers(_agent); });
 	every("heartbeat", kHeartbeatMs, [&_agent] {
-		logLateFibers();
+		logStalledFibers();
 		_agent.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_agent));
 		expireSuspects(_agent.core.suspects, monotonicNow());
 		tellSuspects(_agent.node, _agent.core.suspects);
@@ -452,7 +452,7 @@
 	keepRunning("tick", [&_agent] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			AgentActions actions;
 			tick(_agent.core, monotonicNow(), wallNowMs(), actions);
 			perform(_agent, actions);
@@ -462,8 +462,7 @@
 	});
 	every("homes", kHomesMs, [&_agent] { stepHomes(_agent); });
 	every("bills", kBillFlushMs, [&_agent] { flushOrphans(_agent); });
-	// One of its own for each: what is wrong with the ratings of a version is to hold up no other and no
-	// halt.
+	// A loop for each version, so that unreadable ratings of one delay neither the others nor the halts.
 	for (const std::string& version : _agent.settings.versions)
 	{
 		every("ratings", kRatingsMs, [&_agent, version] { stepRatings(_agent, version); });
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -16,17 +16,17 @@
 /// Longest sleep of the loop: one that lasts longer shows that the process was not run.
 constexpr std::chrono::milliseconds kIdleLook(200);
 constexpr TimeUs kAtOnce = 5 * kMsToUs;  ///< A look that returned sooner may have found what came before it.
-constexpr uint32_t kRestartLeastMs = 50; ///< First pause after a body of `keepRunning` has failed.
+constexpr uint32_t kRestartLeastMs = 50; ///< First pause before a failed body runs again.
 constexpr uint32_t kMostDoublings = 5;   ///< Of that pause.
-/// A body that ran for longer has recovered from its failure before.
+/// After a longer run the pauses start again.
 constexpr TimeUs kRecoveredAfter = 10000 * kMsToUs;
 
 thread_local LoopPromptness s_promptness;
-thread_local std::map<std::string, LastingFiber> s_lasting;
-fibers::fiber_specific_ptr<LastingFiber> s_self([](LastingFiber*) {}); ///< Of a fiber of `keepRunning`.
+thread_local std::map<std::string, PersistentFiber> s_persistent;
+fibers::fiber_specific_ptr<PersistentFiber> s_self([](PersistentFiber*) {
+}); ///< Null outside the fibers of `keepRunning`.
 
-/// @returns What a turn of the event loop returns. An exception of a handler ends that handler alone: the
-/// scheduler, which turns the loop, must not throw.
+/// Runs event handlers. An exception ends only its handler, since the scheduler's functions must not throw.
 template <typename Turn>
 size_t runHandlers(Turn&& _turn) noexcept
 {
@@ -38,7 +38,7 @@
 		}
 		catch (const std::exception& failure)
 		{
-			++s_lasting["event_loop"].failures;
+			++s_persistent["event_loop"].failures;
 			logEvent("loop_handler_failed", {{"error", failure.what()}});
 		}
 	}
@@ -225,7 +225,7 @@
 {
 	spawnFiber([name = std::move(_name), body = std::move(_body)] {
 		uint32_t failures = 0; // In a row.
-		s_self.reset(&s_lasting[name]);
+		s_self.reset(&s_persistent[name]);
 		while (true)
 		{
 			const TimeUs begin = monotonicNow();
@@ -247,31 +247,32 @@
 	});
 }
 
-const std::map<std::string, LastingFiber>& lastingFibers()
+const std::map<std::string, PersistentFiber>& persistentFibers()
 {
-	return s_lasting;
+	return s_persistent;
 }
 
-void noteTurn()
+void noteIteration()
 {
-	if (LastingFiber* self = s_self.get())
+	if (PersistentFiber* self = s_self.get())
 	{
-		self->turnAt = monotonicNow();
-		self->late = false;
+		self->iteratedAt = monotonicNow();
+		self->stalled = false;
 	}
 }
 
-void logLateFibers()
+void logStalledFibers()
 {
 	const TimeUs now = monotonicNow();
-	for (auto& [name, fiber] : s_lasting)
+	for (auto& [name, fiber] : s_persistent)
 	{
-		const bool late = fiber.turnAt != 0 && now - fiber.turnAt > kLongestTurn;
-		if (late && !fiber.late)
+		const bool stalled = fiber.iteratedAt != 0 && now - fiber.iteratedAt > kMaxIterationTime;
+		if (stalled && !fiber.stalled)
 		{
-			fiber.late = true;
-			logEvent("fiber_late",
-					 {{"fiber", name}, {"turn_age_ms", std::to_string((now - fiber.turnAt) / kMsToUs)}});
+			fiber.stalled = true;
+			logEvent(
+				"fiber_stalled",
+				{{"fiber", name}, {"iteration_age_ms", std::to_string((now - fiber.iteratedAt) / kMsToUs)}});
 		}
 	}
 }
--- a/src/adapters/fiber_runtime_p.h
+++ b/src/adapters/fiber_runtime_p.h
@@ -84,38 +84,38 @@
 /// Installs the scheduler in the calling thread. Call once, before the first fiber.
 void installFiberScheduler(boost::asio::io_context& _io);
 
-/// Starts a fiber, which has to be joined. An exception that leaves `_body` is logged and ends that fiber,
-/// for good: for what must go on there is `keepRunning`.
+/// Starts a fiber, which has to be joined. An exception that leaves `_body` is logged and ends that fiber.
+/// Use `keepRunning` for work that must continue.
 boost::fibers::fiber startFiber(std::function<void()> _body);
 
 /// The same, detached.
 void spawnFiber(std::function<void()> _body);
 
-/// Runs a body that the process needs for as long as it lives, in a fiber of its own. If an exception leaves
-/// it, that is logged as `fiber_restarted` and counted, and the body runs anew after a pause, which grows
-/// while it fails soon each time. A body that returns has ended.
-/// @param[in] _name Of the body, in logs and metrics.
+/// Runs a body in a fiber of its own until it returns. If an exception leaves it, the exception is logged as
+/// `fiber_restarted` and counted, and the body is run again after a pause, which doubles while it keeps
+/// failing. For work that lasts as long as the process.
+/// @param[in] _name Name in logs and metrics.
 void keepRunning(std::string _name, std::function<void()> _body);
 
-/// What is known of the bodies of `keepRunning` with one name.
-struct LastingFiber
+/// State of the fibers of `keepRunning` that have the same name.
+struct PersistentFiber
 {
-	uint64_t failures = 0; ///< Exceptions that left them.
-	TimeUs turnAt = 0;     ///< When one of them last called `noteTurn`; 0: none does.
-	bool late = false;     ///< That was long ago, and is logged.
+	uint64_t failures = 0; ///< Exceptions that left their bodies.
+	TimeUs iteratedAt = 0; ///< Last call of `noteIteration`; 0 if there was none.
+	bool stalled = false;  ///< That was longer than `kMaxIterationTime` ago, which has been logged.
 };
 
-/// @returns These by name. The handlers of the event loop count as `event_loop`.
-const std::map<std::string, LastingFiber>& lastingFibers();
+/// @returns The states by name. Exceptions of event handlers are counted as `event_loop`.
+const std::map<std::string, PersistentFiber>& persistentFibers();
 
-/// For bodies of `keepRunning` that come round by themselves: notes that the calling one does.
-void noteTurn();
+/// Records that the calling fiber of `keepRunning` begins an iteration of its loop.
+void noteIteration();
 
-/// Longer than any turn of these takes, waits for outside systems included.
-constexpr TimeUs kLongestTurn = 60000 * kMsToUs;
+/// Longer than any iteration takes, including the waits for outside systems.
+constexpr TimeUs kMaxIterationTime = 60000 * kMsToUs;
 
-/// Logs as `fiber_late` whose last turn began longer than `kLongestTurn` ago, once each time.
-void logLateFibers();
+/// Logs each fiber as `fiber_stalled` once its last iteration began longer than `kMaxIterationTime` ago.
+void logStalledFibers();
 
 /// Suspends the calling fiber for a time of `monotonicNow`.
 void sleepFor(uint32_t _ms);
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -345,18 +345,29 @@
 	const uint64_t id = _server.nextConnection++;
 	++_server.connections;
 	_server.open.emplace(id, _connection);
-	spawnFiber([&_server, connection = std::move(_connection), id] {
-		try
-		{
-			serveConnection(_server, *connection);
-		}
-		catch (const std::exception& failure)
-		{
-			logEvent("connection_failed", {{"error", failure.what()}});
-		}
+	const auto forget = [&_server, id] {
 		_server.open.erase(id);
 		--_server.connections;
-	});
+	};
+	try
+	{
+		spawnFiber([&_server, connection = std::move(_connection), forget] {
+			try
+			{
+				serveConnection(_server, *connection);
+			}
+			catch (const std::exception& failure)
+			{
+				logEvent("connection_failed", {{"error", failure.what()}});
+			}
+			forget();
+		});
+	}
+	catch (const std::exception& failure) // No memory for the fiber's stack.
+	{
+		logEvent("connection_failed", {{"error", failure.what()}});
+		forget();
+	}
 }
 
 /// Accepts the connections that wait: one in each turn of the loop would make those after it wait for as many
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -437,7 +437,7 @@
 	keepRunning("link_upkeep", [&impl] {
 		while (!impl.ended)
 		{
-			noteTurn();
+			noteIteration();
 			impl.closeSilent();
 			impl.dialMissing();
 			sleepFor(kLinkRetryMs);
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -87,7 +87,7 @@
 	keepRunning("log", [] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			sleepFor(kLogFlushMs);
 			flushLog();
 		}
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -102,24 +102,23 @@
 	addCounter(_page, "store_failures_total", "Calls of the store that failed.", double(_store.failures));
 }
 
-/// The fibers that run as long as the process.
 void addFiberMetrics(MetricsPage& _page)
 {
 	std::map<std::string, uint64_t> failures;
 	std::map<std::string, double> ages;
-	for (const auto& [name, fiber] : lastingFibers())
+	for (const auto& [name, fiber] : persistentFibers())
 	{
 		failures[name] = fiber.failures;
-		if (fiber.turnAt != 0)
+		if (fiber.iteratedAt != 0)
 		{
-			ages[name] = double(monotonicNow() - fiber.turnAt) / double(kMsToUs);
+			ages[name] = double(monotonicNow() - fiber.iteratedAt) / double(kMsToUs);
 		}
 	}
-	addCounters(
-		_page, "fiber_failures_total",
-		"Exceptions that left fibers which run as long as the process, or handlers of the event loop.",
-		"fiber", failures);
-	addGauges(_page, "fiber_turn_age_ms", "Since each of these fibers last came round.", "fiber", ages);
+	addCounters(_page, "fiber_failures_total",
+				"Exceptions that left fibers which run as long as the process, or event handlers.", "fiber",
+				failures);
+	addGauges(_page, "fiber_iteration_age_ms", "Time since the last iteration of each of these fibers.",
+			  "fiber", ages);
 }
 
 void addProcessMetrics(MetricsPage& _page, const LinkStats& _links, const StoreStats& _store)
--- a/src/adapters/node.cpp
+++ b/src/adapters/node.cpp
@@ -81,7 +81,7 @@
 		bool readable = true;
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			try
 			{
 				_node.boxes = readBoxList(_node.boxListClient);
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -210,7 +210,7 @@
 {
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		try
 		{
 			_router.watching = shouldWatch(_router);
@@ -384,8 +384,8 @@
 	keepRunning("heartbeat", [&_router] {
 		while (true)
 		{
-			noteTurn();
-			logLateFibers();
+			noteIteration();
+			logStalledFibers();
 			_router.node.hub->sendAll(MessageType::Heartbeat, heartbeatOf(_router));
 			expireSuspects(_router.core.suspects, monotonicNow());
 			tellSuspects(_router.node, _router.core.suspects);
@@ -395,7 +395,7 @@
 	keepRunning("tick", [&_router] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			RouterActions actions;
 			tick(_router.core, monotonicNow(), actions);
 			perform(_router, actions);
@@ -405,7 +405,7 @@
 	keepRunning("bills", [&_router] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			flushOwnBills(_router);
 			sleepFor(std::max(kBillFlushMs, kBillFlushPerRouterMs * _router.core.routers));
 		}
--- a/src/core/upstream_registrations.cpp
+++ b/src/core/upstream_registrations.cpp
@@ -88,7 +88,7 @@
 	return same ? IncarnationOrder::Same : IncarnationOrder::Newer;
 }
 
-bool isOfCopy(const UpstreamTable& _table, const UpstreamRecord& _record)
+bool mayBeOutdated(const UpstreamTable& _table, const UpstreamRecord& _record)
 {
 	const UpstreamId known = currentIncarnation(_table, _record.id);
 	if (!isValid(known))
@@ -103,7 +103,7 @@
 	return revisionOf(_record.revision) <= revisionOf(entry.record.revision);
 }
 
-bool ignoreCopy(UpstreamTable& _table, const UpstreamRecord& _record)
+bool rejectOutdated(UpstreamTable& _table, const UpstreamRecord& _record)
 {
 	UpstreamEntry& entry = _table.entries.at(currentIncarnation(_table, _record.id).idx);
 	if (isDeregistered(entry))
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -100,8 +100,8 @@
 {
 	while (true)
 	{
-		noteTurn();
-		logLateFibers();
+		noteIteration();
+		logStalledFibers();
 		sleepFor(kHousekeepingMs);
 		const TimeUs now = monotonicNow();
 		dropIdle(_router.pool, now);
--- a/src/direct/direct_router_p.h
+++ b/src/direct/direct_router_p.h
@@ -78,7 +78,7 @@
 	bool listed = false;    ///< All items were read, and all changes since up to `revision`.
 	TimeUs firstListAt = 0; ///< When it was read first; that list may be old.
 	TimeUs listAgainAt = 0; ///< When what was believed beyond an older copy is looked up; 0: nothing is.
-	bool doubted = false; ///< The copy has records of upstreams that may or may not be newer than the known.
+	bool unsettledRecords = false; ///< A list has shown records of upstreams that may be outdated.
 };
 
 /// What was found out about an upstream after a connection to it broke. Requests that break together share
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -373,14 +373,14 @@
 	}
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		const TimeUs now = monotonicNow();
 		if (_router.view.listAgainAt != 0 && now >= _router.view.listAgainAt)
 		{
 			_router.view.listAgainAt = 0;
 			const bool believed =
-				holdsEvacuations(_router) || !_router.trials.trials.empty() || _router.view.doubted;
-			_router.view.doubted = false;
+				holdsEvacuations(_router) || !_router.trials.trials.empty() || _router.view.unsettledRecords;
+			_router.view.unsettledRecords = false;
 			_router.view.listed = _router.view.listed && !believed;
 		}
 		const bool served = isFollowing(_router, now) || awaitsFirstProof(_router, now);
@@ -475,7 +475,7 @@
 	keepRunning("run_check", [&_router] {
 		while (true)
 		{
-			noteTurn();
+			noteIteration();
 			recordRunning(_router.upstreams.contact, monotonicNow());
 			sleepFor(kRunCheckPeriodMs);
 		}
--- a/src/direct/peer_links.cpp
+++ b/src/direct/peer_links.cpp
@@ -190,7 +190,7 @@
 {
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		try
 		{
 			keepLinked(_router);
@@ -208,7 +208,7 @@
 {
 	for (uint32_t ping = 0;; ++ping)
 	{
-		noteTurn();
+		noteIteration();
 		if (ping % kReviewPings == 0)
 		{
 			reviewParent(_router, monotonicNow());
--- a/src/direct/rate_sharing.cpp
+++ b/src/direct/rate_sharing.cpp
@@ -122,7 +122,7 @@
 {
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		shareOnce(_router, monotonicNow());
 		sleepFor(kShareMs);
 	}
--- a/src/direct/store_rollouts.cpp
+++ b/src/direct/store_rollouts.cpp
@@ -308,7 +308,7 @@
 {
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		sleepFor(kRolloutTickMs);
 		for (auto& [service, trial] : _router.trials.trials)
 		{
--- a/src/direct/store_suspects.cpp
+++ b/src/direct/store_suspects.cpp
@@ -147,7 +147,7 @@
 {
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		sleepFor(kSuspectTickMs);
 		decideParts(_router);
 		writeSuspects(_router);
--- a/src/direct/store_upstreams.cpp
+++ b/src/direct/store_upstreams.cpp
@@ -196,12 +196,11 @@
 	return _record.draining && entry != nullptr && !entry->record.draining;
 }
 
-/// Leaves what is known as it is in spite of a record of the older copy that the store came back from. One
-/// that lives is written again.
-void passOver(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
+/// Keeps what is known in spite of a record that may be outdated. An upstream that lives is written again.
+void skipOutdated(DirectRouter& _router, const UpstreamRecord& _record, const ChangeSource& _source)
 {
-	const bool settled = ignoreCopy(_router.upstreams, _record);
-	_router.view.doubted = _router.view.doubted || !settled;
+	const bool settled = rejectOutdated(_router.upstreams, _record);
+	_router.view.unsettledRecords = _router.view.unsettledRecords || !settled;
 	logOld(_record, _source);
 }
 } // namespace
@@ -262,9 +261,9 @@
 			rejectUpstream(_router, item, failure);
 			continue;
 		}
-		if (_returned && isOfCopy(_router.upstreams, records.back()))
+		if (_returned && mayBeOutdated(_router.upstreams, records.back()))
 		{
-			passOver(_router, records.back(), source);
+			skipOutdated(_router, records.back(), source);
 			continue;
 		}
 		const bool leaves = isNewsOfLeaving(_router.upstreams, records.back());
--- a/src/direct/usage_duty.cpp
+++ b/src/direct/usage_duty.cpp
@@ -193,7 +193,7 @@
 	_router.dutyCalls.io = &_router.io;
 	while (true)
 	{
-		noteTurn();
+		noteIteration();
 		sleepFor(kDutyTickMs);
 		if (_router.settings.duties.port == 0)
 		{
--- a/tests/direct/lasting_fibers_test.cpp
+++ b/tests/direct/persistent_fibers_test.cpp
@@ -44,19 +44,19 @@
 	testIo();
 	int runs = 0;
 	keepRunning("failing", [&runs] {
-		noteTurn();
+		noteIteration();
 		if (++runs <= 3)
 		{
 			throw std::runtime_error("a step's failure");
 		}
 	});
 	EXPECT_TRUE(eventually([&runs] { return runs == 4; }, kSoonS));
-	EXPECT_EQ(lastingFibers().at("failing").failures, 3u);
-	logLateFibers();
-	EXPECT_FALSE(lastingFibers().at("failing").late);
-	skipTime(kLongestTurn + kMsToUs);
-	logLateFibers();
-	EXPECT_TRUE(lastingFibers().at("failing").late) << "it came round no more";
+	EXPECT_EQ(persistentFibers().at("failing").failures, 3u);
+	logStalledFibers();
+	EXPECT_FALSE(persistentFibers().at("failing").stalled);
+	skipTime(kMaxIterationTime + kMsToUs);
+	logStalledFibers();
+	EXPECT_TRUE(persistentFibers().at("failing").stalled) << "no iteration since";
 }
 
 uint32_t s_soundCalls = 0; ///< Answers that are read between two that fail; 0: all are.
