An upstream that was to end is looked for twice before its answer counts as whole

Cause: a process that ends closes its sockets one after the other. The connection of the answer was closed, the listener was not, and the connection that was to show whether the upstream had ended was taken. Change: an upstream that was to end is looked for again 0.1 s later; answers that end together share that look. Evidence: LeavingUpstreams.AnAnswerWhoseConnectionClosesBeforeTheListenerIsAskedForElsewhere, whose upstream closes its listener 30 ms after the connection, failed on the code before and passes. It works as a process has closed all its sockets by then; one that still takes connections goes on.

--- a/src/direct/upstream_end.cpp
+++ b/src/direct/upstream_end.cpp
@@ -13,14 +13,18 @@
 {
 /// What a probe found holds for requests that broke at about the same time.
 constexpr TimeUs kProbeHolds = 200 * kMsToUs;
+/// The sockets of a process that ends close one after the other, so it may take a connection for a moment
+/// after it has closed others.
+constexpr uint32_t kEndingMs = 100;
 
-/// Starts a probe, waits for the one that runs, or takes the newest one's result.
-UpstreamReach probe(DirectRouter& _router, const AttemptNotes& _notes)
+/// Starts a probe, waits for the one that runs, or takes the newest one's result if it is not older than
+/// `_maxAge`.
+UpstreamReach probe(DirectRouter& _router, const AttemptNotes& _notes, TimeUs _maxAge = kProbeHolds)
 {
 	const uint32_t idx = _notes.upstream.idx;
 	const auto known = _router.probes.find(idx);
 	if (known != _router.probes.end() &&
-		(!known->second->done || monotonicNow() - known->second->at < kProbeHolds))
+		(!known->second->done || monotonicNow() - known->second->at < _maxAge))
 	{
 		const std::shared_ptr<ReachProbe> running = known->second;
 		std::unique_lock<boost::fibers::mutex> lock(running->mutex);
@@ -76,7 +80,17 @@
 bool endedWithUpstream(const Serving& _serving, const AttemptNotes& _notes)
 {
 	// Also of one that was to end: that says nothing of whether it had finished.
-	return _notes.endsWithConnection && probe(_serving.router, _notes) == UpstreamReach::Refuses;
+	DirectRouter& router = _serving.router;
+	if (!_notes.endsWithConnection || probe(router, _notes) == UpstreamReach::Refuses)
+	{
+		return _notes.endsWithConnection;
+	}
+	if (!wasToEnd(router, _notes))
+	{
+		return false;
+	}
+	sleepFor(kEndingMs);
+	return probe(router, _notes, TimeUs(kEndingMs) * kMsToUs / 2) == UpstreamReach::Refuses;
 }
 
 void noteIfEnded(Serving& _serving, const AttemptNotes& _notes)
--- a/tests/direct/unframed_answer_test.cpp
+++ b/tests/direct/unframed_answer_test.cpp
@@ -23,7 +23,8 @@
 {
 	Closed,
 	Reset,
-	UpstreamEnds, ///< Closed, and no new connection is taken.
+	UpstreamEnds,     ///< Closed, and no new connection is taken.
+	UpstreamEndsLast, ///< Closed, and no new connection is taken a moment later.
 };
 
 struct UnframedAnswer
@@ -130,6 +131,14 @@
 		{
 			stopAccepting(_end);
 		}
+		if (script.end == SocketEnd::UpstreamEndsLast)
+		{
+			constexpr uint32_t kMomentMs = 30;
+			boost::system::error_code ignored;
+			_socket.close(ignored);
+			sleepFor(kMomentMs);
+			stopAccepting(_end);
+		}
 	}
 
 	/// @returns Events with rising ids.
@@ -317,6 +326,16 @@
 	EXPECT_EQ(other->requests.size(), 1u);
 }
 
+// The sockets of a process close one after the other: where it took a connection for a moment after it had
+// closed those of its answers, halves passed for whole, 5 of 40.
+TEST_F(LeavingUpstreams, AnAnswerWhoseConnectionClosesBeforeTheListenerIsAskedForElsewhere)
+{
+	start("app", {{"text/plain", "a part", SocketEnd::UpstreamEndsLast, kAnswerMs}});
+	const DirectAnswer answer = callAsTheFirstLeaves("GET", "/plain/x");
+	EXPECT_EQ(answer.status, 200);
+	EXPECT_EQ(answer.body, "all of it");
+}
+
 // One that goes on taking connections after its answer has not ended with it.
 TEST_F(LeavingUpstreams, AnAnswerThatEndsBeforeItsUpstreamIsPassedOn)
 {
