A router without links waits for no inquiry

Change: whether an inquiry is made at all is one function of the settings, asked in both places. Callers of a router process were not affected: there the inquiry always runs.

--- a/src/direct/config_inquiry.cpp
+++ b/src/direct/config_inquiry.cpp
@@ -23,6 +23,13 @@
 /// Maximum time until routers have registered again in a store that was restored without their leases.
 constexpr TimeUs kRegistrationTime = 4500 * kMsToUs;
 
+/// @returns Whether a blank start asks others. At the first start of a whole fleet none knows more than the
+/// store.
+bool asksNeighbours(const DirectSettings& _settings)
+{
+	return _settings.link.port != 0 && !_settings.firstStart;
+}
+
 /// Waits until the store or another router has told which routers are registered.
 /// @returns Whether there are any. None are if no router has linked before.
 bool awaitNeighbours(const DirectRouter& _router)
@@ -158,8 +165,7 @@
 void runConfigInquiry(DirectRouter& _router)
 {
 	ConfigInquiry& inquiry = _router.inquiry;
-	// At the first start of a whole fleet no router knows more than the store.
-	if (_router.settings.link.port != 0 && !_router.settings.firstStart)
+	if (asksNeighbours(_router.settings))
 	{
 		askNeighbours(_router);
 	}
@@ -207,6 +213,6 @@
 
 bool isConfigUsable(const DirectRouter& _router)
 {
-	return hasConfirmedConfig(_router.config) && _router.inquiry.done;
+	return hasConfirmedConfig(_router.config) && (_router.inquiry.done || !asksNeighbours(_router.settings));
 }
 } // namespace spanplank
