Answers whose status is none are broken answers

Callers saw: a worker in trouble answered with the status 000, and its caller got that as the answer (MIXED); 001 and 099 the same, 600 and 999 where no retry is allowed. Cause: the parser takes any three digits, and nothing behind it asked whether they are a status (RFC 9110, 15). Change: heads are read whole and judged by parseAnswerHead, the one place for both readers. A status outside 100 to 599 ends the attempt as a reset does, so that another upstream gets the request, or the caller a 502. Checked: store, ratings and lists of boxes read through the same client; links open on a 101 alone.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "fiber_runtime_p.h"
+#include "http_head_p.h"
 #include "http_p.h"
 
 namespace spanplank
@@ -115,8 +116,6 @@
 	return message;
 }
 
-using AnswerParser = http::response_parser<http::buffer_body>;
-
 /// Reads the head of the final answer; interim ones before it are skipped (RFC 9110, 15.2).
 std::unique_ptr<AnswerParser> readHead(boost::asio::io_context& _io, beast::tcp_stream& _stream,
 									   const HttpCall& _call, beast::flat_buffer& _buffer)
@@ -126,11 +125,11 @@
 	{
 		auto parser = std::make_unique<AnswerParser>();
 		parser->body_limit(kMostBodyBytes);
-		const IoResult read =
-			awaitIo([&](auto _done) { http::async_read_header(_stream, _buffer, *parser, _done); });
-		if (read.error)
+		const IoResult read = awaitIo([&](auto _done) { asyncReadHead(_stream, _buffer, _done); });
+		const boost::system::error_code error = read.error ? read.error : parseAnswerHead(*parser, _buffer);
+		if (error)
 		{
-			throw HttpFailure("answer: " + limit.describe(read.error), true);
+			throw HttpFailure("answer: " + limit.describe(error), true);
 		}
 		if (!isInterim(parser->get().result_int()))
 		{
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -216,12 +216,6 @@
 /// Interim answers before the final one of a call; one that gives more has failed.
 constexpr size_t kMostInterimAnswers = 8;
 
-/// @returns Whether a status is that of an interim answer, which the final one follows (RFC 9110, 15.2).
-constexpr bool isInterim(unsigned _status)
-{
-	return _status / 100 == 1;
-}
-
 /// Lets another fiber end a running call.
 struct HttpCancel
 {
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -249,11 +249,13 @@
 		m_parser->header_limit(kHeadLimit);
 		m_parser->skip(m_request.method == http::verb::head);
 		const IoResult read = awaitStep(Step::Read, [&](auto _done) {
-			http::async_read_header(m_connection->socket, m_connection->buffer, *m_parser, _done);
+			asyncReadHead(m_connection->socket, m_connection->buffer, _done);
 		});
-		if (read.error)
+		const boost::system::error_code error =
+			read.error ? read.error : parseAnswerHead(*m_parser, m_connection->buffer);
+		if (error)
 		{
-			return read.error;
+			return error;
 		}
 		noteAlive();
 		if (!isInterim(m_parser->get().result_int()))
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "fiber_runtime_p.h"
+#include "http_head_p.h"
 #include "http_p.h"
 #include "spanplank/types.h"
 #include "spanplank/upstream_restart.h"
@@ -128,8 +129,6 @@
 /// Most of a body that one `read` returns.
 constexpr size_t kPieceBytes = 8192;
 
-using AnswerParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
 /// An attempt under way, driven by one fiber. Another handler may `cancel` it.
 class UpstreamCall
 {
