An answer without a length is whole only if its upstream had the whole request

Cause: the kernel tells a reset once. The write of the upload took it, and the read after it found the end of the connection, which is the end of such an answer. A look with MSG_PEEK takes it as well. An end in order while the request had not arrived passed too, also where the sockets' buffers held the rest. Change: every call on the socket notes its error; such an answer is whole if the request was written, has reached the other side, and no call failed. Answers with a length or chunks are judged by these alone, as before.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,6 +1,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include "fiber_runtime_p.h"
 #include "http_head_p.h"
@@ -175,6 +177,10 @@
 			throw HttpFailure("answer cut: " + limit.describe(read.error), true);
 		}
 	}
+	if (response.endsWithConnection && hasUndelivered(_stream.socket()))
+	{
+		throw HttpFailure("answer cut: it ended before the request was read", true);
+	}
 	_keepAlive = parser.get().keep_alive();
 	return response;
 }
@@ -202,6 +208,12 @@
 	return connected.error == boost::asio::error::connection_refused;
 }
 
+bool hasUndelivered(tcp::socket& _socket)
+{
+	int bytes = 0;
+	return ::ioctl(_socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void cancel(HttpCancel& _cancel)
 {
 	_cancel.cancelled = true;
--- a/src/adapters/http_p.h
+++ b/src/adapters/http_p.h
@@ -231,6 +231,11 @@
 /// @returns Whether nothing listens at the client's endpoint; false as well where that is not known in time.
 bool refusesConnections(HttpClient& _client);
 
+/// @returns Whether bytes that were written to a socket have not reached the other side; false as well where
+/// that can't be told. An answer without a length that ends before they have may have been cut: it was begun
+/// without the whole request.
+bool hasUndelivered(boost::asio::ip::tcp::socket& _socket);
+
 /// @throws HttpFailure
 HttpResponse call(HttpClient& _client, const HttpCall& _call, const HttpPartHandler& _onPart = {},
 				  HttpCancel* _cancel = nullptr);
--- a/src/direct/upstream_http.cpp
+++ b/src/direct/upstream_http.cpp
@@ -29,11 +29,13 @@
 constexpr uint64_t kBodyLimit = 1ull << 40;
 
 /// @returns Whether a connection has neither bytes nor an end to read. Idle ones that have must not be used.
-bool isQuiet(tcp::socket& _socket)
+bool isQuiet(UpstreamConnection& _connection)
 {
 	char byte = 0;
-	const ssize_t peeked = ::recv(_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+	const ssize_t peeked = ::recv(_connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	const bool quiet = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+	_connection.failed = _connection.failed || (peeked < 0 && !quiet);
+	return quiet;
 }
 
 /// Notes that an upstream's address has refused a connection, if an error tells so.
@@ -63,7 +65,7 @@
 		UpstreamConnectionPtr connection = std::move(idle.back());
 		idle.pop_back();
 		const bool fresh = !_request.freshOnly || _now - connection->idleSince < kFreshIdle;
-		if (!isExpired(*connection, _now) && fresh && isQuiet(connection->socket))
+		if (!isExpired(*connection, _now) && fresh && isQuiet(*connection))
 		{
 			return connection;
 		}
@@ -91,7 +93,7 @@
 		std::vector<UpstreamConnectionPtr>& idle = at->second;
 		idle.erase(std::remove_if(idle.begin(), idle.end(),
 								  [_now](const UpstreamConnectionPtr& _connection) {
-									  return isExpired(*_connection, _now) || !isQuiet(_connection->socket);
+									  return isExpired(*_connection, _now) || !isQuiet(*_connection);
 								  }),
 				   idle.end());
 		at = idle.empty() ? _pool.idle.erase(at) : std::next(at);
@@ -234,7 +236,7 @@
 	http::async_write(m_connection->socket, m_message,
 					  [this, alive](boost::system::error_code _error, size_t _bytes) {
 						  m_writing = false;
-						  m_writeFailed = bool(_error);
+						  m_connection->failed = m_connection->failed || bool(_error);
 						  m_written.set({_error, _bytes});
 					  });
 	return readHead();
@@ -337,9 +339,21 @@
 	{
 		noteAlive();
 	}
+	if (m_parser->is_done() && m_parser->need_eof() && !endedInOrder())
+	{
+		return result(http::error::partial_message);
+	}
 	return m_cancelled ? ExchangeState::Cancelled : ExchangeState::Ok;
 }
 
+bool UpstreamCall::endedInOrder()
+{
+	const bool delivered = !hasUndelivered(m_connection->socket);
+	closeConnection(); // It takes no other request, and a write under way ends.
+	awaitWrite();
+	return delivered && !m_connection->failed;
+}
+
 bool UpstreamCall::done() const
 {
 	return m_parser && m_parser->is_done();
@@ -385,7 +399,7 @@
 	met.openFor = call.openedAt != 0 ? monotonicNow() - call.openedAt : 0;
 	met.answered = m_parser && m_parser->is_header_done();
 	const bool begun = m_request.stream && met.answered;
-	const bool isSilent = m_step == Step::Read && isQuiet(m_connection->socket);
+	const bool isSilent = m_step == Step::Read && isQuiet(*m_connection);
 	const bool mayBeReplaced = met.evidence == RestartEvidence::None && !begun && isSilent;
 	met.replaced = mayBeReplaced && m_askReplaced && m_askReplaced();
 	met.verdict = verdictOn(met.evidence, met.replaced);
@@ -398,7 +412,7 @@
 	m_silentUntil = 0;
 	if (met.verdict == RestartVerdict::Doubted)
 	{
-		m_unreadAtRestart = !isQuiet(m_connection->socket) || m_connection->buffer.size() != 0;
+		m_unreadAtRestart = !isQuiet(*m_connection) || m_connection->buffer.size() != 0;
 		m_silentUntil = silenceLimit(met.answered ? 0 : m_request.answerDueBy, monotonicNow());
 		startTimer();
 	}
@@ -412,7 +426,7 @@
 		return;
 	}
 	m_silentUntil = m_unreadAtRestart ? silenceLimit(0, monotonicNow()) : 0;
-	m_unreadAtRestart = m_unreadAtRestart && !isQuiet(m_connection->socket);
+	m_unreadAtRestart = m_unreadAtRestart && !isQuiet(*m_connection);
 }
 
 void UpstreamCall::moveTo(UpstreamId _incarnation)
@@ -433,7 +447,8 @@
 {
 	const bool whole = done() && !m_parser->need_eof() && m_parser->get().keep_alive();
 	// A connection under the id of the incarnation before would not be used again.
-	const bool clean = !m_lost && !m_outlived && !m_writing && !m_writeFailed && !m_cancelled && !m_timedOut;
+	const bool clean =
+		!m_lost && !m_outlived && !m_writing && !m_connection->failed && !m_cancelled && !m_timedOut;
 	if (!whole || !clean || m_connection->buffer.size() != 0)
 	{
 		return; // The destructor closes it.
@@ -542,7 +557,7 @@
 	{
 		return;
 	}
-	if (m_step == Step::Read && !m_looked && !isQuiet(m_connection->socket))
+	if (m_step == Step::Read && !m_looked && !isQuiet(*m_connection))
 	{
 		m_looked = true;
 		const TimeUs again = monotonicNow() + kLookAgain;
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -35,6 +35,9 @@
 	TimeUs openedAt = 0;
 	TimeUs idleSince = 0;
 	TimeUs keepFor = 0; ///< Longest time that it may stay idle.
+	/// A call on the socket has met an error, such as a reset. The next read does not meet it again: it finds
+	/// the end of a connection that was closed.
+	bool failed = false;
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
@@ -208,6 +211,10 @@
 	ExchangeState readHead();
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
+	/// Closes a connection whose end is that of its answer.
+	/// @returns Whether the whole request has reached the upstream and no call on the socket failed. Otherwise
+	/// the answer may have been cut.
+	bool endedInOrder();
 	/// Looks at the clock before a read: bytes that are always ready keep the timer from ending anything.
 	/// @returns Whether the limit has passed for good; the attempt has then ended.
 	bool isOver(TimeUs _by);
@@ -247,7 +254,6 @@
 	/// Bytes that had come before the record of the restart are still to be read: they don't end the doubt.
 	bool m_unreadAtRestart = false;
 	bool m_writing = false;
-	bool m_writeFailed = false;
 	WaitSlot<IoResult> m_written;
 	boost::beast::http::request<boost::beast::http::span_body<const char>> m_message;
 	std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/direct/upstream_call_test.cpp
+++ b/tests/direct/upstream_call_test.cpp
@@ -65,6 +65,25 @@
 		ASSERT_EQ(open(monotonicNow() + kFar), ExchangeState::Ok);
 	}
 
+	/// The same of an answer that ends with its connection, and a part of its body.
+	void openUnframed()
+	{
+		spawnFiber([this] {
+			awaitIo([this](auto _done) { acceptor.async_accept(upstream, _done); });
+			send("HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\na part");
+		});
+		ASSERT_EQ(open(monotonicNow() + kFar), ExchangeState::Ok);
+		std::string piece;
+		ASSERT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Ok);
+		ASSERT_EQ(piece, "a part");
+	}
+
+	void resetConnection()
+	{
+		upstream.set_option(boost::asio::socket_base::linger(true, 0));
+		upstream.close();
+	}
+
 	/// Reads until bytes of the body or an end have come.
 	ExchangeState next(std::string& _bytes, TimeUs _by)
 	{
@@ -195,6 +214,27 @@
 	EXPECT_FALSE(call->lost());
 }
 
+// A look at the connection met the reset, and the read after it found the end of the answer.
+TEST_F(OneCall, IsBrokenByAResetThatTheRecordOfARestartMet)
+{
+	openUnframed();
+	resetConnection();
+	endCalls(pool, request.upstream, {request.address, std::nullopt});
+	std::string piece;
+	EXPECT_EQ(next(piece, monotonicNow() + kFar), ExchangeState::Broken);
+}
+
+TEST_F(OneCall, IsBrokenByAResetThatMeetsItsLimit)
+{
+	openUnframed();
+	spawnFiber([this] { // Runs once the read below waits, and holds the loop until its limit has passed.
+		std::this_thread::sleep_for(kStall);
+		resetConnection();
+	});
+	std::string piece;
+	EXPECT_NE(next(piece, monotonicNow() + kLimit), ExchangeState::Ok);
+}
+
 // An upstream that starts again at another address can't have been reached at the old one.
 TEST_F(OneCall, EndsIfItsUpstreamStartsAgainElsewhere)
 {
