Agents' mode: a stopping router refuses what it can't end in time

Callers saw (reported of other systems: late requests of a planned stop were cut): on a connection kept open, a request late in the stop was passed on, and ended with 502, run unknown, as the router stopped. Cause: acceptsRequest, which tells whether a stop leaves time for a request, was asked in the direct mode alone. A late request that can end in time was served before and is now. Change: the router of the agents' mode keeps its PlannedStop, whose time of detection is its balancerMs, and asks.

--- a/include/spanplank/planned_stop.h
+++ b/include/spanplank/planned_stop.h
@@ -17,8 +17,9 @@
 /// Start and end of a planned stop.
 struct PlannedStop
 {
-	TimeUs since = 0;  ///< When the signal came; 0: the router does not stop.
-	TimeUs endsAt = 0; ///< Requests that are in flight then are aborted.
+	TimeUs since = 0;                                  ///< When the signal came; 0: the router does not stop.
+	TimeUs endsAt = 0;                                 ///< Requests that are in flight then are aborted.
+	TimeUs detection = kBalancerDetectionMs * kMsToUs; ///< Time until the balancer has detected the stop.
 };
 
 /// @returns Whether a request is accepted. All are until the balancer has detected the stop, then those whose
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -202,7 +202,8 @@
 /// @returns Whether this process ends before an answer can be awaited any longer.
 bool endsUnanswered(const Router& _router, const HttpExchange& _exchange)
 {
-	return _router.answerBy != 0 && monotonicNow() >= _router.answerBy && !_exchange.answered();
+	const PlannedStop& stop = _router.stop;
+	return stop.since != 0 && monotonicNow() >= stop.endsAt - kAnswerReserveUs && !_exchange.answered();
 }
 
 /// Ends a request whose caller has left, or whose answer this process can't await.
@@ -224,8 +225,22 @@
 						""));
 }
 
+/// @throws Failure(Stopping) This process ends before the request could.
+void refuseAtStop(Router& _router, const HttpExchange& _exchange, TimeUs _deadline)
+{
+	const TimeUs now = monotonicNow();
+	if (!acceptsRequest(_router.stop, _deadline, now))
+	{
+		const uint32_t retryAfterMs =
+			retryAfterStopMs(_router.stop, _exchange.connectedAt(), now, nextUnit(_router.core.random));
+		throw Failure(Refusal{ErrorCode::Stopping, RunState::No, retryAfterMs,
+							  "this router stops before the request could end"});
+	}
+}
+
 void serve(Router& _router, HttpExchange& _exchange, const CallerRequest& _request)
 {
+	refuseAtStop(_router, _exchange, _request.deadline);
 	const RequestId id{_router.nextRequest++};
 	FiberQueue<CallerEvent> events;
 	_router.callers[id.idx] = &events;
@@ -235,7 +250,7 @@
 	bool done = false;
 	while (!done)
 	{
-		const auto poll = _router.answerBy != 0 ? kStoppingPoll : kCallerPoll;
+		const auto poll = _router.stop.since != 0 ? kStoppingPoll : kCallerPoll;
 		std::optional<CallerEvent> event = events.pop(std::chrono::steady_clock::now() + poll);
 		if (event)
 		{
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -427,11 +427,12 @@
 {
 	constexpr uint32_t kLastFramesMs = 20; ///< Lets the last frames leave.
 	HttpServer& http = _router.node.http;
-	const TimeUs until = monotonicNow() + TimeUs(_router.settings.common.drainMs) * kMsToUs;
+	const TimeUs begin = monotonicNow();
+	const TimeUs until = begin + TimeUs(_router.settings.common.drainMs) * kMsToUs;
+	_router.stop = {begin, until, TimeUs(_router.settings.common.balancerMs) * kMsToUs};
 	sleepFor(_router.settings.common.balancerMs);
 	http.draining = true;
 	stopListening(http);
-	_router.answerBy = until - kAnswerReserveUs;
 	// From the first byte on: a request that is still being read would be cut without an answer.
 	pollUntil(until, [&] { return http.busy == 0; });
 	closeIdle(http);
--- a/src/adapters/router_p.h
+++ b/src/adapters/router_p.h
@@ -9,6 +9,7 @@
 #include "fiber_runtime_p.h"
 #include "node_p.h"
 #include "resource_store_p.h"
+#include "spanplank/planned_stop.h"
 #include "spanplank/router_core.h"
 
 namespace spanplank
@@ -30,9 +31,7 @@
 	uint64_t nextRequest = 1;
 	bool fromStore = false; ///< The configuration was read from the store, not only from peers.
 	bool watching = false;
-	/// Of a planned stop: what has no answer by then gets one that says that it may have run; 0: it does not
-	/// stop.
-	TimeUs answerBy = 0;
+	PlannedStop stop; ///< What has no answer when its reserve begins gets one that says that it may have run.
 };
 
 /// Carries out what the core decided.
--- a/src/core/planned_stop.cpp
+++ b/src/core/planned_stop.cpp
@@ -15,7 +15,7 @@
 
 bool hasBalancerDetected(const PlannedStop& _stop, TimeUs _at)
 {
-	return _stop.since != 0 && _at - _stop.since >= kBalancerDetectionMs * kMsToUs;
+	return _stop.since != 0 && _at - _stop.since >= _stop.detection;
 }
 } // namespace
 
