Late requests on kept connections of a stopping direct router, by test

Cause: other operators saw requests that came late in a planned stop taken, passed on and cut. Whether it can happen here was to be shown. Change: LateRequests.* sends a request every 50 ms of a stop, each on a connection that was open before, at silent upstreams: not repeatable ones with 15 s and 0.4 s, and streams. Nothing else is changed.

--- a/tests/direct/caller_stop_test.cpp
+++ b/tests/direct/caller_stop_test.cpp
@@ -175,5 +175,119 @@
 			  std::string::npos)
 		<< system.log();
 }
+
+/// @returns A request of that path and id, with as much time as its caller has.
+std::string requestOf(const DirectSystem& _system, const std::string& _line, const std::string& _id,
+					  uint32_t _deadlineMs)
+{
+	return _line + " HTTP/1.1\r\nHost: town.example\r\nRequest-Id: " + _id +
+		   "\r\nModel: *\r\nDeadline-Remaining: " + std::to_string(_deadlineMs) + "\r\nKey: " + _system.key +
+		   "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Requests through a whole stop, each on a connection of its own that was open before.
+struct LateRequests : CallerStop
+{
+	static constexpr uint32_t kGraceMs = 4000;
+	static constexpr uint32_t kEachMs = 50;
+	static constexpr uint32_t kShortMs = 400;
+	static constexpr uint32_t kLongMs = 15000;
+
+	DirectSystem system{"graceSeconds: 4\n"};
+	std::vector<std::string> got; ///< By request, what came until its connection ended.
+
+	/// @returns Whether an upstream got the request.
+	bool wasPassedOn(const std::string& _id) const
+	{
+		for (const auto& upstream : system.upstreams())
+		{
+			for (const HttpRequest& request : upstream->requests)
+			{
+				if (request["Request-Id"] == _id)
+				{
+					return true;
+				}
+			}
+		}
+		return false;
+	}
+
+	/// Keeps a connection open and sends a request on it at a time of the stop.
+	void sendLate(size_t _number, const std::string& _line, uint32_t _deadlineMs)
+	{
+		tcp::socket late(testIo());
+		const Endpoint to = parseEndpoint(system.listen());
+		late.connect({boost::asio::ip::make_address(to.ip), to.port});
+		sleepFor(uint32_t(_number) * kEachMs);
+		const std::string bytes = requestOf(system, _line, "late-" + std::to_string(_number), _deadlineMs);
+		boost::system::error_code ignored; // A connection that was closed shows in what is read.
+		boost::asio::write(late, boost::asio::buffer(bytes), ignored);
+		awaitIo([&](auto _done) {
+			boost::asio::async_read(late, boost::asio::dynamic_buffer(got[_number]), _done);
+		});
+	}
+
+	/// Stops the router while a request at a silent upstream keeps it at work to the end.
+	void stopBeside(const std::string& _line, uint32_t _deadlineMs)
+	{
+		startAtSilentUpstream(system);
+		system.addUpstream("u-engine", "engines").answer = [this](StandInUpstream&, HttpExchange& _exchange) {
+			while (!over)
+			{
+				sleepFor(kPollMs);
+			}
+			_exchange.abort();
+		};
+		ASSERT_TRUE(eventually([this] { return system.knownUpstreams() == 2; }));
+		const size_t requests = kGraceMs / kEachMs;
+		got.resize(requests);
+		std::vector<std::function<void()>> bodies;
+		for (size_t ii = 0; ii < requests; ++ii)
+		{
+			bodies.push_back([this, ii, _line, _deadlineMs] { sendLate(ii, _line, _deadlineMs); });
+		}
+		bodies.push_back([this] {
+			system.terminate();
+			EXPECT_EQ(system.awaitEnd(), 0);
+			over = true;
+		});
+		together(bodies);
+		EXPECT_EQ(readAll().substr(0, 12), "HTTP/1.1 504");
+	}
+
+	void expectAnswered()
+	{
+		size_t refused = 0;
+		for (size_t ii = 0; ii < got.size(); ++ii)
+		{
+			const std::string id = "late-" + std::to_string(ii);
+			EXPECT_TRUE(!got[ii].empty() || !wasPassedOn(id)) << id << " was passed on and cut";
+			EXPECT_TRUE(got[ii].empty() || got[ii].find("\r\n\r\n") != std::string::npos) << id;
+			const bool isRefusal = got[ii].substr(0, 12) == "HTTP/1.1 503";
+			refused += isRefusal ? 1 : 0;
+			EXPECT_FALSE(isRefusal && wasPassedOn(id)) << id;
+		}
+		EXPECT_GT(refused, 0u);
+		EXPECT_NE(system.log().find("event=stopped cut=\"0\""), std::string::npos) << system.log();
+	}
+};
+
+TEST_F(LateRequests, ThatMustNotBeRepeatedAreAnsweredOrRefusedAndNeverCut)
+{
+	stopBeside("POST /once/", kLongMs);
+	expectAnswered();
+}
+
+TEST_F(LateRequests, WithLittleTimeAreAnsweredOrRefusedAndNeverCut)
+{
+	stopBeside("POST /once/", kShortMs);
+	expectAnswered();
+}
+
+TEST_F(LateRequests, ForStreamsAreAnsweredOrRefusedAndNeverCut)
+{
+	stopBeside("POST /chat/", kLongMs);
+	expectAnswered();
+}
 } // namespace
 } // namespace spanplank
