No fiber waits while it handles an exception

Cause: the exceptions that a thread handles stand on one stack of the C++ runtime for all its fibers. A handler that suspends its fiber lets handlers end in another order, and the runtime frees the exception of another fiber. An agent's call asked in its handler whether its upstream takes connections, and read the exception after that. Evidence: a core of the agent in runWork, at failure.refusal().detail. Change: seven handlers copy what they need, and their fibers wait after them. The question whether the upstream takes connections is asked after any failed call.

--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -1,5 +1,6 @@
 /// The agent process: joins the agent's core to links, the upstream, the store and the rating service.
 #include <fmt/format.h>
+#include <optional>
 
 #include "agent_p.h"
 #include "log_p.h"
@@ -36,52 +37,68 @@
 
 // ---- The upstream ----------------------------------------------------------------------------------------
 
-void runWork(Agent& _agent, const ForwardWork& _forward)
+/// Calls the upstream. @returns Why it failed; nothing: its answer has ended.
+std::optional<UpstreamFailure> callUpstream(Agent& _agent, const ForwardWork& _forward,
+											AgentActions& _actions)
 {
 	const WorkId work = _forward.work;
-	AgentActions actions;
+	UpstreamHandlers handlers;
+	handlers.onStart = [&](int _status, const std::string& _contentType) {
+		AgentActions started;
+		onUpstreamAnswerStart(_agent.core, work, _status, _contentType, monotonicNow(), started);
+		perform(_agent, started);
+	};
+	handlers.onPart = [&](std::string _data) {
+		AgentActions parts;
+		onUpstreamAnswerPart(_agent.core, work, std::move(_data), parts);
+		perform(_agent, parts);
+	};
 	try
 	{
-		UpstreamHandlers handlers;
-		handlers.onStart = [&](int _status, const std::string& _contentType) {
-			AgentActions started;
-			onUpstreamAnswerStart(_agent.core, work, _status, _contentType, monotonicNow(), started);
-			perform(_agent, started);
-		};
-		handlers.onPart = [&](std::string _data) {
-			AgentActions parts;
-			onUpstreamAnswerPart(_agent.core, work, std::move(_data), parts);
-			perform(_agent, parts);
-		};
 		const AnswerSummary end =
 			forwardWork(_agent.upstream, _forward.submit, _agent.settings.upstreamTimeoutMs, handlers,
 						_agent.calls[work.idx]);
-		onUpstreamAnswerEnd(_agent.core, work, end, monotonicNow(), wallNowMs(), actions);
+		onUpstreamAnswerEnd(_agent.core, work, end, monotonicNow(), wallNowMs(), _actions);
+		return std::nullopt;
 	}
 	catch (const HttpFailure& failure)
 	{
-		const bool down = refusesConnections(_agent.upstream);
-		const bool ended = failure.sent() && down;
-		const UpstreamFailure how{failure.sent(), down, failure.refusal().detail};
-		const uint64_t refused = _agent.core.stats.suspectsRefused;
-		onUpstreamFailed(_agent.core, work, how, monotonicNow(), wallNowMs(), actions);
-		if (ended)
-		{
-			noteEvent(_agent.node, "upstream_ended", digestToHex(subjectsOf(_forward.submit).request),
-					  fmt::format("request {} of {}: {}", _forward.submit.request, _forward.submit.account,
-								  _agent.core.stats.suspectsRefused > refused ? "refused from now on"
-																			  : "suspected"));
-			tellSuspects(_agent.node, _agent.core.suspects); // Before the router tries the request elsewhere.
-		}
+		return UpstreamFailure{failure.sent(), false, failure.refusal().detail};
 	}
 	catch (const std::exception& failure)
 	{
-		// Work that is not ended holds its slot for good.
 		noteEvent(_agent.node, "work_failed", _forward.submit.request, failure.what());
-		onUpstreamFailed(_agent.core, work, {true, false, failure.what()}, monotonicNow(), wallNowMs(),
-						 actions);
+		return UpstreamFailure{true, false,
+							   failure.what()}; // Work that is not ended holds its slot for good.
+	}
+}
+
+/// Ends work whose call has failed, and tells others of what may have ended the upstream.
+void endFailedWork(Agent& _agent, const ForwardWork& _forward, UpstreamFailure _failure,
+				   AgentActions& _actions)
+{
+	_failure.upstreamDown = refusesConnections(_agent.upstream);
+	const uint64_t refused = _agent.core.stats.suspectsRefused;
+	onUpstreamFailed(_agent.core, _forward.work, _failure, monotonicNow(), wallNowMs(), _actions);
+	if (_failure.sent && _failure.upstreamDown)
+	{
+		noteEvent(
+			_agent.node, "upstream_ended", digestToHex(subjectsOf(_forward.submit).request),
+			fmt::format("request {} of {}: {}", _forward.submit.request, _forward.submit.account,
+						_agent.core.stats.suspectsRefused > refused ? "refused from now on" : "suspected"));
+		tellSuspects(_agent.node, _agent.core.suspects); // Before the router tries the request elsewhere.
+	}
+}
+
+void runWork(Agent& _agent, const ForwardWork& _forward)
+{
+	AgentActions actions;
+	const std::optional<UpstreamFailure> failure = callUpstream(_agent, _forward, actions);
+	if (failure)
+	{
+		endFailedWork(_agent, _forward, *failure, actions);
 	}
-	_agent.calls.erase(work.idx);
+	_agent.calls.erase(_forward.work.idx);
 	perform(_agent, actions);
 }
 
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -1,5 +1,6 @@
 /// Adapter to the callers: OpenAI-shaped chat completions, plain services, typed refusals.
 #include <fmt/format.h>
+#include <optional>
 
 #include "log_p.h"
 #include "router_p.h"
@@ -302,6 +303,7 @@
 	{
 		return false;
 	}
+	std::optional<Refusal> refusal;
 	try
 	{
 		refuseBusy(_router);
@@ -322,7 +324,11 @@
 	}
 	catch (const Failure& failure)
 	{
-		_exchange.respond(refusalResponse(failure.refusal(), ""));
+		refusal = failure.refusal();
+	}
+	if (refusal)
+	{
+		_exchange.respond(refusalResponse(*refusal, ""));
 	}
 	return true;
 }
--- a/src/adapters/fiber_runtime.cpp
+++ b/src/adapters/fiber_runtime.cpp
@@ -229,6 +229,7 @@
 		while (true)
 		{
 			const TimeUs begin = monotonicNow();
+			uint32_t pauseMs = 0;
 			try
 			{
 				body();
@@ -237,12 +238,12 @@
 			catch (const std::exception& failure)
 			{
 				failures = monotonicNow() - begin > kRecoveredAfter ? 0 : failures;
-				const uint32_t pauseMs = kRestartLeastMs << std::min(failures++, kMostDoublings);
+				pauseMs = kRestartLeastMs << std::min(failures++, kMostDoublings);
 				++s_self->failures;
 				logEvent("fiber_restarted",
 						 {{"fiber", name}, {"error", failure.what()}, {"pause_ms", std::to_string(pauseMs)}});
-				sleepFor(pauseMs);
 			}
+			sleepFor(pauseMs);
 		}
 	});
 }
--- a/src/adapters/operator_api.cpp
+++ b/src/adapters/operator_api.cpp
@@ -1,5 +1,6 @@
 /// Adapter to operators and their tools: resources, watches, status.
 #include <fmt/format.h>
+#include <optional>
 
 #include "router_p.h"
 #include "spanplank/json_text.h"
@@ -212,6 +213,7 @@
 	{
 		return false;
 	}
+	std::optional<Refusal> refusal;
 	try
 	{
 		authenticateOperator(_router, _exchange.request());
@@ -219,7 +221,11 @@
 	}
 	catch (const Failure& failure)
 	{
-		_exchange.respond(refusalResponse(failure.refusal(), ""));
+		refusal = failure.refusal();
+	}
+	if (refusal)
+	{
+		_exchange.respond(refusalResponse(*refusal, ""));
 	}
 	return true;
 }
--- a/src/adapters/resource_store.cpp
+++ b/src/adapters/resource_store.cpp
@@ -114,8 +114,9 @@
 		}
 		catch (const Failure&)
 		{
-			sleepFor(kReadBackPauseMs);
+			// Logged by the store's client when its state changes.
 		}
+		sleepFor(kReadBackPauseMs);
 	}
 	throw Failure(
 		Refusal{ErrorCode::StoreUnavailable, RunState::Unknown, 1000,
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -211,6 +211,7 @@
 	while (true)
 	{
 		noteIteration();
+		bool failed = false;
 		try
 		{
 			_router.watching = shouldWatch(_router);
@@ -230,7 +231,11 @@
 		}
 		catch (const Failure&)
 		{
-			sleepFor(kStoreRetryMs); // The store adapter has logged the change of state.
+			failed = true; // The store adapter has logged the change of state.
+		}
+		if (failed)
+		{
+			sleepFor(kStoreRetryMs);
 		}
 	}
 }
--- a/src/direct/follow_store.cpp
+++ b/src/direct/follow_store.cpp
@@ -358,6 +358,7 @@
 		}
 		follower.client.http.endpoint = _router.store.http.endpoint;
 		follower.client.watchHttp.endpoint = _router.store.http.endpoint;
+		bool failed = false;
 		try
 		{
 			followOnce(_router, follower);
@@ -369,13 +370,17 @@
 		{
 			noteLost(_router, follower, failure.refusal());
 			recordStoreFailed(_router.peers.follow, monotonicNow());
-			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
+			failed = true;
 		}
 		catch (const std::exception&)
 		{
 			recordStoreFailed(_router.peers.follow, monotonicNow()); // Another router's word may help.
 			throw;
 		}
+		if (failed)
+		{
+			pauseUnlessFollowing(_router, backoff(_router, follower.failures));
+		}
 		_router.followCalls = follower.client.stats;
 	}
 }
