Agents' mode: answers without an end take bounded memory

Callers saw (reported of other systems): a worker sent bytes without end, and the machine that called it ran out of memory, with the requests of its other callers. Cause: the client's limit of 64 MiB is one for each call, nothing counted the answers together, an agent read as fast as its upstream wrote whatever its router had taken, and a router kept what its callers did not read. Change: AnswerBuffers bounds what both processes hold (new setting memoryMb, as in the direct mode); an agent reads on once less than 1 MiB waits on the link. The endless stand-in answers requests of either mode.

--- a/include/spanplank/agent_core.h
+++ b/include/spanplank/agent_core.h
@@ -12,6 +12,7 @@
 
 #include "spanplank/abandoned_attempts.h"
 #include "spanplank/admission.h"
+#include "spanplank/answer_buffers.h"
 #include "spanplank/billing.h"
 #include "spanplank/config_replica.h"
 #include "spanplank/exposure.h"
@@ -113,7 +114,8 @@
 	std::string guardKey; ///< Key in the run-once guard; empty for repeatable work.
 	int status = 200;
 	std::string contentType;
-	std::string buffer; ///< Run-once work only: body so far; the answer is sent when it is complete.
+	std::string buffer;   ///< Run-once work only: body so far; the answer is sent when it is complete.
+	size_t heldBytes = 0; ///< Of `buffer`, in the buffers of all answers.
 };
 
 struct AgentCore
@@ -135,6 +137,7 @@
 	bool upstreamDown = false;         ///< The upstream has terminated and not answered since.
 	bool stopping = false;
 	bool draining = false;
+	AnswerBuffers buffers;
 	AgentStats stats;
 };
 
@@ -149,7 +152,8 @@
 // Events of the upstream.
 void onUpstreamAnswerStart(AgentCore& _core, WorkId _work, int _status, const std::string& _contentType,
 						   TimeUs _now, AgentActions& _actions);
-void onUpstreamAnswerPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions);
+/// @returns Whether memory is left for it; if not, the call has to end.
+bool onUpstreamAnswerPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions);
 void onUpstreamAnswerEnd(AgentCore& _core, WorkId _work, const AnswerSummary& _end, TimeUs _now,
 						 int64_t _wallMs, AgentActions& _actions);
 /// How a call to the upstream failed.
--- a/include/spanplank/answer_buffers.h
+++ b/include/spanplank/answer_buffers.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <string_view>
 
 namespace spanplank
 {
@@ -25,6 +27,14 @@
 
 /// Records that an answer holds another number of bytes than before.
 void recordHeld(AnswerBuffers& _buffers, size_t _before, size_t _now);
+
+/// Appends to an answer that is read whole.
+/// @param[in,out] _held Bytes that it holds; to be given back by `recordHeld`.
+/// @returns Whether it may hold that many; if not, the answer has to be given up.
+bool appendHeld(AnswerBuffers& _buffers, size_t& _held, std::string& _answer, std::string_view _data);
+
+/// @returns The memory for answers on a box that gives a process that many MiB, in bytes.
+size_t answerBufferBytes(uint32_t _memoryMb);
 } // namespace spanplank
 
 #endif // SPANPLANK_ANSWER_BUFFERS_H_HEADER_GUARD
--- a/include/spanplank/router_core.h
+++ b/include/spanplank/router_core.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "spanplank/answer_buffers.h"
 #include "spanplank/billing.h"
 #include "spanplank/config_replica.h"
 #include "spanplank/messages.h"
@@ -166,6 +167,7 @@
 	bool mayHaveRun = false; ///< At least one attempt may have run.
 	AnswerHead head;
 	std::string buffer;
+	size_t heldBytes = 0; ///< Of `buffer`, in the buffers of all answers.
 	uint32_t parts = 0;
 	bool started = false; ///< Parts of the answer were forwarded to the caller.
 	double cost = 0.0;
@@ -194,6 +196,7 @@
 	uint32_t routers = 1; ///< Number of live routers that share the upstreams, including this one.
 	BillTable bills;
 	SuspectTable suspects;
+	AnswerBuffers buffers;
 	RouterStats stats;
 };
 
--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -37,6 +37,22 @@
 
 // ---- The upstream ----------------------------------------------------------------------------------------
 
+/// Suspends a call whose answer comes faster than its router takes it.
+void awaitLink(Agent& _agent, WorkId _work)
+{
+	constexpr size_t kMostQueued = 1u << 20;
+	constexpr uint32_t kPollMs = 2;
+	const auto isHeldUp = [&_agent, _work] {
+		const auto work = _agent.core.workItems.find(_work.idx);
+		return work != _agent.core.workItems.end() && !_agent.calls[_work.idx].cancelled &&
+			   _agent.node.hub->queuedBytes(work->second.link) > kMostQueued;
+	};
+	while (isHeldUp())
+	{
+		sleepFor(kPollMs);
+	}
+}
+
 /// Calls the upstream. @returns Why it failed; nothing: its answer has ended.
 std::optional<UpstreamFailure> callUpstream(Agent& _agent, const ForwardWork& _forward,
 											AgentActions& _actions)
@@ -50,8 +66,12 @@
 	};
 	handlers.onPart = [&](std::string _data) {
 		AgentActions parts;
-		onUpstreamAnswerPart(_agent.core, work, std::move(_data), parts);
+		if (!onUpstreamAnswerPart(_agent.core, work, std::move(_data), parts))
+		{
+			throw HttpFailure("answer: too large to be held", true);
+		}
 		perform(_agent, parts);
+		awaitLink(_agent, work);
 	};
 	try
 	{
@@ -518,6 +538,7 @@
 	upstream.endpoint = _settings.upstream;
 	ratings.io = &node.io;
 	ratings.endpoint = _settings.ratings;
+	core.buffers.limitBytes = answerBufferBytes(_settings.common.memoryMb);
 }
 
 void perform(Agent& _agent, const AgentActions& _actions)
--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -1,6 +1,7 @@
 /// Adapter to the callers: OpenAI-shaped chat completions, plain services, typed refusals.
 #include <fmt/format.h>
 #include <optional>
+#include <utility>
 
 #include "log_p.h"
 #include "router_p.h"
@@ -190,12 +191,18 @@
 };
 
 /// Joins the parts that are ready, so that a burst costs one system call.
-CallerEvent joinParts(FiberQueue<CallerEvent>& _events, CallerEvent _event)
+CallerEvent joinParts(CallerEvents& _events, CallerEvent _event)
 {
 	auto* part = std::get_if<ForwardPart>(&_event);
-	while (part != nullptr && !_events.empty() && std::holds_alternative<ForwardPart>(_events.front()))
+	FiberQueue<CallerEvent>& queue = _events.queue;
+	while (part != nullptr && !queue.empty() && std::holds_alternative<ForwardPart>(queue.front()))
 	{
-		part->data += std::get<ForwardPart>(*_events.pop(std::chrono::steady_clock::now())).data;
+		part->data += std::get<ForwardPart>(*queue.pop(std::chrono::steady_clock::now())).data;
+	}
+	if (part != nullptr)
+	{
+		const size_t left = _events.heldBytes - part->data.size();
+		recordHeld(_events.buffers, std::exchange(_events.heldBytes, left), left);
 	}
 	return _event;
 }
@@ -243,7 +250,7 @@
 {
 	refuseAtStop(_router, _exchange, _request.deadline);
 	const RequestId id{_router.nextRequest++};
-	FiberQueue<CallerEvent> events;
+	CallerEvents events(_router.core.buffers);
 	_router.callers[id.idx] = &events;
 	RouterActions actions;
 	onRequest(_router.core, id, _request, monotonicNow(), wallNowMs(), actions);
@@ -252,7 +259,7 @@
 	while (!done)
 	{
 		const auto poll = _router.stop.since != 0 ? kStoppingPoll : kCallerPoll;
-		std::optional<CallerEvent> event = events.pop(std::chrono::steady_clock::now() + poll);
+		std::optional<CallerEvent> event = events.queue.pop(std::chrono::steady_clock::now() + poll);
 		if (event)
 		{
 			done = std::visit(EventWriter{_exchange}, joinParts(events, std::move(*event)));
@@ -291,6 +298,18 @@
 }
 } // namespace
 
+bool pushPart(CallerEvents& _events, ForwardPart _part)
+{
+	const size_t bytes = _events.heldBytes + _part.data.size();
+	if (!mayHold(_events.buffers, _events.heldBytes, bytes))
+	{
+		return false;
+	}
+	recordHeld(_events.buffers, std::exchange(_events.heldBytes, bytes), bytes);
+	_events.queue.push(std::move(_part));
+	return true;
+}
+
 bool answerCaller(Router& _router, HttpExchange& _exchange, const Target& _target)
 {
 	const HttpRequest& request = _exchange.request();
--- a/src/adapters/link.cpp
+++ b/src/adapters/link.cpp
@@ -159,6 +159,18 @@
 		stats.bytesOut += _payload.size();
 	}
 
+	size_t queuedBytes(const Link& _link)
+	{
+		websocketpp::lib::error_code error;
+		if (_link.outgoing)
+		{
+			const Client::connection_ptr connection = client.get_con_from_hdl(_link.handle, error);
+			return error ? 0 : connection->get_buffered_amount();
+		}
+		const Server::connection_ptr connection = server.get_con_from_hdl(_link.handle, error);
+		return error ? 0 : connection->get_buffered_amount();
+	}
+
 	void closeLink(Link& _link)
 	{
 		websocketpp::lib::error_code error;
@@ -532,6 +544,12 @@
 	return found == m_impl->links.end() || !found->second.open ? nullptr : &found->second.peer;
 }
 
+size_t LinkHub::queuedBytes(LinkId _link) const
+{
+	const auto found = m_impl->links.find(_link.idx);
+	return found == m_impl->links.end() ? 0 : m_impl->queuedBytes(found->second);
+}
+
 LinkId LinkHub::linkTo(const std::string& _incarnation) const
 {
 	for (const auto& [idx, link] : m_impl->links)
--- a/src/adapters/link_p.h
+++ b/src/adapters/link_p.h
@@ -88,6 +88,8 @@
 	std::vector<LinkId> openLinks() const;
 	/// @returns The peer of an open link, or null.
 	const PeerInfo* peer(LinkId _link) const;
+	/// @returns Bytes that wait to be sent on a link; 0: there is no such link.
+	size_t queuedBytes(LinkId _link) const;
 	/// @returns The open link to an incarnation, or an invalid id.
 	LinkId linkTo(const std::string& _incarnation) const;
 	/// Closes a link, for example one that was silent for too long.
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -51,13 +51,28 @@
 		router.node.hub->send(linkOf(router, _action.to), MessageType::CancelAttempt,
 							  CancelAttempt{_action.attempt});
 	}
+	/// Ends an answer that comes faster than its caller reads it once no memory is left for it.
+	void operator()(ForwardPart& _event) const
+	{
+		const auto caller = router.callers.find(_event.request.idx);
+		if (caller == router.callers.end() || pushPart(*caller->second, std::move(_event)))
+		{
+			return;
+		}
+		RouterActions left;
+		callerDisconnected(router.core, RequestId{caller->first}, left);
+		perform(router, left);
+		caller->second->queue.push(
+			AbortAnswer{RequestId{caller->first},
+						{ErrorCode::UpstreamFailed, RunState::Unknown, 0, "the answer was read too slowly"}});
+	}
 	template <typename Event>
 	void operator()(Event& _event) const
 	{
 		const auto caller = router.callers.find(_event.request.idx);
 		if (caller != router.callers.end())
 		{
-			caller->second->push(std::move(_event));
+			caller->second->queue.push(std::move(_event));
 		}
 	}
 };
@@ -457,6 +472,7 @@
 	: settings(_settings), node(_settings.common),
 	  core(createRouterCore(coreInit(_settings, node.incarnation)))
 {
+	core.buffers.limitBytes = answerBufferBytes(_settings.common.memoryMb);
 }
 
 std::string bearerOf(const HttpRequest& _request)
--- a/src/adapters/router_p.h
+++ b/src/adapters/router_p.h
@@ -18,6 +18,29 @@
 using CallerEvent =
 	std::variant<CompleteAnswer, StartAnswer, ForwardPart, EndAnswer, RefuseRequest, AbortAnswer>;
 
+/// The events of one answer that its caller has not been sent yet.
+struct CallerEvents
+{
+	explicit CallerEvents(AnswerBuffers& _buffers) : buffers(_buffers)
+	{
+	}
+
+	~CallerEvents()
+	{
+		recordHeld(buffers, heldBytes, 0);
+	}
+
+	CallerEvents(const CallerEvents&) = delete;
+	CallerEvents& operator=(const CallerEvents&) = delete;
+
+	FiberQueue<CallerEvent> queue;
+	AnswerBuffers& buffers;
+	size_t heldBytes = 0; ///< Of the parts in the queue.
+};
+
+/// @returns Whether memory is left for the part; if not, it is dropped.
+bool pushPart(CallerEvents& _events, ForwardPart _part);
+
 struct Router
 {
 	explicit Router(const RouterSettings& _settings);
@@ -27,7 +50,7 @@
 	RouterCore core;
 	std::map<uint32_t, UpstreamId> upstreamOfLink;
 	std::map<uint32_t, LinkId> linkOfUpstream;
-	std::unordered_map<uint64_t, FiberQueue<CallerEvent>*> callers;
+	std::unordered_map<uint64_t, CallerEvents*> callers;
 	uint64_t nextRequest = 1;
 	bool fromStore = false; ///< The configuration was read from the store, not only from peers.
 	bool watching = false;
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -303,6 +303,7 @@
 	_reader.texts("linkKeys", _common.linkKeys, true, kMinKeySize, "must have at least 16 characters");
 	_reader.number("drainMs", _common.drainMs, 0, 600000);
 	_reader.number("balancerMs", _common.balancerMs, 0, 60000);
+	_reader.number("memoryMb", _common.memoryMb, 16, 1u << 20);
 }
 } // namespace
 
--- a/src/adapters/settings_p.h
+++ b/src/adapters/settings_p.h
@@ -26,6 +26,7 @@
 	std::vector<std::string> linkKeys;
 	uint32_t drainMs = 10000;   ///< Most time that a planned stop may take.
 	uint32_t balancerMs = 1000; ///< How long a stopping router still listens, so that the balancer sees it.
+	uint32_t memoryMb = 512;    ///< What the box gives this process, in MiB.
 };
 
 struct RouterSettings
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -138,6 +138,7 @@
 void removeWork(AgentCore& _core, WorkId _id, uint64_t _tokens, double _seconds)
 {
 	release(_core.queue, _id, _tokens, _seconds);
+	recordHeld(_core.buffers, _core.workItems.at(_id.idx).heldBytes, 0);
 	_core.workItems.erase(_id.idx);
 }
 
@@ -458,25 +459,25 @@
 	}
 }
 
-void onUpstreamAnswerPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions)
+bool onUpstreamAnswerPart(AgentCore& _core, WorkId _work, std::string _data, AgentActions& _actions)
 {
 	const auto found = _core.workItems.find(_work.idx);
 	if (found == _core.workItems.end())
 	{
-		return;
+		return true;
 	}
 	Work& work = found->second;
 	work.outputBytes += _data.size();
 	if (!work.guardKey.empty())
 	{
-		work.buffer.append(_data);
-		return;
+		return appendHeld(_core.buffers, work.heldBytes, work.buffer, _data);
 	}
 	if (!work.cancelled)
 	{
 		_actions.push_back(ReplyPart{work.link, {work.submit.attempt, work.parts, std::move(_data)}});
 		++work.parts;
 	}
+	return true;
 }
 
 namespace
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fmt/format.h>
+#include <utility>
 
 namespace spanplank
 {
@@ -65,6 +66,7 @@
 		return;
 	}
 	closeBill(_core, found->second);
+	recordHeld(_core.buffers, found->second.heldBytes, 0);
 	_core.requestOfAttempt.erase(found->second.attempt);
 	_core.requests.erase(found);
 }
@@ -377,6 +379,7 @@
 	request.attempt = submit.attempt;
 	request.upstream = target.upstream;
 	request.buffer.clear();
+	recordHeld(_core.buffers, std::exchange(request.heldBytes, 0), 0);
 	request.parts = 0;
 	request.head = AnswerHead{};
 	_core.requestOfAttempt[submit.attempt] = _id.idx;
@@ -781,6 +784,19 @@
 	}
 }
 
+namespace
+{
+/// Gives up an answer of which something can't be delivered.
+void giveUpAnswer(RouterCore& _core, RequestId _id, UpstreamId _from, const char* _detail,
+				  RouterActions& _actions)
+{
+	RequestState& request = _core.requests.at(_id.idx);
+	_actions.push_back(SendCancel{_from, request.attempt});
+	closeAttempt(_core, request, true);
+	failRequest(_core, _id, {ErrorCode::UpstreamFailed, RunState::Unknown, 0, _detail}, _actions);
+}
+} // namespace
+
 void onPart(RouterCore& _core, UpstreamId _from, const AnswerPart& _part, int64_t _wallMs,
 			RouterActions& _actions)
 {
@@ -792,11 +808,7 @@
 	}
 	if (_part.seq > request->parts)
 	{
-		_actions.push_back(SendCancel{_from, _part.attempt});
-		closeAttempt(_core, *request, true);
-		failRequest(_core, id,
-					{ErrorCode::UpstreamFailed, RunState::Unknown, 0, "a part of the answer is missing"},
-					_actions);
+		giveUpAnswer(_core, id, _from, "a part of the answer is missing", _actions);
 		return;
 	}
 	++request->parts;
@@ -804,7 +816,10 @@
 						  !isRunOnce(_core, *request);
 	if (!streamed)
 	{
-		request->buffer.append(_part.data);
+		if (!appendHeld(_core.buffers, request->heldBytes, request->buffer, _part.data))
+		{
+			giveUpAnswer(_core, id, _from, "the answer is too large", _actions);
+		}
 		return;
 	}
 	if (!request->started)
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -20,8 +20,6 @@
 {
 namespace
 {
-constexpr size_t kMebibyte = 1u << 20;
-constexpr size_t kBufferPart = 16; ///< One part in so many of the memory is for answers that are held back.
 /// Requests in hand from which long turns of the loop are taken for too much work: reading a large
 /// configuration takes a long turn, too.
 constexpr size_t kOverloadRequests = 8;
@@ -122,7 +120,7 @@
 	contact.heartbeatPeriod = TimeUs(_settings.heartbeatMs) * kMsToUs;
 	contact.watchPeriod = TimeUs(_settings.watchPauseMs + _settings.configWaitMs) * kMsToUs;
 	_router.upstreams.policies = _settings.policies;
-	_router.buffers.limitBytes = size_t(_settings.memoryMb) * kMebibyte / kBufferPart;
+	_router.buffers.limitBytes = answerBufferBytes(_settings.memoryMb);
 	_router.store.http.endpoint = _settings.store;
 	_router.store.watchHttp.endpoint = _settings.store;
 }
--- a/tests/core/answer_buffers_test.cpp
+++ b/tests/core/answer_buffers_test.cpp
@@ -28,6 +28,22 @@
 	EXPECT_FALSE(mayHold(buffers, buffers.limitBytes, buffers.limitBytes + 1));
 }
 
+TEST(AnswerBuffers, AnAnswerIsAppendedToWhileMemoryIsLeftForIt)
+{
+	AnswerBuffers buffers;
+	buffers.limitBytes = kMebibyte;
+	const std::string half(kMebibyte / 2, 'x');
+	std::string answer;
+	size_t held = 0;
+	EXPECT_TRUE(appendHeld(buffers, held, answer, half));
+	EXPECT_TRUE(appendHeld(buffers, held, answer, half));
+	EXPECT_FALSE(appendHeld(buffers, held, answer, half));
+	EXPECT_EQ(answer.size(), kMebibyte);
+	EXPECT_EQ(buffers.heldBytes, kMebibyte);
+	recordHeld(buffers, held, 0);
+	EXPECT_EQ(buffers.heldBytes, 0u);
+}
+
 RC_GTEST_PROP(AnswerBuffers, AnswersWithoutAnEndStayWithinTwiceTheLimit, ())
 {
 	AnswerBuffers buffers;
--- a/tests/direct/endless_upstream.cpp
+++ b/tests/direct/endless_upstream.cpp
@@ -12,8 +12,8 @@
 {
 constexpr size_t kRepeats = 256; ///< In one write.
 
-/// @returns The request's id, once its head has come; empty: the connection ended before.
-std::string readRequestId(int _socket)
+/// @returns The request's head; empty: the connection ended before it had come.
+std::string readHead(int _socket)
 {
 	std::string head;
 	char bytes[4096];
@@ -26,8 +26,14 @@
 		}
 		head.append(bytes, size_t(read));
 	}
-	const size_t id = head.find("request-");
-	return id == std::string::npos ? "" : head.substr(id, head.find('\r', id) - id);
+	return head;
+}
+
+/// @returns The request's id, as the tests of the direct mode name it; empty: it has none.
+std::string requestId(const std::string& _head)
+{
+	const size_t id = _head.find("request-");
+	return id == std::string::npos ? "" : _head.substr(id, _head.find('\r', id) - id);
 }
 
 bool writeAll(int _socket, const std::string& _bytes)
@@ -99,8 +105,8 @@
 
 void EndlessUpstream::answer(int _socket)
 {
-	const std::string id = readRequestId(_socket);
-	if (id.empty())
+	const std::string head = readHead(_socket);
+	if (head.empty())
 	{
 		::shutdown(_socket, SHUT_RDWR);
 		return;
@@ -109,13 +115,14 @@
 	const size_t place = begin.find("{id}");
 	if (place != std::string::npos)
 	{
-		begin.replace(place, 4, id);
+		begin.replace(place, 4, requestId(head));
 	}
 	std::string repeat;
 	for (size_t ii = 0; ii < kRepeats; ++ii)
 	{
 		repeat += m_bytes.repeat;
 	}
+	++m_answered;
 	++m_writing;
 	bool open = writeAll(_socket, begin);
 	while (open && !m_closing)
--- a/tests/direct/endless_upstream.h
+++ b/tests/direct/endless_upstream.h
@@ -38,6 +38,12 @@
 		return m_writing;
 	}
 
+	/// @returns The requests that it has begun to answer.
+	size_t answered() const
+	{
+		return m_answered;
+	}
+
 private:
 	void accept();
 	void answer(int _socket);
@@ -47,6 +53,7 @@
 	uint16_t m_port = 0;
 	std::atomic<bool> m_closing{false};
 	std::atomic<size_t> m_writing{0};
+	std::atomic<size_t> m_answered{0};
 	std::mutex m_mutex; ///< Of the two below.
 	std::vector<std::thread> m_threads;
 	std::vector<int> m_sockets;
--- a/tests/system/harness.cpp
+++ b/tests/system/harness.cpp
@@ -214,10 +214,11 @@
 	const uint16_t port = freePort();
 	const uint16_t link = freePort();
 	const std::string pool = _service ? "services" : "engines";
+	const std::string standIn = _service ? m_services[_index] : m_engines[_index];
 	std::ofstream file(m_dir + "/" + box + ".yaml");
 	file << commonSettings(box, _index, port)
 		 << fmt::format("pool: {}\nlink: {}\nupstream: {}\nratings: {}\nslots: {}\n", pool, loopback(link),
-						_service ? m_services[_index] : m_engines[_index], m_platform, m_shape.slots);
+						m_shape.upstream.empty() ? standIn : m_shape.upstream, m_platform, m_shape.slots);
 	file << (_service ? std::string("services: [orders]\n")
 					  : fmt::format("versions: [{}]\n", fmt::join(m_shape.versions, ", ")))
 		 << m_shape.agentExtra;
--- a/tests/system/harness.h
+++ b/tests/system/harness.h
@@ -23,6 +23,7 @@
 	std::vector<std::string> versions = {"small@1", "large@1"};
 	std::string agentExtra;  ///< More lines for the agents' settings.
 	std::string routerExtra; ///< More lines for the routers' settings.
+	std::string upstream;    ///< Address of all agents' upstream; empty: a stand-in for each.
 	std::string linkKey = "a-link-key-of-32-characters-1234";
 };
 
