Trailers are not passed on as fields of the head

Callers saw: fields of a plain answer that its upstream had sent as trailers, with a folded line joined to the one before. Cause: the parser adds trailers to the fields as it reads them, and the head was taken after the body. Change: the head is taken before the body is read (RFC 9110, 6.5.1, forbids the merge).

--- a/src/direct/read_answer.cpp
+++ b/src/direct/read_answer.cpp
@@ -169,6 +169,9 @@
 {
 	UpstreamCall& call = _attempt.call;
 	const int code = int(call.head().result_int());
+	// Before the body: the parser adds trailers to the fields, and these are none of the head (RFC
+	// 9110, 6.5.1).
+	HttpExchange::Fields head = platform::encodeAnswerHead(call.head());
 	std::string body;
 	HeldAnswer held(_serving.router);
 	const AttemptEnd read = readWhole(_serving, _attempt, _times, held, body);
@@ -187,7 +190,7 @@
 	if (code >= status::kFirstServerError || promisesNotRun(code))
 	{
 		_serving.failedStatus = code;
-		_serving.failedHead = platform::encodeAnswerHead(call.head());
+		_serving.failedHead = std::move(head);
 		_serving.failedBody = std::move(body);
 		held.resize(0);
 		_serving.failedHold.resize(_serving.failedBody.size());
@@ -198,7 +201,7 @@
 		return AttemptEnd::Aborted;
 	}
 	_serving.firstByteAt = monotonicNow();
-	const bool delivered = _serving.exchange.passOn(code, platform::encodeAnswerHead(call.head()), body);
+	const bool delivered = _serving.exchange.passOn(code, head, body);
 	return delivered ? AttemptEnd::Complete : AttemptEnd::CallerDisconnected;
 }
 
--- a/tests/direct/broken_head_test.cpp
+++ b/tests/direct/broken_head_test.cpp
@@ -184,6 +184,27 @@
 	}
 }
 
+// Trailers were passed on as fields of the head, a folded line joined to the one before it.
+TEST_F(BrokenHead, IsNotMadeOfTrailers)
+{
+	start("app", {{"text/plain", kText}});
+	for (const char* status : {"200 OK", "404 Not Found", "500 Trouble"})
+	{
+		UnframedAnswer answer{"text/plain", "", SocketEnd::Closed, 0};
+		answer.status = status;
+		answer.fields = "Transfer-Encoding: chunked\r\nX-Head: head\r\n";
+		answer.body =
+			fmt::format("{:x}\r\n{}\r\n0\r\nX-Head: trailer\r\nX-Trailer: a\r\n Server-Stamp: b\r\n\r\n",
+						kText.size(), kText);
+		answers = {answer};
+		const DirectAnswer got = system.call("POST", "/once/x");
+		EXPECT_EQ(got.status, std::stoi(status));
+		EXPECT_EQ(got.body, kText);
+		EXPECT_EQ(got.header("X-Head"), "head");
+		EXPECT_EQ(got.header("X-Trailer"), "");
+	}
+}
+
 TEST_F(BrokenHead, IsNoneWhereTheHeadIsSound)
 {
 	start("app", {{"text/plain", kText}});
