The soak's callers take no broken head for an answer

Cause: they read heads by the parser alone, so that a status of 000 or a folded line from a router would have passed. Change: parseAnswerHead takes any body and judges their answers too: such a head counts as a reset, which is a breach where none is allowed. The clients in tools/ and of the other tests read by the product's client, which asks it already.

--- a/src/adapters/http_head_p.h
+++ b/src/adapters/http_head_p.h
@@ -90,7 +90,24 @@
 
 /// Parses the whole head of an answer with which a buffer begins, and takes it off.
 /// @returns Why the head is none of an answer; no error: it is one.
-boost::system::error_code parseAnswerHead(AnswerParser& _parser, boost::beast::flat_buffer& _buffer);
+template <typename Body>
+boost::system::error_code parseAnswerHead(boost::beast::http::response_parser<Body>& _parser,
+										  boost::beast::flat_buffer& _buffer)
+{
+	namespace http = boost::beast::http;
+	const boost::asio::const_buffer bytes = _buffer.data();
+	if (hasFoldedField(bytes))
+	{
+		return http::error::bad_field;
+	}
+	boost::system::error_code error;
+	_buffer.consume(_parser.put(bytes, error));
+	if (error || !_parser.is_header_done())
+	{
+		return error ? error : http::error::partial_message;
+	}
+	return isStatus(_parser.get().result_int()) ? boost::system::error_code() : http::error::bad_status;
+}
 } // namespace spanplank
 
 #endif // SPANPLANK_HTTP_HEAD_P_H_HEADER_GUARD
--- a/tests/soak/caller_connection.cpp
+++ b/tests/soak/caller_connection.cpp
@@ -7,6 +7,7 @@
 
 #include "fiber_runtime_p.h"
 #include "harness.h"
+#include "http_head_p.h"
 #include "soak_state.h"
 
 namespace spanplank
@@ -36,7 +37,9 @@
 	{
 		return CallEnd::TimedOut;
 	}
-	if (_error != http::error::end_of_stream && _error != http::error::partial_message)
+	const bool ended = _error == boost::asio::error::eof || _error == http::error::end_of_stream ||
+					   _error == http::error::partial_message;
+	if (!ended)
 	{
 		return CallEnd::Reset;
 	}
@@ -75,7 +78,8 @@
 	beast::flat_buffer buffer;
 	http::response_parser<http::string_body> parser;
 	parser.body_limit(kMostAnswerBytes);
-	IoResult read = awaitIo([&](auto _done) { http::async_read_header(stream, buffer, parser, _done); });
+	IoResult read = awaitIo([&](auto _done) { asyncReadHead(stream, buffer, _done); });
+	read.error = read.error ? read.error : parseAnswerHead(parser, buffer);
 	if (!read.error)
 	{
 		_result.answer.status = int(parser.get().result_int());
