Answers that are given up for memory are logged, and lint of a header

Cause: an agent that gives up an answer too large to be held, and a router whose caller does not read one, said nothing; one header was not formatted.

--- a/src/adapters/agent_daemon.cpp
+++ b/src/adapters/agent_daemon.cpp
@@ -68,6 +68,7 @@
 		AgentActions parts;
 		if (!onUpstreamAnswerPart(_agent.core, work, std::move(_data), parts))
 		{
+			logEvent("answer_too_large", {{"request", _forward.submit.request}});
 			throw HttpFailure("answer: too large to be held", true);
 		}
 		perform(_agent, parts);
@@ -88,12 +89,12 @@
 	catch (const std::exception& failure)
 	{
 		noteEvent(_agent.node, "work_failed", _forward.submit.request, failure.what());
-		return UpstreamFailure{true, false,
-							   failure.what()}; // Work that is not ended holds its slot for good.
+		return UpstreamFailure{true, false, failure.what()};
 	}
 }
 
-/// Ends work whose call has failed, and tells others of what may have ended the upstream.
+/// Ends work whose call has failed, as it would hold its slot for good, and tells others of what may have
+/// ended the upstream.
 void endFailedWork(Agent& _agent, const ForwardWork& _forward, UpstreamFailure _failure,
 				   AgentActions& _actions)
 {
--- a/src/adapters/router_daemon.cpp
+++ b/src/adapters/router_daemon.cpp
@@ -59,6 +59,8 @@
 		{
 			return;
 		}
+		logEvent("answer_unread", {{"number", std::to_string(caller->first)},
+								   {"held_bytes", std::to_string(caller->second->heldBytes)}});
 		RouterActions left;
 		callerDisconnected(router.core, RequestId{caller->first}, left);
 		perform(router, left);
--- a/src/direct/upstream_http_p.h
+++ b/src/direct/upstream_http_p.h
@@ -212,8 +212,8 @@
 	ExchangeState skipAnswer();
 	ExchangeState result(const boost::system::error_code& _error);
 	/// Closes a connection whose end is that of its answer.
-	/// @returns Whether the whole request has reached the upstream and no call on the socket failed. Otherwise
-	/// the answer may have been cut.
+	/// @returns Whether the whole request has reached the upstream and no call on the socket failed.
+	/// Otherwise the answer may have been cut.
 	bool endedInOrder();
 	/// Looks at the clock before a read: bytes that are always ready keep the timer from ending anything.
 	/// @returns Whether the limit has passed for good; the attempt has then ended.
